--- /dev/null
+++ b/crates/admission/src/lib.rs
@@ -0,0 +1,8 @@
+//! Bounds, orders and refuses work: queues, priorities, fairness, deadlines and concurrency limits.
+
+pub mod queue;
+
+/// The common names of this crate.
+pub mod prelude {
+    pub use crate::queue::{AdmissionQueue, AdmissionRefusal, QueuedWork, RefusalReason};
+}
--- /dev/null
+++ b/crates/cli/src/lib.rs
@@ -0,0 +1,1 @@
+//! The command line of the crocusyard binary.
--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,1 @@
+//! The reducer of one entry host: every event goes in, effects come out as data.
--- /dev/null
+++ b/crates/load/src/lib.rs
@@ -0,0 +1,1 @@
+//! Open-loop load generator with checked answers.
--- /dev/null
+++ b/crates/logging/src/lib.rs
@@ -0,0 +1,1 @@
+//! JSON-lines logging set up from the settings.
--- /dev/null
+++ b/crates/membership/src/lib.rs
@@ -0,0 +1,1 @@
+//! Which hosts are alive, suspected or leaving, and what they tell each other.
--- /dev/null
+++ b/crates/metrics/src/lib.rs
@@ -0,0 +1,1 @@
+//! Prometheus metrics of one entry host.
--- /dev/null
+++ b/crates/moves/src/lib.rs
@@ -0,0 +1,1 @@
+//! Leases, fencing numbers, move intents and the accelerator memory ledger.
--- /dev/null
+++ b/crates/placement/src/lib.rs
@@ -0,0 +1,1 @@
+//! Plans which model and adapter is resident on which accelerator.
--- /dev/null
+++ b/crates/presets/src/lib.rs
@@ -0,0 +1,1 @@
+//! The one preset in force: versions, acceptance and distribution.
--- /dev/null
+++ b/crates/settings/src/lib.rs
@@ -0,0 +1,1 @@
+//! Typed settings of one process, read from YAML and checked before anything starts.
--- /dev/null
+++ b/crates/targets/src/lib.rs
@@ -0,0 +1,1 @@
+//! Client of the targets: model engines and plain services.
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,1 @@
+//! Messages between hosts, their postcard encoding and their authentication.
--- /dev/null
+++ b/examples/quickstart.rs
@@ -0,0 +1,3 @@
+//! Placeholder until the entry host exists.
+
+fn main() {}
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,3 @@
+//! The crocusyard binary.
+
+fn main() {}
