--- /dev/null
+++ b/crates/border/examples/generate.rs
@@ -0,0 +1,11 @@
+//! Writes the generated modules from the schemas.
+
+#[path = "../tests/generator/mod.rs"]
+mod generator;
+
+fn main() {
+    for schema in generator::SCHEMAS {
+        std::fs::write(generator::module_path(schema), generator::generate(schema))
+            .expect("generated module is writable");
+    }
+}
--- /dev/null
+++ b/crates/border/tests/drift.rs
@@ -0,0 +1,12 @@
+//! Guards against generated types that no longer match their schemas.
+
+mod generator;
+
+#[test]
+fn generated_modules_match_their_schemas() {
+    for schema in generator::SCHEMAS {
+        let committed = std::fs::read_to_string(generator::module_path(schema))
+            .expect("generated module is readable");
+        assert_eq!(committed, generator::generate(schema), "regenerate {schema}");
+    }
+}
