Add the stand-ins for engines, plain services and the platform

Cause: entry hosts need something to run against, in separate processes and inside one program, without any outside system. Ruled out: random answers, since a caller could not check that it got the whole answer to its own request. Change: an engine with resumable streams, orders, lagged load reports and cache events; a plain service that records keyed calls; a platform with table, objects, weights and host list; faults by HTTP and a TCP relay. Conclusion: each stand-in is one small server and one subcommand.

--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -1,1 +1,25 @@
-//! Small stand-ins for model engines, plain services and the platform, for tests and the quickstart.
+//! Small stand-ins for model engines, plain services and the platform.
+//!
+//! Tests, the quickstart and the load tool run the entry hosts against these. Each stand-in is one
+//! HTTP server on a loopback address and can be started in a process of its own by the
+//! `crocusyard_standin` program or inside another program by the `start` functions. They answer
+//! deterministically, so that a caller can check that it got the whole answer to its own request.
+
+pub mod answers;
+pub mod engine;
+pub mod faults;
+pub mod plain;
+pub mod platform;
+pub mod relay;
+pub mod server;
+
+/// The common names of this crate.
+pub mod prelude {
+    pub use crate::answers::{answer_token, answer_tokens};
+    pub use crate::engine::{start_engine, EngineSettings};
+    pub use crate::faults::{FaultMode, FaultSettings};
+    pub use crate::plain::{start_plain, PlainSettings};
+    pub use crate::platform::{start_platform, PlatformSettings};
+    pub use crate::relay::{start_relay, RelayMode, RelayState};
+    pub use crate::server::RunningServer;
+}
