Add the clients of targets and platform

Cause: the shell needs calls that say how far a failure may have reached. Ruled out: one client for all targets, because the pool of one silent path could not be dropped alone; time limits in the client, because the request reducer decides on them. Change: a pool per target, attempts that report each step over one channel, management calls, and a platform client that tells failed from unknown. Conclusion: only errors before a connection stood count as not sent.

--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -1,1 +1,249 @@
 //! Client of the platform: table service, object store and host list.
+//!
+//! The client says whether a failed write may have taken effect: [`TableAnswer::Failed`] only when
+//! the call did not reach the service or the service refused it, [`TableAnswer::Unknown`] when the
+//! answer was lost.
+
+use awc::error::SendRequestError;
+use awc::Client;
+use bytes::Bytes;
+use crocusyard_base::prelude::*;
+use crocusyard_border::platform::{
+    HostListing, RowPage, RowWrite, StoredRow, TableTransaction, TransactionResult,
+};
+use futures_util::Stream;
+use serde::de::DeserializeOwned;
+use snafu::Snafu;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// The common names of this crate.
+pub mod prelude {
+    pub use crate::{PlatformAddresses, PlatformClient, PlatformError};
+}
+
+/// Largest answer of the platform.
+const BODY_LIMIT: usize = 64 << 20;
+
+/// A call to the object store or host list that failed.
+#[derive(Debug, Snafu)]
+pub enum PlatformError {
+    /// The service could not be reached or its answer broke off.
+    #[snafu(display("platform did not answer: {reason}"))]
+    Unreachable {
+        /// What the HTTP client said.
+        reason: String,
+    },
+    /// The service answered with an error.
+    #[snafu(display("platform answered with status {status}"))]
+    Status {
+        /// HTTP status.
+        status: u16,
+    },
+}
+
+/// Addresses of the platform's services.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PlatformAddresses {
+    /// Table service.
+    pub table: SocketAddr,
+    /// Object store.
+    pub objects: SocketAddr,
+    /// Host list.
+    pub hosts: SocketAddr,
+}
+
+/// Client of the platform; clones share connections.
+#[derive(Clone)]
+pub struct PlatformClient {
+    client: Client,
+    addresses: PlatformAddresses,
+    timeout: Duration,
+}
+
+impl PlatformClient {
+    /// Makes a client whose calls take at most `timeout`.
+    pub fn new(addresses: PlatformAddresses, timeout: Duration) -> Self {
+        let client = Client::builder()
+            .timeout(timeout)
+            .disable_redirects()
+            .finish();
+        Self {
+            client,
+            addresses,
+            timeout,
+        }
+    }
+
+    /// Calls the table service.
+    pub async fn call_table(&self, call: &TableCall) -> TableAnswer {
+        match call {
+            TableCall::Get { key } => self.get_row(key).await,
+            TableCall::Scan {
+                prefix,
+                after,
+                limit,
+            } => self.scan(prefix, after.as_deref(), *limit).await,
+            TableCall::Transact { changes } => self.transact(changes).await,
+        }
+    }
+
+    /// Reads an object; `None` if there is none.
+    pub async fn get_object(&self, key: &str) -> Result<Option<Bytes>, PlatformError> {
+        let url = format!("http://{}/objects/{key}", self.addresses.objects);
+        let mut response = self.client.get(url).send().await.map_err(unreachable)?;
+        match response.status().as_u16() {
+            200 => {}
+            404 => return Ok(None),
+            status => return Err(PlatformError::Status { status }),
+        }
+        let body = response.body().limit(BODY_LIMIT);
+        match actix_rt::time::timeout(self.timeout, body).await {
+            Ok(Ok(object)) => Ok(Some(object)),
+            Ok(Err(error)) => Err(PlatformError::Unreachable {
+                reason: error.to_string(),
+            }),
+            Err(_) => Err(timed_out()),
+        }
+    }
+
+    /// Writes an object. Keys are digests, so writing one twice is harmless.
+    pub async fn put_object(&self, key: &str, object: Bytes) -> Result<(), PlatformError> {
+        let url = format!("http://{}/objects/{key}", self.addresses.objects);
+        let response = self
+            .client
+            .put(url)
+            .send_body(object)
+            .await
+            .map_err(unreachable)?;
+        if response.status().is_success() {
+            return Ok(());
+        }
+        Err(PlatformError::Status {
+            status: response.status().as_u16(),
+        })
+    }
+
+    /// Reads the host list.
+    pub async fn list_hosts(&self) -> Result<HostListing, PlatformError> {
+        let url = format!("http://{}/hosts", self.addresses.hosts);
+        let response = self.client.get(url).send().await.map_err(unreachable)?;
+        if !response.status().is_success() {
+            return Err(PlatformError::Status {
+                status: response.status().as_u16(),
+            });
+        }
+        self.read_json(response).await.ok_or_else(timed_out)
+    }
+
+    async fn get_row(&self, key: &str) -> TableAnswer {
+        let url = format!("http://{}/table/row", self.addresses.table);
+        let Ok(request) = self.client.get(url).query(&[("key", key)]) else {
+            return TableAnswer::Failed;
+        };
+        let Ok(response) = request.send().await else {
+            return TableAnswer::Failed;
+        };
+        match response.status().as_u16() {
+            200 => match self.read_json::<StoredRow, _>(response).await {
+                Some(row) => TableAnswer::Row(Some(table_row(row))),
+                None => TableAnswer::Failed,
+            },
+            404 => TableAnswer::Row(None),
+            _ => TableAnswer::Failed,
+        }
+    }
+
+    async fn scan(&self, prefix: &str, after: Option<&str>, limit: u32) -> TableAnswer {
+        let url = format!("http://{}/table/rows", self.addresses.table);
+        let limit = limit.to_string();
+        let mut query = vec![("prefix", prefix), ("limit", &limit)];
+        query.extend(after.map(|after| ("after", after)));
+        let Ok(request) = self.client.get(url).query(&query) else {
+            return TableAnswer::Failed;
+        };
+        let Ok(response) = request.send().await else {
+            return TableAnswer::Failed;
+        };
+        if !response.status().is_success() {
+            return TableAnswer::Failed;
+        }
+        match self.read_json::<RowPage, _>(response).await {
+            Some(page) => TableAnswer::Rows {
+                rows: page.rows.into_iter().map(table_row).collect(),
+                more: page.more,
+            },
+            None => TableAnswer::Failed,
+        }
+    }
+
+    async fn transact(&self, changes: &[RowChange]) -> TableAnswer {
+        let url = format!("http://{}/table/transact", self.addresses.table);
+        let body = TableTransaction {
+            changes: changes.iter().map(row_write).collect(),
+        };
+        let response = match self.client.post(url).send_json(&body).await {
+            Ok(response) => response,
+            Err(SendRequestError::Connect(_) | SendRequestError::Url(_)) => {
+                return TableAnswer::Failed;
+            }
+            Err(_) => return TableAnswer::Unknown,
+        };
+        match response.status().as_u16() {
+            200 => {}
+            // The service refuses before it carries out anything.
+            400..=499 | 503 => return TableAnswer::Failed,
+            _ => return TableAnswer::Unknown,
+        }
+        match self.read_json::<TransactionResult, _>(response).await {
+            Some(result) if result.committed => TableAnswer::Committed {
+                versions: result.versions,
+            },
+            Some(result) => TableAnswer::Conflict {
+                rows: result.found.into_iter().map(table_row).collect(),
+            },
+            None => TableAnswer::Unknown,
+        }
+    }
+
+    async fn read_json<T, S>(&self, mut response: awc::ClientResponse<S>) -> Option<T>
+    where
+        T: DeserializeOwned,
+        S: Stream<Item = Result<Bytes, awc::error::PayloadError>> + Unpin,
+    {
+        let body = response.json::<T>().limit(BODY_LIMIT);
+        actix_rt::time::timeout(self.timeout, body).await.ok()?.ok()
+    }
+}
+
+fn unreachable(error: SendRequestError) -> PlatformError {
+    PlatformError::Unreachable {
+        reason: error.to_string(),
+    }
+}
+
+fn timed_out() -> PlatformError {
+    PlatformError::Unreachable {
+        reason: "answer timed out or is malformed".to_owned(),
+    }
+}
+
+fn table_row(row: StoredRow) -> TableRow {
+    TableRow {
+        key: row.key.into(),
+        version: row.version,
+        value: row.value.into(),
+    }
+}
+
+fn row_write(change: &RowChange) -> RowWrite {
+    RowWrite {
+        key: change.key.to_string(),
+        expect_version: match change.expect {
+            RowExpect::Absent => Some(0),
+            RowExpect::Version(version) => Some(version),
+            RowExpect::Any => None,
+        },
+        value: change.value.as_deref().map(str::to_owned),
+    }
+}
--- /dev/null
+++ b/crates/targets/src/pool.rs
@@ -0,0 +1,98 @@
+//! Connection pools, one for each target.
+
+use crate::attempt::{run_attempt, AttemptPlan, AttemptUpdate};
+use actix_rt::task::JoinHandle;
+use awc::{Client, Connector};
+use crocusyard_base::prelude::*;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::sync::mpsc;
+
+/// Where attempts report what happens to them.
+pub type UpdateSender = mpsc::UnboundedSender<AttemptUpdate>;
+
+/// Time to connect; a target on the same network that takes longer is not worth waiting for.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time for which an idle connection is kept; below the keep-alive time of common servers.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+
+struct RunningAttempt {
+    target: TargetName,
+    task: JoinHandle<()>,
+}
+
+/// Connection pools and running attempts of one host.
+pub struct TargetPools {
+    updates: UpdateSender,
+    clients: HashMap<SocketAddr, Client>,
+    running: HashMap<AttemptId, RunningAttempt>,
+}
+
+impl TargetPools {
+    /// Makes empty pools.
+    pub fn new(updates: UpdateSender) -> Self {
+        Self {
+            updates,
+            clients: HashMap::new(),
+            running: HashMap::new(),
+        }
+    }
+
+    /// Returns the pooled client of a target.
+    pub fn client(&mut self, address: SocketAddr) -> Client {
+        self.clients
+            .entry(address)
+            .or_insert_with(new_client)
+            .clone()
+    }
+
+    /// Starts an attempt.
+    pub fn start(&mut self, address: SocketAddr, plan: AttemptPlan) {
+        let client = self.client(address);
+        let attempt = plan.attempt;
+        let target = plan.target.clone();
+        let task = actix_rt::spawn(run_attempt(client, address, plan, self.updates.clone()));
+        self.running
+            .insert(attempt, RunningAttempt { target, task });
+    }
+
+    /// Drops an attempt and its connection.
+    pub fn abort(&mut self, attempt: AttemptId) {
+        if let Some(running) = self.running.remove(&attempt) {
+            running.task.abort();
+        }
+    }
+
+    /// Forgets an attempt that ended by itself.
+    pub fn forget(&mut self, attempt: AttemptId) {
+        self.running.remove(&attempt);
+    }
+
+    /// Drops all pooled connections of a target; attempts that still run keep theirs.
+    pub fn close(&mut self, address: SocketAddr) {
+        self.clients.remove(&address);
+    }
+
+    /// Returns the number of running attempts of a target.
+    pub fn running_at(&self, target: &TargetName) -> usize {
+        self.running
+            .values()
+            .filter(|running| running.target == *target)
+            .count()
+    }
+}
+
+/// Makes a client with a pool of its own. The request reducer sets all time limits for answers.
+pub fn new_client() -> Client {
+    let connector = Connector::new()
+        .timeout(CONNECT_TIMEOUT)
+        .conn_keep_alive(IDLE_TIMEOUT)
+        .limit(0);
+    Client::builder()
+        .connector(connector)
+        .disable_timeout()
+        .disable_redirects()
+        .no_default_headers()
+        .finish()
+}
