--- /dev/null
+++ b/crates/host/src/problem.rs
@@ -0,0 +1,130 @@
+//! Refusals as problem documents of RFC 9457.
+
+use actix_web::http::StatusCode;
+use actix_web::{HttpResponse, ResponseError};
+use crocusyard_base::prelude::*;
+use crocusyard_border::callers::{OutcomeName, ProblemDocument};
+use crocusyard_requests::prelude::*;
+use std::fmt;
+
+/// Content type of problem documents.
+const PROBLEM_TYPE: &str = "application/problem+json";
+
+/// A refusal, as it is told to a caller.
+#[derive(Clone, Debug)]
+pub struct CallerProblem {
+    /// HTTP status.
+    pub status: StatusCode,
+    /// Stable code.
+    pub code: &'static str,
+    /// Outcome of the request.
+    pub outcome: RequestOutcome,
+    /// What happened, for a person.
+    pub detail: String,
+    /// Wait after which a retry can help.
+    pub retry_after: Option<ClockTime>,
+    /// Request id, once there is one.
+    pub request: Option<RequestId>,
+}
+
+impl CallerProblem {
+    /// Makes the refusal of a request that was not even queued.
+    pub fn refused(status: StatusCode, code: &'static str, detail: impl Into<String>) -> Self {
+        Self {
+            status,
+            code,
+            outcome: RequestOutcome::NotRun,
+            detail: detail.into(),
+            retry_after: None,
+            request: None,
+        }
+    }
+
+    /// Turns a refusal of the reducer into one for the caller.
+    pub fn from_refusal(refusal: &RequestRefusal, request: &RequestId) -> Self {
+        Self {
+            status: status_of(refusal),
+            code: refusal.code.as_str(),
+            outcome: refusal.outcome,
+            detail: detail_of(refusal.code).to_owned(),
+            retry_after: refusal.retry_after,
+            request: Some(request.clone()),
+        }
+    }
+
+    /// Makes the document.
+    pub fn document(&self) -> ProblemDocument {
+        ProblemDocument {
+            type_: format!("urn:crocusyard:problem:{}", self.code),
+            title: self.status.canonical_reason().unwrap_or("Error").to_owned(),
+            status: self.status.as_u16(),
+            detail: Some(self.detail.clone()),
+            code: self.code.to_owned(),
+            outcome: outcome_name(self.outcome),
+            request_id: self.request.as_ref().map(ToString::to_string),
+            retry_after_ms: self.retry_after.map(ClockTime::as_ms),
+        }
+    }
+}
+
+fn outcome_name(outcome: RequestOutcome) -> OutcomeName {
+    match outcome {
+        RequestOutcome::NotRun => OutcomeName::NotRun,
+        RequestOutcome::Unknown => OutcomeName::Unknown,
+        RequestOutcome::Completed => OutcomeName::Completed,
+    }
+}
+
+fn status_of(refusal: &RequestRefusal) -> StatusCode {
+    match refusal.code {
+        RefusalCode::TenantLimit | RefusalCode::QueueFull => StatusCode::TOO_MANY_REQUESTS,
+        RefusalCode::Deadline => StatusCode::GATEWAY_TIMEOUT,
+        RefusalCode::Unavailable | RefusalCode::RetryBudget | RefusalCode::ClaimUnavailable => {
+            StatusCode::SERVICE_UNAVAILABLE
+        }
+        RefusalCode::KeyConflict | RefusalCode::InDoubt => StatusCode::CONFLICT,
+        RefusalCode::CrashSuspect => StatusCode::UNPROCESSABLE_ENTITY,
+        RefusalCode::TargetRefused | RefusalCode::AnswerLost => StatusCode::BAD_GATEWAY,
+    }
+}
+
+fn detail_of(code: RefusalCode) -> &'static str {
+    match code {
+        RefusalCode::TenantLimit => "too many requests of the tenant are in progress",
+        RefusalCode::QueueFull => "the queue of the class is full",
+        RefusalCode::Deadline => "the deadline cannot be met",
+        RefusalCode::Unavailable => "no target can serve the request now",
+        RefusalCode::RetryBudget => "the request failed and the retry budget is spent",
+        RefusalCode::ClaimUnavailable => "the idempotency key cannot be claimed now",
+        RefusalCode::KeyConflict => "the idempotency key was used with another request",
+        RefusalCode::InDoubt => "a call with this idempotency key may have run",
+        RefusalCode::CrashSuspect => "the request is suspected of crashing targets",
+        RefusalCode::TargetRefused => "the target refused the request",
+        RefusalCode::AnswerLost => "the answer broke off and could not be resumed",
+    }
+}
+
+impl fmt::Display for CallerProblem {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {}", self.code, self.detail)
+    }
+}
+
+impl ResponseError for CallerProblem {
+    fn status_code(&self) -> StatusCode {
+        self.status
+    }
+
+    fn error_response(&self) -> HttpResponse {
+        let mut response = HttpResponse::build(self.status);
+        response.content_type(PROBLEM_TYPE);
+        if let Some(wait) = self.retry_after {
+            // The header counts whole seconds; rounding up keeps early retries away.
+            response.insert_header(("retry-after", wait.as_ms().div_ceil(1000).to_string()));
+        }
+        if let Some(request) = &self.request {
+            response.insert_header(("x-request-id", request.to_string()));
+        }
+        response.json(self.document())
+    }
+}
