--- a/crates/border/tests/drift.rs
+++ b/crates/border/tests/drift.rs
@@ -7,6 +7,10 @@
     for schema in generator::SCHEMAS {
         let committed = std::fs::read_to_string(generator::module_path(schema))
             .expect("generated module is readable");
-        assert_eq!(committed, generator::generate(schema), "regenerate {schema}");
+        assert_eq!(
+            committed,
+            generator::generate(schema),
+            "regenerate {schema}"
+        );
     }
 }
--- a/crates/border/tests/generator/mod.rs
+++ b/crates/border/tests/generator/mod.rs
@@ -19,7 +19,9 @@
     let mut space = typify::TypeSpace::new(
         typify::TypeSpaceSettings::default().with_derive("PartialEq".to_owned()),
     );
-    space.add_root_schema(schema).expect("schema can be generated");
+    space
+        .add_root_schema(schema)
+        .expect("schema can be generated");
     let file = syn::parse2::<syn::File>(space.to_stream()).expect("generated code parses");
     prettyplease::unparse(&file)
 }
--- a/crates/standins/src/bin/crocusyard_standin.rs
+++ b/crates/standins/src/bin/crocusyard_standin.rs
@@ -90,11 +90,11 @@
     let args: StandinArgs = argh::from_env();
     let server = match args.kind {
         StandinKind::Engine(args) => start_engine(engine_settings(args))?,
-        StandinKind::Plain(args) => start_plain(PlainSettings {
+        StandinKind::Plain(args) => start_plain(PlainOptions {
             listen: args.listen,
             service_ms: args.service_ms,
         })?,
-        StandinKind::Platform(args) => start_platform(PlatformSettings {
+        StandinKind::Platform(args) => start_platform(PlatformOptions {
             listen: args.listen,
             listing: crocusyard_border::platform::HostListing {
                 hosts: Vec::new(),
@@ -107,8 +107,8 @@
     std::future::pending().await
 }
 
-fn engine_settings(args: EngineArgs) -> EngineSettings {
-    EngineSettings {
+fn engine_settings(args: EngineArgs) -> EngineOptions {
+    EngineOptions {
         listen: args.listen,
         memory_bytes: args.memory_bytes,
         resident: args.resident,
--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -23,7 +23,7 @@
 
 /// Settings of the engine stand-in.
 #[derive(Clone, Debug)]
-pub struct EngineSettings {
+pub struct EngineOptions {
     /// Address to listen on; port 0 takes a free one.
     pub listen: SocketAddr,
     /// Accelerator memory, bytes.
@@ -46,7 +46,7 @@
     pub report_lag_ms: u64,
 }
 
-impl Default for EngineSettings {
+impl Default for EngineOptions {
     fn default() -> Self {
         Self {
             listen: SocketAddr::from(([127, 0, 0, 1], 0)),
@@ -65,7 +65,7 @@
 
 /// State shared by the handlers of one engine.
 pub(crate) struct EngineState {
-    settings: EngineSettings,
+    settings: EngineOptions,
     incarnation: u64,
     residency: Mutex<ResidencyState>,
     streams: Mutex<StreamState>,
@@ -90,7 +90,7 @@
 }
 
 /// Starts the stand-in on the current actix system.
-pub fn start_engine(settings: EngineSettings) -> std::io::Result<RunningServer> {
+pub fn start_engine(settings: EngineOptions) -> std::io::Result<RunningServer> {
     let listen = settings.listen;
     let state = web::Data::new(EngineState {
         incarnation: new_incarnation(),
--- a/crates/standins/src/engine/residency.rs
+++ b/crates/standins/src/engine/residency.rs
@@ -1,6 +1,6 @@
 //! Models and adapters on the engine stand-in, and the orders that change them.
 
-use super::EngineSettings;
+use super::EngineOptions;
 use crocusyard_border::engine::{
     CopyPhase, CopyStatus, EngineOrder, OrderAction, OrderState, OrderStatus,
 };
@@ -18,7 +18,7 @@
 }
 
 impl ResidencyState {
-    pub(super) fn new(settings: &EngineSettings) -> Self {
+    pub(super) fn new(settings: &EngineOptions) -> Self {
         let copies = settings.resident.iter().map(|(name, memory_bytes)| {
             let copy = CopyStatus {
                 name: name.clone(),
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -16,10 +16,10 @@
 /// The common names of this crate.
 pub mod prelude {
     pub use crate::answers::{answer_token, answer_tokens};
-    pub use crate::engine::{start_engine, EngineSettings};
+    pub use crate::engine::{start_engine, EngineOptions};
     pub use crate::faults::{FaultMode, FaultSettings};
-    pub use crate::plain::{start_plain, PlainSettings};
-    pub use crate::platform::{start_platform, PlatformSettings};
+    pub use crate::plain::{start_plain, PlainOptions};
+    pub use crate::platform::{start_platform, PlatformOptions};
     pub use crate::relay::{start_relay, RelayMode, RelayState};
     pub use crate::server::RunningServer;
 }
--- a/crates/standins/src/plain.rs
+++ b/crates/standins/src/plain.rs
@@ -14,7 +14,7 @@
 
 /// Settings of the plain service stand-in.
 #[derive(Clone, Debug)]
-pub struct PlainSettings {
+pub struct PlainOptions {
     /// Address to listen on; port 0 takes a free one.
     pub listen: SocketAddr,
     /// Time that a call takes, milliseconds.
@@ -37,7 +37,7 @@
 }
 
 /// Starts the stand-in on the current actix system.
-pub fn start_plain(settings: PlainSettings) -> std::io::Result<RunningServer> {
+pub fn start_plain(settings: PlainOptions) -> std::io::Result<RunningServer> {
     let state = web::Data::new(PlainState {
         calls: Mutex::default(),
         service_ms: settings.service_ms,
--- a/crates/standins/src/platform.rs
+++ b/crates/standins/src/platform.rs
@@ -14,7 +14,7 @@
 
 /// Settings of the platform stand-in.
 #[derive(Clone, Debug)]
-pub struct PlatformSettings {
+pub struct PlatformOptions {
     /// Address to listen on; port 0 takes a free one.
     pub listen: SocketAddr,
     /// Host list to start with.
@@ -46,7 +46,7 @@
 }
 
 /// Starts the stand-in on the current actix system.
-pub fn start_platform(settings: PlatformSettings) -> std::io::Result<RunningServer> {
+pub fn start_platform(settings: PlatformOptions) -> std::io::Result<RunningServer> {
     let state = web::Data::new(PlatformState {
         store: Mutex::default(),
         listing: Mutex::new(settings.listing),
--- a/examples/quickstart.rs
+++ /dev/null
@@ -1,3 +0,0 @@
-//! Placeholder until the entry host exists.
-
-fn main() {}
