--- /dev/null
+++ b/crates/catalog/src/check.rs
@@ -0,0 +1,335 @@
+//! Checks of a catalogue beyond the shape of its values: names, references and memory.
+
+use crate::check_presets::{check_preset_memory, check_presets};
+use crate::declarations::{CatalogSpec, RouteSpec, TargetKind, TargetSpec};
+use crate::read::ValueProblem;
+use crocusyard_base::prelude::*;
+use std::collections::{HashMap, HashSet};
+
+/// Checks names, references and memory of a whole catalogue, its presets included.
+///
+/// The list is empty if the catalogue may be put in force.
+pub fn check_catalog(catalog: &CatalogSpec) -> Vec<ValueProblem> {
+    check_parts(catalog, true)
+}
+
+/// Checks a catalogue; one that is not whole is not checked for memory and reach.
+pub(crate) fn check_parts(catalog: &CatalogSpec, whole: bool) -> Vec<ValueProblem> {
+    let mut problems = Vec::new();
+    check_names(catalog, &mut problems);
+    check_domains(catalog, &mut problems);
+    check_adapters(catalog, &mut problems);
+    check_targets(catalog, &mut problems);
+    check_routes(catalog, &mut problems);
+    check_tenants(catalog, &mut problems);
+    check_presets(catalog, &mut problems);
+    if whole {
+        check_engine_memory(catalog, &mut problems);
+        check_model_memory(catalog, &mut problems);
+        check_adapter_memory(catalog, &mut problems);
+        check_service_targets(catalog, &mut problems);
+        check_preset_memory(catalog, &mut problems);
+    }
+    problems
+}
+
+/// Reports each name that occurs a second time in a list.
+pub(crate) fn check_unique<'a>(
+    list: &str,
+    field: &str,
+    names: impl Iterator<Item = &'a str>,
+    problems: &mut Vec<ValueProblem>,
+) {
+    let mut first_uses: HashMap<&str, usize> = HashMap::new();
+    for (index, name) in names.enumerate() {
+        if let Some(first) = first_uses.get(name) {
+            let path = format!("{list}[{index}]{field}");
+            let expected = format!("`{name}` once; it is already {list}[{first}]");
+            problems.push(ValueProblem::new(path, expected));
+        } else {
+            first_uses.insert(name, index);
+        }
+    }
+}
+
+/// Reports a name that is not among the declared ones, with the nearest that is.
+pub(crate) fn check_known<'a>(
+    path: String,
+    kind: &str,
+    name: &str,
+    mut declared: impl Iterator<Item = &'a str> + Clone,
+    problems: &mut Vec<ValueProblem>,
+) {
+    if declared.clone().any(|known| known == name) {
+        return;
+    }
+    let nearest = declared
+        .by_ref()
+        .min_by_key(|known| strsim::damerau_levenshtein(name, known));
+    let expected = match nearest {
+        Some(nearest) => format!("declared {kind}; `{name}` is none, the nearest is `{nearest}`"),
+        None => format!("declared {kind}; none is declared"),
+    };
+    problems.push(ValueProblem::new(path, expected));
+}
+
+fn check_names(catalog: &CatalogSpec, problems: &mut Vec<ValueProblem>) {
+    let regions = catalog.regions.iter().map(|region| region.name.as_str());
+    check_unique("regions", ".name", regions, problems);
+    let models = catalog.models.iter().map(|model| model.name.as_str());
+    check_unique("models", ".name", models, problems);
+    let adapters = catalog.adapters.iter().map(|adapter| adapter.name.as_str());
+    check_unique("adapters", ".name", adapters, problems);
+    let targets = catalog.targets.iter().map(|target| target.name.as_str());
+    check_unique("targets", ".name", targets, problems);
+    let services = catalog.services.iter().map(|service| service.name.as_str());
+    check_unique("services", ".name", services, problems);
+    let tenants = catalog.tenants.iter().map(|tenant| tenant.name.as_str());
+    check_unique("tenants", ".name", tenants, problems);
+    let classes = catalog.classes.iter().map(|class| class.name.as_str());
+    check_unique("classes", ".name", classes, problems);
+    let presets = catalog.presets.iter().map(|preset| preset.name.as_str());
+    check_unique("presets", ".name", presets, problems);
+}
+
+fn check_domains(catalog: &CatalogSpec, problems: &mut Vec<ValueProblem>) {
+    if catalog.regions.is_empty() {
+        problems.push(ValueProblem::new("regions", "at least one region"));
+    }
+    let mut seen = HashSet::new();
+    for (index, region) in catalog.regions.iter().enumerate() {
+        if region.domains.is_empty() {
+            let path = format!("regions[{index}].domains");
+            problems.push(ValueProblem::new(path, "at least one failure domain"));
+        }
+        for (place, domain) in region.domains.iter().enumerate() {
+            if !seen.insert(domain) {
+                let path = format!("regions[{index}].domains[{place}]");
+                let expected = format!("`{domain}` once among the failure domains of all regions");
+                problems.push(ValueProblem::new(path, expected));
+            }
+        }
+    }
+}
+
+/// Every model must fit on some target, or it could never be reached.
+fn check_model_memory(catalog: &CatalogSpec, problems: &mut Vec<ValueProblem>) {
+    let largest = largest_engine(catalog);
+    for (index, model) in catalog.models.iter().enumerate() {
+        if model.memory_bytes > largest {
+            let path = format!("models[{index}].memory_bytes");
+            let expected = format!("at most the memory of the largest engine, {largest}");
+            problems.push(ValueProblem::new(path, expected));
+        }
+    }
+}
+
+fn check_adapters(catalog: &CatalogSpec, problems: &mut Vec<ValueProblem>) {
+    let models: HashSet<&str> = catalog
+        .models
+        .iter()
+        .map(|model| model.name.as_str())
+        .collect();
+    for (index, adapter) in catalog.adapters.iter().enumerate() {
+        let names = catalog.models.iter().map(|model| model.name.as_str());
+        let path = format!("adapters[{index}].model");
+        check_known(path, "model", adapter.model.as_str(), names, problems);
+        // Callers address an adapter like a model.
+        if models.contains(adapter.name.as_str()) {
+            let path = format!("adapters[{index}].name");
+            let expected = format!("name that no model has; `{}` is a model", adapter.name);
+            problems.push(ValueProblem::new(path, expected));
+        }
+    }
+}
+
+/// An adapter must fit on some target beside its base model.
+fn check_adapter_memory(catalog: &CatalogSpec, problems: &mut Vec<ValueProblem>) {
+    let largest = largest_engine(catalog);
+    let sizes: HashMap<&str, u64> = catalog
+        .models
+        .iter()
+        .map(|model| (model.name.as_str(), model.memory_bytes))
+        .collect();
+    for (index, adapter) in catalog.adapters.iter().enumerate() {
+        let Some(size) = sizes.get(adapter.model.as_str()) else {
+            continue;
+        };
+        if *size <= largest && size.saturating_add(adapter.memory_bytes) > largest {
+            let path = format!("adapters[{index}].memory_bytes");
+            let left = largest - size;
+            let expected = format!("at most {left}, what the largest engine has beside the model");
+            problems.push(ValueProblem::new(path, expected));
+        }
+    }
+}
+
+fn check_targets(catalog: &CatalogSpec, problems: &mut Vec<ValueProblem>) {
+    let mut addresses = HashMap::new();
+    for (index, target) in catalog.targets.iter().enumerate() {
+        let path = |field: &str| format!("targets[{index}].{field}");
+        let domains = catalog.regions.iter().flat_map(|region| &region.domains);
+        let domains = domains.map(DomainName::as_str);
+        check_known(
+            path("domain"),
+            "failure domain",
+            target.domain.as_str(),
+            domains,
+            problems,
+        );
+        if let Some(first) = addresses.insert(target.address, index) {
+            let expected = format!("address of its own; targets[{first}] has the same");
+            problems.push(ValueProblem::new(path("address"), expected));
+        }
+        if target.address.port() == 0 || target.address.ip().is_unspecified() {
+            problems.push(ValueProblem::new(
+                path("address"),
+                "address that can be connected to",
+            ));
+        }
+        match target.kind {
+            TargetKind::Engine => check_engine(target, index, problems),
+            TargetKind::Plain => check_plain(catalog, target, index, problems),
+        }
+    }
+}
+
+fn check_engine(target: &TargetSpec, index: usize, problems: &mut Vec<ValueProblem>) {
+    if target.service.is_some() {
+        let path = format!("targets[{index}].service");
+        problems.push(ValueProblem::new(path, "no service on an engine"));
+    }
+    if target.keeps_records {
+        let path = format!("targets[{index}].keeps_records");
+        problems.push(ValueProblem::new(
+            path,
+            "`false` on an engine; plain services keep records",
+        ));
+    }
+}
+
+/// An engine that holds no model at all is useless and probably has a slip in its size.
+fn check_engine_memory(catalog: &CatalogSpec, problems: &mut Vec<ValueProblem>) {
+    let sizes = catalog.models.iter().map(|model| model.memory_bytes);
+    let smallest = sizes.min().unwrap_or(1);
+    for (index, target) in catalog.targets.iter().enumerate() {
+        if target.kind == TargetKind::Engine && target.memory_bytes < smallest {
+            let path = format!("targets[{index}].memory_bytes");
+            let expected = format!("at least the memory of the smallest model, {smallest}");
+            problems.push(ValueProblem::new(path, expected));
+        }
+    }
+}
+
+fn check_plain(
+    catalog: &CatalogSpec,
+    target: &TargetSpec,
+    index: usize,
+    problems: &mut Vec<ValueProblem>,
+) {
+    let path = format!("targets[{index}].service");
+    match &target.service {
+        Some(service) => {
+            let names = catalog.services.iter().map(|service| service.name.as_str());
+            check_known(path, "service", service.as_str(), names, problems);
+        }
+        None => problems.push(ValueProblem::new(
+            path,
+            "service that the plain target runs",
+        )),
+    }
+    if target.memory_bytes != 0 {
+        let path = format!("targets[{index}].memory_bytes");
+        problems.push(ValueProblem::new(path, "0 on a plain target"));
+    }
+    if target.checks_fencing {
+        let path = format!("targets[{index}].checks_fencing");
+        problems.push(ValueProblem::new(
+            path,
+            "`false` on a plain target; it takes no orders",
+        ));
+    }
+}
+
+fn check_service_targets(catalog: &CatalogSpec, problems: &mut Vec<ValueProblem>) {
+    for (index, service) in catalog.services.iter().enumerate() {
+        let served = catalog.targets.iter().any(|target| {
+            target.kind == TargetKind::Plain && target.service.as_ref() == Some(&service.name)
+        });
+        if !served {
+            let path = format!("services[{index}]");
+            let expected = "at least one target that runs the service";
+            problems.push(ValueProblem::new(path, expected));
+        }
+    }
+}
+
+fn check_routes(catalog: &CatalogSpec, problems: &mut Vec<ValueProblem>) {
+    for (index, service) in catalog.services.iter().enumerate() {
+        let path = format!("services[{index}]");
+        if service.routes.is_empty() {
+            let path = format!("{path}.routes");
+            problems.push(ValueProblem::new(path, "at least one route"));
+        }
+        for (place, route) in service.routes.iter().enumerate() {
+            let path = format!("{path}.routes[{place}]");
+            check_route(catalog, route, &path, problems);
+            let earlier = &service.routes[..place];
+            if let Some(cover) = earlier.iter().position(|other| covers(other, route)) {
+                let expected = format!(
+                    "route that can match; services[{index}].routes[{cover}] matches all its calls"
+                );
+                problems.push(ValueProblem::new(path, expected));
+            }
+        }
+    }
+}
+
+fn check_route(
+    catalog: &CatalogSpec,
+    route: &RouteSpec,
+    path: &str,
+    problems: &mut Vec<ValueProblem>,
+) {
+    let method = route.method.as_str();
+    let capitals = !method.is_empty() && method.bytes().all(|byte| byte.is_ascii_uppercase());
+    if method != "*" && !capitals {
+        let path = format!("{path}.method");
+        problems.push(ValueProblem::new(path, "method in capitals, or `*`"));
+    }
+    if !route.path.starts_with('/') {
+        let path = format!("{path}.path");
+        problems.push(ValueProblem::new(path, "path that starts with `/`"));
+    }
+    let names = catalog.classes.iter().map(|class| class.name.as_str());
+    let path = format!("{path}.class");
+    check_known(path, "class", route.class.as_str(), names, problems);
+}
+
+/// Returns whether the first route matches whatever the second one matches.
+fn covers(first: &RouteSpec, second: &RouteSpec) -> bool {
+    let method = first.method == "*" || first.method == second.method;
+    method && second.path.starts_with(&first.path)
+}
+
+fn check_tenants(catalog: &CatalogSpec, problems: &mut Vec<ValueProblem>) {
+    let mut variables = HashMap::new();
+    for (index, tenant) in catalog.tenants.iter().enumerate() {
+        let Some(variable) = &tenant.key_env else {
+            continue;
+        };
+        if let Some(first) = variables.insert(variable, index) {
+            let path = format!("tenants[{index}].key_env");
+            let expected = format!("variable of its own; tenants[{first}] has the same");
+            problems.push(ValueProblem::new(path, expected));
+        }
+    }
+}
+
+fn largest_engine(catalog: &CatalogSpec) -> u64 {
+    let engines = catalog
+        .targets
+        .iter()
+        .filter(|target| target.kind == TargetKind::Engine);
+    engines.map(|target| target.memory_bytes).max().unwrap_or(0)
+}
--- /dev/null
+++ b/crates/catalog/src/diff.rs
@@ -0,0 +1,138 @@
+//! The difference between two catalogues, as data and as text.
+
+use crate::declarations::CatalogSpec;
+use serde::{Deserialize, Serialize};
+use serde_yaml_ng::Value;
+use std::collections::BTreeSet;
+use std::fmt;
+
+/// One difference.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CatalogChange {
+    /// Path with names in place of indexes, as in `models[tiza-7b].memory_bytes`.
+    pub path: String,
+    /// Value in the old catalogue; `None` if it was added.
+    pub before: Option<String>,
+    /// Value in the new catalogue; `None` if it was removed.
+    pub after: Option<String>,
+}
+
+/// All differences, in the order of the declarations.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CatalogDiff {
+    /// Differences.
+    pub changes: Vec<CatalogChange>,
+}
+
+impl fmt::Display for CatalogChange {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let path = &self.path;
+        match (&self.before, &self.after) {
+            (Some(before), Some(after)) => write!(f, "~ {path}: {before} -> {after}"),
+            (None, Some(after)) => write!(f, "+ {path}: {after}"),
+            (Some(before), None) => write!(f, "- {path}: {before}"),
+            (None, None) => write!(f, "  {path}"),
+        }
+    }
+}
+
+impl CatalogDiff {
+    /// Returns one readable line for each difference.
+    pub fn lines(&self) -> Vec<String> {
+        self.changes.iter().map(ToString::to_string).collect()
+    }
+
+    /// Returns whether the catalogues mean the same.
+    pub fn is_empty(&self) -> bool {
+        self.changes.is_empty()
+    }
+}
+
+/// Compares two catalogues; entries are matched by name, so their order does not count.
+pub fn diff_catalogs(old: &CatalogSpec, new: &CatalogSpec) -> CatalogDiff {
+    let mut diff = CatalogDiff::default();
+    let old = serde_yaml_ng::to_value(old).unwrap_or_default();
+    let new = serde_yaml_ng::to_value(new).unwrap_or_default();
+    compare_values(&old, &new, "", &mut diff.changes);
+    diff
+}
+
+fn compare_values(old: &Value, new: &Value, path: &str, changes: &mut Vec<CatalogChange>) {
+    match (old, new) {
+        (Value::Mapping(old), Value::Mapping(new)) => {
+            for (key, value) in new {
+                let name = key.as_str().unwrap_or_default();
+                let dot = if path.is_empty() { "" } else { "." };
+                let path = format!("{path}{dot}{name}");
+                match old.get(key) {
+                    Some(before) => compare_values(before, value, &path, changes),
+                    None => changes.push(change_of(path, None, Some(value))),
+                }
+            }
+        }
+        (Value::Sequence(old), Value::Sequence(new)) => compare_lists(old, new, path, changes),
+        _ if old == new => {}
+        _ => changes.push(change_of(path.to_owned(), Some(old), Some(new))),
+    }
+}
+
+fn compare_lists(old: &[Value], new: &[Value], path: &str, changes: &mut Vec<CatalogChange>) {
+    let old_keys = entry_keys(old);
+    let new_keys = entry_keys(new);
+    let all: BTreeSet<&String> = old_keys.iter().chain(&new_keys).collect();
+    for key in all {
+        let path = format!("{path}[{key}]");
+        let before = position_of(&old_keys, key).map(|index| &old[index]);
+        let after = position_of(&new_keys, key).map(|index| &new[index]);
+        match (before, after) {
+            (Some(before), Some(after)) => compare_values(before, after, &path, changes),
+            _ => changes.push(change_of(path, before, after)),
+        }
+    }
+}
+
+fn position_of(keys: &[String], key: &str) -> Option<usize> {
+    keys.iter().position(|other| other == key)
+}
+
+/// Returns what identifies each entry: its name, its model, its text, or its place among routes.
+fn entry_keys(entries: &[Value]) -> Vec<String> {
+    let key_of = |(index, entry): (usize, &Value)| {
+        let name = entry.get("name").or_else(|| entry.get("model"));
+        let text = name.unwrap_or(entry).as_str();
+        text.map_or_else(|| index.to_string(), str::to_owned)
+    };
+    entries.iter().enumerate().map(key_of).collect()
+}
+
+fn change_of(path: String, before: Option<&Value>, after: Option<&Value>) -> CatalogChange {
+    CatalogChange {
+        path,
+        before: before.map(show_value),
+        after: after.map(show_value),
+    }
+}
+
+/// Writes a value on one line.
+fn show_value(value: &Value) -> String {
+    match value {
+        Value::Null => "none".to_owned(),
+        Value::Bool(flag) => flag.to_string(),
+        Value::Number(number) => number.to_string(),
+        Value::String(text) => text.clone(),
+        Value::Sequence(items) => {
+            let items: Vec<String> = items.iter().map(show_value).collect();
+            format!("[{}]", items.join(", "))
+        }
+        Value::Mapping(pairs) => {
+            let pairs: Vec<String> = pairs
+                .iter()
+                .map(|(key, value)| {
+                    format!("{} {}", key.as_str().unwrap_or_default(), show_value(value))
+                })
+                .collect();
+            format!("{{{}}}", pairs.join(", "))
+        }
+        Value::Tagged(tagged) => show_value(&tagged.value),
+    }
+}
--- /dev/null
+++ b/crates/catalog/src/shape.rs
@@ -0,0 +1,251 @@
+//! The keys that a YAML file may have, as data, and the check of a document against them.
+//!
+//! The check reports every fault at once. What is wrong but may be absent is left out afterwards,
+//! so that the rest of the document can still be read and its references checked.
+
+use crate::document::{LocatedNode, MapEntry, NodeContent};
+use crate::problem::InputProblem;
+use serde_yaml_ng::Value;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+/// Longest text that is accepted for one value, bytes.
+pub const TEXT_MAX_BYTES: usize = 256;
+
+/// What a value must be.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum ValueShape {
+    /// Text.
+    Text,
+    /// Name: letters, digits and `.`, `_`, `-`, `:`, `/`, `@`.
+    Name,
+    /// `true` or `false`.
+    Flag,
+    /// Whole number.
+    Whole {
+        /// Smallest.
+        min: u64,
+        /// Largest.
+        max: u64,
+    },
+    /// Number.
+    Real {
+        /// Smallest.
+        min: f64,
+        /// Largest.
+        max: f64,
+    },
+    /// IP address and port.
+    Address,
+    /// One of some words.
+    Choice(&'static [&'static str]),
+    /// List.
+    List(&'static ValueShape),
+    /// Mapping with fixed keys.
+    Table(&'static [KeySpec]),
+    /// Mapping with free keys.
+    Entries(&'static ValueShape),
+}
+
+/// Whether a key must be given.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum KeyNeed {
+    /// It must be given.
+    Required,
+    /// It has a default, as the file would give it.
+    Default(&'static str),
+    /// It may be absent.
+    Optional,
+}
+
+/// One key of a mapping.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct KeySpec {
+    /// Name.
+    pub name: &'static str,
+    /// What its value must be.
+    pub shape: ValueShape,
+    /// Whether it must be given.
+    pub need: KeyNeed,
+    /// What it sets.
+    pub about: &'static str,
+}
+
+/// Lines by key path.
+pub type PathLines = BTreeMap<String, u32>;
+
+/// Result of a check.
+#[derive(Clone, Debug, Default)]
+pub struct ShapeReport {
+    /// Faults.
+    pub problems: Vec<InputProblem>,
+    /// Paths of keys that an unknown key was probably meant to be.
+    pub excused: Vec<String>,
+    /// Lines of all values that were visited.
+    pub lines: PathLines,
+    /// Whether something required is missing or wrong, so that the document cannot be read.
+    pub unusable: bool,
+}
+
+/// Checks a document and leaves out of it what is wrong but may be absent.
+pub fn check_shape(root: &mut LocatedNode, keys: &'static [KeySpec]) -> ShapeReport {
+    let mut report = ShapeReport::default();
+    if !check_value(root, ValueShape::Table(keys), "", &mut report) {
+        report.unusable = true;
+    }
+    report
+}
+
+/// Returns the line of a path or of the nearest path above it.
+pub fn line_of(lines: &PathLines, path: &str) -> u32 {
+    let mut rest = path;
+    loop {
+        if let Some(line) = lines.get(rest) {
+            return *line;
+        }
+        match rest.rfind(['.', '[']) {
+            Some(end) => rest = &rest[..end],
+            None => return lines.get("").copied().unwrap_or(1),
+        }
+    }
+}
+
+/// Describes what a value must be, for messages and the settings page.
+pub fn describe_shape(shape: ValueShape) -> String {
+    match shape {
+        ValueShape::Text => format!("text of 1 to {TEXT_MAX_BYTES} bytes"),
+        ValueShape::Name => "name of letters, digits, `.`, `_`, `-`, `:`, `/`, `@`".to_owned(),
+        ValueShape::Flag => "`true` or `false`".to_owned(),
+        ValueShape::Whole { min, max } => format!("whole number from {min} to {max}"),
+        ValueShape::Real { min, max } => format!("number from {min} to {max}"),
+        ValueShape::Address => "IP address and port, as in `10.0.0.1:7000`".to_owned(),
+        ValueShape::Choice(words) => format!("one of `{}`", words.join("`, `")),
+        ValueShape::List(item) => format!("list; each: {}", describe_shape(*item)),
+        ValueShape::Table(_) => "mapping with keys".to_owned(),
+        ValueShape::Entries(item) => format!("mapping; each value: {}", describe_shape(*item)),
+    }
+}
+
+/// Checks one value; returns whether it can be kept.
+fn check_value(
+    node: &mut LocatedNode,
+    shape: ValueShape,
+    path: &str,
+    report: &mut ShapeReport,
+) -> bool {
+    report.lines.insert(path.to_owned(), node.line);
+    let line = node.line;
+    match (&mut node.content, shape) {
+        (NodeContent::Map(entries), ValueShape::Table(keys)) => {
+            check_table(entries, keys, line, path, report)
+        }
+        (NodeContent::Map(entries), ValueShape::Entries(item)) => {
+            entries.retain_mut(|entry| {
+                let path = format!("{path}.{}", entry.key);
+                check_value(&mut entry.node, *item, &path, report)
+            });
+            true
+        }
+        (NodeContent::List(items), ValueShape::List(item)) => {
+            let mut kept = true;
+            for (index, node) in items.iter_mut().enumerate() {
+                kept &= check_value(node, *item, &format!("{path}[{index}]"), report);
+            }
+            kept
+        }
+        (NodeContent::Scalar(value), shape) if fits_scalar(value, shape) => true,
+        // The value is not repeated in the message, since it may be a misplaced key.
+        _ => {
+            let problem = InputProblem::new(line, path, describe_shape(shape));
+            report.problems.push(problem);
+            false
+        }
+    }
+}
+
+fn check_table(
+    entries: &mut Vec<MapEntry>,
+    keys: &'static [KeySpec],
+    line: u32,
+    path: &str,
+    report: &mut ShapeReport,
+) -> bool {
+    let mut kept = true;
+    entries.retain_mut(|entry| {
+        let entry_path = join_path(path, &entry.key);
+        let Some(key) = keys.iter().find(|key| key.name == entry.key) else {
+            let nearest = nearest_key(&entry.key, keys);
+            report.excused.push(join_path(path, nearest));
+            let expected = format!("known key; the nearest is `{nearest}`");
+            report
+                .problems
+                .push(InputProblem::new(entry.line, entry_path, expected));
+            return false;
+        };
+        // A key without a value counts as absent.
+        let optional = key.need != KeyNeed::Required;
+        if optional && entry.node.content == NodeContent::Scalar(Value::Null) {
+            return false;
+        }
+        let fits = check_value(&mut entry.node, key.shape, &entry_path, report);
+        report.lines.insert(entry_path, entry.line);
+        // Without one of its entries, a list would make references to that entry look wrong.
+        let scalar = matches!(entry.node.content, NodeContent::Scalar(_));
+        kept &= fits || (optional && scalar);
+        fits
+    });
+    for key in keys.iter().filter(|key| key.need == KeyNeed::Required) {
+        let path = join_path(path, key.name);
+        let seen = report.lines.contains_key(&path);
+        kept &= seen;
+        if !seen && !report.excused.contains(&path) {
+            let expected = format!("required key; {}", describe_shape(key.shape));
+            report
+                .problems
+                .push(InputProblem::new(line, path, expected));
+        }
+    }
+    kept
+}
+
+fn fits_scalar(value: &Value, shape: ValueShape) -> bool {
+    match shape {
+        ValueShape::Text => value
+            .as_str()
+            .is_some_and(|text| !text.is_empty() && text.len() <= TEXT_MAX_BYTES),
+        ValueShape::Name => value.as_str().is_some_and(is_name),
+        ValueShape::Flag => value.is_bool(),
+        ValueShape::Whole { min, max } => value
+            .as_u64()
+            .is_some_and(|whole| (min..=max).contains(&whole)),
+        ValueShape::Real { min, max } => value
+            .as_f64()
+            .is_some_and(|real| (min..=max).contains(&real)),
+        ValueShape::Address => value
+            .as_str()
+            .is_some_and(|text| text.parse::<SocketAddr>().is_ok()),
+        ValueShape::Choice(words) => value.as_str().is_some_and(|text| words.contains(&text)),
+        ValueShape::List(_) | ValueShape::Table(_) | ValueShape::Entries(_) => false,
+    }
+}
+
+fn is_name(text: &str) -> bool {
+    let allowed = |byte: u8| byte.is_ascii_alphanumeric() || b"._-:/@".contains(&byte);
+    !text.is_empty() && text.len() <= TEXT_MAX_BYTES && text.bytes().all(allowed)
+}
+
+/// Returns the known key with the smallest edit distance.
+fn nearest_key(found: &str, keys: &[KeySpec]) -> &'static str {
+    keys.iter()
+        .map(|key| key.name)
+        .min_by_key(|name| strsim::damerau_levenshtein(found, name))
+        .unwrap_or("")
+}
+
+fn join_path(path: &str, key: &str) -> String {
+    if path.is_empty() {
+        key.to_owned()
+    } else {
+        format!("{path}.{key}")
+    }
+}
