Check settings as a whole and document every key

Cause: HostSettings stopped at the first fault, had no ranges, and no page said what the keys mean. Ruled out: generating the page at build time, since a page in the repository can be read without a build; a test compares it with the key tables instead. Change: tables of keys with ranges and defaults, rules between keys, and docs/settings.md with the tables of the settings and of the catalogue. Names of environment variables must be in capitals, because a key that was put there by mistake would otherwise be printed as a name. Conclusion: settings and catalogues are read, checked and documented in the same way.

--- a/crates/catalog/src/keys.rs
+++ b/crates/catalog/src/keys.rs
@@ -1,7 +1,9 @@
 //! The keys of a catalogue file.
 
 use crate::shape::KeyNeed::{Default, Optional, Required};
-use crate::shape::ValueShape::{Address, Choice, Flag, List, Name, Real, Table, Text, Whole};
+use crate::shape::ValueShape::{
+    Address, Choice, Flag, List, Name, Real, Table, Text, Variable, Whole,
+};
 use crate::shape::{KeyNeed, KeySpec, ValueShape};
 
 /// Largest size that is accepted, 16 TiB; a larger one is a slip of the unit.
@@ -220,7 +222,7 @@
     ),
     key(
         "key_env",
-        Name,
+        Variable,
         Optional,
         "environment variable of the host that holds the API key",
     ),
--- a/crates/catalog/src/shape.rs
+++ b/crates/catalog/src/shape.rs
@@ -19,6 +19,9 @@
     Text,
     /// Name: letters, digits and `.`, `_`, `-`, `:`, `/`, `@`.
     Name,
+    /// Name of an environment variable; lower case is refused, since a key that was put in its
+    /// place by mistake would be printed as a name.
+    Variable,
     /// `true` or `false`.
     Flag,
     /// Whole number.
@@ -115,6 +118,7 @@
     match shape {
         ValueShape::Text => format!("text of 1 to {TEXT_MAX_BYTES} bytes"),
         ValueShape::Name => "name of letters, digits, `.`, `_`, `-`, `:`, `/`, `@`".to_owned(),
+        ValueShape::Variable => "environment variable of capitals, digits and `_`".to_owned(),
         ValueShape::Flag => "`true` or `false`".to_owned(),
         ValueShape::Whole { min, max } => format!("whole number from {min} to {max}"),
         ValueShape::Real { min, max } => format!("number from {min} to {max}"),
@@ -214,6 +218,7 @@
             .as_str()
             .is_some_and(|text| !text.is_empty() && text.len() <= TEXT_MAX_BYTES),
         ValueShape::Name => value.as_str().is_some_and(is_name),
+        ValueShape::Variable => value.as_str().is_some_and(is_variable),
         ValueShape::Flag => value.is_bool(),
         ValueShape::Whole { min, max } => value
             .as_u64()
@@ -234,6 +239,11 @@
     !text.is_empty() && text.len() <= TEXT_MAX_BYTES && text.bytes().all(allowed)
 }
 
+fn is_variable(text: &str) -> bool {
+    let allowed = |byte: u8| byte.is_ascii_uppercase() || byte.is_ascii_digit() || byte == b'_';
+    (1..=TEXT_MAX_BYTES).contains(&text.len()) && text.bytes().all(allowed)
+}
+
 /// Returns the known key with the smallest edit distance.
 fn nearest_key(found: &str, keys: &[KeySpec]) -> &'static str {
     keys.iter()
--- a/crates/settings/src/host.rs
+++ b/crates/settings/src/host.rs
@@ -1,12 +1,14 @@
 //! The settings of one entry host.
 
+use crate::check::check_settings;
 use crate::error::SettingsError;
+use crate::keys::HOST_KEYS;
 use crate::sections::{
     AddressSettings, KeySettings, LeaseSettings, LimitSettings, ListenSettings, LogSettings,
     MembershipSettings, PlatformSettings, RequestSettings,
 };
 use crocusyard_base::prelude::*;
-use crocusyard_catalog::prelude::InputProblem;
+use crocusyard_catalog::read::read_checked;
 use serde::{Deserialize, Serialize};
 
 /// Settings of one entry host.
@@ -56,17 +58,6 @@
     ///
     /// Fails with every problem that was found in the text.
     pub fn from_yaml(text: &str) -> Result<Self, SettingsError> {
-        let document = serde_yaml_ng::Deserializer::from_str(text);
-        serde_path_to_error::deserialize(document).map_err(|error| {
-            let path = error.path().to_string();
-            let line = error
-                .inner()
-                .location()
-                .map_or(1, |place| place.line() as u32);
-            let problem = InputProblem::new(line, path, error.into_inner().to_string());
-            SettingsError {
-                problems: vec![problem],
-            }
-        })
+        read_checked(text, HOST_KEYS, check_settings).map_err(|problems| SettingsError { problems })
     }
 }
--- /dev/null
+++ b/crates/settings/src/keys.rs
@@ -0,0 +1,308 @@
+//! The keys of a settings file, with ranges and defaults.
+//!
+//! `docs/settings.md` holds the same table for people. A test holds the two together, and another
+//! one compares the defaults here with those of the structs.
+
+use crocusyard_catalog::shape::KeyNeed::{Default, Optional, Required};
+use crocusyard_catalog::shape::ValueShape::{
+    Address, Choice, Entries, Name, Real, Table, Text, Variable,
+};
+use crocusyard_catalog::shape::{KeyNeed, KeySpec, ValueShape};
+
+const LEVEL: ValueShape = Choice(&["off", "error", "warn", "info", "debug", "trace"]);
+
+const fn key(name: &'static str, shape: ValueShape, need: KeyNeed, about: &'static str) -> KeySpec {
+    KeySpec {
+        name,
+        shape,
+        need,
+        about,
+    }
+}
+
+const fn whole(min: u64, max: u64) -> ValueShape {
+    ValueShape::Whole { min, max }
+}
+
+/// Keys of the file of one host.
+pub const HOST_KEYS: &[KeySpec] = &[
+    key(
+        "name",
+        Name,
+        Required,
+        "name, unique among the hosts of the deployment",
+    ),
+    key("domain", Name, Required, "failure domain"),
+    key("region", Name, Required, "region"),
+    key(
+        "catalog",
+        Text,
+        Optional,
+        "file of the catalogue to start from when no preset has been accepted yet",
+    ),
+    key(
+        "listen",
+        Table(LISTEN_KEYS),
+        Required,
+        "addresses of this host",
+    ),
+    key(
+        "platform",
+        Table(PLATFORM_KEYS),
+        Required,
+        "table service, object store and host list",
+    ),
+    key("keys", Table(KEY_KEYS), Optional, "sources of the keys"),
+    key(
+        "address",
+        Table(ADDRESS_KEYS),
+        Optional,
+        "address answers and draining",
+    ),
+    key(
+        "membership",
+        Table(MEMBERSHIP_KEYS),
+        Optional,
+        "failure detection and messages between hosts",
+    ),
+    key(
+        "lease",
+        Table(LEASE_KEYS),
+        Optional,
+        "lease on the moves of the region",
+    ),
+    key(
+        "requests",
+        Table(REQUEST_KEYS),
+        Optional,
+        "time limits and retries of requests",
+    ),
+    key(
+        "limits",
+        Table(LIMIT_KEYS),
+        Optional,
+        "limits on what callers may send",
+    ),
+    key("log", Table(LOG_KEYS), Optional, "logging"),
+];
+
+/// Keys of `listen`.
+pub const LISTEN_KEYS: &[KeySpec] = &[
+    key(
+        "callers",
+        Address,
+        Required,
+        "address for callers, operators and other hosts over TCP",
+    ),
+    key(
+        "advertised_callers",
+        Address,
+        Required,
+        "the same as others reach it",
+    ),
+    key(
+        "gossip",
+        Address,
+        Required,
+        "address for messages between hosts over UDP",
+    ),
+    key(
+        "advertised_gossip",
+        Address,
+        Required,
+        "the same as others reach it",
+    ),
+];
+
+/// Keys of `platform`.
+pub const PLATFORM_KEYS: &[KeySpec] = &[
+    key("table", Address, Required, "address of the table service"),
+    key("objects", Address, Required, "address of the object store"),
+    key("hosts", Address, Required, "address of the host list"),
+    key(
+        "table_timeout_ms",
+        whole(10, 60_000),
+        Default("1000"),
+        "time limit of one call to the table service",
+    ),
+    key(
+        "object_timeout_ms",
+        whole(10, 60_000),
+        Default("3000"),
+        "time limit of one call to the object store",
+    ),
+    key(
+        "host_timeout_ms",
+        whole(10, 60_000),
+        Default("1000"),
+        "time limit of one call to the host list",
+    ),
+    key(
+        "host_poll_ms",
+        whole(100, 600_000),
+        Default("5000"),
+        "time between two reads of the host list",
+    ),
+    key(
+        "preset_poll_ms",
+        whole(100, 600_000),
+        Default("5000"),
+        "time between two reads of the preset pointer",
+    ),
+];
+
+/// Keys of `keys`.
+pub const KEY_KEYS: &[KeySpec] = &[
+    key("operator", Table(SOURCE_KEYS), Optional, "key that operators present; default `env: CROCUSYARD_OPERATOR_KEY`"),
+    key("gossip", Table(SOURCE_KEYS), Optional, "key that signs messages between hosts and resume tokens; default `env: CROCUSYARD_GOSSIP_KEY`"),
+];
+
+/// Keys of one source of a key.
+pub const SOURCE_KEYS: &[KeySpec] = &[
+    key(
+        "file",
+        Text,
+        Optional,
+        "file that holds the key; exactly one of `file` and `env` is given",
+    ),
+    key(
+        "env",
+        Variable,
+        Optional,
+        "environment variable that holds the key",
+    ),
+];
+
+/// Keys of `address`.
+pub const ADDRESS_KEYS: &[KeySpec] = &[
+    key("ttl_ms", whole(100, 2800), Default("2000"), "time for which callers may keep an address answer; a leaving host must get no new work after 3 s"),
+    key("drain_ms", whole(0, 600_000), Default("1000"), "time for which a draining host stays up after the last answer that names it has run out"),
+    key("stale_ms", whole(1000, 3_600_000), Default("30000"), "time without confirmation that the preset is current after which the host leaves the address answers"),
+];
+
+/// Keys of `membership`.
+pub const MEMBERSHIP_KEYS: &[KeySpec] = &[
+    key(
+        "ping_interval_ms",
+        whole(50, 60_000),
+        Default("500"),
+        "time between two pings that a host sends",
+    ),
+    key(
+        "ping_timeout_ms",
+        whole(5, 30_000),
+        Default("150"),
+        "time after which an unanswered ping is tried through other hosts",
+    ),
+    key(
+        "indirect_pings",
+        whole(1, 16),
+        Default("3"),
+        "hosts that are asked to ping a silent host",
+    ),
+    key(
+        "suspicion_ms",
+        whole(100, 120_000),
+        Default("2000"),
+        "time for which a suspected host may refute before it counts as dead",
+    ),
+    key(
+        "summary_interval_ms",
+        whole(100, 60_000),
+        Default("1000"),
+        "time between two summaries to other failure domains",
+    ),
+    key(
+        "budget_bytes",
+        whole(2400, 23_000),
+        Default("23000"),
+        "bytes a second that a host sends to other hosts; two packets are the least",
+    ),
+];
+
+/// Keys of `lease`.
+pub const LEASE_KEYS: &[KeySpec] = &[
+    key(
+        "length_ms",
+        whole(1000, 600_000),
+        Default("10000"),
+        "length of a lease",
+    ),
+    key(
+        "renew_ms",
+        whole(100, 300_000),
+        Default("3000"),
+        "time after which the holder renews",
+    ),
+    key(
+        "drift",
+        Real { min: 0.0, max: 0.2 },
+        Default("0.01"),
+        "largest relative difference between the clock rates of two hosts",
+    ),
+    key(
+        "order_lateness_ms",
+        whole(0, 3_600_000),
+        Default("30000"),
+        "longest time for which an order to an engine can be late",
+    ),
+];
+
+/// Keys of `requests`.
+pub const REQUEST_KEYS: &[KeySpec] = &[
+    key("tenant_from", Choice(&["key", "header"]), Default("key"), "how the tenant is found: by the bearer key, or by `X-Tenant` for callers that are already authenticated"),
+    key("connect_timeout_ms", whole(10, 60_000), Default("500"), "time limit for a connection to a target"),
+    key("first_byte_ms", whole(10, 600_000), Default("5000"), "time to the first byte of an answer, before it is scaled to the target's load"),
+    key("between_tokens_ms", whole(10, 60_000), Default("1000"), "time between two tokens, before it is scaled to the target's load"),
+    key("probe_timeout_ms", whole(10, 60_000), Default("500"), "time limit for the probe of a target that has gone silent"),
+    key("keepalive_ms", whole(100, 60_000), Default("5000"), "time between two comments on a stream that carries nothing else"),
+    key("load_poll_ms", whole(50, 60_000), Default("500"), "time between two reads of a target's load report"),
+    key("attempts", whole(1, 10), Default("3"), "attempts of one request, the first included"),
+    key("retry_budget", Real { min: 0.0, max: 0.1 }, Default("0.1"), "retries as a share of requests"),
+    key("retry_pause_ms", whole(1, 60_000), Default("50"), "mean time before a retry"),
+    key("crash_suspect_ms", whole(1000, 86_400_000), Default("600000"), "time for which a request that crashed two targets is refused"),
+];
+
+/// Keys of `limits`.
+pub const LIMIT_KEYS: &[KeySpec] = &[
+    key(
+        "body_bytes",
+        whole(1024, 1 << 30),
+        Default("8388608"),
+        "largest request body",
+    ),
+    key(
+        "header_bytes",
+        whole(1024, 1 << 20),
+        Default("32768"),
+        "largest head of a request",
+    ),
+    key(
+        "header_read_ms",
+        whole(100, 600_000),
+        Default("5000"),
+        "time within which the head of a request must have arrived",
+    ),
+    key(
+        "connections",
+        whole(1, 1_000_000),
+        Default("8192"),
+        "connections from callers at once",
+    ),
+];
+
+/// Keys of `log`.
+pub const LOG_KEYS: &[KeySpec] = &[
+    key(
+        "level",
+        LEVEL,
+        Default("info"),
+        "level of modules that are not listed",
+    ),
+    key(
+        "modules",
+        Entries(&LEVEL),
+        Optional,
+        "level by module, as in `crocusyard_moves: debug`",
+    ),
+];
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -4,8 +4,11 @@
 //! Keys and passwords never stand in that file: it names a file or an environment variable, and
 //! [`read_secret`](secret::read_secret) reads the text from there at start.
 
+pub mod check;
 pub mod error;
 pub mod host;
+pub mod keys;
+pub mod page;
 pub mod secret;
 pub mod sections;
 
--- /dev/null
+++ b/crates/settings/src/page.rs
@@ -0,0 +1,51 @@
+//! The table of all keys for `docs/settings.md`.
+
+use crocusyard_catalog::shape::{describe_shape, KeyNeed, KeySpec, ValueShape};
+use std::fmt::Write;
+
+/// Writes one table row for each key, with the keys of sections below their section.
+pub fn render_keys(keys: &[KeySpec]) -> String {
+    let mut page =
+        String::from("| key | unit | value | default | sets |\n| --- | --- | --- | --- | --- |\n");
+    add_rows(keys, "", &mut page);
+    page
+}
+
+fn add_rows(keys: &[KeySpec], prefix: &str, page: &mut String) {
+    for key in keys {
+        let path = format!("{prefix}{}", key.name);
+        match key.shape {
+            ValueShape::Table(inner) => {
+                add_rows(inner, &format!("{path}."), page);
+                continue;
+            }
+            ValueShape::List(ValueShape::Table(inner)) => {
+                add_rows(inner, &format!("{path}[]."), page);
+                continue;
+            }
+            _ => {}
+        }
+        let need = match key.need {
+            KeyNeed::Required => "required".to_owned(),
+            KeyNeed::Default(text) => format!("`{text}`"),
+            KeyNeed::Optional => "none".to_owned(),
+        };
+        let shape = describe_shape(key.shape);
+        let unit = unit_of(key.name);
+        // Writing to a string cannot fail.
+        let _ = writeln!(
+            page,
+            "| `{path}` | {unit} | {shape} | {need} | {} |",
+            key.about
+        );
+    }
+}
+
+fn unit_of(name: &str) -> &'static str {
+    match name {
+        "budget_bytes" => "bytes/s",
+        _ if name.ends_with("_ms") => "ms",
+        _ if name.ends_with("_bytes") => "bytes",
+        _ => "–",
+    }
+}
