--- a/crates/routing/src/table.rs
+++ b/crates/routing/src/table.rs
@@ -1,10 +1,20 @@
-//! The route table of one host: what it knows of every target, and the choice among them.
+//! The route table of one host: what it knows of every target.
+//!
+//! Targets have numbered slots. Names are resolved once per call, and the choice works on slots.
 
+use crate::adapters::AdapterTransit;
+use crate::choose;
+use crate::index::SlotIndex;
+use crate::load::{LoadEstimate, SELF_SENDER};
+use crate::prefix::{CacheBatch, CacheProgress, PrefixHints};
 use crate::query::{RouteChoice, RouteQuery, WorkKind};
 use crate::report::{CopyState, LoadDelta, LoadReport};
+use crate::tuning::RouteTuning;
+use crocusyard_admission::prelude::*;
 use crocusyard_base::prelude::*;
 use crocusyard_catalog::prelude::*;
-use std::collections::BTreeMap;
+use std::collections::{HashMap, VecDeque};
+use std::sync::Arc;
 
 /// Settings of the choice.
 #[derive(Clone, Debug)]
@@ -15,131 +25,425 @@
 
 /// What a host knows of one target.
 #[derive(Clone, Debug)]
-struct TargetEntry {
-    spec: TargetSpec,
-    report: Option<LoadReport>,
-    in_flight: u32,
-    leaving: bool,
+pub(crate) struct TargetEntry {
+    pub(crate) spec: TargetSpec,
+    pub(crate) report: Option<LoadReport>,
+    pub(crate) load: LoadEstimate,
+    pub(crate) limit: LatencyLimit,
+    pub(crate) in_flight: u32,
+    pub(crate) leaving: bool,
+    pub(crate) suspect: bool,
+    pub(crate) failures: f64,
+    pub(crate) failed_at: ClockTime,
+    pub(crate) distance: ClockTime,
+    copies: Vec<Arc<str>>,
+    dirty: bool,
 }
 
 /// Route table of one host.
 #[derive(Clone, Debug)]
 pub struct RouteTable {
-    targets: BTreeMap<TargetName, TargetEntry>,
+    pub(crate) domain: DomainName,
+    pub(crate) tuning: RouteTuning,
+    pub(crate) entries: Vec<Option<TargetEntry>>,
+    pub(crate) copies: SlotIndex,
+    pub(crate) services: SlotIndex,
+    pub(crate) prefixes: PrefixHints,
+    pub(crate) transit: AdapterTransit,
+    slots: HashMap<TargetName, u32>,
+    free: Vec<u32>,
+    regions: HashMap<DomainName, RegionName>,
+    senders: HashMap<HostName, u32>,
+    dirty: VecDeque<u32>,
 }
 
 impl RouteTable {
+    /// Makes an empty table with the default tuning.
+    pub fn new(settings: RouteSettings) -> Self {
+        Self::with_tuning(settings, RouteTuning::default())
+    }
+
     /// Makes an empty table.
-    pub fn new(_settings: RouteSettings) -> Self {
+    pub fn with_tuning(settings: RouteSettings, tuning: RouteTuning) -> Self {
         Self {
-            targets: BTreeMap::new(),
+            domain: settings.domain,
+            prefixes: PrefixHints::new(tuning.prefix_entries, tuning.prefix_half_life),
+            transit: AdapterTransit::new(tuning.adapter_load, tuning.host_count),
+            tuning,
+            entries: Vec::new(),
+            copies: SlotIndex::default(),
+            services: SlotIndex::default(),
+            slots: HashMap::new(),
+            free: Vec::new(),
+            regions: HashMap::new(),
+            senders: HashMap::new(),
+            dirty: VecDeque::new(),
+        }
+    }
+
+    /// Sets the declared regions, which give distances and adapter transit limits.
+    pub fn set_regions(&mut self, regions: &[RegionSpec]) {
+        self.regions = regions
+            .iter()
+            .flat_map(|region| {
+                let name = &region.name;
+                region
+                    .domains
+                    .iter()
+                    .map(move |domain| (domain.clone(), name.clone()))
+            })
+            .collect();
+        let here = self.regions.get(&self.domain);
+        let limit = regions
+            .iter()
+            .find(|region| Some(&region.name) == here)
+            .map(|region| region.adapter_loads_in_transit);
+        self.transit.set_limit(limit);
+        for slot in 0..self.entries.len() {
+            let distance = self.entries[slot]
+                .as_ref()
+                .map(|entry| self.distance_to(&entry.spec.domain));
+            if let (Some(entry), Some(distance)) = (self.entries[slot].as_mut(), distance) {
+                entry.distance = distance;
+            }
         }
     }
 
     /// Sets the declared targets; what is known of those that remain is kept.
     pub fn set_targets(&mut self, targets: &[TargetSpec]) {
-        let mut known = std::mem::take(&mut self.targets);
+        let mut gone = std::mem::take(&mut self.slots);
         for spec in targets {
-            let entry = known.remove(&spec.name).unwrap_or_else(|| TargetEntry {
-                spec: spec.clone(),
-                report: None,
-                in_flight: 0,
-                leaving: false,
-            });
-            let entry = TargetEntry {
-                spec: spec.clone(),
-                ..entry
-            };
-            self.targets.insert(spec.name.clone(), entry);
+            let distance = self.distance_to(&spec.domain);
+            if let Some(slot) = gone.remove(&spec.name) {
+                self.update_spec(slot, spec, distance);
+                self.slots.insert(spec.name.clone(), slot);
+            } else if !self.slots.contains_key(&spec.name) {
+                self.add_target(spec, distance);
+            }
+        }
+        let mut removed: Vec<u32> = gone.into_values().collect();
+        removed.sort_unstable();
+        for slot in removed {
+            self.remove_target(slot);
+        }
+    }
+
+    fn add_target(&mut self, spec: &TargetSpec, distance: ClockTime) {
+        let entry = TargetEntry {
+            limit: LatencyLimit::new(spec.concurrency, self.tuning.first_token_goal),
+            spec: spec.clone(),
+            report: None,
+            load: LoadEstimate::new(),
+            in_flight: 0,
+            leaving: false,
+            suspect: false,
+            failures: 0.0,
+            failed_at: ClockTime::ZERO,
+            distance,
+            copies: Vec::new(),
+            dirty: false,
+        };
+        let slot = self.free.pop().unwrap_or(self.entries.len() as u32);
+        if slot as usize == self.entries.len() {
+            self.entries.push(Some(entry));
+        } else {
+            self.entries[slot as usize] = Some(entry);
+        }
+        self.prefixes.grow(self.entries.len());
+        if let Some(service) = &spec.service {
+            self.services.insert(&Arc::from(service.as_str()), slot);
+        }
+        self.slots.insert(spec.name.clone(), slot);
+    }
+
+    fn update_spec(&mut self, slot: u32, spec: &TargetSpec, distance: ClockTime) {
+        let Some(entry) = self.entries[slot as usize].as_mut() else {
+            return;
+        };
+        if entry.spec.service != spec.service {
+            if let Some(service) = &entry.spec.service {
+                self.services.remove(service.as_str(), slot);
+            }
+            if let Some(service) = &spec.service {
+                self.services.insert(&Arc::from(service.as_str()), slot);
+            }
+        }
+        if entry.spec.concurrency != spec.concurrency {
+            entry.limit = LatencyLimit::new(spec.concurrency, self.tuning.first_token_goal);
+        }
+        entry.spec = spec.clone();
+        entry.distance = distance;
+    }
+
+    fn remove_target(&mut self, slot: u32) {
+        let Some(entry) = self.entries[slot as usize].take() else {
+            return;
+        };
+        self.copies.replace(slot, &entry.copies, &[]);
+        if let Some(service) = &entry.spec.service {
+            self.services.remove(service.as_str(), slot);
+        }
+        self.prefixes.forget(slot);
+        self.transit.forget(slot);
+        self.dirty.retain(|&other| other != slot);
+        self.free.push(slot);
+    }
+
+    fn distance_to(&self, domain: &DomainName) -> ClockTime {
+        if *domain == self.domain {
+            return ClockTime::ZERO;
+        }
+        // A domain of no declared region counts as near, so that a table without regions works.
+        match (self.regions.get(domain), self.regions.get(&self.domain)) {
+            (Some(there), Some(here)) if there != here => self.tuning.region_distance,
+            _ => self.tuning.domain_distance,
         }
     }
 
     /// Takes a load report; an older one than the last is ignored.
-    pub fn apply_report(&mut self, _now: ClockTime, report: LoadReport) {
-        if let Some(entry) = self.targets.get_mut(&report.target) {
-            entry.leaving = report.leaving;
-            entry.report = Some(report);
+    pub fn apply_report(&mut self, now: ClockTime, report: LoadReport) {
+        let Some(&slot) = self.slots.get(&report.target) else {
+            return;
+        };
+        let Some(entry) = self.entries[slot as usize].as_mut() else {
+            return;
+        };
+        let known = entry.report.as_ref();
+        if known.is_some_and(|last| {
+            (report.incarnation, report.sequence) <= (last.incarnation, last.sequence)
+        }) {
+            return;
+        }
+        if known.is_some_and(|last| report.incarnation > last.incarnation) {
+            self.prefixes.forget(slot);
         }
+        let mut copies: Vec<Arc<str>> = report
+            .copies
+            .iter()
+            .filter(|copy| copy.state == CopyState::Resident)
+            .map(|copy| copy.name.clone())
+            .collect();
+        copies.sort_unstable();
+        copies.dedup();
+        self.copies.replace(slot, &entry.copies, &copies);
+        entry.copies = copies;
+        entry.leaving = report.leaving;
+        entry.load.rebase(now, &report);
+        entry.report = Some(report);
     }
 
     /// Takes another host's delta.
-    pub fn apply_delta(&mut self, _now: ClockTime, _from: &HostName, _delta: &LoadDelta) {}
+    ///
+    /// The sender's part of the log is corrected to the delta. A delta for an older report is
+    /// ignored; one for a newer report than known here can only raise the estimate.
+    pub fn apply_delta(&mut self, now: ClockTime, from: &HostName, delta: &LoadDelta) {
+        let Some(&slot) = self.slots.get(&delta.target) else {
+            return;
+        };
+        let next = self.senders.len() as u32 + SELF_SENDER + 1;
+        let sender = *self.senders.entry(from.clone()).or_insert(next);
+        let Some(entry) = self.entries[slot as usize].as_mut() else {
+            return;
+        };
+        let sequence = entry.report.as_ref().map_or(0, |report| report.sequence);
+        if delta.sequence < sequence {
+            return;
+        }
+        let (requests, tokens) = entry.load.sent_by(sender);
+        let tokens = i64::try_from(delta.tokens)
+            .unwrap_or(i64::MAX)
+            .saturating_sub(tokens);
+        let mut requests = i64::from(delta.requests) - requests;
+        if delta.sequence > sequence {
+            requests = requests.max(0);
+        }
+        if requests != 0 || tokens > 0 {
+            entry.load.add(now, sender, requests, tokens.max(0));
+        }
+    }
+
+    /// Takes a batch of a target's cache events.
+    pub fn apply_cache(&mut self, now: ClockTime, batch: &CacheBatch) -> CacheProgress {
+        match self.slots.get(&batch.target) {
+            Some(&slot) => self.prefixes.apply(now, slot, batch),
+            None => CacheProgress::Ignored,
+        }
+    }
+
+    /// Returns the targets whose cache events have a gap, to be asked for a full batch.
+    pub fn cache_resyncs(&self) -> Vec<TargetName> {
+        self.entries
+            .iter()
+            .enumerate()
+            .filter(|(slot, _)| self.prefixes.wants_full(*slot as u32))
+            .filter_map(|(_, entry)| entry.as_ref().map(|entry| entry.spec.name.clone()))
+            .collect()
+    }
+
+    /// Returns the number of prefix hints held.
+    pub fn prefix_hints(&self) -> usize {
+        self.prefixes.len()
+    }
 
     /// Returns this host's deltas that changed since the last call, for the other hosts.
-    pub fn take_deltas(&mut self, _limit: usize) -> Vec<LoadDelta> {
-        Vec::new()
+    pub fn take_deltas(&mut self, limit: usize) -> Vec<LoadDelta> {
+        let count = limit.min(self.dirty.len());
+        let slots: Vec<u32> = self.dirty.drain(..count).collect();
+        let mut deltas = Vec::with_capacity(count);
+        for slot in slots {
+            let Some(entry) = self.entries[slot as usize].as_mut() else {
+                continue;
+            };
+            entry.dirty = false;
+            let (requests, tokens) = entry.load.sent_by(SELF_SENDER);
+            deltas.push(LoadDelta {
+                target: entry.spec.name.clone(),
+                sequence: entry.report.as_ref().map_or(0, |report| report.sequence),
+                requests: requests.clamp(i64::from(i32::MIN), i64::from(i32::MAX)) as i32,
+                tokens: tokens.max(0) as u64,
+            });
+        }
+        deltas
     }
 
     /// Marks a target as leaving or staying.
     pub fn set_leaving(&mut self, target: &TargetName, leaving: bool) {
-        if let Some(entry) = self.targets.get_mut(target) {
+        if let Some(entry) = self.entry_mut(target) {
             entry.leaving = leaving;
         }
     }
 
+    /// Marks a target as suspected of having failed, or clears the suspicion.
+    pub fn set_suspect(&mut self, target: &TargetName, suspect: bool) {
+        if let Some(entry) = self.entry_mut(target) {
+            entry.suspect = suspect;
+        }
+    }
+
     /// Notes that an attempt was sent.
-    pub fn note_sent(&mut self, _now: ClockTime, target: &TargetName, _query: &RouteQuery<'_>) {
-        if let Some(entry) = self.targets.get_mut(target) {
-            entry.in_flight += 1;
+    pub fn note_sent(&mut self, now: ClockTime, target: &TargetName, query: &RouteQuery<'_>) {
+        let Some(&slot) = self.slots.get(target) else {
+            return;
+        };
+        let hit = self
+            .prefixes
+            .hits(now, query.prefix)
+            .iter()
+            .find(|hit| hit.slot == slot)
+            .map_or(0.0, |hit| hit.share);
+        let tokens = f64::from(query.input_tokens) * (1.0 - hit);
+        self.change_load(now, slot, 1, tokens as i64);
+        for &block in query.prefix {
+            self.prefixes.store(now, slot, block);
+        }
+        if let WorkKind::Model {
+            adapter: Some(adapter),
+            ..
+        } = query.work
+        {
+            if self
+                .copies
+                .get(adapter.as_str())
+                .binary_search(&slot)
+                .is_err()
+            {
+                self.transit.start(now, adapter, slot);
+            }
         }
     }
 
     /// Notes that an attempt ended well, with its time to the first token or byte.
-    pub fn note_ended(&mut self, _now: ClockTime, target: &TargetName, _first: Option<ClockTime>) {
-        if let Some(entry) = self.targets.get_mut(target) {
-            entry.in_flight = entry.in_flight.saturating_sub(1);
+    pub fn note_ended(&mut self, now: ClockTime, target: &TargetName, first: Option<ClockTime>) {
+        let Some(&slot) = self.slots.get(target) else {
+            return;
+        };
+        self.change_load(now, slot, -1, 0);
+        if let (Some(entry), Some(first)) = (self.entries[slot as usize].as_mut(), first) {
+            let requests = entry.load.requests() + 1;
+            entry.limit.observe(now, first, requests);
         }
     }
 
     /// Notes that an attempt failed.
     pub fn note_failed(&mut self, now: ClockTime, target: &TargetName) {
+        let half_life = self.tuning.failure_half_life;
         self.note_ended(now, target, None);
+        if let Some(entry) = self.entry_mut(target) {
+            entry.failures = choose::decayed_failures(entry, now, half_life) + 1.0;
+            entry.failed_at = now;
+        }
+    }
+
+    fn change_load(&mut self, now: ClockTime, slot: u32, requests: i64, tokens: i64) {
+        let Some(entry) = self.entries[slot as usize].as_mut() else {
+            return;
+        };
+        if requests > 0 {
+            entry.in_flight += 1;
+        } else {
+            // A target that was removed and declared again ends attempts it never counted.
+            if entry.in_flight == 0 {
+                return;
+            }
+            entry.in_flight -= 1;
+        }
+        entry.load.add(now, SELF_SENDER, requests, tokens);
+        if !entry.dirty {
+            entry.dirty = true;
+            self.dirty.push_back(slot);
+        }
+        invariant!(
+            self.dirty.len() <= self.entries.len(),
+            "dirty_targets_bounded",
+            "{} dirty of {}",
+            self.dirty.len(),
+            self.entries.len()
+        );
+    }
+
+    fn entry(&self, target: &TargetName) -> Option<&TargetEntry> {
+        let slot = *self.slots.get(target)?;
+        self.entries[slot as usize].as_ref()
+    }
+
+    fn entry_mut(&mut self, target: &TargetName) -> Option<&mut TargetEntry> {
+        let slot = *self.slots.get(target)?;
+        self.entries[slot as usize].as_mut()
     }
 
     /// Returns the failure domain of a target.
     pub fn domain_of(&self, target: &TargetName) -> Option<&DomainName> {
-        self.targets.get(target).map(|entry| &entry.spec.domain)
+        self.entry(target).map(|entry| &entry.spec.domain)
     }
 
     /// Returns the declaration of a target.
     pub fn spec_of(&self, target: &TargetName) -> Option<&TargetSpec> {
-        self.targets.get(target).map(|entry| &entry.spec)
+        self.entry(target).map(|entry| &entry.spec)
     }
 
     /// Returns the last report of a target.
     pub fn report_of(&self, target: &TargetName) -> Option<&LoadReport> {
-        self.targets
-            .get(target)
-            .and_then(|entry| entry.report.as_ref())
+        self.entry(target).and_then(|entry| entry.report.as_ref())
+    }
+
+    /// Returns the present concurrency limit of a target.
+    pub fn limit_of(&self, target: &TargetName) -> Option<u32> {
+        self.entry(target).map(|entry| entry.limit.current())
+    }
+
+    /// Returns the estimated number of requests at a target, from all hosts.
+    pub fn requests_at(&self, target: &TargetName) -> Option<u32> {
+        self.entry(target)
+            .map(|entry| entry.load.requests().max(entry.in_flight))
     }
 
     /// Chooses a target for an attempt.
     pub fn choose(
         &self,
-        _now: ClockTime,
+        now: ClockTime,
         query: &RouteQuery<'_>,
-        _rng: &mut SeededRng,
+        rng: &mut SeededRng,
     ) -> RouteChoice {
-        self.targets
-            .values()
-            .filter(|entry| !entry.leaving && serves(entry, query.work))
-            .filter(|entry| !query.tried.contains(&entry.spec.name))
-            .min_by_key(|entry| entry.in_flight)
-            .map_or(RouteChoice::NotResident, |entry| RouteChoice::Target {
-                target: entry.spec.name.clone(),
-                estimate: ClockTime::ZERO,
-            })
-    }
-}
-
-fn serves(entry: &TargetEntry, work: &WorkKind) -> bool {
-    match work {
-        WorkKind::Model { model, .. } => entry.report.as_ref().is_some_and(|report| {
-            report
-                .copies
-                .iter()
-                .any(|copy| &*copy.name == model.as_str() && copy.state == CopyState::Resident)
-        }),
-        WorkKind::Service { service } => entry.spec.service.as_ref() == Some(service),
+        choose::choose(self, now, query, rng)
     }
 }
