--- a/crates/host/src/actor.rs
+++ b/crates/host/src/actor.rs
@@ -13,6 +13,7 @@
 use crocusyard_border::platform::HostListing;
 use crocusyard_catalog::prelude::*;
 use crocusyard_core::prelude::*;
+use crocusyard_metrics::prelude::*;
 use crocusyard_platform::prelude::*;
 use crocusyard_requests::prelude::*;
 use crocusyard_settings::prelude::*;
@@ -36,6 +37,10 @@
     pub(crate) collects: bool,
     /// Answer read from a claim or from a target's record.
     pub(crate) stored: Option<StoredAnswer>,
+    /// Metric labels.
+    pub(crate) labels: RequestLabels,
+    /// When the last token was delivered.
+    pub(crate) last_token: Option<ClockTime>,
 }
 
 /// An attempt in the shell.
@@ -55,6 +60,8 @@
     pub platform: PlatformClient,
     /// Catalogue shared with the handlers.
     pub catalog: SharedCatalog,
+    /// Metrics.
+    pub metrics: Arc<MetricSet>,
 }
 
 /// The actor of one entry host.
@@ -63,6 +70,7 @@
     pub(crate) state: HostState,
     pub(crate) platform: PlatformClient,
     pub(crate) catalog: SharedCatalog,
+    pub(crate) metrics: Arc<MetricSet>,
     pub(crate) pools: TargetPools,
     pub(crate) requests: HashMap<RequestKey, RequestSlot>,
     pub(crate) attempts: HashMap<AttemptId, AttemptSlot>,
@@ -82,6 +90,7 @@
             state: parts.state,
             platform: parts.platform,
             catalog: parts.catalog,
+            metrics: parts.metrics,
             pools: TargetPools::new(sender),
             requests: HashMap::new(),
             attempts: HashMap::new(),
@@ -123,6 +132,9 @@
 
     /// Puts a catalogue in force.
     pub(crate) fn use_catalog(&mut self, catalog: Arc<CatalogSpec>, context: &mut Context<Self>) {
+        let tenants = catalog.tenants.iter().map(|tenant| &tenant.name);
+        let classes = catalog.classes.iter().map(|class| &class.name);
+        self.metrics.declare_names(tenants, classes);
         self.catalog.replace(catalog.clone());
         self.feed(HostEvent::CatalogChanged(catalog), context);
     }
@@ -161,6 +173,8 @@
             id: spec.id.clone(),
             collects: !spec.idempotent,
             stored: None,
+            labels: self.metrics.labels_of(&spec.tenant, &spec.class),
+            last_token: None,
         };
         self.requests.insert(key, slot);
         self.feed_request(
@@ -267,3 +281,18 @@
         quiet && self.requests.is_empty()
     }
 }
+
+/// Asks whether the host takes new work: it knows the load of a target and is not being stopped.
+#[derive(Message)]
+#[rtype(result = "bool")]
+pub(crate) struct IsReady;
+
+impl Handler<IsReady> for HostActor {
+    type Result = bool;
+
+    fn handle(&mut self, _: IsReady, _context: &mut Self::Context) -> bool {
+        let mut targets = self.state.catalog.targets.iter();
+        let knows_load = targets.any(|spec| self.state.routes.report_of(&spec.name).is_some());
+        knows_load && self.draining.is_none()
+    }
+}
--- a/crates/host/src/callers.rs
+++ b/crates/host/src/callers.rs
@@ -1,44 +1,27 @@
 //! HTTP handlers for callers.
 
 use crate::actor::HostActor;
-use crate::answer::{answer_channel, AnswerPart, AnswerReceiver};
-use crate::catalog_view::{CatalogView, SharedCatalog};
-use crate::completion::{CompletionRequest, JoinedAnswer};
+use crate::answer::answer_channel;
+use crate::catalog_view::SharedCatalog;
+use crate::completion::CompletionRequest;
+use crate::delivery::{join_answer, pass_answer, stopping, stream_answer, CallerAnswer};
+use crate::intake::{
+    deadline, digest_of, find_class, find_tenant, header, idempotency_key, passed_headers,
+    request_id,
+};
 use crate::problem::CallerProblem;
 use crate::resume::ResumeKey;
-use crate::submit::{CallerLeft, RequestPayload, SubmitRequest};
+use crate::submit::{RequestPayload, SubmitRequest};
 use actix::Addr;
-use actix_web::http::header::{HeaderMap, HeaderName};
 use actix_web::http::StatusCode;
 use actix_web::{web, HttpRequest, HttpResponse};
 use bytes::Bytes;
-use crocusyard_base::prelude::*;
-use crocusyard_catalog::prelude::*;
 use crocusyard_requests::prelude::*;
 use crocusyard_routing::prelude::*;
 use crocusyard_settings::prelude::TenantSource;
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Longest deadline that a caller may ask for.
-const DEADLINE_MAX: ClockTime = ClockTime::from_secs(3600);
-/// Longest request id and idempotency key, bytes.
-const ID_MAX_BYTES: usize = 128;
-/// Headers of a call that concern one connection only, or that the host sets itself.
-const HOP_HEADERS: [&str; 11] = [
-    "connection",
-    "keep-alive",
-    "proxy-authenticate",
-    "proxy-authorization",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-    "host",
-    "content-length",
-    "authorization",
-];
-
 /// What the handlers share.
 #[derive(Clone)]
 pub struct CallerState {
@@ -204,33 +187,6 @@
     pass_answer(answer, id).await
 }
 
-/// An answer on its way to a caller; dropping it before its end tells the actor.
-struct CallerAnswer {
-    key: RequestKey,
-    actor: Addr<HostActor>,
-    parts: AnswerReceiver,
-    ended: bool,
-}
-
-impl CallerAnswer {
-    async fn next(&mut self) -> Option<AnswerPart> {
-        let part = self.parts.next().await;
-        self.ended = matches!(
-            part,
-            None | Some(AnswerPart::Finished | AnswerPart::Refused(_))
-        );
-        part
-    }
-}
-
-impl Drop for CallerAnswer {
-    fn drop(&mut self) {
-        if !self.ended {
-            self.actor.do_send(CallerLeft { key: self.key });
-        }
-    }
-}
-
 async fn submit(
     state: &CallerState,
     spec: RequestSpec,
@@ -251,290 +207,6 @@
     })
 }
 
-/// Waits for the whole answer and gives it as one document.
-async fn join_answer(
-    mut answer: CallerAnswer,
-    id: RequestId,
-) -> Result<HttpResponse, CallerProblem> {
-    let mut joined = JoinedAnswer::default();
-    loop {
-        match answer.next().await {
-            Some(AnswerPart::Head(_)) => {}
-            Some(AnswerPart::Chunk { data, .. }) => {
-                if !joined.add(&data) {
-                    return Err(malformed_answer(&id));
-                }
-            }
-            Some(AnswerPart::Finished) => break,
-            Some(AnswerPart::Refused(refusal)) => {
-                return Err(CallerProblem::from_refusal(&refusal, &id));
-            }
-            None => return Err(stopping()),
-        }
-    }
-    Ok(HttpResponse::Ok()
-        .insert_header(("x-request-id", id.to_string()))
-        .json(joined.into_json()))
-}
-
-/// Waits for the first chunk, so that an early refusal has its own status, and streams the rest.
-async fn stream_answer(
-    state: &CallerState,
-    mut answer: CallerAnswer,
-    id: RequestId,
-    tenant: TenantName,
-) -> Result<HttpResponse, CallerProblem> {
-    let first = loop {
-        match answer.next().await {
-            Some(AnswerPart::Head(_)) => {}
-            Some(AnswerPart::Refused(refusal)) => {
-                return Err(CallerProblem::from_refusal(&refusal, &id));
-            }
-            Some(part) => break part,
-            None => return Err(stopping()),
-        }
-    };
-    let stream = EventStream {
-        answer,
-        id: id.clone(),
-        tenant,
-        resume: state.resume.clone(),
-        keepalive: state.keepalive,
-        pending: Some(first),
-    };
-    let body = futures_util::stream::unfold(stream, |mut stream| async move {
-        let part = stream.next_event().await?;
-        Some((Ok::<_, std::io::Error>(part), stream))
-    });
-    Ok(HttpResponse::Ok()
-        .content_type("text/event-stream")
-        .insert_header(("cache-control", "no-cache"))
-        .insert_header(("x-request-id", id.to_string()))
-        .streaming(body))
-}
-
-struct EventStream {
-    answer: CallerAnswer,
-    id: RequestId,
-    tenant: TenantName,
-    resume: ResumeKey,
-    keepalive: Duration,
-    pending: Option<AnswerPart>,
-}
-
-impl EventStream {
-    async fn next_event(&mut self) -> Option<Bytes> {
-        if self.answer.ended && self.pending.is_none() {
-            return None;
-        }
-        let part = match self.pending.take() {
-            Some(part) => part,
-            None => {
-                match actix_rt::time::timeout(self.keepalive, self.answer.next()).await {
-                    // A comment shows both ends that a quiet connection is alive.
-                    Err(_) => return Some(Bytes::from_static(b": keep-alive\n\n")),
-                    Ok(part) => part?,
-                }
-            }
-        };
-        Some(self.encode(part))
-    }
-
-    fn encode(&self, part: AnswerPart) -> Bytes {
-        match part {
-            AnswerPart::Head(_) => Bytes::new(),
-            AnswerPart::Chunk {
-                attempt,
-                target,
-                index,
-                data,
-            } => {
-                let token = self.resume.token(&self.tenant, attempt, &target, index);
-                let mut event = Vec::with_capacity(token.len() + data.len() + 14);
-                event.extend_from_slice(b"id: ");
-                event.extend_from_slice(token.as_bytes());
-                event.extend_from_slice(b"\ndata: ");
-                event.extend_from_slice(&data);
-                event.extend_from_slice(b"\n\n");
-                Bytes::from(event)
-            }
-            AnswerPart::Finished => Bytes::from_static(b"data: [DONE]\n\n"),
-            AnswerPart::Refused(refusal) => {
-                let problem = CallerProblem::from_refusal(&refusal, &self.id);
-                let error = serde_json::json!({
-                    "error": {
-                        "message": problem.detail,
-                        "type": "crocusyard",
-                        "code": problem.code,
-                        "outcome": problem.outcome.as_str(),
-                        "request_id": self.id.to_string(),
-                    }
-                });
-                Bytes::from(format!("data: {error}\n\n"))
-            }
-        }
-    }
-}
-
-/// Waits for the head of a plain answer and passes the rest through.
-async fn pass_answer(
-    mut answer: CallerAnswer,
-    id: RequestId,
-) -> Result<HttpResponse, CallerProblem> {
-    let head = loop {
-        match answer.next().await {
-            Some(AnswerPart::Head(head)) => break head,
-            Some(AnswerPart::Refused(refusal)) => {
-                return Err(CallerProblem::from_refusal(&refusal, &id));
-            }
-            Some(_) => {}
-            None => return Err(stopping()),
-        }
-    };
-    let mut response = HttpResponse::build(head.status);
-    for (name, value) in passed_headers(&head.headers) {
-        response.append_header((name, value));
-    }
-    response.insert_header(("x-request-id", id.to_string()));
-    let body = futures_util::stream::unfold(answer, |mut answer| async move {
-        if answer.ended {
-            return None;
-        }
-        match answer.next().await {
-            Some(AnswerPart::Chunk { data, .. }) => Some((Ok(data), answer)),
-            Some(AnswerPart::Finished) => None,
-            // An error ends the connection without the last chunk, so that the caller can tell a
-            // partial answer from a whole one.
-            _ => Some((Err(std::io::Error::other("answer broke off")), answer)),
-        }
-    });
-    Ok(response.streaming(body))
-}
-
-fn find_tenant(
-    state: &CallerState,
-    view: &CatalogView,
-    headers: &HeaderMap,
-) -> Result<TenantName, CallerProblem> {
-    let tenant = match state.tenant_from {
-        TenantSource::Header => header(headers, "x-tenant").and_then(|name| view.tenant(name)),
-        TenantSource::Key => header(headers, "authorization")
-            .and_then(|value| value.strip_prefix("Bearer "))
-            .and_then(|key| view.tenant_of_key(key)),
-    };
-    tenant.cloned().ok_or_else(|| {
-        CallerProblem::refused(
-            StatusCode::UNAUTHORIZED,
-            "unknown_tenant",
-            "no known tenant",
-        )
-    })
-}
-
-fn find_class<'a>(
-    view: &'a CatalogView,
-    headers: &HeaderMap,
-) -> Result<&'a ClassSpec, CallerProblem> {
-    view.class(header(headers, "x-request-class"))
-        .ok_or_else(|| {
-            CallerProblem::refused(StatusCode::BAD_REQUEST, "unknown_class", "no such class")
-        })
-}
-
-/// Returns the caller's request id, or makes one.
-fn request_id(headers: &HeaderMap) -> Result<RequestId, CallerProblem> {
-    let Some(value) = headers.get("x-request-id") else {
-        return Ok(RequestId(Arc::from(format!("{:032x}", rand_id()))));
-    };
-    match value.to_str() {
-        Ok(text) if !text.is_empty() && text.len() <= ID_MAX_BYTES => {
-            Ok(RequestId(Arc::from(text)))
-        }
-        _ => Err(CallerProblem::refused(
-            StatusCode::BAD_REQUEST,
-            "bad_header",
-            "X-Request-Id must be 1 to 128 printable characters",
-        )),
-    }
-}
-
-fn idempotency_key(headers: &HeaderMap) -> Result<Option<Arc<str>>, CallerProblem> {
-    let Some(value) = headers.get("idempotency-key") else {
-        return Ok(None);
-    };
-    match value.to_str() {
-        Ok(text) if !text.is_empty() && text.len() <= ID_MAX_BYTES && is_key(text) => {
-            Ok(Some(Arc::from(text)))
-        }
-        _ => Err(CallerProblem::refused(
-            StatusCode::BAD_REQUEST,
-            "bad_header",
-            "Idempotency-Key must be 1 to 128 letters, digits, '-', '_', '.' or ':'",
-        )),
-    }
-}
-
-/// Keys become parts of row keys and paths, so only plain characters are taken.
-fn is_key(text: &str) -> bool {
-    text.bytes()
-        .all(|byte| byte.is_ascii_alphanumeric() || b"-_.:".contains(&byte))
-}
-
-fn deadline(headers: &HeaderMap, default_ms: u64) -> Result<ClockTime, CallerProblem> {
-    let Some(value) = headers.get("x-request-deadline-ms") else {
-        return Ok(ClockTime::from_ms(default_ms));
-    };
-    let span = value
-        .to_str()
-        .ok()
-        .and_then(|text| text.parse().ok())
-        .map(ClockTime::from_ms);
-    span.filter(|span| *span > ClockTime::ZERO && *span <= DEADLINE_MAX)
-        .ok_or_else(|| {
-            CallerProblem::refused(
-                StatusCode::BAD_REQUEST,
-                "bad_header",
-                format!(
-                    "X-Request-Deadline-Ms must be 1 to {}",
-                    DEADLINE_MAX.as_ms()
-                ),
-            )
-        })
-}
-
-fn passed_headers(headers: &HeaderMap) -> HeaderMap {
-    let is_passed = |name: &HeaderName| !HOP_HEADERS.contains(&name.as_str());
-    headers
-        .iter()
-        .filter(|(name, _)| is_passed(name))
-        .map(|(name, value)| (name.clone(), value.clone()))
-        .collect()
-}
-
-fn header<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
-    headers.get(name)?.to_str().ok()
-}
-
-fn digest_of(parts: &[&[u8]]) -> BodyDigest {
-    let mut hasher = blake3::Hasher::new();
-    for part in parts {
-        hasher.update(&(part.len() as u64).to_le_bytes());
-        hasher.update(part);
-    }
-    let hash = hasher.finalize();
-    BodyDigest(u128::from_le_bytes(
-        hash.as_bytes()[..16].try_into().expect("hash has 32 bytes"),
-    ))
-}
-
-/// Returns a random identifier from the standard library's seeded hasher keys.
-fn rand_id() -> u128 {
-    use std::hash::{BuildHasher, RandomState};
-    let high = RandomState::new().hash_one(0_u64);
-    let low = RandomState::new().hash_one(1_u64);
-    (u128::from(high) << 64) | u128::from(low)
-}
-
 fn unknown_model(name: &str) -> CallerProblem {
     let detail = format!("model {name:?} is not deployed");
     CallerProblem::refused(StatusCode::NOT_FOUND, "unknown_model", detail)
@@ -562,25 +234,3 @@
     let detail = format!("the body is larger than {limit} bytes");
     CallerProblem::refused(StatusCode::PAYLOAD_TOO_LARGE, "body_too_large", detail)
 }
-
-fn malformed_answer(id: &RequestId) -> CallerProblem {
-    CallerProblem {
-        status: StatusCode::BAD_GATEWAY,
-        code: "malformed_answer",
-        outcome: RequestOutcome::Unknown,
-        detail: "the target's answer is malformed".to_owned(),
-        retry_after: None,
-        request: Some(id.clone()),
-    }
-}
-
-fn stopping() -> CallerProblem {
-    CallerProblem {
-        status: StatusCode::SERVICE_UNAVAILABLE,
-        code: "stopping",
-        outcome: RequestOutcome::Unknown,
-        detail: "the host is stopping".to_owned(),
-        retry_after: Some(ClockTime::from_secs(1)),
-        request: None,
-    }
-}
--- /dev/null
+++ b/crates/host/src/delivery.rs
@@ -0,0 +1,226 @@
+//! Delivery of answers to callers: as one document, as a stream of events, or passed through.
+
+use crate::actor::HostActor;
+use crate::answer::{AnswerPart, AnswerReceiver};
+use crate::callers::CallerState;
+use crate::completion::JoinedAnswer;
+use crate::intake::passed_headers;
+use crate::problem::CallerProblem;
+use crate::resume::ResumeKey;
+use crate::submit::CallerLeft;
+use actix::Addr;
+use actix_web::http::StatusCode;
+use actix_web::HttpResponse;
+use bytes::Bytes;
+use crocusyard_base::prelude::*;
+use crocusyard_requests::prelude::*;
+use std::time::Duration;
+
+/// An answer on its way to a caller; dropping it before its end tells the actor.
+pub(crate) struct CallerAnswer {
+    pub(crate) key: RequestKey,
+    pub(crate) actor: Addr<HostActor>,
+    pub(crate) parts: AnswerReceiver,
+    pub(crate) ended: bool,
+}
+
+impl CallerAnswer {
+    async fn next(&mut self) -> Option<AnswerPart> {
+        let part = self.parts.next().await;
+        self.ended = matches!(
+            part,
+            None | Some(AnswerPart::Finished | AnswerPart::Refused(_))
+        );
+        part
+    }
+}
+
+impl Drop for CallerAnswer {
+    fn drop(&mut self) {
+        if !self.ended {
+            self.actor.do_send(CallerLeft { key: self.key });
+        }
+    }
+}
+
+/// Waits for the whole answer and gives it as one document.
+pub(crate) async fn join_answer(
+    mut answer: CallerAnswer,
+    id: RequestId,
+) -> Result<HttpResponse, CallerProblem> {
+    let mut joined = JoinedAnswer::default();
+    loop {
+        match answer.next().await {
+            Some(AnswerPart::Head(_)) => {}
+            Some(AnswerPart::Chunk { data, .. }) => {
+                if !joined.add(&data) {
+                    return Err(malformed_answer(&id));
+                }
+            }
+            Some(AnswerPart::Finished) => break,
+            Some(AnswerPart::Refused(refusal)) => {
+                return Err(CallerProblem::from_refusal(&refusal, &id));
+            }
+            None => return Err(stopping()),
+        }
+    }
+    Ok(HttpResponse::Ok()
+        .insert_header(("x-request-id", id.to_string()))
+        .json(joined.into_json()))
+}
+
+/// Waits for the first chunk, so that an early refusal has its own status, and streams the rest.
+pub(crate) async fn stream_answer(
+    state: &CallerState,
+    mut answer: CallerAnswer,
+    id: RequestId,
+    tenant: TenantName,
+) -> Result<HttpResponse, CallerProblem> {
+    let first = loop {
+        match answer.next().await {
+            Some(AnswerPart::Head(_)) => {}
+            Some(AnswerPart::Refused(refusal)) => {
+                return Err(CallerProblem::from_refusal(&refusal, &id));
+            }
+            Some(part) => break part,
+            None => return Err(stopping()),
+        }
+    };
+    let stream = EventStream {
+        answer,
+        id: id.clone(),
+        tenant,
+        resume: state.resume.clone(),
+        keepalive: state.keepalive,
+        pending: Some(first),
+    };
+    let body = futures_util::stream::unfold(stream, |mut stream| async move {
+        let part = stream.next_event().await?;
+        Some((Ok::<_, std::io::Error>(part), stream))
+    });
+    Ok(HttpResponse::Ok()
+        .content_type("text/event-stream")
+        .insert_header(("cache-control", "no-cache"))
+        .insert_header(("x-request-id", id.to_string()))
+        .streaming(body))
+}
+
+struct EventStream {
+    answer: CallerAnswer,
+    id: RequestId,
+    tenant: TenantName,
+    resume: ResumeKey,
+    keepalive: Duration,
+    pending: Option<AnswerPart>,
+}
+
+impl EventStream {
+    async fn next_event(&mut self) -> Option<Bytes> {
+        if self.answer.ended && self.pending.is_none() {
+            return None;
+        }
+        let part = match self.pending.take() {
+            Some(part) => part,
+            None => {
+                match actix_rt::time::timeout(self.keepalive, self.answer.next()).await {
+                    // A comment shows both ends that a quiet connection is alive.
+                    Err(_) => return Some(Bytes::from_static(b": keep-alive\n\n")),
+                    Ok(part) => part?,
+                }
+            }
+        };
+        Some(self.encode(part))
+    }
+
+    fn encode(&self, part: AnswerPart) -> Bytes {
+        match part {
+            AnswerPart::Head(_) => Bytes::new(),
+            AnswerPart::Chunk {
+                attempt,
+                target,
+                index,
+                data,
+            } => {
+                let token = self.resume.token(&self.tenant, attempt, &target, index);
+                let mut event = Vec::with_capacity(token.len() + data.len() + 14);
+                event.extend_from_slice(b"id: ");
+                event.extend_from_slice(token.as_bytes());
+                event.extend_from_slice(b"\ndata: ");
+                event.extend_from_slice(&data);
+                event.extend_from_slice(b"\n\n");
+                Bytes::from(event)
+            }
+            AnswerPart::Finished => Bytes::from_static(b"data: [DONE]\n\n"),
+            AnswerPart::Refused(refusal) => {
+                let problem = CallerProblem::from_refusal(&refusal, &self.id);
+                let error = serde_json::json!({
+                    "error": {
+                        "message": problem.detail,
+                        "type": "crocusyard",
+                        "code": problem.code,
+                        "outcome": problem.outcome.as_str(),
+                        "request_id": self.id.to_string(),
+                    }
+                });
+                Bytes::from(format!("data: {error}\n\n"))
+            }
+        }
+    }
+}
+
+/// Waits for the head of a plain answer and passes the rest through.
+pub(crate) async fn pass_answer(
+    mut answer: CallerAnswer,
+    id: RequestId,
+) -> Result<HttpResponse, CallerProblem> {
+    let head = loop {
+        match answer.next().await {
+            Some(AnswerPart::Head(head)) => break head,
+            Some(AnswerPart::Refused(refusal)) => {
+                return Err(CallerProblem::from_refusal(&refusal, &id));
+            }
+            Some(_) => {}
+            None => return Err(stopping()),
+        }
+    };
+    let mut response = HttpResponse::build(head.status);
+    for (name, value) in passed_headers(&head.headers) {
+        response.append_header((name, value));
+    }
+    response.insert_header(("x-request-id", id.to_string()));
+    let body = futures_util::stream::unfold(answer, |mut answer| async move {
+        if answer.ended {
+            return None;
+        }
+        match answer.next().await {
+            Some(AnswerPart::Chunk { data, .. }) => Some((Ok(data), answer)),
+            Some(AnswerPart::Finished) => None,
+            // An error ends the connection without the last chunk, so that the caller can tell a
+            // partial answer from a whole one.
+            _ => Some((Err(std::io::Error::other("answer broke off")), answer)),
+        }
+    });
+    Ok(response.streaming(body))
+}
+
+fn malformed_answer(id: &RequestId) -> CallerProblem {
+    CallerProblem {
+        status: StatusCode::BAD_GATEWAY,
+        code: "malformed_answer",
+        outcome: RequestOutcome::Unknown,
+        detail: "the target's answer is malformed".to_owned(),
+        retry_after: None,
+        request: Some(id.clone()),
+    }
+}
+
+pub(crate) fn stopping() -> CallerProblem {
+    CallerProblem {
+        status: StatusCode::SERVICE_UNAVAILABLE,
+        code: "stopping",
+        outcome: RequestOutcome::Unknown,
+        detail: "the host is stopping".to_owned(),
+        retry_after: Some(ClockTime::from_secs(1)),
+        request: None,
+    }
+}
--- /dev/null
+++ b/crates/host/src/intake.rs
@@ -0,0 +1,154 @@
+//! What the headers of a request say: tenant, class, identifiers and deadline.
+
+use crate::callers::CallerState;
+use crate::catalog_view::CatalogView;
+use crate::problem::CallerProblem;
+use actix_web::http::header::{HeaderMap, HeaderName};
+use actix_web::http::StatusCode;
+use crocusyard_base::prelude::*;
+use crocusyard_catalog::prelude::*;
+use crocusyard_settings::prelude::TenantSource;
+use std::sync::Arc;
+
+/// Longest deadline that a caller may ask for.
+const DEADLINE_MAX: ClockTime = ClockTime::from_secs(3600);
+/// Longest request id and idempotency key, bytes.
+const ID_MAX_BYTES: usize = 128;
+/// Headers of a call that concern one connection only, or that the host sets itself.
+const HOP_HEADERS: [&str; 11] = [
+    "connection",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "host",
+    "content-length",
+    "authorization",
+];
+
+pub(crate) fn find_tenant(
+    state: &CallerState,
+    view: &CatalogView,
+    headers: &HeaderMap,
+) -> Result<TenantName, CallerProblem> {
+    let tenant = match state.tenant_from {
+        TenantSource::Header => header(headers, "x-tenant").and_then(|name| view.tenant(name)),
+        TenantSource::Key => header(headers, "authorization")
+            .and_then(|value| value.strip_prefix("Bearer "))
+            .and_then(|key| view.tenant_of_key(key)),
+    };
+    tenant.cloned().ok_or_else(|| {
+        CallerProblem::refused(
+            StatusCode::UNAUTHORIZED,
+            "unknown_tenant",
+            "no known tenant",
+        )
+    })
+}
+
+pub(crate) fn find_class<'a>(
+    view: &'a CatalogView,
+    headers: &HeaderMap,
+) -> Result<&'a ClassSpec, CallerProblem> {
+    view.class(header(headers, "x-request-class"))
+        .ok_or_else(|| {
+            CallerProblem::refused(StatusCode::BAD_REQUEST, "unknown_class", "no such class")
+        })
+}
+
+/// Returns the caller's request id, or makes one.
+pub(crate) fn request_id(headers: &HeaderMap) -> Result<RequestId, CallerProblem> {
+    let Some(value) = headers.get("x-request-id") else {
+        return Ok(RequestId(Arc::from(format!("{:032x}", rand_id()))));
+    };
+    match value.to_str() {
+        Ok(text) if !text.is_empty() && text.len() <= ID_MAX_BYTES => {
+            Ok(RequestId(Arc::from(text)))
+        }
+        _ => Err(CallerProblem::refused(
+            StatusCode::BAD_REQUEST,
+            "bad_header",
+            "X-Request-Id must be 1 to 128 printable characters",
+        )),
+    }
+}
+
+pub(crate) fn idempotency_key(headers: &HeaderMap) -> Result<Option<Arc<str>>, CallerProblem> {
+    let Some(value) = headers.get("idempotency-key") else {
+        return Ok(None);
+    };
+    match value.to_str() {
+        Ok(text) if !text.is_empty() && text.len() <= ID_MAX_BYTES && is_key(text) => {
+            Ok(Some(Arc::from(text)))
+        }
+        _ => Err(CallerProblem::refused(
+            StatusCode::BAD_REQUEST,
+            "bad_header",
+            "Idempotency-Key must be 1 to 128 letters, digits, '-', '_', '.' or ':'",
+        )),
+    }
+}
+
+/// Keys become parts of row keys and paths, so only plain characters are taken.
+fn is_key(text: &str) -> bool {
+    text.bytes()
+        .all(|byte| byte.is_ascii_alphanumeric() || b"-_.:".contains(&byte))
+}
+
+pub(crate) fn deadline(headers: &HeaderMap, default_ms: u64) -> Result<ClockTime, CallerProblem> {
+    let Some(value) = headers.get("x-request-deadline-ms") else {
+        return Ok(ClockTime::from_ms(default_ms));
+    };
+    let span = value
+        .to_str()
+        .ok()
+        .and_then(|text| text.parse().ok())
+        .map(ClockTime::from_ms);
+    span.filter(|span| *span > ClockTime::ZERO && *span <= DEADLINE_MAX)
+        .ok_or_else(|| {
+            CallerProblem::refused(
+                StatusCode::BAD_REQUEST,
+                "bad_header",
+                format!(
+                    "X-Request-Deadline-Ms must be 1 to {}",
+                    DEADLINE_MAX.as_ms()
+                ),
+            )
+        })
+}
+
+pub(crate) fn passed_headers(headers: &HeaderMap) -> HeaderMap {
+    let is_passed = |name: &HeaderName| !HOP_HEADERS.contains(&name.as_str());
+    headers
+        .iter()
+        .filter(|(name, _)| is_passed(name))
+        .map(|(name, value)| (name.clone(), value.clone()))
+        .collect()
+}
+
+pub(crate) fn header<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get(name)?.to_str().ok()
+}
+
+pub(crate) fn digest_of(parts: &[&[u8]]) -> BodyDigest {
+    let mut hasher = blake3::Hasher::new();
+    for part in parts {
+        hasher.update(&(part.len() as u64).to_le_bytes());
+        hasher.update(part);
+    }
+    let hash = hasher.finalize();
+    BodyDigest(u128::from_le_bytes(
+        hash.as_bytes()[..16].try_into().expect("hash has 32 bytes"),
+    ))
+}
+
+/// Returns a random identifier from the standard library's seeded hasher keys.
+fn rand_id() -> u128 {
+    use std::hash::{BuildHasher, RandomState};
+    let high = RandomState::new().hash_one(0_u64);
+    let low = RandomState::new().hash_one(1_u64);
+    (u128::from(high) << 64) | u128::from(low)
+}
--- a/crates/host/src/serve.rs
+++ b/crates/host/src/serve.rs
@@ -1,6 +1,6 @@
 //! Starts an entry host and stops it in a planned way.
 
-use crate::actor::{HostActor, HostParts, IsDrained, ReadListing, StartDrain};
+use crate::actor::{HostActor, HostParts, IsDrained, IsReady, ReadListing, StartDrain};
 use crate::callers::{self, CallerState};
 use crate::catalog_view::SharedCatalog;
 use crate::problem::CallerProblem;
@@ -9,14 +9,17 @@
 use actix_web::dev::ServerHandle;
 use actix_web::http::StatusCode;
 use actix_web::{web, App, HttpResponse, HttpServer};
+use crocusyard_base::invariants::violation_counts;
 use crocusyard_base::prelude::*;
 use crocusyard_border::callers::{AddressList, EntryAddress};
 use crocusyard_catalog::prelude::*;
 use crocusyard_core::prelude::HostState;
+use crocusyard_metrics::prelude::*;
 use crocusyard_platform::prelude::*;
 use crocusyard_requests::prelude::RequestSettings;
 use crocusyard_routing::prelude::RouteSettings;
 use crocusyard_settings::prelude::{HostSettings, SecretText};
+use crocusyard_targets::pool::set_liveness_options;
 use snafu::{ResultExt, Snafu};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -84,11 +87,13 @@
 ) -> Result<HostHandle, HostError> {
     let settings = Arc::new(settings);
     let shared = SharedCatalog::default();
+    let metrics = Arc::new(MetricSet::new());
     let mut actor = HostActor::new(HostParts {
         settings: settings.clone(),
         state: HostState::new(core_parts(&settings)),
         platform: platform_client(&settings),
         catalog: shared.clone(),
+        metrics: metrics.clone(),
     });
     let catalog = Arc::new(catalog);
     let actor = HostActor::create(move |context| {
@@ -102,7 +107,7 @@
         tenant_from: settings.requests.tenant_from,
         keepalive: Duration::from_millis(settings.requests.keepalive_ms.as_ms()),
     };
-    let (address, server) = start_server(&settings, state)?;
+    let (address, server) = start_server(&settings, state, metrics)?;
     Ok(HostHandle {
         address,
         actor,
@@ -173,15 +178,18 @@
 fn start_server(
     settings: &HostSettings,
     state: CallerState,
+    metrics: Arc<MetricSet>,
 ) -> Result<(SocketAddr, ServerHandle), HostError> {
     let limit = usize::try_from(settings.limits.body_bytes).unwrap_or(usize::MAX);
     let ttl = settings.address.ttl_ms;
     let state = web::Data::new(state);
+    let metrics = web::Data::from(metrics);
     let listen = settings.listen.callers;
     let server = HttpServer::new(move || {
         App::new()
             .app_data(state.clone())
             .app_data(web::Data::new(ttl))
+            .app_data(metrics.clone())
             .app_data(web::PayloadConfig::new(limit))
             .route(
                 "/v1/chat/completions",
@@ -195,8 +203,15 @@
                 web::to(callers::plain_call),
             )
             .route("/healthz", web::get().to(HttpResponse::Ok))
+            .route("/readyz", web::get().to(get_ready))
+            .route("/metrics", web::get().to(get_metrics))
             .default_service(web::to(not_found))
     })
+    .on_connect(|connection, _| {
+        if let Some(stream) = connection.downcast_ref::<tokio::net::TcpStream>() {
+            set_liveness_options(stream);
+        }
+    })
     .workers(1)
     .disable_signals()
     .client_request_timeout(Duration::from_millis(
@@ -238,6 +253,21 @@
     }))
 }
 
+/// Tells whether the host takes new work.
+async fn get_ready(state: web::Data<CallerState>) -> HttpResponse {
+    match state.actor.send(IsReady).await {
+        Ok(true) => HttpResponse::Ok().finish(),
+        _ => HttpResponse::ServiceUnavailable().finish(),
+    }
+}
+
+async fn get_metrics(metrics: web::Data<MetricSet>) -> HttpResponse {
+    metrics.record_violations(&violation_counts());
+    HttpResponse::Ok()
+        .content_type(CONTENT_TYPE)
+        .body(metrics.encode_text())
+}
+
 async fn not_found() -> Result<HttpResponse, CallerProblem> {
     Err(CallerProblem::refused(
         StatusCode::NOT_FOUND,
--- a/crates/targets/src/pool.rs
+++ b/crates/targets/src/pool.rs
@@ -2,11 +2,15 @@
 
 use crate::attempt::{run_attempt, AttemptPlan, AttemptUpdate};
 use actix_rt::task::JoinHandle;
+use actix_service::ServiceExt;
+use actix_tls::connect::ConnectorService;
 use awc::{Client, Connector};
 use crocusyard_base::prelude::*;
+use socket2::{SockRef, TcpKeepalive};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
+use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 
 /// Where attempts report what happens to them.
@@ -17,6 +21,13 @@
 /// Time for which an idle connection is kept; below the keep-alive time of common servers.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Idle time after which the kernel probes a connection.
+const KEEPALIVE_TIME: Duration = Duration::from_secs(10);
+/// Time between two probes.
+const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(3);
+/// Time for which sent bytes may stay unacknowledged.
+const USER_TIMEOUT: Duration = Duration::from_secs(15);
+
 struct RunningAttempt {
     target: TargetName,
     task: JoinHandle<()>,
@@ -85,7 +96,12 @@
 
 /// Makes a client with a pool of its own. The request reducer sets all time limits for answers.
 pub fn new_client() -> Client {
+    let connect = ConnectorService::default().map(|connection| {
+        set_liveness_options(connection.io_ref());
+        connection
+    });
     let connector = Connector::new()
+        .connector(connect)
         .timeout(CONNECT_TIMEOUT)
         .conn_keep_alive(IDLE_TIMEOUT)
         .limit(0);
@@ -96,3 +112,21 @@
         .no_default_headers()
         .finish()
 }
+
+/// Makes the kernel notice a peer that no longer answers.
+///
+/// Keepalive probes find an idle connection that has gone silent; the user timeout bounds how long
+/// sent bytes may stay unacknowledged. Both are best effort: the connection works without them.
+pub fn set_liveness_options(stream: &TcpStream) {
+    let socket = SockRef::from(stream);
+    let keepalive = TcpKeepalive::new()
+        .with_time(KEEPALIVE_TIME)
+        .with_interval(KEEPALIVE_INTERVAL);
+    let options = socket
+        .set_tcp_keepalive(&keepalive)
+        .and_then(|()| socket.set_tcp_user_timeout(Some(USER_TIMEOUT)))
+        .and_then(|()| stream.set_nodelay(true));
+    if let Err(error) = options {
+        log::debug!("socket options cannot be set: {error}");
+    }
+}
--- a/examples/quickstart/main.rs
+++ b/examples/quickstart/main.rs
@@ -28,7 +28,7 @@
         },
         loads_at_once: 15,
     })?;
-    let catalog = start_targets(read_catalog()?)?;
+    let catalog = start_targets(CatalogSpec::from_yaml(CATALOG)?)?;
     let keys = HostKeys {
         operator: SecretText::new("quickstart-operator-key"),
         gossip: SecretText::new("quickstart-gossip-key-0"),
@@ -61,10 +61,6 @@
     }
 }
 
-fn read_catalog() -> Result<CatalogSpec, serde_yaml_ng::Error> {
-    serde_yaml_ng::from_str(CATALOG)
-}
-
 /// Starts a stand-in for every declared target and sets its real address.
 fn start_targets(mut catalog: CatalogSpec) -> std::io::Result<CatalogSpec> {
     let resident = vec![("chalk-small".to_owned(), 4_000_000_000)];
