--- /dev/null
+++ b/crates/testbed/src/local.rs
@@ -0,0 +1,213 @@
+//! A deployment inside one program.
+
+use crate::ports::LOOPBACK;
+use crate::sample::{host_yaml, sample_catalog, HostAddresses, GOSSIP_KEY, OPERATOR_KEY};
+use crocusyard_base::prelude::*;
+use crocusyard_border::platform::HostListing;
+use crocusyard_catalog::prelude::*;
+use crocusyard_host::prelude::*;
+use crocusyard_settings::prelude::{HostSettings, SecretText};
+use crocusyard_standins::prelude::*;
+use snafu::{ResultExt, Whatever};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Settings file section that takes the tenant from a header.
+const TENANT_BY_HEADER: &str = "requests: { tenant_from: header, load_poll_ms: 100 }\n";
+/// Time within which every host must have become ready.
+const READY_LIMIT: Duration = Duration::from_secs(20);
+
+/// Builder of a [`LocalDeployment`].
+#[derive(Clone, Debug)]
+pub struct LocalBuilder {
+    hosts: usize,
+    catalog: CatalogSpec,
+    engine: EngineOptions,
+    service_ms: u64,
+    relayed: bool,
+    settings: String,
+}
+
+impl Default for LocalBuilder {
+    fn default() -> Self {
+        let resident = vec![
+            ("chalk-small".to_owned(), 4_000_000_000),
+            ("chalk-large".to_owned(), 9_000_000_000),
+        ];
+        Self {
+            hosts: 3,
+            catalog: sample_catalog(),
+            engine: EngineOptions {
+                resident,
+                ..EngineOptions::default()
+            },
+            service_ms: 2,
+            relayed: false,
+            settings: TENANT_BY_HEADER.to_owned(),
+        }
+    }
+}
+
+impl LocalBuilder {
+    /// Sets the number of entry hosts.
+    #[must_use]
+    pub fn hosts(mut self, count: usize) -> Self {
+        self.hosts = count;
+        self
+    }
+
+    /// Sets the catalogue; target addresses are replaced by those of the stand-ins.
+    #[must_use]
+    pub fn catalog(mut self, catalog: CatalogSpec) -> Self {
+        self.catalog = catalog;
+        self
+    }
+
+    /// Sets the options of the engines; address and memory are set for each.
+    #[must_use]
+    pub fn engine(mut self, options: EngineOptions) -> Self {
+        self.engine = options;
+        self
+    }
+
+    /// Sets the time that a call to a plain service takes, milliseconds.
+    #[must_use]
+    pub fn service_ms(mut self, time: u64) -> Self {
+        self.service_ms = time;
+        self
+    }
+
+    /// Puts a fault-injecting relay before every target.
+    #[must_use]
+    pub fn relayed(mut self) -> Self {
+        self.relayed = true;
+        self
+    }
+
+    /// Sets the sections of the hosts' settings file beyond addresses and platform.
+    #[must_use]
+    pub fn settings(mut self, yaml: &str) -> Self {
+        yaml.clone_into(&mut self.settings);
+        self
+    }
+
+    /// Starts everything and waits until every host is ready.
+    pub async fn start(self) -> Result<LocalDeployment, Whatever> {
+        let addresses: Vec<_> = (0..self.hosts)
+            .map(HostAddresses::pick)
+            .collect::<Result<_, _>>()
+            .whatever_context("no free ports")?;
+        let platform = start_platform(PlatformOptions {
+            listen: LOOPBACK,
+            listing: HostListing {
+                hosts: addresses.iter().map(HostAddresses::listed).collect(),
+                targets: Vec::new(),
+            },
+            loads_at_once: 15,
+        })
+        .whatever_context("platform does not start")?;
+        let mut deployment = LocalDeployment {
+            hosts: Vec::new(),
+            addresses,
+            platform,
+            targets: BTreeMap::new(),
+            relays: BTreeMap::new(),
+            catalog: self.catalog.clone(),
+        };
+        self.start_targets(&mut deployment).await?;
+        for host in deployment.addresses.clone() {
+            let handle = deployment.start_host(&host, &self.settings)?;
+            deployment.hosts.push(handle);
+        }
+        deployment.wait_ready().await?;
+        Ok(deployment)
+    }
+
+    async fn start_targets(&self, deployment: &mut LocalDeployment) -> Result<(), Whatever> {
+        for target in &mut deployment.catalog.targets {
+            let server = match target.kind {
+                TargetKind::Engine => start_engine(EngineOptions {
+                    listen: LOOPBACK,
+                    memory_bytes: target.memory_bytes,
+                    checks_fencing: target.checks_fencing,
+                    ..self.engine.clone()
+                }),
+                TargetKind::Plain => start_plain(PlainOptions {
+                    listen: LOOPBACK,
+                    service_ms: self.service_ms,
+                }),
+            }
+            .whatever_context("target does not start")?;
+            target.address = server.address;
+            if self.relayed {
+                let (address, relay) = start_relay(server.address)
+                    .await
+                    .whatever_context("relay does not start")?;
+                target.address = address;
+                deployment.relays.insert(target.name.clone(), relay);
+            }
+            deployment.targets.insert(target.name.clone(), server);
+        }
+        Ok(())
+    }
+}
+
+/// A running deployment inside one program.
+pub struct LocalDeployment {
+    /// Entry hosts.
+    pub hosts: Vec<HostHandle>,
+    /// Their names and addresses.
+    pub addresses: Vec<HostAddresses>,
+    /// Platform.
+    pub platform: RunningServer,
+    /// Targets.
+    pub targets: BTreeMap<TargetName, RunningServer>,
+    /// Relays before the targets, if there are any.
+    pub relays: BTreeMap<TargetName, std::sync::Arc<RelayState>>,
+    /// Catalogue with the targets' real addresses.
+    pub catalog: CatalogSpec,
+}
+
+impl LocalDeployment {
+    /// Starts one more entry host, or one anew.
+    pub fn start_host(&self, host: &HostAddresses, settings: &str) -> Result<HostHandle, Whatever> {
+        let yaml = host_yaml(host, self.platform.address, settings);
+        let settings = HostSettings::from_yaml(&yaml).whatever_context("settings are invalid")?;
+        let keys = HostKeys {
+            operator: SecretText::new(OPERATOR_KEY),
+            gossip: SecretText::new(GOSSIP_KEY),
+        };
+        start_host(settings, &keys, self.catalog.clone())
+            .whatever_context("entry host does not start")
+    }
+
+    /// Returns the address for callers of the host with an index.
+    pub fn entry(&self, index: usize) -> SocketAddr {
+        self.hosts[index].address
+    }
+
+    async fn wait_ready(&self) -> Result<(), Whatever> {
+        for host in &self.hosts {
+            wait_ready(host.address).await?;
+        }
+        Ok(())
+    }
+}
+
+/// Waits until a host takes work.
+pub async fn wait_ready(address: SocketAddr) -> Result<(), Whatever> {
+    let client = awc::Client::default();
+    let poll = async {
+        loop {
+            let answer = client.get(format!("http://{address}/readyz")).send().await;
+            if answer.is_ok_and(|answer| answer.status().is_success()) {
+                return;
+            }
+            actix_rt::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    actix_rt::time::timeout(READY_LIMIT, poll)
+        .await
+        .whatever_context("entry host does not become ready")
+}
--- /dev/null
+++ b/crates/testbed/src/sample.rs
@@ -0,0 +1,74 @@
+//! The sample catalogue and the settings of hosts for it.
+
+use crate::ports::{free_tcp, free_udp};
+use crocusyard_base::prelude::*;
+use crocusyard_border::platform::ListedHost;
+use crocusyard_catalog::prelude::*;
+use std::net::SocketAddr;
+
+/// Operator key of test deployments.
+pub const OPERATOR_KEY: &str = "test-operator-key";
+/// Key shared by the hosts of test deployments.
+pub const GOSSIP_KEY: &str = "test-gossip-key-0123";
+
+/// Failure domains of the sample catalogue.
+pub const DOMAINS: [&str; 3] = ["plaza-mayor", "san-lesmes", "gamonal"];
+
+/// Returns a small deployment: two engines and one plain service in one region.
+pub fn sample_catalog() -> CatalogSpec {
+    CatalogSpec::from_yaml(include_str!("sample.yaml")).expect("sample catalogue is valid")
+}
+
+/// Name, failure domain and addresses of one entry host.
+#[derive(Clone, Debug)]
+pub struct HostAddresses {
+    /// Name.
+    pub name: HostName,
+    /// Failure domain.
+    pub domain: DomainName,
+    /// Address for callers.
+    pub callers: SocketAddr,
+    /// Address for other hosts.
+    pub gossip: SocketAddr,
+}
+
+impl HostAddresses {
+    /// Picks free addresses for the host with an index; hosts spread over the failure domains.
+    pub fn pick(index: usize) -> std::io::Result<Self> {
+        Ok(Self {
+            name: HostName::new(&format!("entry-{index}")),
+            domain: DomainName::new(DOMAINS[index % DOMAINS.len()]),
+            callers: free_tcp()?,
+            gossip: free_udp()?,
+        })
+    }
+
+    /// Returns the entry of the host list.
+    pub fn listed(&self) -> ListedHost {
+        ListedHost {
+            name: self.name.to_string(),
+            domain: self.domain.to_string(),
+            caller_address: Some(self.callers.to_string()),
+            gossip_address: Some(self.gossip.to_string()),
+            leaving: false,
+        }
+    }
+}
+
+/// Returns the settings file of a host; `extra` is appended to it.
+pub fn host_yaml(host: &HostAddresses, platform: SocketAddr, extra: &str) -> String {
+    let HostAddresses {
+        name,
+        domain,
+        callers,
+        gossip,
+    } = host;
+    format!(
+        "name: {name}\ndomain: {domain}\nregion: castilla-norte\n\
+         listen: {{ callers: \"{callers}\", advertised_callers: \"{callers}\", \
+         gossip: \"{gossip}\", advertised_gossip: \"{gossip}\" }}\n\
+         platform: {{ table: \"{platform}\", objects: \"{platform}\", hosts: \"{platform}\", \
+         host_poll_ms: 500 }}\n\
+         address: {{ ttl_ms: 500, drain_ms: 100 }}\n{extra}"
+    )
+}
