Add the command line and the bodies of the operators' interface

Cause: there was no way to check files or to drive a host, and the host and the command line need the same JSON bodies. Ruled out: options for the host's address on every subcommand, since argh cannot share them and a copy in each of eight structs would drift apart; they stand before the command instead. Change: admin bodies in the border crate; serve, check, preset, status, ask and drain with exit codes 1 (failed), 2 (problems in a file) and 3 (conflict). An apply or activate always sends a base version, by default the one in force when the command starts. serve reads and checks everything and then calls host_entry::run_host, which fails until the host has a function to call. comfy-table and chrono are new dependencies of the crate. The nearest key among equally near ones is now the one that starts alike. Conclusion: the commands work against a fake host; none has been run against the real one.

--- a/crates/catalog/src/check.rs
+++ b/crates/catalog/src/check.rs
@@ -3,6 +3,7 @@
 use crate::check_presets::{check_preset_memory, check_presets};
 use crate::declarations::{CatalogSpec, RouteSpec, TargetKind, TargetSpec};
 use crate::read::ValueProblem;
+use crate::shape::nearest_name;
 use crocusyard_base::prelude::*;
 use std::collections::{HashMap, HashSet};
 
@@ -57,15 +58,13 @@
     path: String,
     kind: &str,
     name: &str,
-    mut declared: impl Iterator<Item = &'a str> + Clone,
+    declared: impl Iterator<Item = &'a str> + Clone,
     problems: &mut Vec<ValueProblem>,
 ) {
     if declared.clone().any(|known| known == name) {
         return;
     }
-    let nearest = declared
-        .by_ref()
-        .min_by_key(|known| strsim::damerau_levenshtein(name, known));
+    let nearest = nearest_name(name, declared);
     let expected = match nearest {
         Some(nearest) => format!("declared {kind}; `{name}` is none, the nearest is `{nearest}`"),
         None => format!("declared {kind}; none is declared"),
--- a/crates/catalog/src/read.rs
+++ b/crates/catalog/src/read.rs
@@ -2,7 +2,7 @@
 
 use crate::document::{parse_document, to_value, LocatedNode};
 use crate::problem::InputProblem;
-use crate::shape::{check_shape, line_of, KeySpec};
+use crate::shape::{check_shape, line_of, KeySpec, PathLines};
 use serde::de::DeserializeOwned;
 
 /// A fault of a value that was read, before its line is known.
@@ -63,6 +63,25 @@
     }
 }
 
+/// Gives each problem the line of its path in the text.
+pub fn locate_problems(
+    text: &str,
+    keys: &'static [KeySpec],
+    problems: Vec<ValueProblem>,
+) -> Vec<InputProblem> {
+    let lines = match parse_document(text) {
+        Ok(mut root) => check_shape(&mut root, keys).lines,
+        Err(_) => PathLines::new(),
+    };
+    problems
+        .into_iter()
+        .map(|problem| {
+            let line = line_of(&lines, &problem.path);
+            InputProblem::new(line, problem.path, problem.expected)
+        })
+        .collect()
+}
+
 fn read_value<T: DeserializeOwned>(
     root: &LocatedNode,
     problems: &mut Vec<InputProblem>,
--- a/crates/catalog/src/shape.rs
+++ b/crates/catalog/src/shape.rs
@@ -244,12 +244,19 @@
     (1..=TEXT_MAX_BYTES).contains(&text.len()) && text.bytes().all(allowed)
 }
 
-/// Returns the known key with the smallest edit distance.
 fn nearest_key(found: &str, keys: &[KeySpec]) -> &'static str {
-    keys.iter()
-        .map(|key| key.name)
-        .min_by_key(|name| strsim::damerau_levenshtein(found, name))
-        .unwrap_or("")
+    nearest_name(found, keys.iter().map(|key| key.name)).unwrap_or("")
+}
+
+/// Returns the name with the smallest edit distance; among equals, the one that starts alike.
+pub fn nearest_name<'a>(found: &str, names: impl Iterator<Item = &'a str>) -> Option<&'a str> {
+    names.min_by(|a, b| {
+        let edits = |name| strsim::damerau_levenshtein(found, name);
+        let likeness = |name| strsim::jaro_winkler(found, name);
+        edits(a)
+            .cmp(&edits(b))
+            .then(likeness(b).total_cmp(&likeness(a)))
+    })
 }
 
 fn join_path(path: &str, key: &str) -> String {
--- /dev/null
+++ b/crates/cli/src/arguments.rs
@@ -0,0 +1,200 @@
+//! Arguments of all commands.
+//!
+//! Structs of subcommands have the names of the commands in two words; their fields have the names
+//! of the options.
+
+use argh::FromArgs;
+use std::net::SocketAddr;
+
+/// Serves hundreds of language models and adapters from fewer accelerators.
+///
+/// Options of this list come before the command.
+#[derive(Clone, Debug, PartialEq, FromArgs)]
+#[argh(
+    example = "Start a host:\n{command_name} serve --settings entry-1.yaml",
+    example = "Look at a running host:\n{command_name} --host 10.0.0.1:7000 status",
+    example = "Change the catalogue:\n\
+               {command_name} --host 10.0.0.1:7000 preset diff catalog.yaml\n\
+               {command_name} --host 10.0.0.1:7000 preset apply catalog.yaml --author ana",
+    note = "The operator key is read from --key-file, or else from the environment variable \
+            CROCUSYARD_OPERATOR_KEY.",
+    error_code(1, "The command failed."),
+    error_code(2, "A file has problems, which are listed."),
+    error_code(3, "Another change of the presets came first; its diff is shown.")
+)]
+pub struct CliArguments {
+    /// address and port of an entry host (127.0.0.1:7000 by default)
+    #[argh(option, default = "default_host()")]
+    pub host: SocketAddr,
+    /// file that holds the operator key
+    #[argh(option)]
+    pub key_file: Option<String>,
+    /// time limit of a call to the host, milliseconds (10000 by default)
+    #[argh(option, default = "10_000")]
+    pub timeout_ms: u64,
+    /// print JSON instead of text
+    #[argh(switch)]
+    pub json: bool,
+    /// command
+    #[argh(subcommand)]
+    pub command: CliCommand,
+}
+
+fn default_host() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 7000))
+}
+
+/// A command.
+#[derive(Clone, Debug, PartialEq, FromArgs)]
+#[argh(subcommand)]
+pub enum CliCommand {
+    /// Runs a host.
+    Serve(ServeCommand),
+    /// Checks files.
+    Check(CheckCommand),
+    /// Presets.
+    Preset(PresetCommand),
+    /// State of a host.
+    Status(StatusCommand),
+    /// Entry addresses.
+    Ask(AskCommand),
+    /// Planned stop.
+    Drain(DrainHostCommand),
+}
+
+/// Run an entry host until it is told to stop.
+#[derive(Clone, Debug, PartialEq, FromArgs)]
+#[argh(subcommand, name = "serve")]
+pub struct ServeCommand {
+    /// settings file
+    #[argh(option)]
+    pub settings: String,
+}
+
+/// Check settings and catalogue files and list every problem.
+///
+/// Each problem is printed as `file:line: key path: what was expected`. A catalogue that a settings
+/// file names is checked too.
+#[derive(Clone, Debug, PartialEq, FromArgs)]
+#[argh(subcommand, name = "check")]
+pub struct CheckCommand {
+    /// files
+    #[argh(positional, arg_name = "file")]
+    pub files: Vec<String>,
+}
+
+/// Look at presets and change them.
+#[derive(Clone, Debug, PartialEq, FromArgs)]
+#[argh(subcommand, name = "preset")]
+pub struct PresetCommand {
+    /// what to do
+    #[argh(subcommand)]
+    pub action: PresetAction,
+}
+
+/// What to do with presets.
+#[derive(Clone, Debug, PartialEq, FromArgs)]
+#[argh(subcommand)]
+pub enum PresetAction {
+    /// Names.
+    List(ListCommand),
+    /// Body of a version.
+    Show(ShowCommand),
+    /// Differences to a file.
+    Diff(DiffCommand),
+    /// New catalogue.
+    Apply(ApplyFileCommand),
+    /// Another preset.
+    Activate(ActivatePresetCommand),
+    /// Versions.
+    History(HistoryCommand),
+}
+
+/// List the presets and mark the one in force.
+#[derive(Clone, Debug, PartialEq, FromArgs)]
+#[argh(subcommand, name = "list")]
+pub struct ListCommand {}
+
+/// Print the catalogue of a version as YAML.
+#[derive(Clone, Debug, PartialEq, FromArgs)]
+#[argh(subcommand, name = "show")]
+pub struct ShowCommand {
+    /// version; the one in force by default
+    #[argh(positional)]
+    pub version: Option<u64>,
+}
+
+/// Show what applying a catalogue file would change.
+#[derive(Clone, Debug, PartialEq, FromArgs)]
+#[argh(subcommand, name = "diff")]
+pub struct DiffCommand {
+    /// catalogue file
+    #[argh(positional)]
+    pub file: String,
+}
+
+/// Put a catalogue file in force as a new version.
+#[derive(Clone, Debug, PartialEq, FromArgs)]
+#[argh(subcommand, name = "apply")]
+pub struct ApplyFileCommand {
+    /// catalogue file
+    #[argh(positional)]
+    pub file: String,
+    /// version that the file was edited from; the change is refused if another one is in force.
+    /// By default it is the version in force when the command starts
+    #[argh(option)]
+    pub base_version: Option<u64>,
+    /// who makes the change
+    #[argh(option)]
+    pub author: String,
+}
+
+/// Put another preset of the catalogue in force.
+#[derive(Clone, Debug, PartialEq, FromArgs)]
+#[argh(subcommand, name = "activate")]
+pub struct ActivatePresetCommand {
+    /// name of the preset
+    #[argh(positional)]
+    pub name: String,
+    /// version that the choice was made on; the change is refused if another one is in force. By
+    /// default it is the version in force when the command starts
+    #[argh(option)]
+    pub base_version: Option<u64>,
+    /// who makes the change
+    #[argh(option)]
+    pub author: String,
+}
+
+/// List the latest versions with their authors.
+#[derive(Clone, Debug, PartialEq, FromArgs)]
+#[argh(subcommand, name = "history")]
+pub struct HistoryCommand {
+    /// number of versions (20 by default)
+    #[argh(option, default = "20")]
+    pub limit: u32,
+}
+
+/// Show the state of a host and what it knows of the others.
+#[derive(Clone, Debug, PartialEq, FromArgs)]
+#[argh(subcommand, name = "status")]
+pub struct StatusCommand {}
+
+/// Ask which entry addresses to use for a model or service.
+#[derive(Clone, Debug, PartialEq, FromArgs)]
+#[argh(subcommand, name = "ask")]
+pub struct AskCommand {
+    /// model or adapter
+    #[argh(option)]
+    pub model: Option<String>,
+    /// plain service
+    #[argh(option)]
+    pub service: Option<String>,
+    /// entry address that was used last and failed
+    #[argh(option)]
+    pub last: Option<SocketAddr>,
+}
+
+/// Begin the planned stop of the host that is addressed.
+#[derive(Clone, Debug, PartialEq, FromArgs)]
+#[argh(subcommand, name = "drain")]
+pub struct DrainHostCommand {}
--- /dev/null
+++ b/crates/cli/src/ask.rs
@@ -0,0 +1,51 @@
+//! Command `ask`.
+
+use crate::arguments::AskCommand;
+use crate::client::HostClient;
+use crate::error::CliError;
+use crate::output::{write_table, CommandOutput};
+use serde::{Deserialize, Serialize};
+
+/// The address answer.
+#[derive(Debug, Serialize, Deserialize)]
+struct AddressReply {
+    addresses: Vec<AddressEntry>,
+    ttl_ms: u64,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+struct AddressEntry {
+    address: String,
+    domain: String,
+    weight: u32,
+}
+
+pub(crate) async fn run_ask(
+    client: &HostClient,
+    command: &AskCommand,
+    json: bool,
+) -> Result<CommandOutput, CliError> {
+    let mut query = match (&command.model, &command.service) {
+        (Some(model), None) => vec![("model", model.clone())],
+        (None, Some(service)) => vec![("service", service.clone())],
+        _ => {
+            let expected = "exactly one of --model and --service must be given";
+            return Err(CliError::WrongOptions { expected });
+        }
+    };
+    if let Some(last) = command.last {
+        query.push(("last", last.to_string()));
+    }
+    let reply: AddressReply = client.get("/v1/addresses", &query).await?;
+    if json {
+        return Ok(CommandOutput::from_json(&reply));
+    }
+    let rows = reply
+        .addresses
+        .into_iter()
+        .map(|entry| vec![entry.address, entry.domain, entry.weight.to_string()])
+        .collect();
+    let title = format!("addresses for {} ms", reply.ttl_ms);
+    let text = write_table(&title, &["address", "domain", "weight"], rows);
+    Ok(CommandOutput::from_text(text))
+}
--- /dev/null
+++ b/crates/cli/src/check.rs
@@ -0,0 +1,117 @@
+//! Command `check`, and the reading of files for the other commands.
+
+use crate::arguments::CheckCommand;
+use crate::error::{CliError, UnreadableFileSnafu};
+use crate::output::CommandOutput;
+use crocusyard_catalog::document::{parse_document, NodeContent};
+use crocusyard_catalog::keys::CATALOG_KEYS;
+use crocusyard_catalog::prelude::{CatalogSpec, InputProblem};
+use crocusyard_catalog::read::locate_problems;
+use crocusyard_catalog::shape::KeySpec;
+use crocusyard_settings::check::check_home;
+use crocusyard_settings::keys::HOST_KEYS;
+use crocusyard_settings::prelude::HostSettings;
+use snafu::ResultExt;
+use std::path::Path;
+
+/// A file that has been checked.
+#[derive(Debug)]
+pub(crate) enum CheckedFile {
+    /// Settings of a host, with the catalogue that they name.
+    Settings(Box<HostSettings>, CatalogSpec),
+    /// A catalogue.
+    Catalog,
+}
+
+pub(crate) fn run_check(command: &CheckCommand) -> CommandOutput {
+    let mut output = CommandOutput::default();
+    for file in &command.files {
+        match read_checked_file(file) {
+            Ok(CheckedFile::Settings(..)) => output.out += &format!("{file}: sound settings\n"),
+            Ok(CheckedFile::Catalog) => output.out += &format!("{file}: sound catalogue\n"),
+            Err(error @ CliError::RefusedFile { .. }) => {
+                output.out += &format!("{error}\n");
+                output.code = output.code.max(error.exit_code());
+            }
+            Err(error) => {
+                output.err += &format!("{error}\n");
+                output.code = output.code.max(error.exit_code());
+            }
+        }
+    }
+    if command.files.is_empty() {
+        "no file is given\n".clone_into(&mut output.err);
+        output.code = 1;
+    }
+    output
+}
+
+/// Reads and checks a file of either kind.
+pub(crate) fn read_checked_file(file: &str) -> Result<CheckedFile, CliError> {
+    let text = std::fs::read_to_string(file).context(UnreadableFileSnafu { file })?;
+    if is_catalog(&text) {
+        parse_catalog(file, &text)?;
+        return Ok(CheckedFile::Catalog);
+    }
+    let settings =
+        HostSettings::from_yaml(&text).map_err(|error| refuse_file(file, &error.problems))?;
+    let catalog = read_named_catalog(file, &text, &settings)?;
+    Ok(CheckedFile::Settings(Box::new(settings), catalog))
+}
+
+/// Reads and checks a catalogue file; returns its text too.
+pub(crate) fn read_catalog_file(file: &str) -> Result<(String, CatalogSpec), CliError> {
+    let text = std::fs::read_to_string(file).context(UnreadableFileSnafu { file })?;
+    let catalog = parse_catalog(file, &text)?;
+    Ok((text, catalog))
+}
+
+/// Makes the error of a file that has problems, with one line for each.
+pub(crate) fn refuse_file(file: &str, problems: &[InputProblem]) -> CliError {
+    let lines = problems
+        .iter()
+        .map(|problem| format!("{file}:{problem}"))
+        .collect();
+    CliError::RefusedFile { lines }
+}
+
+fn parse_catalog(file: &str, text: &str) -> Result<CatalogSpec, CliError> {
+    CatalogSpec::from_yaml(text).map_err(|error| refuse_file(file, &error.problems))
+}
+
+/// Reads the catalogue that a settings file names; its path is relative to that file.
+fn read_named_catalog(
+    file: &str,
+    text: &str,
+    settings: &HostSettings,
+) -> Result<CatalogSpec, CliError> {
+    let Some(name) = &settings.catalog else {
+        return Ok(CatalogSpec::default());
+    };
+    let directory = Path::new(file).parent().unwrap_or(Path::new(""));
+    let path = directory.join(name).to_string_lossy().into_owned();
+    let (_, catalog) = read_catalog_file(&path)?;
+    let problems = locate_problems(text, HOST_KEYS, check_home(settings, &catalog));
+    if problems.is_empty() {
+        Ok(catalog)
+    } else {
+        Err(refuse_file(file, &problems))
+    }
+}
+
+/// Returns whether more keys of the text belong to a catalogue than to settings.
+fn is_catalog(text: &str) -> bool {
+    let Ok(root) = parse_document(text) else {
+        return false;
+    };
+    let NodeContent::Map(entries) = &root.content else {
+        return false;
+    };
+    let count = |keys: &[KeySpec]| {
+        entries
+            .iter()
+            .filter(|entry| keys.iter().any(|key| key.name == entry.key))
+            .count()
+    };
+    count(CATALOG_KEYS) > count(HOST_KEYS)
+}
--- /dev/null
+++ b/crates/cli/src/preset.rs
@@ -0,0 +1,209 @@
+//! Commands `preset list|show|diff|apply|activate|history`.
+
+use crate::arguments::{
+    ActivatePresetCommand, ApplyFileCommand, DiffCommand, HistoryCommand, ShowCommand,
+};
+use crate::check::{read_catalog_file, refuse_file};
+use crate::client::{ChangeRefusal, HostClient};
+use crate::error::CliError;
+use crate::output::{write_table, CommandOutput};
+use chrono::DateTime;
+use crocusyard_border::admin::{
+    ActivateCommand, ApplyCommand, ChangeReply, HistoryReply, PresetBodyReply, PresetListReply,
+    ProblemsReply,
+};
+use crocusyard_catalog::prelude::{diff_catalogs, CatalogSpec, InputProblem};
+
+pub(crate) async fn run_list(client: &HostClient, json: bool) -> Result<CommandOutput, CliError> {
+    let list = read_list(client).await?;
+    if json {
+        return Ok(CommandOutput::from_json(&list));
+    }
+    let mut text = format!("version {}\n", list.version);
+    for name in &list.presets {
+        let mark = if *name == list.in_force { "*" } else { " " };
+        text += &format!("{mark} {name}\n");
+    }
+    Ok(CommandOutput::from_text(text))
+}
+
+pub(crate) async fn run_show(
+    client: &HostClient,
+    command: &ShowCommand,
+    json: bool,
+) -> Result<CommandOutput, CliError> {
+    let version = match command.version {
+        Some(version) => version,
+        None => read_list(client).await?.version,
+    };
+    let body = read_body(client, version).await?;
+    if json {
+        return Ok(CommandOutput::from_json(&body));
+    }
+    // The head is a comment, so that the output can be edited and applied.
+    let head = format!(
+        "# version {}, preset in force {}, digest {}\n",
+        body.version, body.in_force, body.digest
+    );
+    Ok(CommandOutput::from_text(head + &body.catalog))
+}
+
+pub(crate) async fn run_diff(
+    client: &HostClient,
+    command: &DiffCommand,
+    json: bool,
+) -> Result<CommandOutput, CliError> {
+    let (_, wanted) = read_catalog_file(&command.file)?;
+    let version = read_list(client).await?.version;
+    let current = if version == 0 {
+        CatalogSpec::default()
+    } else {
+        parse_body(&read_body(client, version).await?)?
+    };
+    let diff = diff_catalogs(&current, &wanted);
+    if json {
+        return Ok(CommandOutput::from_json(&diff));
+    }
+    let mut lines = diff.lines();
+    lines.insert(
+        0,
+        format!("{} to version {version}", count_changes(diff.changes.len())),
+    );
+    Ok(CommandOutput::from_text(lines.join("\n")))
+}
+
+pub(crate) async fn run_apply(
+    client: &HostClient,
+    command: &ApplyFileCommand,
+    json: bool,
+) -> Result<CommandOutput, CliError> {
+    let (catalog, _) = read_catalog_file(&command.file)?;
+    let base_version = base_version(client, command.base_version).await?;
+    let body = ApplyCommand {
+        catalog,
+        base_version: Some(base_version),
+        author: command.author.clone(),
+    };
+    let reply = client.post_change("/admin/presets/apply", &body).await;
+    show_change(reply, &command.file, json)
+}
+
+pub(crate) async fn run_activate(
+    client: &HostClient,
+    command: &ActivatePresetCommand,
+    json: bool,
+) -> Result<CommandOutput, CliError> {
+    let base_version = base_version(client, command.base_version).await?;
+    let body = ActivateCommand {
+        name: command.name.clone(),
+        base_version: Some(base_version),
+        author: command.author.clone(),
+    };
+    let reply = client.post_change("/admin/presets/activate", &body).await;
+    show_change(reply, "activate", json)
+}
+
+pub(crate) async fn run_history(
+    client: &HostClient,
+    command: &HistoryCommand,
+    json: bool,
+) -> Result<CommandOutput, CliError> {
+    let query = [("limit", command.limit.to_string())];
+    let history: HistoryReply = client.get("/admin/presets/history", &query).await?;
+    if json {
+        return Ok(CommandOutput::from_json(&history));
+    }
+    let rows = history
+        .entries
+        .into_iter()
+        .map(|entry| {
+            vec![
+                entry.version.to_string(),
+                write_time(entry.unix_ms),
+                entry.author,
+                entry.in_force,
+                entry.digest.chars().take(12).collect(),
+            ]
+        })
+        .collect();
+    let header = ["version", "time", "author", "in force", "digest"];
+    Ok(CommandOutput::from_text(write_table(
+        "versions", &header, rows,
+    )))
+}
+
+async fn read_list(client: &HostClient) -> Result<PresetListReply, CliError> {
+    client.get("/admin/presets", &[]).await
+}
+
+async fn read_body(client: &HostClient, version: u64) -> Result<PresetBodyReply, CliError> {
+    client.get(&format!("/admin/presets/{version}"), &[]).await
+}
+
+/// Returns the version that a change starts from.
+///
+/// Without an option it is the one in force now, so that a change between this read and the command
+/// is still noticed.
+async fn base_version(client: &HostClient, given: Option<u64>) -> Result<u64, CliError> {
+    match given {
+        Some(version) => Ok(version),
+        None => Ok(read_list(client).await?.version),
+    }
+}
+
+/// Reads the catalogue of a version; it is not checked, since older versions had other checks.
+fn parse_body(body: &PresetBodyReply) -> Result<CatalogSpec, CliError> {
+    serde_yaml_ng::from_str(&body.catalog).map_err(|error| CliError::StrangeAnswer {
+        host: format!("the host (version {})", body.version),
+        cause: error.to_string(),
+    })
+}
+
+fn show_change(
+    reply: Result<ChangeReply, ChangeRefusal>,
+    file: &str,
+    json: bool,
+) -> Result<CommandOutput, CliError> {
+    let reply = match reply {
+        Ok(reply) => reply,
+        Err(ChangeRefusal::Problems(problems)) => return Err(refuse_change(file, problems)),
+        Err(ChangeRefusal::Other(error)) => return Err(error),
+    };
+    if json {
+        return Ok(CommandOutput::from_json(&reply));
+    }
+    if !reply.changed {
+        let text = format!("no change; version {} is in force", reply.version);
+        return Ok(CommandOutput::from_text(text));
+    }
+    let mut lines = vec![format!("version {} is in force", reply.version)];
+    lines.extend(reply.diff);
+    Ok(CommandOutput::from_text(lines.join("\n")))
+}
+
+fn refuse_change(file: &str, reply: ProblemsReply) -> CliError {
+    let problems: Vec<InputProblem> = reply
+        .problems
+        .into_iter()
+        .map(|fault| InputProblem::new(fault.line, fault.path, fault.expected))
+        .collect();
+    refuse_file(file, &problems)
+}
+
+fn count_changes(count: usize) -> String {
+    match count {
+        0 => "no change".to_owned(),
+        1 => "1 change".to_owned(),
+        _ => format!("{count} changes"),
+    }
+}
+
+fn write_time(unix_ms: u64) -> String {
+    i64::try_from(unix_ms)
+        .ok()
+        .and_then(DateTime::from_timestamp_millis)
+        .map_or_else(
+            || unix_ms.to_string(),
+            |time| time.format("%Y-%m-%d %H:%M:%S UTC").to_string(),
+        )
+}
--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -4,7 +4,7 @@
 use crate::secret::KeySource;
 use crate::sections::ListenSettings;
 use crocusyard_base::prelude::*;
-use crocusyard_catalog::prelude::ValueProblem;
+use crocusyard_catalog::prelude::{CatalogSpec, ValueProblem};
 use std::net::SocketAddr;
 
 /// Checks settings; times that may be defaults are compared only in a file that is `whole`.
@@ -27,6 +27,26 @@
     problems
 }
 
+/// Checks that the catalogue declares the failure domain and region of the host.
+pub fn check_home(settings: &HostSettings, catalog: &CatalogSpec) -> Vec<ValueProblem> {
+    let region = catalog
+        .regions
+        .iter()
+        .find(|region| region.name == settings.region);
+    let Some(region) = region else {
+        let expected = "region that the catalogue declares";
+        return vec![ValueProblem::new("region", expected)];
+    };
+    if region.domains.contains(&settings.domain) {
+        return Vec::new();
+    }
+    let expected = format!(
+        "failure domain of region `{}` in the catalogue",
+        region.name
+    );
+    vec![ValueProblem::new("domain", expected)]
+}
+
 fn check_listen(listen: &ListenSettings, problems: &mut Vec<ValueProblem>) {
     check_reachable(
         "listen.advertised_callers",
--- a/crates/settings/src/host.rs
+++ b/crates/settings/src/host.rs
@@ -21,7 +21,8 @@
     pub domain: DomainName,
     /// Region.
     pub region: RegionName,
-    /// File of the catalogue to start from when no preset has been accepted yet.
+    /// File of the catalogue to start from when no preset has been accepted yet, relative to the
+    /// directory of the settings file.
     #[serde(default)]
     pub catalog: Option<String>,
     /// Addresses of this host.
--- a/crates/settings/src/keys.rs
+++ b/crates/settings/src/keys.rs
@@ -38,7 +38,7 @@
         "catalog",
         Text,
         Optional,
-        "file of the catalogue to start from when no preset has been accepted yet",
+        "file of the catalogue to start from when no preset has been accepted yet, relative to this file",
     ),
     key(
         "listen",
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,3 +1,7 @@
 //! The crocusyard binary.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    crocusyard_cli::main()
+}
