--- a/crates/catalog/src/check.rs
+++ b/crates/catalog/src/check.rs
@@ -5,7 +5,7 @@
 use crate::read::ValueProblem;
 use crate::shape::nearest_name;
 use crocusyard_base::prelude::*;
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeSet, HashMap, HashSet};
 
 /// Checks names, references and memory of a whole catalogue, its presets included.
 ///
@@ -17,13 +17,14 @@
 /// Checks a catalogue; one that is not whole is not checked for memory and reach.
 pub(crate) fn check_parts(catalog: &CatalogSpec, whole: bool) -> Vec<ValueProblem> {
     let mut problems = Vec::new();
+    let known = KnownNames::new(catalog);
     check_names(catalog, &mut problems);
     check_domains(catalog, &mut problems);
-    check_adapters(catalog, &mut problems);
-    check_targets(catalog, &mut problems);
-    check_routes(catalog, &mut problems);
+    check_adapters(catalog, &known, &mut problems);
+    check_targets(catalog, &known, &mut problems);
+    check_routes(catalog, &known, &mut problems);
     check_tenants(catalog, &mut problems);
-    check_presets(catalog, &mut problems);
+    check_presets(catalog, &known, &mut problems);
     if whole {
         check_engine_memory(catalog, &mut problems);
         check_model_memory(catalog, &mut problems);
@@ -34,6 +35,33 @@
     problems
 }
 
+/// Declared names, to look up references.
+pub(crate) struct KnownNames<'a> {
+    pub(crate) domains: BTreeSet<&'a str>,
+    pub(crate) models: BTreeSet<&'a str>,
+    pub(crate) targets: BTreeSet<&'a str>,
+    pub(crate) services: BTreeSet<&'a str>,
+    pub(crate) classes: BTreeSet<&'a str>,
+}
+
+impl<'a> KnownNames<'a> {
+    fn new(catalog: &'a CatalogSpec) -> Self {
+        let regions = catalog.regions.iter();
+        let domains = regions.flat_map(|region| &region.domains);
+        let models = catalog.models.iter();
+        let targets = catalog.targets.iter();
+        let services = catalog.services.iter();
+        let classes = catalog.classes.iter();
+        Self {
+            domains: domains.map(DomainName::as_str).collect(),
+            models: models.map(|model| model.name.as_str()).collect(),
+            targets: targets.map(|target| target.name.as_str()).collect(),
+            services: services.map(|service| service.name.as_str()).collect(),
+            classes: classes.map(|class| class.name.as_str()).collect(),
+        }
+    }
+}
+
 /// Reports each name that occurs a second time in a list.
 pub(crate) fn check_unique<'a>(
     list: &str,
@@ -54,17 +82,17 @@
 }
 
 /// Reports a name that is not among the declared ones, with the nearest that is.
-pub(crate) fn check_known<'a>(
+pub(crate) fn check_known(
     path: String,
     kind: &str,
     name: &str,
-    declared: impl Iterator<Item = &'a str> + Clone,
+    declared: &BTreeSet<&str>,
     problems: &mut Vec<ValueProblem>,
 ) {
-    if declared.clone().any(|known| known == name) {
+    if declared.contains(name) {
         return;
     }
-    let nearest = nearest_name(name, declared);
+    let nearest = nearest_name(name, declared.iter().copied());
     let expected = match nearest {
         Some(nearest) => format!("declared {kind}; `{name}` is none, the nearest is `{nearest}`"),
         None => format!("declared {kind}; none is declared"),
@@ -123,18 +151,18 @@
     }
 }
 
-fn check_adapters(catalog: &CatalogSpec, problems: &mut Vec<ValueProblem>) {
-    let models: HashSet<&str> = catalog
-        .models
-        .iter()
-        .map(|model| model.name.as_str())
-        .collect();
+fn check_adapters(catalog: &CatalogSpec, known: &KnownNames<'_>, problems: &mut Vec<ValueProblem>) {
     for (index, adapter) in catalog.adapters.iter().enumerate() {
-        let names = catalog.models.iter().map(|model| model.name.as_str());
         let path = format!("adapters[{index}].model");
-        check_known(path, "model", adapter.model.as_str(), names, problems);
+        check_known(
+            path,
+            "model",
+            adapter.model.as_str(),
+            &known.models,
+            problems,
+        );
         // Callers address an adapter like a model.
-        if models.contains(adapter.name.as_str()) {
+        if known.models.contains(adapter.name.as_str()) {
             let path = format!("adapters[{index}].name");
             let expected = format!("name that no model has; `{}` is a model", adapter.name);
             problems.push(ValueProblem::new(path, expected));
@@ -163,17 +191,15 @@
     }
 }
 
-fn check_targets(catalog: &CatalogSpec, problems: &mut Vec<ValueProblem>) {
+fn check_targets(catalog: &CatalogSpec, known: &KnownNames<'_>, problems: &mut Vec<ValueProblem>) {
     let mut addresses = HashMap::new();
     for (index, target) in catalog.targets.iter().enumerate() {
         let path = |field: &str| format!("targets[{index}].{field}");
-        let domains = catalog.regions.iter().flat_map(|region| &region.domains);
-        let domains = domains.map(DomainName::as_str);
         check_known(
             path("domain"),
             "failure domain",
             target.domain.as_str(),
-            domains,
+            &known.domains,
             problems,
         );
         if let Some(first) = addresses.insert(target.address, index) {
@@ -188,7 +214,7 @@
         }
         match target.kind {
             TargetKind::Engine => check_engine(target, index, problems),
-            TargetKind::Plain => check_plain(catalog, target, index, problems),
+            TargetKind::Plain => check_plain(known, target, index, problems),
         }
     }
 }
@@ -221,7 +247,7 @@
 }
 
 fn check_plain(
-    catalog: &CatalogSpec,
+    known: &KnownNames<'_>,
     target: &TargetSpec,
     index: usize,
     problems: &mut Vec<ValueProblem>,
@@ -229,8 +255,7 @@
     let path = format!("targets[{index}].service");
     match &target.service {
         Some(service) => {
-            let names = catalog.services.iter().map(|service| service.name.as_str());
-            check_known(path, "service", service.as_str(), names, problems);
+            check_known(path, "service", service.as_str(), &known.services, problems);
         }
         None => problems.push(ValueProblem::new(
             path,
@@ -263,7 +288,7 @@
     }
 }
 
-fn check_routes(catalog: &CatalogSpec, problems: &mut Vec<ValueProblem>) {
+fn check_routes(catalog: &CatalogSpec, known: &KnownNames<'_>, problems: &mut Vec<ValueProblem>) {
     for (index, service) in catalog.services.iter().enumerate() {
         let path = format!("services[{index}]");
         if service.routes.is_empty() {
@@ -272,7 +297,7 @@
         }
         for (place, route) in service.routes.iter().enumerate() {
             let path = format!("{path}.routes[{place}]");
-            check_route(catalog, route, &path, problems);
+            check_route(known, route, &path, problems);
             let earlier = &service.routes[..place];
             if let Some(cover) = earlier.iter().position(|other| covers(other, route)) {
                 let expected = format!(
@@ -285,7 +310,7 @@
 }
 
 fn check_route(
-    catalog: &CatalogSpec,
+    known: &KnownNames<'_>,
     route: &RouteSpec,
     path: &str,
     problems: &mut Vec<ValueProblem>,
@@ -300,9 +325,14 @@
         let path = format!("{path}.path");
         problems.push(ValueProblem::new(path, "path that starts with `/`"));
     }
-    let names = catalog.classes.iter().map(|class| class.name.as_str());
     let path = format!("{path}.class");
-    check_known(path, "class", route.class.as_str(), names, problems);
+    check_known(
+        path,
+        "class",
+        route.class.as_str(),
+        &known.classes,
+        problems,
+    );
 }
 
 /// Returns whether the first route matches whatever the second one matches.
--- a/crates/catalog/src/check_presets.rs
+++ b/crates/catalog/src/check_presets.rs
@@ -1,6 +1,6 @@
 //! Checks of presets against the rest of the catalogue.
 
-use crate::check::{check_known, check_unique};
+use crate::check::{check_known, check_unique, KnownNames};
 use crate::declarations::{CatalogSpec, PresetSpec, TargetKind, TargetSpec};
 use crate::read::ValueProblem;
 use crocusyard_base::prelude::*;
@@ -8,13 +8,17 @@
 use std::collections::{HashMap, HashSet};
 
 /// Checks names and references of all presets.
-pub(crate) fn check_presets(catalog: &CatalogSpec, problems: &mut Vec<ValueProblem>) {
+pub(crate) fn check_presets(
+    catalog: &CatalogSpec,
+    known: &KnownNames<'_>,
+    problems: &mut Vec<ValueProblem>,
+) {
     if catalog.presets.is_empty() {
         // Exactly one preset is in force at any time.
         problems.push(ValueProblem::new("presets", "at least one preset"));
     }
-    for index in 0..catalog.presets.len() {
-        check_references(catalog, index, problems);
+    for (index, preset) in catalog.presets.iter().enumerate() {
+        check_references(preset, index, known, problems);
     }
 }
 
@@ -26,23 +30,31 @@
     }
 }
 
-fn check_references(catalog: &CatalogSpec, index: usize, problems: &mut Vec<ValueProblem>) {
-    let preset = &catalog.presets[index];
+fn check_references(
+    preset: &PresetSpec,
+    index: usize,
+    known: &KnownNames<'_>,
+    problems: &mut Vec<ValueProblem>,
+) {
     let list = format!("presets[{index}].copies");
     let copies = preset.copies.iter().map(|copies| copies.model.as_str());
     check_unique(&list, ".model", copies, problems);
     for (place, copies) in preset.copies.iter().enumerate() {
-        let names = catalog.models.iter().map(|model| model.name.as_str());
         let path = format!("{list}[{place}].model");
-        check_known(path, "model", copies.model.as_str(), names, problems);
+        check_known(
+            path,
+            "model",
+            copies.model.as_str(),
+            &known.models,
+            problems,
+        );
     }
     let list = format!("presets[{index}].drained");
     let drained = preset.drained.iter().map(TargetName::as_str);
     check_unique(&list, "", drained, problems);
     for (place, target) in preset.drained.iter().enumerate() {
-        let names = catalog.targets.iter().map(|target| target.name.as_str());
         let path = format!("{list}[{place}]");
-        check_known(path, "target", target.as_str(), names, problems);
+        check_known(path, "target", target.as_str(), &known.targets, problems);
     }
 }
 
--- a/crates/catalog/src/diff.rs
+++ b/crates/catalog/src/diff.rs
@@ -3,7 +3,7 @@
 use crate::declarations::CatalogSpec;
 use serde::{Deserialize, Serialize};
 use serde_yaml_ng::Value;
-use std::collections::BTreeSet;
+use std::collections::BTreeMap;
 use std::fmt;
 
 /// One difference.
@@ -77,24 +77,22 @@
 }
 
 fn compare_lists(old: &[Value], new: &[Value], path: &str, changes: &mut Vec<CatalogChange>) {
-    let old_keys = entry_keys(old);
-    let new_keys = entry_keys(new);
-    let all: BTreeSet<&String> = old_keys.iter().chain(&new_keys).collect();
-    for key in all {
+    let mut pairs: BTreeMap<String, (Option<&Value>, Option<&Value>)> = BTreeMap::new();
+    for (key, value) in entry_keys(old).into_iter().zip(old) {
+        pairs.entry(key).or_default().0 = Some(value);
+    }
+    for (key, value) in entry_keys(new).into_iter().zip(new) {
+        pairs.entry(key).or_default().1 = Some(value);
+    }
+    for (key, pair) in pairs {
         let path = format!("{path}[{key}]");
-        let before = position_of(&old_keys, key).map(|index| &old[index]);
-        let after = position_of(&new_keys, key).map(|index| &new[index]);
-        match (before, after) {
+        match pair {
             (Some(before), Some(after)) => compare_values(before, after, &path, changes),
-            _ => changes.push(change_of(path, before, after)),
+            (before, after) => changes.push(change_of(path, before, after)),
         }
     }
 }
 
-fn position_of(keys: &[String], key: &str) -> Option<usize> {
-    keys.iter().position(|other| other == key)
-}
-
 /// Returns what identifies each entry: its name, its model, its text, or its place among routes.
 fn entry_keys(entries: &[Value]) -> Vec<String> {
     let key_of = |(index, entry): (usize, &Value)| {
