--- a/crates/border/src/lib.rs
+++ b/crates/border/src/lib.rs
@@ -4,6 +4,8 @@
 //! `cargo run -p crocusyard_border --example generate` and are committed, so that the build needs no
 //! generator. A test fails if they no longer match the schemas.
 
+pub mod admin;
+
 /// Types generated from the schemas.
 #[allow(missing_docs, clippy::all, clippy::doc_markdown, unused_qualifications)]
 #[allow(clippy::semicolon_if_nothing_returned, clippy::redundant_closure_for_method_calls)]
