Make the admission queue real and add the experiments

Cause: the queue was one unbounded list, and no decision of routing or admission had been compared with a baseline.

Change: classes by priority with aging, deficit round robin between tenants, one lane for each resource, bounded queues, early refusal, expiry by an ordered set of deadlines, retry hints. The experiments run each decision and its baselines on identical seeded arrivals.

--- /dev/null
+++ b/crates/admission/src/tuning.rs
@@ -0,0 +1,80 @@
+//! Tuning of the queue.
+
+/// Tuning of the queue; defaults come from `docs/measurements.md`.
+#[derive(Clone, Debug)]
+pub struct AdmissionTuning {
+    pub(crate) quantum: u32,
+    pub(crate) aged_interval: u32,
+    pub(crate) deadline_share: f64,
+    pub(crate) probes_per_resource: u32,
+    pub(crate) resources_remembered: usize,
+}
+
+impl Default for AdmissionTuning {
+    fn default() -> Self {
+        Self {
+            quantum: 500,
+            aged_interval: 8,
+            deadline_share: 0.5,
+            probes_per_resource: 4,
+            resources_remembered: 4_096,
+        }
+    }
+}
+
+impl AdmissionTuning {
+    /// Starts from the defaults.
+    pub fn builder() -> AdmissionTuningBuilder {
+        AdmissionTuningBuilder {
+            tuning: Self::default(),
+        }
+    }
+}
+
+/// Builder of [`AdmissionTuning`].
+#[derive(Clone, Debug)]
+pub struct AdmissionTuningBuilder {
+    tuning: AdmissionTuning,
+}
+
+impl AdmissionTuningBuilder {
+    /// Sets the cost that a tenant of weight 1 may use in each round of fair queueing.
+    #[must_use]
+    pub fn quantum(mut self, cost: u32) -> Self {
+        self.tuning.quantum = cost.max(1);
+        self
+    }
+
+    /// Sets that one of this many takes goes to the class that waits longest for its aging time.
+    #[must_use]
+    pub fn aged_interval(mut self, takes: u32) -> Self {
+        self.tuning.aged_interval = takes.max(1);
+        self
+    }
+
+    /// Sets the share of the time to the deadline that may pass in the queue.
+    #[must_use]
+    pub fn deadline_share(mut self, share: f64) -> Self {
+        self.tuning.deadline_share = share.clamp(0.0, 1.0);
+        self
+    }
+
+    /// Sets how many requests of one resource are probed before it counts as blocked.
+    #[must_use]
+    pub fn probes_per_resource(mut self, probes: u32) -> Self {
+        self.tuning.probes_per_resource = probes.max(1);
+        self
+    }
+
+    /// Sets the number of resources whose rate is remembered.
+    #[must_use]
+    pub fn resources_remembered(mut self, count: usize) -> Self {
+        self.tuning.resources_remembered = count.max(1);
+        self
+    }
+
+    /// Finishes the tuning.
+    pub fn build(self) -> AdmissionTuning {
+        self.tuning
+    }
+}
--- /dev/null
+++ b/crates/experiments/src/addresses.rs
@@ -0,0 +1,408 @@
+//! Address experiment: callers keep answers for their time to live and connect by weight.
+
+use crate::table::{print_table, run_jobs, show, spread_of, SeedSpread};
+use crocusyard_base::prelude::*;
+use crocusyard_base::random::seeded_rng;
+use crocusyard_routing::prelude::*;
+use rand::Rng;
+use serde::Serialize;
+use std::collections::{BTreeMap, HashMap};
+use std::hash::{DefaultHasher, Hash, Hasher};
+use std::net::SocketAddr;
+
+/// Simulated time, milliseconds.
+const SPAN_MS: u64 = 120_000;
+/// A host leaves at this point.
+const LEAVE_MS: u64 = 60_000;
+/// Time to live of answers, milliseconds.
+const TTL_MS: u64 = 10_000;
+/// Lag of the load figures used by the least-loaded baseline, milliseconds.
+const LOAD_LAG_MS: u64 = 1_000;
+/// Points of a host on the consistent ring.
+const RING_POINTS: u64 = 100;
+/// Requests a second of one caller.
+const CALLER_RATE: f64 = 1.0;
+/// Time within which an earlier request for the same key counts as affinity, milliseconds.
+const AFFINITY_MS: u64 = 10_000;
+
+/// Size of a deployment as callers see it.
+#[derive(Clone, Copy, Debug)]
+struct AddressSize {
+    name: &'static str,
+    hosts: usize,
+    keys: usize,
+    callers: usize,
+    domains: usize,
+}
+
+const SIZES: [AddressSize; 3] = [
+    AddressSize {
+        name: "burgos",
+        hosts: 9,
+        keys: 140,
+        callers: 150,
+        domains: 3,
+    },
+    AddressSize {
+        name: "moldes",
+        hosts: 9,
+        keys: 90,
+        callers: 100,
+        domains: 3,
+    },
+    AddressSize {
+        name: "planned",
+        hosts: 360,
+        keys: 1_900,
+        callers: 2_400,
+        domains: 10,
+    },
+];
+
+/// A way to answer callers.
+#[derive(Clone, Debug)]
+pub enum AddressPolicy {
+    /// A random host.
+    Random,
+    /// The next host on a consistent hashing ring.
+    Ring,
+    /// The host with the least load, as known a second late.
+    LeastLoaded,
+    /// The entry ring.
+    Rendezvous(RingTuning),
+}
+
+/// Result of one run.
+#[derive(Clone, Copy, Debug, Serialize)]
+struct AddressFigures {
+    affinity: f64,
+    busiest: f64,
+    burst: f64,
+    moved: f64,
+}
+
+/// One policy in one deployment over all seeds.
+#[derive(Clone, Debug, Serialize)]
+pub struct AddressSummary {
+    /// Deployment.
+    pub deployment: &'static str,
+    /// Policy.
+    pub policy: &'static str,
+    /// Requests whose host served the same key a short time before, percent.
+    pub affinity: SeedSpread,
+    /// Busiest host relative to the mean, over the whole run.
+    pub busiest: SeedSpread,
+    /// 99th percentile over seconds of the busiest host relative to the mean.
+    pub burst: SeedSpread,
+    /// Callers of other hosts that changed host when one left, percent.
+    pub moved: SeedSpread,
+    /// Affinity relative to the best baseline.
+    pub affinity_ratio: f64,
+}
+
+struct AddressSim {
+    size: AddressSize,
+    ring: EntryRing,
+    points: BTreeMap<u64, usize>,
+    live: Vec<bool>,
+    loads: Vec<Vec<u32>>,
+}
+
+fn hash_of(value: impl Hash) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    value.hash(&mut hasher);
+    hasher.finish()
+}
+
+fn address_of(host: usize) -> SocketAddr {
+    ([127, 0, 0, 1], 10_000 + host as u16).into()
+}
+
+fn host_name(host: usize) -> HostName {
+    HostName::new(&format!("host-{host}"))
+}
+
+fn sim_of(size: AddressSize, tuning: RingTuning, demand: &[f64]) -> AddressSim {
+    let mut ring = EntryRing::new(tuning);
+    let mut points = BTreeMap::new();
+    for host in 0..size.hosts {
+        ring.apply_host(
+            ClockTime::ZERO,
+            EntryHost {
+                name: host_name(host),
+                address: address_of(host),
+                domain: DomainName::new(&format!("domain-{}", host % size.domains)),
+                load: 0.0,
+                leaving: false,
+            },
+        );
+        for point in 0..RING_POINTS {
+            points.insert(hash_of((host, point)), host);
+        }
+    }
+    for (key, rate) in demand.iter().enumerate() {
+        ring.set_demand(&format!("model-{key}"), *rate);
+    }
+    AddressSim {
+        size,
+        ring,
+        points,
+        live: vec![true; size.hosts],
+        loads: vec![vec![0; size.hosts]; (SPAN_MS / 1_000) as usize + 1],
+    }
+}
+
+/// Returns the host that a caller uses until its answer runs out.
+fn ask(
+    sim: &AddressSim,
+    policy: &AddressPolicy,
+    now: u64,
+    caller: usize,
+    key: usize,
+    last: Option<usize>,
+    rng: &mut SeededRng,
+) -> usize {
+    match policy {
+        AddressPolicy::Random => loop {
+            let host = rng.random_range(0..sim.size.hosts);
+            if sim.live[host] {
+                return host;
+            }
+        },
+        AddressPolicy::Ring => sim
+            .points
+            .range(hash_of(("key", key))..)
+            .chain(sim.points.iter())
+            .map(|(_, &host)| host)
+            .find(|&host| sim.live[host])
+            .unwrap_or(0),
+        AddressPolicy::LeastLoaded => {
+            let second = (now.saturating_sub(LOAD_LAG_MS) / 1_000) as usize;
+            let start = rng.random_range(0..sim.size.hosts);
+            (0..sim.size.hosts)
+                .map(|offset| (start + offset) % sim.size.hosts)
+                .filter(|&host| sim.live[host])
+                .min_by_key(|&host| sim.loads[second][host])
+                .unwrap_or(0)
+        }
+        AddressPolicy::Rendezvous(_) => {
+            let key = format!("model-{key}");
+            let answer = sim.ring.answer(&AddressQuery {
+                now: ClockTime::from_ms(now),
+                key: &key,
+                caller: caller as u64,
+                last: last.map(address_of),
+            });
+            let total: u32 = answer.addresses.iter().map(|entry| entry.weight).sum();
+            let mut draw = rng.random_range(0..total.max(1));
+            let chosen = answer
+                .addresses
+                .iter()
+                .find(|entry| {
+                    let found = draw < entry.weight;
+                    draw = draw.saturating_sub(entry.weight);
+                    found
+                })
+                .unwrap_or(&answer.addresses[0]);
+            usize::from(chosen.address.port() - 10_000)
+        }
+    }
+}
+
+fn run(size: AddressSize, policy: &AddressPolicy, seed: u64) -> AddressFigures {
+    let mut rng = seeded_rng(seed);
+    let popularity: Vec<f64> = (0..size.keys)
+        .map(|key| 1.0 / (key as f64 + 3.0).powf(0.8))
+        .collect();
+    let total: f64 = popularity.iter().sum();
+    let rate = size.callers as f64 * CALLER_RATE;
+    let demand: Vec<f64> = popularity.iter().map(|part| part / total * rate).collect();
+    let tuning = match policy {
+        AddressPolicy::Rendezvous(tuning) => tuning.clone(),
+        _ => RingTuning::default(),
+    };
+    let mut sim = sim_of(size, tuning, &demand);
+    let keys: Vec<usize> = (0..size.callers)
+        .map(|_| {
+            let mut draw = rng.random_range(0.0..total);
+            popularity
+                .iter()
+                .position(|part| {
+                    draw -= part;
+                    draw < 0.0
+                })
+                .unwrap_or(0)
+        })
+        .collect();
+    let mut held: Vec<Option<(usize, u64)>> = vec![None; size.callers];
+    let mut before: Vec<Option<usize>> = vec![None; size.callers];
+    let mut recent: HashMap<(usize, usize), u64> = HashMap::new();
+    let (mut hits, mut requests, mut moved, mut stayed) = (0_u64, 0_u64, 0_u64, 0_u64);
+    for now in (0..SPAN_MS).step_by(10) {
+        if now % 1_000 == 0 {
+            for host in (0..size.hosts).filter(|&host| sim.live[host]) {
+                let heard = ClockTime::from_ms(now);
+                sim.ring.note_heard(heard, &host_name(host));
+            }
+        }
+        if now == LEAVE_MS {
+            sim.live[0] = false;
+            sim.ring.set_leaving(&host_name(0), true);
+        }
+        for caller in 0..size.callers {
+            if !rng.random_bool(CALLER_RATE / 100.0) {
+                continue;
+            }
+            let key = keys[caller];
+            let kept = held[caller].filter(|&(_, until)| now < until);
+            let host = kept.map_or_else(
+                || {
+                    let last = held[caller].map(|(host, _)| host);
+                    let host = ask(&sim, policy, now, caller, key, last, &mut rng);
+                    let ttl = TTL_MS / 2 + rng.random_range(0..TTL_MS / 2);
+                    held[caller] = Some((host, now + ttl));
+                    host
+                },
+                |(host, _)| host,
+            );
+            if (LEAVE_MS..LEAVE_MS + 2 * TTL_MS).contains(&now) {
+                if let Some(old) = before[caller].filter(|&old| old != 0) {
+                    moved += u64::from(old != host);
+                    stayed += 1;
+                }
+            } else if now < LEAVE_MS {
+                before[caller] = Some(host);
+            }
+            requests += 1;
+            sim.loads[(now / 1_000) as usize][host] += 1;
+            let seen = recent.insert((key, host), now);
+            hits += u64::from(seen.is_some_and(|seen| now - seen <= AFFINITY_MS));
+        }
+    }
+    figures_of(&sim, hits, requests, moved, stayed)
+}
+
+fn figures_of(
+    sim: &AddressSim,
+    hits: u64,
+    requests: u64,
+    moved: u64,
+    stayed: u64,
+) -> AddressFigures {
+    let busiest = |loads: &[u32]| {
+        let total: u32 = loads.iter().sum();
+        let most = loads.iter().max().copied().unwrap_or(0);
+        f64::from(most) * loads.len() as f64 / f64::from(total.max(1))
+    };
+    let sums: Vec<u32> = (0..sim.size.hosts)
+        .map(|host| sim.loads.iter().map(|second| second[host]).sum())
+        .collect();
+    let mut bursts: Vec<f64> = sim.loads.iter().map(|second| busiest(second)).collect();
+    bursts.sort_by(f64::total_cmp);
+    AddressFigures {
+        affinity: 100.0 * hits as f64 / requests.max(1) as f64,
+        busiest: busiest(&sums),
+        burst: crate::table::percentile(&bursts, 0.99),
+        moved: 100.0 * moved as f64 / stayed.max(1) as f64,
+    }
+}
+
+fn policies(variants: bool) -> Vec<(&'static str, AddressPolicy)> {
+    let mut all = vec![
+        ("random", AddressPolicy::Random),
+        ("consistent ring", AddressPolicy::Ring),
+        ("least loaded", AddressPolicy::LeastLoaded),
+        (
+            "entry ring",
+            AddressPolicy::Rendezvous(RingTuning::default()),
+        ),
+    ];
+    if variants {
+        let rate = |rate| AddressPolicy::Rendezvous(RingTuning::builder().host_rate(rate).build());
+        all.extend([
+            ("entry ring, 1 /s a host", rate(1.0)),
+            ("entry ring, 2 /s a host", rate(2.0)),
+            ("entry ring, 4 /s a host", rate(4.0)),
+            ("entry ring, 8 /s a host", rate(8.0)),
+        ]);
+    }
+    all
+}
+
+/// Number of baselines at the start of [`policies`].
+const BASELINES: usize = 3;
+
+/// Runs all policies and deployments and prints the table.
+pub fn compare(seed: u64, seeds: u64, variants: bool) -> Vec<AddressSummary> {
+    let policies = policies(variants);
+    let mut summaries = Vec::new();
+    for size in SIZES {
+        let jobs: Vec<(usize, u64)> = (0..policies.len())
+            .flat_map(|policy| (seed..seed + seeds).map(move |number| (policy, number)))
+            .collect();
+        let runs = run_jobs(&jobs, |&(policy, number)| {
+            run(size, &policies[policy].1, number)
+        });
+        let mut group: Vec<AddressSummary> = runs
+            .chunks(seeds as usize)
+            .zip(&policies)
+            .map(|(runs, (name, _))| summary_of(size.name, name, runs))
+            .collect();
+        let best = group[..BASELINES]
+            .iter()
+            .map(|summary| summary.affinity.median)
+            .fold(0.0, f64::max);
+        for summary in &mut group {
+            summary.affinity_ratio = summary.affinity.median / best;
+        }
+        summaries.extend(group);
+    }
+    print_summaries(&summaries);
+    summaries
+}
+
+fn summary_of(
+    deployment: &'static str,
+    policy: &'static str,
+    runs: &[AddressFigures],
+) -> AddressSummary {
+    let spread = |figure: fn(&AddressFigures) -> f64| {
+        spread_of(&runs.iter().map(figure).collect::<Vec<f64>>())
+    };
+    AddressSummary {
+        deployment,
+        policy,
+        affinity: spread(|run| run.affinity),
+        busiest: spread(|run| run.busiest),
+        burst: spread(|run| run.burst),
+        moved: spread(|run| run.moved),
+        affinity_ratio: 0.0,
+    }
+}
+
+fn print_summaries(summaries: &[AddressSummary]) {
+    let heading = [
+        "deployment",
+        "policy",
+        "affinity, %",
+        "busiest / mean",
+        "burst / mean",
+        "moved, %",
+        "affinity / best baseline",
+    ];
+    let rows: Vec<Vec<String>> = summaries
+        .iter()
+        .map(|summary| {
+            vec![
+                summary.deployment.to_owned(),
+                summary.policy.to_owned(),
+                show(&summary.affinity, 1),
+                show(&summary.busiest, 2),
+                show(&summary.burst, 2),
+                show(&summary.moved, 1),
+                format!("{:.2}", summary.affinity_ratio),
+            ]
+        })
+        .collect();
+    print_table(&heading, &rows);
+}
--- /dev/null
+++ b/crates/experiments/src/main.rs
@@ -0,0 +1,103 @@
+//! Runs an experiment, prints its table and writes its figures as JSON.
+
+use argh::FromArgs;
+use crocusyard_experiments::{addresses, admission, routing, table};
+use std::path::PathBuf;
+
+/// Compares one decision with its baselines on identical seeded input.
+#[derive(FromArgs)]
+struct ExperimentArgs {
+    #[argh(subcommand)]
+    experiment: ExperimentKind,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+enum ExperimentKind {
+    Routing(RoutingArgs),
+    Admission(AdmissionArgs),
+    Addresses(AddressArgs),
+}
+
+/// Choice of a target on lagged load reports.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "routing")]
+struct RoutingArgs {
+    /// first seed
+    #[argh(option, default = "1")]
+    seed: u64,
+    /// number of seeds
+    #[argh(option, default = "5")]
+    seeds: u64,
+    /// share of prefill capacity that arrivals need without caching
+    #[argh(option, default = "0.9")]
+    utilisation: f64,
+    /// also run variants of the route table
+    #[argh(switch)]
+    variants: bool,
+    /// run only this deployment
+    #[argh(option)]
+    deployment: Option<String>,
+    /// file for the figures
+    #[argh(option)]
+    out: Option<PathBuf>,
+}
+
+/// Queueing and refusal on one entry host.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "admission")]
+struct AdmissionArgs {
+    /// first seed
+    #[argh(option, default = "1")]
+    seed: u64,
+    /// number of seeds
+    #[argh(option, default = "5")]
+    seeds: u64,
+    /// also run variants of the queue
+    #[argh(switch)]
+    variants: bool,
+    /// file for the figures
+    #[argh(option)]
+    out: Option<PathBuf>,
+}
+
+/// Choice of entry hosts for callers.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "addresses")]
+struct AddressArgs {
+    /// first seed
+    #[argh(option, default = "1")]
+    seed: u64,
+    /// number of seeds
+    #[argh(option, default = "5")]
+    seeds: u64,
+    /// also run variants of the answer
+    #[argh(switch)]
+    variants: bool,
+    /// file for the figures
+    #[argh(option)]
+    out: Option<PathBuf>,
+}
+
+fn main() -> std::io::Result<()> {
+    let args: ExperimentArgs = argh::from_env();
+    match args.experiment {
+        ExperimentKind::Routing(args) => {
+            let only = args.deployment.as_deref();
+            let results =
+                routing::compare(args.seed, args.seeds, args.utilisation, args.variants, only);
+            args.out
+                .map_or(Ok(()), |path| table::write_json(&path, &results))
+        }
+        ExperimentKind::Admission(args) => {
+            let results = admission::compare(args.seed, args.seeds, args.variants);
+            args.out
+                .map_or(Ok(()), |path| table::write_json(&path, &results))
+        }
+        ExperimentKind::Addresses(args) => {
+            let results = addresses::compare(args.seed, args.seeds, args.variants);
+            args.out
+                .map_or(Ok(()), |path| table::write_json(&path, &results))
+        }
+    }
+}
