Measure the drain rate of each lane and share aged turns

Cause: the estimate of a wait counted all work ahead in the resource, so requests were accepted that later work of other tenants and better classes overtook. Aged turns went to the class with the longest wait, which is always batch work, so standard work starved at 3x.

Change: drain rates are kept for each resource, class and tenant; the time since the last take bounds the estimate from below. Aged turns alternate between aged classes.

--- a/crates/admission/src/flow.rs
+++ b/crates/admission/src/flow.rs
@@ -1,81 +1,108 @@
-//! How fast the queue of each resource drains, for the estimate of a wait.
+//! How fast queued work drains, for the estimate of a wait.
+//!
+//! The rate is measured for each lane (resource, class and tenant), because later work of other
+//! tenants and of better classes overtakes: all work ahead of a request is not what it waits for.
 
+use crate::queue::QueuedWork;
 use crocusyard_base::prelude::*;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::HashMap;
+use std::hash::Hash;
 use std::sync::Arc;
 
 /// Weight of a new interval in the smoothed interval.
 const INTERVAL_WEIGHT: f64 = 0.1;
-/// Longest interval that counts as one of a busy queue; longer ones are pauses.
-const LONGEST_INTERVAL_MS: f64 = 10_000.0;
 
+type LaneKey = (Arc<str>, ClassName, TenantName);
+
+/// Drain of one queue.
 #[derive(Clone, Debug, Default)]
-struct ResourceFlow {
-    queued: BTreeMap<u8, u32>,
+struct DrainRate {
+    queued: u32,
     interval_ms: Option<f64>,
-    taken: Option<ClockTime>,
-    backlogged: bool,
+    /// Last take, or the arrival that ended an idle time.
+    since: ClockTime,
 }
 
-/// Drain rates by resource.
+/// Drain rates by lane and by resource.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct FlowTable {
-    flows: HashMap<Arc<str>, ResourceFlow>,
+    lanes: HashMap<LaneKey, DrainRate>,
+    resources: HashMap<Arc<str>, DrainRate>,
 }
 
 impl FlowTable {
-    /// Counts queued work; forgets idle resources beyond `remembered`.
-    pub(crate) fn add(&mut self, resource: &Arc<str>, priority: u8, remembered: usize) {
-        if self.flows.len() >= remembered && !self.flows.contains_key(resource) {
-            self.flows.retain(|_, flow| !flow.queued.is_empty());
-        }
-        let flow = self.flows.entry(resource.clone()).or_default();
-        *flow.queued.entry(priority).or_insert(0) += 1;
+    /// Counts queued work; forgets idle queues beyond `remembered`.
+    pub(crate) fn add(&mut self, now: ClockTime, work: &QueuedWork, remembered: usize) {
+        add_to(&mut self.lanes, key_of(work), now, remembered);
+        add_to(&mut self.resources, work.resource.clone(), now, remembered);
     }
 
     /// Counts work that left the queue without being taken.
-    pub(crate) fn drop_one(&mut self, resource: &str, priority: u8) {
-        let Some(flow) = self.flows.get_mut(resource) else {
-            return;
-        };
-        if let Some(count) = flow.queued.get_mut(&priority) {
-            *count -= 1;
-            if *count == 0 {
-                flow.queued.remove(&priority);
-            }
+    pub(crate) fn drop_one(&mut self, work: &QueuedWork) {
+        let lane = self.lanes.get_mut(&key_of(work));
+        let resource = self.resources.get_mut(&work.resource);
+        for drain in lane.into_iter().chain(resource) {
+            drain.queued = drain.queued.saturating_sub(1);
         }
     }
 
     /// Counts work that was taken.
-    pub(crate) fn take(&mut self, now: ClockTime, resource: &str, priority: u8) {
-        self.drop_one(resource, priority);
-        let Some(flow) = self.flows.get_mut(resource) else {
-            return;
-        };
-        if let (true, Some(taken)) = (flow.backlogged, flow.taken) {
-            let sample = (now.since(taken).as_ms() as f64).min(LONGEST_INTERVAL_MS);
-            flow.interval_ms = Some(
-                flow.interval_ms
-                    .map_or(sample, |old| old + INTERVAL_WEIGHT * (sample - old)),
-            );
+    pub(crate) fn take(&mut self, now: ClockTime, work: &QueuedWork) {
+        let lane = self.lanes.get_mut(&key_of(work));
+        let resource = self.resources.get_mut(&work.resource);
+        for drain in lane.into_iter().chain(resource) {
+            drain.queued = drain.queued.saturating_sub(1);
+            let sample = now.since(drain.since).as_ms() as f64;
+            let old = drain.interval_ms.unwrap_or(sample);
+            drain.interval_ms = Some(old + INTERVAL_WEIGHT * (sample - old));
+            drain.since = now;
         }
-        // Only intervals during which work waited tell the drain rate; others tell the arrivals.
-        flow.backlogged = !flow.queued.is_empty();
-        flow.taken = Some(now);
     }
 
-    /// Returns the expected wait behind queued work of the same or a better priority.
-    pub(crate) fn wait(&self, resource: &str, priority: u8) -> ClockTime {
-        let Some(flow) = self.flows.get(resource) else {
+    /// Returns the expected wait behind queued work of the same lane.
+    pub(crate) fn wait(&self, now: ClockTime, work: &QueuedWork) -> ClockTime {
+        let Some(lane) = self.lanes.get(&key_of(work)) else {
             return ClockTime::ZERO;
         };
-        let ahead: u32 = flow.queued.range(..=priority).map(|(_, count)| count).sum();
-        let interval_ms = flow.interval_ms.unwrap_or(0.0);
-        ClockTime::from_ms((f64::from(ahead) * interval_ms) as u64)
+        if lane.queued == 0 {
+            return ClockTime::ZERO;
+        }
+        let resource = self.resources.get(&work.resource);
+        let measured = lane
+            .interval_ms
+            .or_else(|| resource.and_then(|drain| drain.interval_ms))
+            .unwrap_or(0.0);
+        // A lane that has stopped draining shows it before its next take does.
+        let open = now.since(lane.since).as_ms() as f64;
+        ClockTime::from_ms((f64::from(lane.queued) * measured).max(open) as u64)
     }
 
-    /// Returns the number of resources remembered.
+    /// Returns the number of queues remembered.
     pub(crate) fn len(&self) -> usize {
-        self.flows.len()
+        self.lanes.len() + self.resources.len()
+    }
+}
+
+fn key_of(work: &QueuedWork) -> LaneKey {
+    (
+        work.resource.clone(),
+        work.class.clone(),
+        work.tenant.clone(),
+    )
+}
+
+fn add_to<K: Eq + Hash>(
+    drains: &mut HashMap<K, DrainRate>,
+    key: K,
+    now: ClockTime,
+    remembered: usize,
+) {
+    if drains.len() >= remembered && !drains.contains_key(&key) {
+        drains.retain(|_, drain| drain.queued > 0);
+    }
+    let drain = drains.entry(key).or_default();
+    if drain.queued == 0 {
+        drain.since = now;
     }
+    drain.queued += 1;
 }
--- a/crates/admission/src/queue.rs
+++ b/crates/admission/src/queue.rs
@@ -83,6 +83,8 @@
     limit: u32,
     declared: bool,
     lanes: ClassLanes,
+    /// Number of the last turn that the class got for its age.
+    aged_turn: u64,
 }
 
 /// Where a queued request is.
@@ -106,7 +108,7 @@
     taken: HashMap<RequestKey, TenantName>,
     flows: FlowTable,
     next_sequence: u64,
-    takes: u32,
+    takes: u64,
 }
 
 impl AdmissionQueue {
@@ -143,11 +145,7 @@
         }
         for spec in classes {
             let state = self.classes.entry(spec.name.clone()).or_default();
-            // Flow counts are kept by priority, so the priority of a class with queued work stays
-            // until the class is empty.
-            if state.lanes.len() == 0 {
-                state.priority = spec.priority;
-            }
+            state.priority = spec.priority;
             state.aging_ms = spec.aging_ms.max(1);
             state.limit = spec.queue_limit;
             state.declared = true;
@@ -187,8 +185,8 @@
         if let Some(tenant) = self.tenants.get_mut(&work.tenant) {
             tenant.in_progress += u32::from(!has_place);
         }
-        let remembered = self.tuning.resources_remembered;
-        self.flows.add(&work.resource, class.priority, remembered);
+        let remembered = self.tuning.flows_remembered;
+        self.flows.add(now, &work, remembered);
         self.deadlines.insert((work.deadline, work.key));
         self.places.insert(work.key, place);
         let item = LaneItem { work, arrived: now };
@@ -231,8 +229,7 @@
                 .map_or(TENANT_RETRY, |ms| ClockTime::from_ms(ms as u64));
             return Err((RefusalReason::TenantLimit, Some(wait)));
         }
-        let queued = self.flows.wait(&work.resource, class.priority);
-        let wait = queued.max(estimate);
+        let wait = self.flows.wait(now, work).max(estimate);
         if class.lanes.len() >= class.limit as usize {
             return Err((RefusalReason::QueueFull, Some(wait)));
         }
@@ -259,13 +256,18 @@
             let weight = tenants.get(name).map_or(1, |tenant| tenant.weight);
             quantum * u64::from(weight)
         };
-        let order = class_order(&self.classes, now, self.takes, self.tuning.aged_interval);
-        let (item, priority) = order.into_iter().find_map(|name| {
+        let interval = u64::from(self.tuning.aged_interval);
+        let aged_turn = self.takes % interval == interval - 1;
+        let order = class_order(&self.classes, now, aged_turn);
+        let item = order.into_iter().find_map(|name| {
             let class = self.classes.get_mut(&name)?;
             let item = class.lanes.take(now, &mut probe, &quantum_of)?;
-            Some((item, class.priority))
+            if aged_turn {
+                class.aged_turn = self.takes;
+            }
+            Some(item)
         })?;
-        self.takes = self.takes.wrapping_add(1);
+        self.takes += 1;
         let work = item.work;
         let unexpired = invariant!(
             work.deadline > now,
@@ -274,7 +276,7 @@
             work.key,
             work.deadline
         );
-        self.flows.take(now, &work.resource, priority);
+        self.flows.take(now, &work);
         self.places.remove(&work.key);
         self.deadlines.remove(&(work.deadline, work.key));
         self.taken.insert(work.key, work.tenant.clone());
@@ -310,7 +312,7 @@
         let item = class
             .lanes
             .remove(place.sequence, &place.tenant, &place.resource)?;
-        self.flows.drop_one(&place.resource, class.priority);
+        self.flows.drop_one(&item.work);
         self.release(&place.tenant);
         Some(item.work)
     }
@@ -363,31 +365,31 @@
         self.taken.len()
     }
 
-    /// Returns the number of resources whose drain rate is remembered.
-    pub fn resources(&self) -> usize {
+    /// Returns the number of lanes and resources whose drain rate is remembered.
+    pub fn flows(&self) -> usize {
         self.flows.len()
     }
 
-    /// Returns the expected wait for new work of a resource and class.
-    pub fn expected_wait(&self, resource: &str, class: &ClassName) -> ClockTime {
-        self.classes.get(class).map_or(ClockTime::ZERO, |class| {
-            self.flows.wait(resource, class.priority)
-        })
+    /// Returns the expected wait of work in the queue, were it offered now.
+    pub fn expected_wait(&self, now: ClockTime, work: &QueuedWork) -> ClockTime {
+        self.flows.wait(now, work)
     }
 }
 
 /// Returns the classes with queued work, first to be served first.
+///
+/// In an aged turn, the aged class whose last such turn is oldest goes first. Going by the longest
+/// wait instead would give every such turn to batch work, which waits without a near deadline.
 fn class_order(
     classes: &BTreeMap<ClassName, ClassState>,
     now: ClockTime,
-    takes: u32,
-    aged_interval: u32,
+    aged_turn: bool,
 ) -> Vec<ClassName> {
     let waiting = || classes.iter().filter(|(_, class)| class.lanes.len() > 0);
     let Some(best) = waiting().map(|(_, class)| class.priority).min() else {
         return Vec::new();
     };
-    let mut order: Vec<(u64, u8, u64, &ClassName)> = waiting()
+    let mut order: Vec<(u64, u8, &ClassName, &ClassState)> = waiting()
         .map(|(name, class)| {
             let waited = class
                 .lanes
@@ -395,17 +397,16 @@
                 .map_or(0, |arrived| now.since(arrived).as_ms());
             let levels = waited / class.aging_ms.max(1);
             let rank = u64::from(class.priority).saturating_sub(levels);
-            (rank.max(u64::from(best)), class.priority, levels, name)
+            (rank.max(u64::from(best)), class.priority, name, class)
         })
         .collect();
-    order.sort_unstable();
-    // The aged class that has waited for most of its aging times takes every n-th turn.
-    if takes % aged_interval.max(1) == aged_interval.max(1) - 1 {
+    order.sort_unstable_by_key(|&(rank, priority, name, _)| (rank, priority, name));
+    if aged_turn {
         let aged = order
             .iter()
             .enumerate()
-            .filter(|(_, entry)| entry.0 < u64::from(entry.1))
-            .max_by_key(|(_, entry)| entry.2)
+            .filter(|(_, (rank, priority, _, _))| *rank < u64::from(*priority))
+            .min_by_key(|(_, (_, _, _, class))| class.aged_turn)
             .map(|(position, _)| position);
         if let Some(position) = aged {
             order[..=position].rotate_right(1);
@@ -413,7 +414,7 @@
     }
     order
         .into_iter()
-        .map(|(_, _, _, name)| name.clone())
+        .map(|(_, _, name, _)| name.clone())
         .collect()
 }
 
--- a/crates/admission/src/tuning.rs
+++ b/crates/admission/src/tuning.rs
@@ -7,7 +7,7 @@
     pub(crate) aged_interval: u32,
     pub(crate) deadline_share: f64,
     pub(crate) probes_per_resource: u32,
-    pub(crate) resources_remembered: usize,
+    pub(crate) flows_remembered: usize,
 }
 
 impl Default for AdmissionTuning {
@@ -17,7 +17,7 @@
             aged_interval: 8,
             deadline_share: 0.5,
             probes_per_resource: 4,
-            resources_remembered: 4_096,
+            flows_remembered: 4_096,
         }
     }
 }
@@ -45,7 +45,7 @@
         self
     }
 
-    /// Sets that one of this many takes goes to the class that waits longest for its aging time.
+    /// Sets that one of this many takes goes to a class that has waited for its aging time.
     #[must_use]
     pub fn aged_interval(mut self, takes: u32) -> Self {
         self.tuning.aged_interval = takes.max(1);
@@ -66,10 +66,10 @@
         self
     }
 
-    /// Sets the number of resources whose rate is remembered.
+    /// Sets the number of lanes whose drain rate is remembered.
     #[must_use]
-    pub fn resources_remembered(mut self, count: usize) -> Self {
-        self.tuning.resources_remembered = count.max(1);
+    pub fn flows_remembered(mut self, count: usize) -> Self {
+        self.tuning.flows_remembered = count.max(1);
         self
     }
 
