--- a/crates/routing/src/load.rs
+++ b/crates/routing/src/load.rs
@@ -8,7 +8,7 @@
 use std::collections::VecDeque;
 
 /// Largest number of log entries of a target; the oldest are dropped, as reports cover them first.
-pub(crate) const LOG_ENTRIES: usize = 64;
+pub(crate) const LOG_ENTRIES: usize = 256;
 /// Entries of one sender within this span are merged.
 const MERGE_SPAN: ClockTime = ClockTime::from_ms(5);
 /// Prefill rate assumed before the first report, tokens a second.
--- /dev/null
+++ b/crates/routing/tests/choice.rs
@@ -0,0 +1,296 @@
+//! Focused tests of the choice of a target.
+
+mod common;
+
+use common::*;
+use crocusyard_base::prelude::*;
+use crocusyard_base::random::seeded_rng;
+use crocusyard_catalog::prelude::*;
+use crocusyard_routing::prelude::*;
+
+fn table(targets: usize) -> RouteTable {
+    table_with(targets, RouteTuning::builder().jitter(0.0).build())
+}
+
+fn chosen(choice: RouteChoice) -> Option<TargetName> {
+    match choice {
+        RouteChoice::Target { target, .. } => Some(target),
+        _ => None,
+    }
+}
+
+/// Guards against a late, older report that undoes a newer one.
+#[test]
+fn older_reports_are_ignored() {
+    let mut table = table(1);
+    let mut newer = report(0, 7);
+    newer.running = 5;
+    table.apply_report(at(10), newer);
+    table.apply_report(at(20), report(0, 6));
+    assert_eq!(table.requests_at(&target(0)), Some(5));
+    let mut restarted = report(0, 1);
+    restarted.incarnation = 2;
+    table.apply_report(at(30), restarted);
+    assert_eq!(table.requests_at(&target(0)), Some(0));
+}
+
+/// Guards against forgetting requests that a lagged report cannot contain.
+#[test]
+fn sends_after_the_reports_point_still_count() {
+    let mut table = table(1);
+    let work = model_work();
+    table.note_sent(at(100), &target(0), &query(&work, &[]));
+    table.note_sent(at(900), &target(0), &query(&work, &[]));
+    let mut lagged = report(0, 2);
+    lagged.age = at(500);
+    lagged.running = 1;
+    table.apply_report(at(1_000), lagged);
+    assert_eq!(table.requests_at(&target(0)), Some(2));
+}
+
+/// Guards against counting a peer's repeated or outdated delta twice.
+#[test]
+fn deltas_are_relative_to_the_report() {
+    let mut table = table(1);
+    let peer = HostName::new("peer");
+    let delta = |sequence, requests| LoadDelta {
+        target: target(0),
+        sequence,
+        requests,
+        tokens: 0,
+    };
+    table.apply_delta(at(10), &peer, &delta(1, 3));
+    table.apply_delta(at(20), &peer, &delta(1, 3));
+    table.apply_delta(at(30), &peer, &delta(1, 4));
+    table.apply_delta(at(40), &peer, &delta(0, 9));
+    assert_eq!(table.requests_at(&target(0)), Some(4));
+    table.apply_report(at(50), report(0, 2));
+    assert_eq!(table.requests_at(&target(0)), Some(0));
+}
+
+/// Guards against deltas that are sent again although nothing changed.
+#[test]
+fn deltas_are_taken_once() {
+    let mut table = table(3);
+    let work = model_work();
+    for index in 0..3 {
+        table.note_sent(at(1), &target(index), &query(&work, &[]));
+    }
+    assert_eq!(table.take_deltas(2).len(), 2);
+    let rest = table.take_deltas(9);
+    assert_eq!(rest.len(), 1);
+    assert_eq!((rest[0].requests, rest[0].tokens), (1, 1_000));
+    assert!(table.take_deltas(9).is_empty());
+}
+
+/// Guards against work for leaving, suspect, tried and full targets, and tells the cases apart.
+#[test]
+fn unusable_targets_are_left_out() {
+    let mut table = table(4);
+    let mut rng = seeded_rng(1);
+    let work = model_work();
+    table.set_leaving(&target(0), true);
+    table.set_suspect(&target(1), true);
+    let tried = [target(2)];
+    let mut question = query(&work, &[]);
+    question.tried = &tried;
+    let choice = table.choose(at(1), &question, &mut rng);
+    assert_eq!(chosen(choice), Some(target(3)));
+    for _ in 0..8 {
+        table.note_sent(at(1), &target(3), &question);
+    }
+    let choice = table.choose(at(1), &question, &mut rng);
+    assert!(matches!(choice, RouteChoice::Busy { .. }));
+    table.set_leaving(&target(3), true);
+    let choice = table.choose(at(1), &question, &mut rng);
+    assert_eq!(choice, RouteChoice::NotResident);
+    table.set_suspect(&target(2), true);
+    let choice = table.choose(at(1), &query(&work, &[]), &mut rng);
+    assert_eq!(choice, RouteChoice::Unavailable);
+}
+
+/// Guards against retries in the failed domain while another domain has a copy.
+#[test]
+fn avoided_domain_is_the_last_resort() {
+    let table = table(2);
+    let mut rng = seeded_rng(1);
+    let work = model_work();
+    let avoid = DomainName::new("domain-0");
+    let mut question = query(&work, &[]);
+    question.avoid = Some(&avoid);
+    assert_eq!(
+        chosen(table.choose(at(1), &question, &mut rng)),
+        Some(target(1))
+    );
+    let tried = [target(1)];
+    question.tried = &tried;
+    assert_eq!(
+        chosen(table.choose(at(1), &question, &mut rng)),
+        Some(target(0))
+    );
+}
+
+/// Guards against a failing target that attracts work because it is empty, and against exile for good.
+#[test]
+fn failures_penalise_and_decay() {
+    let mut table = table(2);
+    let mut rng = seeded_rng(1);
+    let work = model_work();
+    table.note_sent(at(1), &target(0), &query(&work, &[]));
+    table.note_failed(at(2), &target(0));
+    let soon = table.choose(at(3), &query(&work, &[]), &mut rng);
+    assert_eq!(chosen(soon), Some(target(1)));
+    let later = table.choose(at(300_000), &query(&work, &[]), &mut rng);
+    assert_eq!(chosen(later), Some(target(0)));
+}
+
+/// Guards against losing the target that has the prompt's prefix in its cache.
+#[test]
+fn cached_prefix_attracts() {
+    let mut table = table(30);
+    let mut rng = seeded_rng(1);
+    let work = model_work();
+    let batch = CacheBatch {
+        target: target(17),
+        incarnation: 1,
+        first: 0,
+        events: vec![CacheEvent::Stored { block: 5 }],
+        full: false,
+    };
+    assert_eq!(
+        table.apply_cache(at(1), &batch),
+        CacheProgress::Applied { next: 1 }
+    );
+    let choice = table.choose(at(2), &query(&work, &[5, 6]), &mut rng);
+    assert_eq!(chosen(choice), Some(target(17)));
+}
+
+/// Guards against trusting a cache picture with missing events, and against never asking for it.
+#[test]
+fn gaps_in_cache_events_ask_for_all() {
+    let mut table = table(2);
+    let batch = |first, events: &[u64], full| CacheBatch {
+        target: target(1),
+        incarnation: 1,
+        first,
+        events: events
+            .iter()
+            .map(|&block| CacheEvent::Stored { block })
+            .collect(),
+        full,
+    };
+    assert_eq!(
+        table.apply_cache(at(1), &batch(4, &[1], false)),
+        CacheProgress::Resync
+    );
+    assert_eq!(table.cache_resyncs(), vec![target(1)]);
+    assert_eq!(
+        table.apply_cache(at(2), &batch(4, &[1], false)),
+        CacheProgress::Ignored
+    );
+    let full = table.apply_cache(at(3), &batch(4, &[1, 2], true));
+    assert_eq!(full, CacheProgress::Applied { next: 6 });
+    assert!(table.cache_resyncs().is_empty());
+}
+
+/// Guards against loading an adapter again where it is resident already or was just loaded.
+#[test]
+fn resident_adapter_is_preferred() {
+    let mut table = table(12);
+    let mut rng = seeded_rng(1);
+    let work = WorkKind::Model {
+        model: MODEL.into(),
+        adapter: Some("adapter".into()),
+    };
+    let mut with_adapter = report(7, 2);
+    with_adapter.copies.push(copy("adapter"));
+    table.apply_report(at(1), with_adapter);
+    let choice = table.choose(at(2), &query(&work, &[]), &mut rng);
+    assert_eq!(chosen(choice), Some(target(7)));
+    table.set_leaving(&target(7), true);
+    table.note_sent(at(3), &target(9), &query(&work, &[]));
+    table.note_ended(at(4), &target(9), None);
+    let choice = table.choose(at(400), &query(&work, &[]), &mut rng);
+    assert_eq!(chosen(choice), Some(target(9)));
+}
+
+/// Guards against ignoring the region's limit on adapter loads in transit.
+#[test]
+fn adapter_loads_beyond_the_limit_cost_more() {
+    let mut table = table(1);
+    table.set_regions(&[RegionSpec {
+        name: "region".into(),
+        domains: vec!["domain-0".into()],
+        weight_loads_per_second: 2.0,
+        weight_loads_at_once: 9,
+        adapter_loads_in_transit: 2,
+    }]);
+    let mut rng = seeded_rng(1);
+    let mut estimates = Vec::new();
+    for number in 0..6 {
+        let work = WorkKind::Model {
+            model: MODEL.into(),
+            adapter: Some(AdapterName::new(&format!("adapter-{number}"))),
+        };
+        let mut question = query(&work, &[]);
+        question.input_tokens = 0;
+        if let RouteChoice::Target { estimate, .. } = table.choose(at(1), &question, &mut rng) {
+            estimates.push(estimate);
+        }
+        table.note_sent(at(1), &target(0), &question);
+        table.note_ended(at(1), &target(0), None);
+    }
+    assert_eq!(estimates.len(), 6);
+    assert_eq!(estimates[0], estimates[1]);
+    assert!(estimates[5] > estimates[1].scale(2.0));
+}
+
+/// Guards against hosts that all send to the one target whose lagged report looks best.
+#[test]
+fn hosts_do_not_herd_on_a_stale_report() {
+    const HOSTS: usize = 9;
+    const TARGETS: usize = 12;
+    const REQUESTS: usize = 50;
+    let mut rng = seeded_rng(4);
+    let mut tables: Vec<RouteTable> = (0..HOSTS).map(|_| table(TARGETS)).collect();
+    for table in &mut tables {
+        for index in 1..TARGETS {
+            let mut loaded = report(index, 2);
+            loaded.queued_tokens = 2_000;
+            table.apply_report(at(0), loaded);
+        }
+    }
+    let work = model_work();
+    let mut sent = [0_usize; TARGETS];
+    for round in 0..REQUESTS {
+        let now = at(round as u64 * 10);
+        for table in &mut tables {
+            let choice = table.choose(now, &query(&work, &[]), &mut rng);
+            let Some(name) = chosen(choice) else {
+                continue;
+            };
+            let index = (0..TARGETS).find(|&index| target(index) == name);
+            sent[index.expect("the target is declared")] += 1;
+            table.note_sent(now, &name, &query(&work, &[]));
+            table.note_ended(now, &name, None);
+        }
+        if round % 5 == 4 {
+            for from in 0..HOSTS {
+                let name = HostName::new(&format!("host-{from}"));
+                let deltas = tables[from].take_deltas(64);
+                for to in (0..HOSTS).filter(|&to| to != from) {
+                    for delta in &deltas {
+                        tables[to].apply_delta(now, &name, delta);
+                    }
+                }
+            }
+        }
+    }
+    let mean = HOSTS * REQUESTS / TARGETS;
+    assert_eq!(sent.iter().sum::<usize>(), HOSTS * REQUESTS);
+    assert!(
+        sent[0] < 3 * mean,
+        "target 0 got {} of mean {mean}",
+        sent[0]
+    );
+}
