--- /dev/null
+++ b/crates/requests/src/claims.rs
@@ -0,0 +1,512 @@
+//! Idempotency claims: at most one dispatch per key over all hosts.
+//!
+//! A keyed call is dispatched only on proof that its own claim stands in the table: the claim was
+//! granted, or a read after a lost answer shows its id. Nobody takes over a claim; only its owner
+//! deletes it, and only if nothing was sent.
+
+use crate::arrival;
+use crate::budget;
+use crate::dispatch;
+use crate::effect::{RefusalCode, RequestEffect};
+use crate::ending;
+use crate::event::ClaimAnswer;
+use crate::reduce::RequestContext;
+use crate::spec::RequestSpec;
+use crate::state::{ClaimState, KeyWork, RequestEntry, RequestLimits, RequestPhase, RequestState};
+use crocusyard_base::prelude::*;
+use std::collections::VecDeque;
+use std::sync::Arc;
+
+/// Doublings of the wait between two reads of a claim.
+const POLL_DOUBLINGS: u32 = 3;
+
+/// Returns the claim row of a call, if it needs one.
+///
+/// A call without a key needs none: no other host can know the key that this host makes for it.
+pub(crate) fn row_of(spec: &RequestSpec) -> Option<Arc<str>> {
+    let key = spec.idempotency_key.as_ref().filter(|_| !spec.idempotent)?;
+    // Hashing bounds the length and keeps separators in a key from reaching another tenant's rows.
+    let hash = blake3::hash(key.as_bytes());
+    Some(Arc::from(format!(
+        "claims/{}/{}",
+        spec.tenant,
+        hash.to_hex()
+    )))
+}
+
+/// Begins a keyed call: reads its row, or waits for the same call in this host.
+pub(crate) fn open(
+    state: &mut RequestState,
+    context: &mut RequestContext<'_>,
+    key: RequestKey,
+    row: &Arc<str>,
+    out: &mut Vec<RequestEffect>,
+) {
+    let digest_of = |key: &RequestKey| state.requests.get(key).map(|entry| entry.spec.digest);
+    let Some(work) = state.keys.get(row) else {
+        let work = KeyWork {
+            owner: key,
+            waiters: VecDeque::new(),
+        };
+        state.keys.insert(row.clone(), work);
+        return read(state, key, out);
+    };
+    let conflict = digest_of(&work.owner) != digest_of(&key);
+    let full = work.waiters.len() >= state.settings.limits.key_waiters;
+    state.set_phase(key, RequestPhase::Joined, ClockTime::NEVER);
+    if conflict {
+        return ending::refuse(state, context, key, RefusalCode::KeyConflict, None, out);
+    }
+    if full {
+        let wait = Some(ending::RETRY_AFTER);
+        return ending::refuse(state, context, key, RefusalCode::InDoubt, wait, out);
+    }
+    if let Some(work) = state.keys.get_mut(row) {
+        work.waiters.push_back(key);
+    }
+}
+
+/// Hands the key of an ended request to the next repeat that waits for it.
+pub(crate) fn hand_over(
+    state: &mut RequestState,
+    key: RequestKey,
+    row: &Arc<str>,
+    out: &mut Vec<RequestEffect>,
+) {
+    let Some(work) = state.keys.get_mut(row) else {
+        return;
+    };
+    if work.owner != key {
+        work.waiters.retain(|waiter| *waiter != key);
+        return;
+    }
+    match work.waiters.pop_front() {
+        Some(next) => {
+            work.owner = next;
+            read(state, next, out);
+        }
+        None => {
+            state.keys.remove(row);
+        }
+    }
+}
+
+fn read(state: &mut RequestState, key: RequestKey, out: &mut Vec<RequestEffect>) {
+    state.set_phase(key, RequestPhase::Reading, ClockTime::NEVER);
+    let entry = state.requests.get(&key);
+    if let Some(row) = entry.and_then(|entry| entry.row.clone()) {
+        out.push(RequestEffect::ReadClaim { key, row });
+    }
+}
+
+/// Writes the claim of a call that is to be sent to a target.
+pub(crate) fn write(
+    state: &mut RequestState,
+    context: &RequestContext<'_>,
+    key: RequestKey,
+    target: TargetName,
+    out: &mut Vec<RequestEffect>,
+) {
+    let fresh = ClaimId(state.make_id());
+    if let Some(entry) = state.requests.get_mut(&key) {
+        let known = entry.claim.as_ref().map(|own| own.claim);
+        entry.claim = Some(ClaimState {
+            claim: known.unwrap_or(fresh),
+            target: Some(target),
+            since: context.now,
+        });
+        entry.claiming = true;
+        entry.failures = 0;
+    }
+    write_again(state, key, out);
+}
+
+fn write_again(state: &mut RequestState, key: RequestKey, out: &mut Vec<RequestEffect>) {
+    state.set_phase(key, RequestPhase::Claiming, ClockTime::NEVER);
+    let Some(entry) = state.requests.get(&key) else {
+        return;
+    };
+    if let (Some(row), Some(claim)) = (&entry.row, &entry.claim) {
+        let Some(target) = claim.target.clone() else {
+            return;
+        };
+        out.push(RequestEffect::WriteClaim {
+            key,
+            row: row.clone(),
+            claim: claim.claim,
+            digest: entry.spec.digest,
+            target,
+        });
+    }
+}
+
+/// Returns whether a call may still be dispatched under its claim.
+///
+/// A host that was paused after it asked for the claim must not send the call late: its caller may
+/// have been told another outcome, and its choice of the target is old.
+pub(crate) fn window_open(entry: &RequestEntry, limits: &RequestLimits, now: ClockTime) -> bool {
+    let claim = entry.claim.as_ref().filter(|_| entry.claiming);
+    claim.is_none_or(|claim| now <= claim.since + limits.dispatch_window)
+}
+
+/// Takes the table service's answer to the reading or writing of a claim.
+pub(crate) fn answered(
+    state: &mut RequestState,
+    context: &mut RequestContext<'_>,
+    key: RequestKey,
+    answer: ClaimAnswer,
+    out: &mut Vec<RequestEffect>,
+) {
+    let Some(entry) = state.requests.get_mut(&key) else {
+        return;
+    };
+    let reading = entry.phase == RequestPhase::Reading;
+    if !reading && entry.phase != RequestPhase::Claiming {
+        return;
+    }
+    match answer {
+        ClaimAnswer::Granted if !reading => granted(state, context, key, out),
+        ClaimAnswer::Absent if reading => absent(state, context, key, out),
+        ClaimAnswer::Held {
+            claim,
+            digest,
+            target,
+        } => {
+            let own = entry.claim.as_ref().map(|own| own.claim);
+            if own == Some(claim) {
+                return granted(state, context, key, out);
+            }
+            let holder = ClaimState {
+                claim,
+                target,
+                since: context.now,
+            };
+            held(state, context, key, holder, digest, out);
+        }
+        ClaimAnswer::Recorded { digest } => {
+            entry.claiming = false;
+            if digest == entry.spec.digest {
+                ending::replay(state, context, key, out);
+            } else {
+                ending::refuse(state, context, key, RefusalCode::KeyConflict, None, out);
+            }
+        }
+        ClaimAnswer::Failed => unreachable_table(state, context, key, !reading, out),
+        ClaimAnswer::Unknown if !reading => read(state, key, out),
+        ClaimAnswer::Unknown => unreachable_table(state, context, key, false, out),
+        // These answer no call that is under way: one was delivered twice.
+        ClaimAnswer::Granted | ClaimAnswer::Absent => {}
+    }
+}
+
+fn granted(
+    state: &mut RequestState,
+    context: &mut RequestContext<'_>,
+    key: RequestKey,
+    out: &mut Vec<RequestEffect>,
+) {
+    let Some(entry) = state.requests.get_mut(&key) else {
+        return;
+    };
+    entry.granted = true;
+    entry.claiming = true;
+    entry.holder = None;
+    let target = entry.claim.as_ref().and_then(|claim| claim.target.clone());
+    let usable = target.filter(|target| {
+        let leaving = context.routes.report_of(target);
+        let leaving = leaving.is_some_and(|report| report.leaving);
+        context.routes.spec_of(target).is_some() && !leaving
+    });
+    match usable {
+        Some(target) => dispatch::launch(state, context, key, target, out),
+        None => dispatch::retry(state, context, key, out),
+    }
+}
+
+fn absent(
+    state: &mut RequestState,
+    context: &mut RequestContext<'_>,
+    key: RequestKey,
+    out: &mut Vec<RequestEffect>,
+) {
+    let Some(entry) = state.requests.get_mut(&key) else {
+        return;
+    };
+    // A claim is deleted only if nothing was sent, so nothing stands against a new one.
+    entry.holder = None;
+    if !entry.claiming {
+        return arrival::enqueue(state, context, key, out);
+    }
+    // The claim's write was lost, or is late; writing the same id again is harmless either way.
+    entry.failures += 1;
+    let open = window_open(entry, &state.settings.limits, context.now);
+    if open && entry.failures < state.settings.limits.table_tries {
+        write_again(state, key, out);
+    } else {
+        let wait = Some(ending::RETRY_AFTER);
+        let code = RefusalCode::ClaimUnavailable;
+        ending::refuse(state, context, key, code, wait, out);
+    }
+}
+
+fn held(
+    state: &mut RequestState,
+    context: &mut RequestContext<'_>,
+    key: RequestKey,
+    holder: ClaimState,
+    digest: BodyDigest,
+    out: &mut Vec<RequestEffect>,
+) {
+    let Some(entry) = state.requests.get_mut(&key) else {
+        return;
+    };
+    entry.claiming = false;
+    if digest != entry.spec.digest {
+        return ending::refuse(state, context, key, RefusalCode::KeyConflict, None, out);
+    }
+    let seen = entry.holder.as_ref();
+    if seen.is_none_or(|seen| seen.claim != holder.claim) {
+        entry.holder = Some(holder);
+        entry.failures = 0;
+    }
+    let due = entry.holder.as_ref().and_then(|holder| {
+        let waited = context.now.since(holder.since);
+        let target = holder.target.as_ref()?;
+        let keeps = context.routes.spec_of(target)?.keeps_records;
+        (keeps && waited >= state.settings.limits.settle_after).then(|| target.clone())
+    });
+    match due {
+        Some(target) => ask_record(state, key, target, out),
+        None => poll_later(state, context, key),
+    }
+}
+
+fn poll_later(state: &mut RequestState, context: &mut RequestContext<'_>, key: RequestKey) {
+    let Some(entry) = state.requests.get_mut(&key) else {
+        return;
+    };
+    let doublings = entry.failures.min(POLL_DOUBLINGS);
+    entry.failures += 1;
+    let wait = state.settings.limits.claim_poll;
+    let wait = wait.scale(f64::from(1u32 << doublings));
+    let at = context.now + budget::jitter(wait, context.rng);
+    state.set_phase(key, RequestPhase::Polling { at }, at);
+}
+
+/// Reads a claim again that another host holds, or that a lost answer left open.
+pub(crate) fn poll(state: &mut RequestState, key: RequestKey, out: &mut Vec<RequestEffect>) {
+    read(state, key, out);
+}
+
+fn unreachable_table(
+    state: &mut RequestState,
+    context: &mut RequestContext<'_>,
+    key: RequestKey,
+    wrote: bool,
+    out: &mut Vec<RequestEffect>,
+) {
+    let Some(entry) = state.requests.get_mut(&key) else {
+        return;
+    };
+    let waits = entry.holder.is_some();
+    let tries = entry.failures + 1;
+    let open = window_open(entry, &state.settings.limits, context.now);
+    if waits || (!wrote && open && tries < state.settings.limits.table_tries) {
+        return poll_later(state, context, key);
+    }
+    let wait = Some(ending::RETRY_AFTER);
+    let code = RefusalCode::ClaimUnavailable;
+    ending::refuse(state, context, key, code, wait, out);
+}
+
+/// Records an answer under the claim: that of an attempt, or the one of the target's record.
+pub(crate) fn record(
+    state: &mut RequestState,
+    key: RequestKey,
+    answer: Option<AttemptId>,
+    out: &mut Vec<RequestEffect>,
+) {
+    let phase = RequestPhase::Recording {
+        answer,
+        retry: None,
+    };
+    state.set_phase(key, phase, ClockTime::NEVER);
+    let Some(entry) = state.requests.get(&key) else {
+        return;
+    };
+    let claim = entry.holder.as_ref().or(entry.claim.as_ref());
+    if let (Some(row), Some(claim)) = (&entry.row, claim) {
+        out.push(RequestEffect::RecordAnswer {
+            key,
+            row: row.clone(),
+            claim: claim.claim,
+            attempt: answer,
+        });
+    }
+}
+
+/// Takes the table service's answer to the recording of an answer.
+pub(crate) fn record_answered(
+    state: &mut RequestState,
+    context: &mut RequestContext<'_>,
+    key: RequestKey,
+    stored: bool,
+    out: &mut Vec<RequestEffect>,
+) {
+    let Some(entry) = state.requests.get_mut(&key) else {
+        return;
+    };
+    let RequestPhase::Recording {
+        answer,
+        retry: None,
+    } = entry.phase
+    else {
+        return;
+    };
+    entry.failures += 1;
+    if stored || entry.failures >= state.settings.limits.table_tries {
+        return close_recorded(state, context, key, out);
+    }
+    let wait = budget::backoff(&state.settings.limits, entry.failures, context.rng);
+    let at = context.now + wait;
+    let phase = RequestPhase::Recording {
+        answer,
+        retry: Some(at),
+    };
+    state.set_phase(key, phase, at);
+}
+
+/// Gives the caller its answer after the recording, or after the recording failed for good.
+///
+/// The answer is whole, so withholding it would help nobody; repeats find the claim in doubt and
+/// are settled by the target's record.
+pub(crate) fn close_recorded(
+    state: &mut RequestState,
+    context: &mut RequestContext<'_>,
+    key: RequestKey,
+    out: &mut Vec<RequestEffect>,
+) {
+    let Some(entry) = state.requests.get(&key) else {
+        return;
+    };
+    let RequestPhase::Recording { answer, .. } = entry.phase else {
+        invariant!(
+            false,
+            "record_before_finish",
+            "request {key} is not recorded"
+        );
+        return;
+    };
+    if answer.is_some() {
+        return ending::finish(state, context, key, out);
+    }
+    if entry.head || entry.next > 0 {
+        // The target's stored answer need not match the part that the caller has.
+        let code = RefusalCode::AnswerLost;
+        let wait = Some(ending::RETRY_AFTER);
+        return ending::refuse(state, context, key, code, wait, out);
+    }
+    ending::replay(state, context, key, out);
+}
+
+/// Settles a call that was dispatched and has no answer.
+pub(crate) fn settle(
+    state: &mut RequestState,
+    context: &mut RequestContext<'_>,
+    key: RequestKey,
+    out: &mut Vec<RequestEffect>,
+) {
+    let Some(entry) = state.requests.get(&key) else {
+        return;
+    };
+    let keeps = entry.target.clone().filter(|target| {
+        let spec = context.routes.spec_of(target);
+        entry.row.is_some() && spec.is_some_and(|spec| spec.keeps_records)
+    });
+    match keeps {
+        Some(target) => ask_record(state, key, target, out),
+        None => ending::refuse(state, context, key, RefusalCode::AnswerLost, None, out),
+    }
+}
+
+/// Reads the target's record again.
+pub(crate) fn settle_again(
+    state: &mut RequestState,
+    key: RequestKey,
+    out: &mut Vec<RequestEffect>,
+) {
+    let entry = state.requests.get(&key);
+    if let Some(target) = entry.and_then(|entry| entry.target.clone()) {
+        ask_record(state, key, target, out);
+    }
+}
+
+fn ask_record(
+    state: &mut RequestState,
+    key: RequestKey,
+    target: TargetName,
+    out: &mut Vec<RequestEffect>,
+) {
+    let phase = RequestPhase::Settling { retry: None };
+    state.set_phase(key, phase, ClockTime::NEVER);
+    let entry = state.requests.get(&key);
+    if let Some(row) = entry.and_then(|entry| entry.row.clone()) {
+        out.push(RequestEffect::AskRecord { key, row, target });
+    }
+}
+
+/// Takes what a target's record says of a call.
+///
+/// That a record does not show the call proves nothing: it may still arrive there.
+pub(crate) fn settle_answered(
+    state: &mut RequestState,
+    context: &mut RequestContext<'_>,
+    key: RequestKey,
+    ran: Option<bool>,
+    out: &mut Vec<RequestEffect>,
+) {
+    let Some(entry) = state.requests.get_mut(&key) else {
+        return;
+    };
+    if entry.phase != (RequestPhase::Settling { retry: None }) {
+        return;
+    }
+    if ran == Some(true) {
+        entry.failures = 0;
+        return record(state, key, None, out);
+    }
+    if entry.holder.is_some() {
+        return poll_later(state, context, key);
+    }
+    entry.failures += 1;
+    if entry.failures >= state.settings.limits.table_tries {
+        let wait = Some(ending::RETRY_AFTER);
+        return ending::refuse(state, context, key, RefusalCode::AnswerLost, wait, out);
+    }
+    let wait = state.settings.limits.backoff_cap;
+    let at = context.now + budget::jitter(wait, context.rng);
+    let phase = RequestPhase::Settling { retry: Some(at) };
+    state.set_phase(key, phase, at);
+}
+
+/// Deletes the claim of an ending call if nothing of it was sent.
+pub(crate) fn release(state: &mut RequestState, key: RequestKey, out: &mut Vec<RequestEffect>) {
+    let Some(entry) = state.requests.get_mut(&key) else {
+        return;
+    };
+    if entry.may_have_run || entry.attempt.is_some() {
+        return;
+    }
+    if !entry.claiming {
+        return;
+    }
+    if let (Some(row), Some(claim)) = (&entry.row, entry.claim.take()) {
+        entry.granted = false;
+        entry.claiming = false;
+        out.push(RequestEffect::ReleaseClaim {
+            key,
+            row: row.clone(),
+            claim: claim.claim,
+        });
+    }
+}
--- a/crates/requests/src/effect.rs
+++ b/crates/requests/src/effect.rs
@@ -104,13 +104,26 @@
         resume: Option<(AttemptId, u32)>,
     },
     /// Stop an attempt at the target and forget its connection.
+    ///
+    /// For an engine's stream this is the attempt that started it; a connection that resumed it is
+    /// closed by a `CloseAttempt` of its own.
     CancelAttempt {
         /// Attempt.
         attempt: AttemptId,
         /// Target.
         target: TargetName,
     },
+    /// Close the connection of an attempt, but let the target go on with the work.
+    CloseAttempt {
+        /// Attempt.
+        attempt: AttemptId,
+        /// Target.
+        target: TargetName,
+    },
     /// Pass the head of an attempt's answer to the caller.
+    ///
+    /// It comes right before the first chunk or the end, because a request can be restarted on
+    /// another target only while its caller has nothing.
     DeliverHead {
         /// Request.
         key: RequestKey,
@@ -121,7 +134,7 @@
     Deliver {
         /// Request.
         key: RequestKey,
-        /// Attempt.
+        /// Attempt that started the answer, for the resume token; a resume does not change it.
         attempt: AttemptId,
         /// Target, for the resume token.
         target: TargetName,
@@ -173,7 +186,7 @@
         /// Attempt whose answer the shell collected; `None` for an answer read from the target.
         attempt: Option<AttemptId>,
     },
-    /// Delete the claim of a call that was truly not sent.
+    /// Delete the claim of a call that was truly not sent, if the row still holds this claim.
     ReleaseClaim {
         /// Request.
         key: RequestKey,
@@ -220,6 +233,11 @@
         /// Target that crashed.
         target: TargetName,
     },
+    /// Tell the other hosts that a blamed digest has completed.
+    ReportCleared {
+        /// Digest.
+        digest: BodyDigest,
+    },
     /// Add an ended request to the metrics and the log.
     Measure {
         /// Request.
--- a/crates/requests/src/event.rs
+++ b/crates/requests/src/event.rs
@@ -18,6 +18,11 @@
 pub enum AttemptEnd {
     /// The answer is complete.
     Complete,
+    /// The answer is complete and has this many chunks.
+    CompleteOf {
+        /// Chunks of the whole answer.
+        chunks: u32,
+    },
     /// The target refused to run it, and said so.
     Refused {
         /// HTTP status.
@@ -139,6 +144,11 @@
         /// Target that crashed.
         target: TargetName,
     },
+    /// A blamed digest completed on another host.
+    CrashCleared {
+        /// Digest.
+        digest: BodyDigest,
+    },
     /// Time passed, or a target's state changed.
     Tick,
 }
--- a/crates/requests/src/lib.rs
+++ b/crates/requests/src/lib.rs
@@ -5,11 +5,21 @@
 //! answers stay in the shell under the request's key and the attempt's id; only chunks pass through
 //! here, because the reducer decides which chunk is delivered.
 
+mod arrival;
+mod attempts;
+mod blame;
+mod budget;
+mod claims;
+mod dispatch;
 pub mod effect;
+mod ending;
 pub mod event;
+mod probe;
+mod recover;
 pub mod reduce;
 pub mod spec;
 pub mod state;
+mod timers;
 
 /// The common names of this crate.
 pub mod prelude {
@@ -17,5 +27,5 @@
     pub use crate::event::{AttemptEnd, ClaimAnswer, FailureReach, RequestEvent};
     pub use crate::reduce::{reduce, RequestContext};
     pub use crate::spec::{RequestOutcome, RequestSpec, ResumePoint};
-    pub use crate::state::{RequestSettings, RequestState};
+    pub use crate::state::{RequestLimits, RequestSettings, RequestState};
 }
--- a/crates/requests/src/reduce.rs
+++ b/crates/requests/src/reduce.rs
@@ -1,9 +1,15 @@
 //! The request reducer.
 
-use crate::effect::{RefusalCode, RequestEffect, RequestRefusal, RequestSample};
-use crate::event::{AttemptEnd, RequestEvent};
-use crate::spec::{RequestOutcome, RequestSpec};
-use crate::state::{RequestEntry, RequestState};
+use crate::arrival;
+use crate::attempts;
+use crate::blame;
+use crate::claims;
+use crate::dispatch;
+use crate::effect::RequestEffect;
+use crate::event::RequestEvent;
+use crate::probe;
+use crate::state::RequestState;
+use crate::timers;
 use crocusyard_admission::prelude::*;
 use crocusyard_base::prelude::*;
 use crocusyard_routing::prelude::*;
@@ -27,139 +33,56 @@
     event: RequestEvent,
     out: &mut Vec<RequestEffect>,
 ) {
+    let now = context.now;
+    // Whether the event may have made room for a queued request, or queued one.
+    let mut pump = true;
     match event {
-        RequestEvent::Arrived { key, spec } => arrive(state, context, key, *spec, out),
+        RequestEvent::Arrived { key, spec } => arrival::arrive(state, context, key, *spec, out),
+        RequestEvent::CallerGone { key } => attempts::caller_gone(state, context, key, out),
+        RequestEvent::AttemptSent { attempt } => {
+            attempts::sent(state, now, attempt);
+            pump = false;
+        }
         RequestEvent::AttemptHead { attempt } => {
-            if let Some(&key) = state.attempts.get(&attempt) {
-                out.push(RequestEffect::DeliverHead { key, attempt });
-            }
+            attempts::head(state, now, attempt);
+            pump = false;
         }
         RequestEvent::AttemptChunk {
             attempt,
             index,
             data,
         } => {
-            let Some(key) = state.attempts.get(&attempt).copied() else {
-                return;
-            };
-            let Some(entry) = state.requests.get_mut(&key) else {
-                return;
-            };
-            let Some(target) = entry.target.clone() else {
-                return;
-            };
-            entry.first.get_or_insert(context.now);
-            entry.chunks = index + 1;
-            out.push(RequestEffect::Deliver {
-                key,
-                attempt,
-                target,
-                index,
-                data,
-            });
+            attempts::chunk(state, context, attempt, index, data, out);
+            pump = false;
         }
-        RequestEvent::AttemptEnded { attempt, end } => ended(state, context, attempt, &end, out),
-        _ => {}
-    }
-}
-
-fn arrive(
-    state: &mut RequestState,
-    context: &mut RequestContext<'_>,
-    key: RequestKey,
-    spec: RequestSpec,
-    out: &mut Vec<RequestEffect>,
-) {
-    let query = RouteQuery {
-        work: &spec.work,
-        prefix: &spec.prefix,
-        input_tokens: spec.input_tokens,
-        output_tokens: spec.output_tokens,
-        tried: &[],
-        avoid: None,
-    };
-    let choice = context.routes.choose(context.now, &query, context.rng);
-    let RouteChoice::Target { target, .. } = choice else {
-        let refusal = RequestRefusal {
-            code: RefusalCode::Unavailable,
-            outcome: RequestOutcome::NotRun,
-            retry_after: Some(ClockTime::from_secs(1)),
-        };
-        out.push(RequestEffect::Refuse { key, refusal });
-        return;
-    };
-    context.routes.note_sent(context.now, &target, &query);
-    state.attempt_count += 1;
-    let attempt =
-        AttemptId((u128::from(state.settings.id_seed) << 64) | u128::from(state.attempt_count));
-    state.attempts.insert(attempt, key);
-    let entry = RequestEntry {
-        spec,
-        arrived: context.now,
-        first: None,
-        chunks: 0,
-        target: Some(target.clone()),
-    };
-    state.requests.insert(key, entry);
-    out.push(RequestEffect::Dispatch {
-        key,
-        attempt,
-        target,
-        resume: None,
-    });
-}
-
-fn ended(
-    state: &mut RequestState,
-    context: &mut RequestContext<'_>,
-    attempt: AttemptId,
-    end: &AttemptEnd,
-    out: &mut Vec<RequestEffect>,
-) {
-    let Some(key) = state.attempts.remove(&attempt) else {
-        return;
-    };
-    let Some(entry) = state.requests.remove(&key) else {
-        return;
-    };
-    if let Some(target) = &entry.target {
-        context.routes.note_ended(context.now, target, None);
-    }
-    let outcome = match end {
-        AttemptEnd::Complete => RequestOutcome::Completed,
-        _ => RequestOutcome::Unknown,
-    };
-    if outcome == RequestOutcome::Completed {
-        out.push(RequestEffect::Finish { key });
-    } else {
-        let refusal = RequestRefusal {
-            code: RefusalCode::AnswerLost,
-            outcome,
-            retry_after: None,
-        };
-        out.push(RequestEffect::Refuse { key, refusal });
+        RequestEvent::AttemptEnded { attempt, end } => {
+            attempts::ended(state, context, attempt, &end, out);
+        }
+        RequestEvent::ClaimAnswered { key, answer } => {
+            claims::answered(state, context, key, answer, out);
+        }
+        RequestEvent::RecordAnswered { key, stored } => {
+            claims::record_answered(state, context, key, stored, out);
+        }
+        RequestEvent::SettleAnswered { key, ran } => {
+            claims::settle_answered(state, context, key, ran, out);
+        }
+        RequestEvent::ProbeAnswered { target, alive } => {
+            probe::answered(state, context, &target, alive, out);
+        }
+        RequestEvent::CrashReported { digest, target } => {
+            state
+                .blame
+                .note(now, &state.settings.limits, digest, &target);
+            pump = false;
+        }
+        RequestEvent::CrashCleared { digest } => {
+            blame::clear_reported(state, digest);
+            pump = false;
+        }
+        RequestEvent::Tick => timers::tick(state, context, out),
     }
-    let sample = sample_of(&entry, context.now, outcome);
-    out.push(RequestEffect::Measure {
-        key,
-        sample: Box::new(sample),
-    });
-}
-
-fn sample_of(entry: &RequestEntry, now: ClockTime, outcome: RequestOutcome) -> RequestSample {
-    RequestSample {
-        tenant: entry.spec.tenant.clone(),
-        class: entry.spec.class.clone(),
-        target: entry.target.clone(),
-        outcome,
-        code: None,
-        queued: ClockTime::ZERO,
-        first: entry.first.map(|first| first.since(entry.arrived)),
-        streaming: entry
-            .first
-            .map_or(ClockTime::ZERO, |first| now.since(first)),
-        whole: now.since(entry.arrived),
-        chunks: entry.chunks,
-        attempts: 1,
+    if pump {
+        dispatch::pump(state, context, out);
     }
 }
