Call the host from the command line and take the request limits from the settings

Cause: serve ended at a seam, and the request reducer used its defaults. Ruled out: a second settings type for the reducer in the settings crate, since the reducer's own limits are finer than what operators set. Change: run_host calls the host crate; attempts report their chunk count; connections of resumed streams are closed without cancelling the stream. Conclusion: the binary can serve.

--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -1,5 +1,6 @@
 //! Errors of commands.
 
+use crocusyard_host::prelude::HostError;
 use crocusyard_logging::prelude::LoggingError;
 use crocusyard_settings::prelude::SecretError;
 use snafu::Snafu;
@@ -79,9 +80,12 @@
         /// What the other change did.
         diff: Vec<String>,
     },
-    /// The host part is not in this build.
-    #[snafu(display("this build cannot run a host"))]
-    NoHost,
+    /// The host cannot be started.
+    #[snafu(display("{source}"))]
+    Host {
+        /// Cause.
+        source: HostError,
+    },
 }
 
 impl CliError {
--- a/crates/cli/src/host_entry.rs
+++ b/crates/cli/src/host_entry.rs
@@ -1,8 +1,10 @@
 //! The one place where the command line calls the host.
 
-use crate::error::CliError;
+use crate::error::{CliError, HostSnafu};
 use crocusyard_catalog::prelude::CatalogSpec;
+use crocusyard_host::prelude::{serve, HostKeys};
 use crocusyard_settings::prelude::{HostSettings, SecretText};
+use snafu::ResultExt;
 
 /// What a host is started with.
 #[derive(Debug)]
@@ -17,11 +19,17 @@
     pub catalog: CatalogSpec,
 }
 
-/// Runs a host until it has stopped.
+/// Runs a host until it has stopped in a planned way.
 ///
 /// # Errors
 ///
-/// Always fails with [`CliError::NoHost`] until the host crate has a `serve` function to call here.
-pub async fn run_host(_inputs: HostInputs) -> Result<(), CliError> {
-    Err(CliError::NoHost)
+/// Fails if the host cannot be started.
+pub async fn run_host(inputs: HostInputs) -> Result<(), CliError> {
+    let keys = HostKeys {
+        operator: inputs.operator_key,
+        gossip: inputs.gossip_key,
+    };
+    serve(inputs.settings, keys, inputs.catalog)
+        .await
+        .context(HostSnafu)
 }
--- a/crates/host/src/effects.rs
+++ b/crates/host/src/effects.rs
@@ -52,6 +52,9 @@
                 self.dispatch(key, attempt, target, resume);
             }
             RequestEffect::CancelAttempt { attempt, target } => self.cancel(attempt, &target),
+            RequestEffect::CloseAttempt { attempt, .. } => {
+                self.pools.abort(attempt);
+            }
             RequestEffect::DeliverHead { key, attempt } => self.deliver_head(key, attempt, context),
             RequestEffect::Deliver {
                 key,
@@ -327,7 +330,7 @@
 
 fn end_of(result: AttemptResult) -> AttemptEnd {
     match result {
-        AttemptResult::Complete => AttemptEnd::Complete,
+        AttemptResult::Complete { chunks } => AttemptEnd::CompleteOf { chunks },
         AttemptResult::Refused {
             status,
             retry_after,
--- a/crates/host/src/serve.rs
+++ b/crates/host/src/serve.rs
@@ -16,7 +16,7 @@
 use crocusyard_core::prelude::HostState;
 use crocusyard_metrics::prelude::*;
 use crocusyard_platform::prelude::*;
-use crocusyard_requests::prelude::RequestSettings;
+use crocusyard_requests::prelude::{RequestLimits, RequestSettings};
 use crocusyard_routing::prelude::RouteSettings;
 use crocusyard_settings::prelude::{HostSettings, SecretText};
 use crocusyard_targets::pool::set_liveness_options;
@@ -154,11 +154,29 @@
         routes: RouteSettings {
             domain: settings.domain.clone(),
         },
-        requests: RequestSettings { id_seed: seed },
+        requests: RequestSettings {
+            id_seed: seed,
+            limits: request_limits(&settings.requests),
+        },
         seed,
     }
 }
 
+/// Takes the limits that operators set; the others keep their defaults.
+fn request_limits(settings: &crocusyard_settings::prelude::RequestSettings) -> RequestLimits {
+    RequestLimits {
+        retry_ratio: settings.retry_budget,
+        retries: settings.attempts.saturating_sub(1),
+        backoff: settings.retry_pause_ms,
+        first_chunk: settings.first_byte_ms,
+        plain_silence: settings.first_byte_ms,
+        between_chunks: settings.between_tokens_ms,
+        probe_timeout: settings.probe_timeout_ms,
+        crash_expiry: settings.crash_suspect_ms,
+        ..RequestLimits::default()
+    }
+}
+
 /// Returns a seed that differs between processes, so that their identifiers differ.
 fn start_seed() -> u64 {
     use std::hash::{BuildHasher, RandomState};
--- a/crates/targets/src/attempt.rs
+++ b/crates/targets/src/attempt.rs
@@ -71,8 +71,11 @@
 /// How an attempt ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AttemptResult {
-    /// The answer is complete.
-    Complete,
+    /// The answer is complete and has this many chunks.
+    Complete {
+        /// Chunks of the whole answer.
+        chunks: u32,
+    },
     /// The target refused with a status.
     Refused {
         /// HTTP status.
@@ -214,7 +217,7 @@
         report(AttemptChange::Chunk { index, data });
         index += 1;
     }
-    AttemptResult::Complete
+    AttemptResult::Complete { chunks: index }
 }
 
 async fn read_stream(
@@ -248,7 +251,7 @@
             return AttemptResult::Broken;
         };
         if event.data == STREAM_END {
-            return AttemptResult::Complete;
+            return AttemptResult::Complete { chunks: next };
         }
         // Engines that do not number their events send them in order.
         let index = event.id.parse().unwrap_or(next);
