Report every fault of a key and bound the keys of a mapping

Cause: a second fault at the path of an earlier one was dropped, because the check that hides what a wrong value causes also looked at the faults it had just added. A mapping with very many keys took time with the square of their number. Ruled out: a set of the keys of every open mapping, since no file needs more than 1,000 keys in one mapping. Change: only paths that the shape check reported hide later problems; a mapping has at most 1,000 keys. Conclusion: the list of problems is complete except after a fault of syntax, which is reported alone.

--- a/crates/catalog/src/document.rs
+++ b/crates/catalog/src/document.rs
@@ -10,6 +10,9 @@
 /// Levels of nesting that are accepted; declarations need six.
 pub const DEPTH_MAX: usize = 32;
 
+/// Keys of one mapping that are accepted; each new key is compared with all before it.
+pub const KEYS_MAX: usize = 1000;
+
 /// A node of a document.
 #[derive(Clone, Debug, PartialEq)]
 pub struct LocatedNode {
@@ -45,8 +48,8 @@
 ///
 /// # Errors
 ///
-/// Fails with the first fault of syntax, a second document, a tag, an alias, a repeated key or
-/// nesting beyond [`DEPTH_MAX`].
+/// Fails with the first fault of syntax, a second document, a tag, an alias, a repeated key,
+/// nesting beyond [`DEPTH_MAX`] or more than [`KEYS_MAX`] keys.
 pub fn parse_document(text: &str) -> Result<LocatedNode, InputProblem> {
     let mut builder = TreeBuilder::default();
     for event in Parser::new_from_str(text) {
@@ -121,6 +124,10 @@
             if entries.iter().any(|entry| entry.key == text) {
                 return Err(InputProblem::new(line, text, "each key once"));
             }
+            if entries.len() == KEYS_MAX {
+                let expected = format!("at most {KEYS_MAX} keys in one mapping");
+                return Err(InputProblem::new(line, "", expected));
+            }
             *key = Some((text.to_owned(), line));
             return Ok(());
         }
--- a/crates/catalog/src/read.rs
+++ b/crates/catalog/src/read.rs
@@ -4,6 +4,7 @@
 use crate::problem::InputProblem;
 use crate::shape::{check_shape, line_of, KeySpec, PathLines};
 use serde::de::DeserializeOwned;
+use std::collections::BTreeSet;
 
 /// A fault of a value that was read, before its line is known.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -31,7 +32,8 @@
 ///
 /// # Errors
 ///
-/// Fails with every problem that was found, in the order of the lines.
+/// Fails with every problem that was found, in the order of the lines. A fault of syntax is
+/// reported alone, since nothing after it can be trusted.
 pub fn read_checked<T: DeserializeOwned>(
     text: &str,
     keys: &'static [KeySpec],
@@ -46,10 +48,11 @@
     };
     if let Some(value) = &value {
         let whole = report.problems.is_empty();
+        // A value that was left out as wrong must not be reported again as missing.
+        let wrong = report.problems.iter().map(|problem| problem.path.clone());
+        let left_out: BTreeSet<String> = wrong.chain(report.excused).collect();
         for problem in check(value, whole) {
-            // A value that was left out as wrong must not be reported again as missing.
-            let reported = report.problems.iter().any(|old| old.path == problem.path);
-            if !reported && !report.excused.contains(&problem.path) {
+            if !left_out.contains(&problem.path) {
                 let line = line_of(&report.lines, &problem.path);
                 let problem = InputProblem::new(line, problem.path, problem.expected);
                 report.problems.push(problem);
--- a/crates/catalog/tests/reading.rs
+++ b/crates/catalog/tests/reading.rs
@@ -226,18 +226,34 @@
     assert!(paths.contains(&"targets[2].service"), "{paths:?}");
 }
 
+/// Guards against a second fault of one key that is hidden behind the first.
+#[test]
+fn two_faults_of_one_key_are_both_reported() {
+    let problems = problems_after(
+        "drained: [asistente-2]",
+        "drained: [asistente-1, asistente-2, mostrador-1]",
+    );
+    let drained = problems
+        .iter()
+        .filter(|problem| problem.contains("presets[1].drained: "));
+    assert_eq!(drained.count(), 2, "{problems:?}");
+}
+
 /// Guards against texts that exhaust memory or the stack, or whose meaning depends on the reader.
 #[test]
-fn aliases_tags_repeats_and_deep_nesting_are_refused() {
+fn aliases_tags_repeats_and_excess_are_refused() {
     let deep = "[".repeat(100_000);
+    let wide: String = (0..2000).map(|n| format!("k{n}: 1\n")).collect();
     let texts = [
         "a: &x 1\nb: *x",
         "regions: !!set {}",
         "regions: []\nregions: []",
+        &wide,
         &deep,
     ];
     for text in texts {
-        assert!(CatalogSpec::from_yaml(text).is_err());
+        let error = CatalogSpec::from_yaml(text).unwrap_err();
+        assert_eq!(error.problems.len(), 1, "{error}");
     }
 }
 
