Test the whole path in separate processes; bound heads and bodies

Cause: a stalled body held its handler, a large one was refused without a problem document, and limits.header_bytes had no effect. Ruled out: the HTTP library's own extractors, which answer in plain text. Change: bodies are read with limits of size and time, heads are bounded, hosts of tests get addresses outside the kernel's outgoing port range and the catalogue file is written once (three of five process tests failed because a host read it half written).

--- a/crates/host/src/callers.rs
+++ b/crates/host/src/callers.rs
@@ -7,7 +7,7 @@
 use crate::delivery::{join_answer, pass_answer, stopping, stream_answer, CallerAnswer};
 use crate::intake::{
     deadline, digest_of, find_class, find_tenant, header, idempotency_key, passed_headers,
-    request_id,
+    read_body, request_id, BodyLimits,
 };
 use crate::problem::CallerProblem;
 use crate::resume::ResumeKey;
@@ -15,7 +15,6 @@
 use actix::Addr;
 use actix_web::http::StatusCode;
 use actix_web::{web, HttpRequest, HttpResponse};
-use bytes::Bytes;
 use crocusyard_requests::prelude::*;
 use crocusyard_routing::prelude::*;
 use crocusyard_settings::prelude::TenantSource;
@@ -35,24 +34,26 @@
     pub tenant_from: TenantSource,
     /// Time between two comments on a silent stream.
     pub keepalive: Duration,
+    /// Limits on reading a body.
+    pub(crate) body: BodyLimits,
 }
 
 /// Handles `POST /v1/chat/completions`.
 pub async fn chat_completion(
     state: web::Data<CallerState>,
     request: HttpRequest,
-    body: Bytes,
+    body: web::Payload,
 ) -> Result<HttpResponse, CallerProblem> {
-    complete(&state, &request, &body, "/v1/chat/completions").await
+    complete(&state, &request, body, "/v1/chat/completions").await
 }
 
 /// Handles `POST /v1/completions`.
 pub async fn text_completion(
     state: web::Data<CallerState>,
     request: HttpRequest,
-    body: Bytes,
+    body: web::Payload,
 ) -> Result<HttpResponse, CallerProblem> {
-    complete(&state, &request, &body, "/v1/completions").await
+    complete(&state, &request, body, "/v1/completions").await
 }
 
 /// Handles `GET /v1/models`.
@@ -86,12 +87,13 @@
 async fn complete(
     state: &CallerState,
     request: &HttpRequest,
-    body: &Bytes,
+    body: web::Payload,
     path: &'static str,
 ) -> Result<HttpResponse, CallerProblem> {
     let view = state.catalog.current();
     let tenant = find_tenant(state, &view, request.headers())?;
-    let completion = CompletionRequest::parse(body)?;
+    let body = read_body(body, state.body).await?;
+    let completion = CompletionRequest::parse(&body)?;
     let work = view
         .work(&completion.model)
         .ok_or_else(|| unknown_model(&completion.model))?;
@@ -135,7 +137,7 @@
     state: web::Data<CallerState>,
     request: HttpRequest,
     path: web::Path<(String, String)>,
-    body: Bytes,
+    body: web::Payload,
 ) -> Result<HttpResponse, CallerProblem> {
     let view = state.catalog.current();
     let tenant = find_tenant(&state, &view, request.headers())?;
@@ -145,9 +147,12 @@
     let route = view
         .route(service, request.method().as_str(), &below)
         .ok_or_else(|| no_route(&name, &below))?;
-    if body.len() as u64 > route.body_bytes {
-        return Err(body_too_large(route.body_bytes));
-    }
+    let limit = usize::try_from(route.body_bytes).unwrap_or(usize::MAX);
+    let limits = BodyLimits {
+        bytes: limit.min(state.body.bytes),
+        ..state.body
+    };
+    let body = read_body(body, limits).await?;
     let id = request_id(request.headers())?;
     let key = idempotency_key(request.headers())?;
     let query = request
@@ -229,8 +234,3 @@
         "Last-Event-ID is not an event id of this tenant",
     )
 }
-
-fn body_too_large(limit: u64) -> CallerProblem {
-    let detail = format!("the body is larger than {limit} bytes");
-    CallerProblem::refused(StatusCode::PAYLOAD_TOO_LARGE, "body_too_large", detail)
-}
--- a/crates/host/src/intake.rs
+++ b/crates/host/src/intake.rs
@@ -3,12 +3,17 @@
 use crate::callers::CallerState;
 use crate::catalog_view::CatalogView;
 use crate::problem::CallerProblem;
+use actix_web::error::PayloadError;
 use actix_web::http::header::{HeaderMap, HeaderName};
 use actix_web::http::StatusCode;
+use actix_web::web::Payload;
+use bytes::{Bytes, BytesMut};
 use crocusyard_base::prelude::*;
 use crocusyard_catalog::prelude::*;
 use crocusyard_settings::prelude::TenantSource;
+use futures_util::StreamExt;
 use std::sync::Arc;
+use std::time::Duration;
 
 /// Longest deadline that a caller may ask for.
 const DEADLINE_MAX: ClockTime = ClockTime::from_secs(3600);
@@ -152,3 +157,47 @@
     let low = RandomState::new().hash_one(1_u64);
     (u128::from(high) << 64) | u128::from(low)
 }
+
+/// Limits on reading a request body.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct BodyLimits {
+    /// Largest body, bytes.
+    pub(crate) bytes: usize,
+    /// Longest wait for the next part.
+    pub(crate) wait: Duration,
+}
+
+/// Reads a request body within limits of size and time.
+pub(crate) async fn read_body(
+    mut payload: Payload,
+    limits: BodyLimits,
+) -> Result<Bytes, CallerProblem> {
+    let mut body = BytesMut::new();
+    loop {
+        let part = match actix_rt::time::timeout(limits.wait, payload.next()).await {
+            Err(_) => return Err(body_too_slow()),
+            Ok(None) => return Ok(body.freeze()),
+            Ok(Some(Err(error))) => return Err(body_broken(&error)),
+            Ok(Some(Ok(part))) => part,
+        };
+        if body.len() + part.len() > limits.bytes {
+            return Err(body_too_large(limits.bytes));
+        }
+        body.extend_from_slice(&part);
+    }
+}
+
+fn body_too_slow() -> CallerProblem {
+    let detail = "the body did not arrive in time";
+    CallerProblem::refused(StatusCode::REQUEST_TIMEOUT, "body_too_slow", detail)
+}
+
+fn body_broken(error: &PayloadError) -> CallerProblem {
+    let detail = format!("the body cannot be read: {error}");
+    CallerProblem::refused(StatusCode::BAD_REQUEST, "bad_request", detail)
+}
+
+fn body_too_large(limit: usize) -> CallerProblem {
+    let detail = format!("the body is larger than {limit} bytes");
+    CallerProblem::refused(StatusCode::PAYLOAD_TOO_LARGE, "body_too_large", detail)
+}
--- a/crates/host/src/serve.rs
+++ b/crates/host/src/serve.rs
@@ -3,12 +3,15 @@
 use crate::actor::{HostActor, HostParts, IsDrained, IsReady, ReadListing, StartDrain};
 use crate::callers::{self, CallerState};
 use crate::catalog_view::SharedCatalog;
+use crate::intake::BodyLimits;
 use crate::problem::CallerProblem;
 use crate::resume::ResumeKey;
 use actix::{Actor, Addr};
-use actix_web::dev::ServerHandle;
+use actix_web::body::MessageBody;
+use actix_web::dev::{ServerHandle, ServiceRequest, ServiceResponse};
 use actix_web::http::StatusCode;
-use actix_web::{web, App, HttpResponse, HttpServer};
+use actix_web::middleware::{from_fn, Next};
+use actix_web::{web, App, Error, HttpResponse, HttpServer};
 use crocusyard_base::invariants::violation_counts;
 use crocusyard_base::prelude::*;
 use crocusyard_border::callers::{AddressList, EntryAddress};
@@ -106,6 +109,10 @@
         resume: ResumeKey::derive(keys.gossip.reveal()),
         tenant_from: settings.requests.tenant_from,
         keepalive: Duration::from_millis(settings.requests.keepalive_ms.as_ms()),
+        body: BodyLimits {
+            bytes: usize::try_from(settings.limits.body_bytes).unwrap_or(usize::MAX),
+            wait: Duration::from_millis(settings.limits.header_read_ms.as_ms()),
+        },
     };
     let (address, server) = start_server(&settings, state, metrics)?;
     Ok(HostHandle {
@@ -198,17 +205,18 @@
     state: CallerState,
     metrics: Arc<MetricSet>,
 ) -> Result<(SocketAddr, ServerHandle), HostError> {
-    let limit = usize::try_from(settings.limits.body_bytes).unwrap_or(usize::MAX);
     let ttl = settings.address.ttl_ms;
+    let head_bytes = settings.limits.header_bytes;
     let state = web::Data::new(state);
     let metrics = web::Data::from(metrics);
     let listen = settings.listen.callers;
     let server = HttpServer::new(move || {
         App::new()
+            .wrap(from_fn(limit_head))
+            .app_data(web::Data::new(HeadLimit(head_bytes)))
             .app_data(state.clone())
             .app_data(web::Data::new(ttl))
             .app_data(metrics.clone())
-            .app_data(web::PayloadConfig::new(limit))
             .route(
                 "/v1/chat/completions",
                 web::post().to(callers::chat_completion),
@@ -271,6 +279,30 @@
     }))
 }
 
+/// Largest head of a request, bytes.
+struct HeadLimit(u64);
+
+/// Refuses requests whose headers are larger than the settings allow.
+async fn limit_head(
+    request: ServiceRequest,
+    next: Next<impl MessageBody>,
+) -> Result<ServiceResponse<impl MessageBody>, Error> {
+    let sizes = request
+        .headers()
+        .iter()
+        .map(|(name, value)| name.as_str().len() + value.len());
+    let size = sizes.sum::<usize>() as u64;
+    let limit = request
+        .app_data::<web::Data<HeadLimit>>()
+        .map_or(u64::MAX, |limit| limit.0);
+    if size > limit {
+        let status = StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE;
+        let detail = format!("the headers are larger than {limit} bytes");
+        return Err(CallerProblem::refused(status, "head_too_large", detail).into());
+    }
+    next.call(request).await
+}
+
 /// Tells whether the host takes new work.
 async fn get_ready(state: web::Data<CallerState>) -> HttpResponse {
     match state.actor.send(IsReady).await {
--- a/crates/testbed/src/local.rs
+++ b/crates/testbed/src/local.rs
@@ -94,10 +94,7 @@
 
     /// Starts everything and waits until every host is ready.
     pub async fn start(self) -> Result<LocalDeployment, Whatever> {
-        let addresses: Vec<_> = (0..self.hosts)
-            .map(HostAddresses::pick)
-            .collect::<Result<_, _>>()
-            .whatever_context("no free ports")?;
+        let addresses: Vec<_> = (0..self.hosts).map(HostAddresses::pick).collect();
         let platform = start_platform(PlatformOptions {
             listen: LOOPBACK,
             listing: HostListing {
--- a/crates/testbed/src/ports.rs
+++ b/crates/testbed/src/ports.rs
@@ -1,16 +1,28 @@
-//! Free loopback ports.
+//! Free loopback addresses.
+//!
+//! A port that the kernel hands out may be taken by an outgoing connection before a host listens on
+//! it. Addresses for hosts therefore lie below the range of outgoing ports, on a loopback address
+//! that depends on the process, so that tests in several processes do not meet.
 
-use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, UdpSocket};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::sync::atomic::{AtomicU16, Ordering};
 
 /// Any free port on loopback.
 pub const LOOPBACK: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
 
-/// Returns an address whose TCP port was free a moment ago.
-pub fn free_tcp() -> std::io::Result<SocketAddr> {
-    TcpListener::bind(LOOPBACK)?.local_addr()
-}
+/// First port for hosts; the kernel's outgoing ports begin at 32,768.
+const FIRST_PORT: u16 = 10_000;
+/// Number of ports for hosts.
+const PORT_COUNT: u16 = 20_000;
+
+static NEXT_PORT: AtomicU16 = AtomicU16::new(0);
 
-/// Returns an address whose UDP port was free a moment ago.
-pub fn free_udp() -> std::io::Result<SocketAddr> {
-    UdpSocket::bind(LOOPBACK)?.local_addr()
+/// Returns a loopback address that no other call in this or another process returned.
+pub fn unused_address() -> SocketAddr {
+    let id = std::process::id();
+    let [_, high, middle, low] = id.to_be_bytes();
+    // 127.0.0.x is left to the stand-ins.
+    let address = Ipv4Addr::new(127, 64 | (high & 0x3f), middle, low.max(1));
+    let port = FIRST_PORT + NEXT_PORT.fetch_add(1, Ordering::Relaxed) % PORT_COUNT;
+    SocketAddr::new(IpAddr::V4(address), port)
 }
--- a/crates/testbed/src/process.rs
+++ b/crates/testbed/src/process.rs
@@ -1,7 +1,7 @@
 //! A deployment of separate processes.
 
 use crate::local::wait_ready;
-use crate::ports::{free_tcp, LOOPBACK};
+use crate::ports::{unused_address, LOOPBACK};
 use crate::sample::{host_yaml, HostAddresses, GOSSIP_KEY, OPERATOR_KEY};
 use crocusyard_border::platform::HostListing;
 use crocusyard_catalog::prelude::*;
@@ -90,10 +90,7 @@
         engine_args: &[&str],
         settings: &str,
     ) -> Result<Self, Whatever> {
-        let addresses: Vec<_> = (0..hosts)
-            .map(HostAddresses::pick)
-            .collect::<Result<_, _>>()
-            .whatever_context("no free ports")?;
+        let addresses: Vec<_> = (0..hosts).map(HostAddresses::pick).collect();
         let listen = LOOPBACK.to_string();
         let platform = start_standin(&["platform", "--listen", &listen])?;
         let mut targets = Vec::new();
@@ -112,8 +109,11 @@
             target.address = standin.address;
             targets.push(standin);
         }
-        let folder = std::env::temp_dir().join(format!("crocusyard-test-{}", free_port()?));
+        let folder = std::env::temp_dir().join(format!("crocusyard-test-{}", unused_address()));
         std::fs::create_dir_all(&folder).whatever_context("no folder for the settings")?;
+        // Written once, because a host that starts may be reading it.
+        std::fs::write(folder.join("catalog.yaml"), canonical_body(&catalog))
+            .whatever_context("catalogue cannot be written")?;
         let mut deployment = Self {
             hosts: Vec::new(),
             addresses,
@@ -138,8 +138,6 @@
     pub fn spawn_host(&self, index: usize, settings: &str) -> Result<ProcessHandle, Whatever> {
         let host = &self.addresses[index];
         let catalog = self.folder.join("catalog.yaml");
-        std::fs::write(&catalog, canonical_body(&self.catalog))
-            .whatever_context("catalogue cannot be written")?;
         let file = self.folder.join(format!("{}.yaml", host.name));
         let extra = format!("catalog: {}\n{settings}", catalog.display());
         std::fs::write(&file, host_yaml(host, self.platform.address, &extra))
@@ -193,10 +191,6 @@
     }
 }
 
-fn free_port() -> Result<u16, Whatever> {
-    Ok(free_tcp().whatever_context("no free port")?.port())
-}
-
 /// Starts a stand-in and reads the address that it prints.
 pub fn start_standin(args: &[&str]) -> Result<StandinProcess, Whatever> {
     let mut command = Command::new(standin_program()?);
--- a/crates/testbed/src/sample.rs
+++ b/crates/testbed/src/sample.rs
@@ -1,6 +1,6 @@
 //! The sample catalogue and the settings of hosts for it.
 
-use crate::ports::{free_tcp, free_udp};
+use crate::ports::unused_address;
 use crocusyard_base::prelude::*;
 use crocusyard_border::platform::ListedHost;
 use crocusyard_catalog::prelude::*;
@@ -33,14 +33,14 @@
 }
 
 impl HostAddresses {
-    /// Picks free addresses for the host with an index; hosts spread over the failure domains.
-    pub fn pick(index: usize) -> std::io::Result<Self> {
-        Ok(Self {
+    /// Picks unused addresses for the host with an index; hosts spread over the failure domains.
+    pub fn pick(index: usize) -> Self {
+        Self {
             name: HostName::new(&format!("entry-{index}")),
             domain: DomainName::new(DOMAINS[index % DOMAINS.len()]),
-            callers: free_tcp()?,
-            gossip: free_udp()?,
-        })
+            callers: unused_address(),
+            gossip: unused_address(),
+        }
     }
 
     /// Returns the entry of the host list.
