--- /dev/null
+++ b/crates/presets/src/accept.rs
@@ -0,0 +1,313 @@
+//! Acceptance of a new version by compare-and-set.
+
+use crate::effect::{AcceptResult, PresetEffect};
+use crate::event::{AcceptId, AcceptRequest, PresetVersion};
+use crate::follow;
+use crate::row::{digest_of, digest_text, history_key, PresetRow, CURRENT_KEY};
+use crate::state::{backoff, PresetState};
+use crocusyard_base::prelude::*;
+use std::sync::Arc;
+
+/// What an acceptance waits for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AcceptStage {
+    /// The object store's confirmation of the body.
+    Storing,
+    /// The pointer row.
+    Reading,
+    /// The answer to the transaction.
+    Committing,
+    /// The history row, after the answer to the transaction was lost.
+    Confirming,
+}
+
+/// An acceptance in progress.
+#[derive(Clone, Debug)]
+pub struct AcceptState {
+    /// Stage.
+    pub stage: AcceptStage,
+    /// Call in progress with its time, or none while waiting for `retry_at`.
+    pub call: Option<(u64, ClockTime)>,
+    /// Time of the next repetition.
+    pub retry_at: ClockTime,
+    /// Failures in a row.
+    pub failures: u32,
+    /// Start.
+    pub started: ClockTime,
+    /// Version that the operator edited.
+    pub base: Option<u64>,
+    /// Body.
+    pub body: Arc<[u8]>,
+    /// Row to write; its version is set after the pointer was read.
+    pub row: PresetRow,
+    /// Expected pointer row.
+    pub expect: RowExpect,
+    /// Whether the transaction may have been applied.
+    pub sent: bool,
+}
+
+/// Starts an acceptance.
+pub fn start(
+    state: &mut PresetState,
+    now: ClockTime,
+    request: AcceptRequest,
+    out: &mut Vec<PresetEffect>,
+) {
+    let accept = request.accept;
+    let digest = digest_text(&digest_of(&request.body));
+    let entry = AcceptState {
+        stage: AcceptStage::Storing,
+        call: None,
+        retry_at: now,
+        failures: 0,
+        started: now,
+        base: request.base,
+        body: request.body,
+        row: PresetRow {
+            version: 0,
+            digest,
+            author: request.author,
+            accept,
+            at_ms: request.at_ms,
+        },
+        expect: RowExpect::Absent,
+        sent: false,
+    };
+    state.accepts.insert(accept, entry);
+    issue(state, now, accept, out);
+}
+
+/// Returns the acceptance that waits for a call.
+pub fn waiting_for(state: &PresetState, call: u64) -> Option<AcceptId> {
+    let mut accepts = state.accepts.iter();
+    let found = accepts.find(|(_, entry)| entry.call.is_some_and(|(number, _)| number == call));
+    found.map(|(accept, _)| *accept)
+}
+
+/// Repeats calls that failed or timed out and gives up acceptances that took too long.
+pub fn tick(
+    state: &mut PresetState,
+    now: ClockTime,
+    rng: &mut SeededRng,
+    out: &mut Vec<PresetEffect>,
+) {
+    let ids: Vec<AcceptId> = state.accepts.keys().copied().collect();
+    for accept in ids {
+        let timeout = state.settings.call_timeout;
+        let Some(entry) = state.accepts.get(&accept) else {
+            continue;
+        };
+        if now.since(entry.started) >= state.settings.accept_timeout {
+            give_up(state, accept, out);
+            continue;
+        }
+        match entry.call {
+            Some((_, sent)) if now.since(sent) >= timeout => {
+                table_answered(state, now, rng, accept, TableAnswer::Unknown, out);
+            }
+            None if now >= entry.retry_at => issue(state, now, accept, out),
+            _ => {}
+        }
+    }
+}
+
+/// Takes the object store's answer.
+pub fn body_stored(
+    state: &mut PresetState,
+    now: ClockTime,
+    rng: &mut SeededRng,
+    accept: AcceptId,
+    stored: bool,
+    out: &mut Vec<PresetEffect>,
+) {
+    if !stored {
+        retry(state, now, rng, accept, AcceptStage::Storing);
+        return;
+    }
+    advance(state, now, accept, AcceptStage::Reading, out);
+}
+
+/// Takes the table's answer.
+pub fn table_answered(
+    state: &mut PresetState,
+    now: ClockTime,
+    rng: &mut SeededRng,
+    accept: AcceptId,
+    answer: TableAnswer,
+    out: &mut Vec<PresetEffect>,
+) {
+    let Some(stage) = state.accepts.get(&accept).map(|entry| entry.stage) else {
+        return;
+    };
+    match (stage, answer) {
+        (AcceptStage::Reading, TableAnswer::Row(row)) => {
+            pointer_read(state, now, accept, row.as_ref(), out);
+        }
+        (AcceptStage::Committing, TableAnswer::Committed { .. }) => {
+            commit(state, now, accept, out);
+        }
+        (AcceptStage::Committing, TableAnswer::Conflict { rows }) => {
+            let rows: Vec<_> = rows.iter().filter_map(PresetRow::parse).collect();
+            // After a lost answer, a conflict may be with the first copy of the own transaction.
+            if rows.iter().any(|row| row.accept == accept) {
+                commit(state, now, accept, out);
+            } else {
+                let found = rows.iter().filter_map(PresetRow::preset).max();
+                finish(state, accept, AcceptResult::Conflict { found }, out);
+            }
+        }
+        (AcceptStage::Committing, TableAnswer::Unknown) => {
+            if let Some(entry) = state.accepts.get_mut(&accept) {
+                entry.sent = true;
+            }
+            retry(state, now, rng, accept, AcceptStage::Confirming);
+        }
+        (AcceptStage::Confirming, TableAnswer::Row(Some(row))) => {
+            let row = PresetRow::parse(&row);
+            if row.as_ref().is_some_and(|row| row.accept == accept) {
+                commit(state, now, accept, out);
+            } else {
+                let found = row.and_then(|row| row.preset());
+                finish(state, accept, AcceptResult::Conflict { found }, out);
+            }
+        }
+        (AcceptStage::Confirming, TableAnswer::Row(None)) => {
+            advance(state, now, accept, AcceptStage::Committing, out);
+        }
+        (stage, _) => retry(state, now, rng, accept, stage),
+    }
+}
+
+fn pointer_read(
+    state: &mut PresetState,
+    now: ClockTime,
+    accept: AcceptId,
+    row: Option<&TableRow>,
+    out: &mut Vec<PresetEffect>,
+) {
+    let found = row.and_then(PresetRow::parse).and_then(|row| row.preset());
+    let version = found.map_or(0, |found| found.version);
+    let Some(entry) = state.accepts.get_mut(&accept) else {
+        return;
+    };
+    if entry.base.is_some_and(|base| base != version) {
+        finish(state, accept, AcceptResult::Conflict { found }, out);
+        return;
+    }
+    entry.row.version = version + 1;
+    entry.expect = row.map_or(RowExpect::Absent, |row| RowExpect::Version(row.version));
+    advance(state, now, accept, AcceptStage::Committing, out);
+}
+
+fn advance(
+    state: &mut PresetState,
+    now: ClockTime,
+    accept: AcceptId,
+    stage: AcceptStage,
+    out: &mut Vec<PresetEffect>,
+) {
+    if let Some(entry) = state.accepts.get_mut(&accept) {
+        entry.stage = stage;
+        entry.failures = 0;
+        issue(state, now, accept, out);
+    }
+}
+
+fn retry(
+    state: &mut PresetState,
+    now: ClockTime,
+    rng: &mut SeededRng,
+    accept: AcceptId,
+    stage: AcceptStage,
+) {
+    let settings = &state.settings;
+    if let Some(entry) = state.accepts.get_mut(&accept) {
+        entry.stage = stage;
+        entry.call = None;
+        entry.retry_at = now + backoff(settings.retry, settings.retry_limit, entry.failures, rng);
+        entry.failures += 1;
+    }
+}
+
+fn issue(state: &mut PresetState, now: ClockTime, accept: AcceptId, out: &mut Vec<PresetEffect>) {
+    let call = state.next_call();
+    let Some(entry) = state.accepts.get_mut(&accept) else {
+        return;
+    };
+    entry.call = Some((call, now));
+    let request = match entry.stage {
+        AcceptStage::Storing => {
+            out.push(PresetEffect::StoreBody {
+                call,
+                digest: digest_of(&entry.body),
+                body: entry.body.clone(),
+            });
+            return;
+        }
+        AcceptStage::Reading => TableCall::Get {
+            key: CURRENT_KEY.into(),
+        },
+        AcceptStage::Confirming => TableCall::Get {
+            key: history_key(entry.row.version),
+        },
+        AcceptStage::Committing => {
+            let value = Some(entry.row.to_json());
+            let pointer = RowChange {
+                key: CURRENT_KEY.into(),
+                expect: entry.expect,
+                value: value.clone(),
+            };
+            let history = RowChange {
+                key: history_key(entry.row.version),
+                expect: RowExpect::Absent,
+                value,
+            };
+            TableCall::Transact {
+                changes: vec![pointer, history],
+            }
+        }
+    };
+    out.push(PresetEffect::Table { call, request });
+}
+
+fn commit(state: &mut PresetState, now: ClockTime, accept: AcceptId, out: &mut Vec<PresetEffect>) {
+    let Some(entry) = state.accepts.get(&accept) else {
+        return;
+    };
+    let (row, body) = (entry.row.clone(), entry.body.clone());
+    let preset = PresetVersion {
+        version: row.version,
+        digest: digest_of(&body),
+    };
+    follow::learn(state, now, preset, None, out);
+    follow::put_in_force(state, preset, body, out);
+    finish(state, accept, AcceptResult::Committed(preset), out);
+}
+
+fn give_up(state: &mut PresetState, accept: AcceptId, out: &mut Vec<PresetEffect>) {
+    let Some(entry) = state.accepts.get(&accept) else {
+        return;
+    };
+    let committing = entry.stage == AcceptStage::Committing && entry.call.is_some();
+    let result = if entry.sent || committing {
+        AcceptResult::Unknown {
+            preset: PresetVersion {
+                version: entry.row.version,
+                digest: digest_of(&entry.body),
+            },
+        }
+    } else {
+        AcceptResult::Unavailable
+    };
+    finish(state, accept, result, out);
+}
+
+fn finish(
+    state: &mut PresetState,
+    accept: AcceptId,
+    result: AcceptResult,
+    out: &mut Vec<PresetEffect>,
+) {
+    state.accepts.remove(&accept);
+    out.push(PresetEffect::AcceptDone { accept, result });
+}
