moves: add the lease, intents, memory ledger and scheduler

Cause: the crate was empty. The design asks for one lease per region, an intent per order and a ledger that never overcommits an accelerator.

Change: a pure reducer. Each table write is one transaction that rewrites the lease row under compare-and-set together with the intent rows, so a host that lost the lease cannot write an intent, and the row's write number tells after a lost answer whether the transaction took effect.

Ruled out: intents without the lease row in the transaction; a paused holder could then write an intent after the next holder's scan. Memory counted per order; a late repetition of a load and its copy would count twice, so memory is counted by name with the larger of the two.

--- a/crates/moves/src/lib.rs
+++ b/crates/moves/src/lib.rs
@@ -1,1 +1,37 @@
 //! Leases, fencing numbers, move intents and the accelerator memory ledger.
+//!
+//! [`reduce`](reduce::reduce) takes one event and appends effects. One entry host per region holds
+//! the lease and orders moves; every other host only watches the lease row.
+//!
+//! Every write to the table is one transaction that also rewrites the lease row under
+//! compare-and-set. A host that has lost the lease therefore cannot write an intent, and the lease
+//! row tells after a lost answer whether the transaction took effect. At most one table call of a
+//! host is in progress at a time.
+//!
+//! Memory on a target is counted by name: a name uses the larger of what the engine reports and
+//! what unresolved or reserved intents announce, because an engine holds at most one copy of a
+//! name. Intents are removed only after a load report that is newer than the end of their order.
+
+pub mod effect;
+pub mod event;
+pub mod fleet;
+pub mod intent;
+pub mod lease;
+pub mod ledger;
+pub mod orders;
+pub mod reduce;
+pub mod schedule;
+pub mod state;
+pub mod store;
+
+/// The common names of this crate.
+pub mod prelude {
+    pub use crate::effect::{EngineOrder, MoveEffect, MoveNote};
+    pub use crate::event::{FinishedOrder, MoveEvent, OrderAnswer, OrderResult};
+    pub use crate::fleet::{FleetItem, FleetSpec, FleetTarget, ItemKind, ResidencyPlan};
+    pub use crate::intent::{IntentRow, IntentStage, OrderAction};
+    pub use crate::lease::{LeaseRow, LeaseState};
+    pub use crate::ledger::MemoryLedger;
+    pub use crate::reduce::{reduce, MoveContext};
+    pub use crate::state::{MoveSettings, MoveState};
+}
--- /dev/null
+++ b/crates/moves/src/orders.rs
@@ -0,0 +1,338 @@
+//! Driving of orders: sending, repeating, ending and settling them.
+
+use crate::effect::{EngineOrder, MoveEffect, MoveNote};
+use crate::event::{FinishedOrder, OrderAnswer, OrderResult};
+use crate::intent::{IntentStage, OrderAction, OrderPhase};
+use crate::lease::LeaseState;
+use crate::reduce::MoveContext;
+use crate::schedule::may_unload;
+use crate::state::{is_quiet_over, is_ready, remove_entry, FenceProof, MoveState, TargetView};
+use crate::store::is_writing;
+use crocusyard_base::prelude::*;
+use crocusyard_routing::prelude::*;
+use rand::Rng;
+
+/// Sends what is due: fencing numbers, new orders and repetitions.
+pub(crate) fn drive(
+    state: &mut MoveState,
+    context: &mut MoveContext<'_>,
+    out: &mut Vec<MoveEffect>,
+) {
+    let Some((row, deadline)) = state.may_order(context.now) else {
+        return;
+    };
+    let fencing = row.fencing;
+    let due: Vec<OrderId> = state
+        .entries
+        .values()
+        .filter(|entry| match entry.phase {
+            OrderPhase::Unsent => entry.stored == Some(IntentStage::Open),
+            OrderPhase::Sent { retry, .. } => context.now >= retry,
+            _ => false,
+        })
+        .map(|entry| entry.order)
+        .collect();
+    for order in due {
+        send(state, context, order, fencing, deadline, out);
+    }
+}
+
+fn send(
+    state: &mut MoveState,
+    context: &mut MoveContext<'_>,
+    order: OrderId,
+    fencing: FencingNumber,
+    deadline: ClockTime,
+    out: &mut Vec<MoveEffect>,
+) {
+    let Some(entry) = state.entries.get(&order) else {
+        return;
+    };
+    let row = entry.row.clone();
+    let first = entry.phase == OrderPhase::Unsent;
+    if !is_ready(state, &row.target) {
+        return;
+    }
+    let (used, capacity) = state.ledger.usage(&row.target);
+    let allowed = match row.action {
+        OrderAction::Load => used <= capacity && is_quiet_over(state, &row.target),
+        OrderAction::Unload => may_unload(state, &row.target, &row.name, Some(order)),
+    };
+    if !allowed {
+        if first && row.action == OrderAction::Unload {
+            set_phase(state, order, OrderPhase::Cancelled);
+        }
+        return;
+    }
+    let tries = match entry.phase {
+        OrderPhase::Sent { tries, .. } => tries,
+        _ => 0,
+    };
+    let factor = f64::from(1_u32 << tries.min(6)) * context.rng.random_range(0.75..1.25);
+    let pause = state
+        .settings
+        .order_retry
+        .scale(factor)
+        .min(state.settings.order_retry_max);
+    let phase = OrderPhase::Sent {
+        retry: context.now + pause,
+        tries: tries + 1,
+    };
+    set_phase(state, order, phase);
+    out.push(MoveEffect::SendOrder {
+        target: row.target,
+        order: EngineOrder {
+            order,
+            fencing,
+            action: row.action,
+            name: row.name,
+            bytes: row.bytes,
+        },
+        valid_until: deadline,
+    });
+}
+
+/// Raises the fencing number at engines that check it and have not confirmed it.
+pub(crate) fn raise_fences(state: &mut MoveState, now: ClockTime, out: &mut Vec<MoveEffect>) {
+    let Some((row, deadline)) = state.may_order(now) else {
+        return;
+    };
+    let fencing = row.fencing;
+    for (name, view) in &mut state.views {
+        let checks = state
+            .fleet
+            .targets
+            .get(name)
+            .is_some_and(|target| target.checks_fencing);
+        let confirmed = view.fence.is_some_and(|proof| proof.fencing == fencing);
+        if !checks || confirmed || now < view.fence_retry {
+            continue;
+        }
+        view.fence_retry = now + state.settings.order_retry;
+        out.push(MoveEffect::RaiseFencing {
+            target: name.clone(),
+            fencing,
+            valid_until: deadline,
+        });
+    }
+}
+
+/// Takes a confirmed fencing number.
+pub(crate) fn confirmed(
+    state: &mut MoveState,
+    now: ClockTime,
+    target: &TargetName,
+    incarnation: u64,
+    fencing: FencingNumber,
+) {
+    let LeaseState::Held { row, .. } = &state.lease else {
+        return;
+    };
+    let Some(view) = state.views.get_mut(target) else {
+        return;
+    };
+    if row.fencing != fencing
+        || view.incarnation != incarnation
+        || view.fence.is_some_and(|proof| proof.fencing == fencing)
+    {
+        return;
+    }
+    view.fence = Some(FenceProof {
+        fencing,
+        incarnation,
+        at: now,
+    });
+}
+
+/// Takes an engine's answer to an order.
+pub(crate) fn answered(
+    state: &mut MoveState,
+    context: &mut MoveContext<'_>,
+    order: OrderId,
+    answer: OrderAnswer,
+    out: &mut Vec<MoveEffect>,
+) {
+    match answer {
+        OrderAnswer::Ended(result) => end(state, context.now, order, result, out),
+        // The engine has seen a higher number, so this host's lease is over even if its row has
+        // not been read yet.
+        OrderAnswer::StaleFencing => {
+            let sent = state
+                .entries
+                .get(&order)
+                .is_some_and(|entry| matches!(entry.phase, OrderPhase::Sent { .. }));
+            if !sent {
+                return;
+            }
+            crate::store::lose(state, out);
+            state.next_call = context.now;
+        }
+        OrderAnswer::Accepted => {
+            let pause = state.settings.order_retry_max;
+            if let Some(entry) = state.entries.get_mut(&order) {
+                if let OrderPhase::Sent { tries, .. } = entry.phase {
+                    let retry = context.now + pause;
+                    entry.phase = OrderPhase::Sent { retry, tries };
+                }
+            }
+        }
+        OrderAnswer::Lost => {}
+    }
+}
+
+fn end(
+    state: &mut MoveState,
+    now: ClockTime,
+    order: OrderId,
+    result: OrderResult,
+    out: &mut Vec<MoveEffect>,
+) {
+    let Some(entry) = state.entries.get_mut(&order) else {
+        return;
+    };
+    let OrderPhase::Sent { tries, .. } = entry.phase else {
+        return;
+    };
+    entry.phase = OrderPhase::Ended {
+        at: now,
+        repeated: tries > 1,
+    };
+    if result == OrderResult::Refused {
+        let place = (entry.row.target.clone(), entry.row.name.clone());
+        let retry = now + state.settings.order_retry_max;
+        state.refused.insert(place, retry);
+    }
+    out.push(MoveEffect::Note(MoveNote::OrderEnded {
+        order,
+        target: entry.row.target.clone(),
+        action: entry.row.action,
+        name: entry.row.name.clone(),
+        result,
+    }));
+}
+
+/// Takes a load report: residency, capacity, restarts and ended orders.
+pub(crate) fn reported(
+    state: &mut MoveState,
+    now: ClockTime,
+    report: &LoadReport,
+    finished: &[FinishedOrder],
+    out: &mut Vec<MoveEffect>,
+) {
+    let lateness = state.settings.order_lateness;
+    let known = state.views.get(&report.target);
+    if known.is_some_and(|view| {
+        (report.incarnation, report.sequence) <= (view.incarnation, view.sequence)
+    }) {
+        return;
+    }
+    let restarted = known.is_some_and(|view| view.incarnation < report.incarnation);
+    let mut view = TargetView {
+        incarnation: report.incarnation,
+        sequence: report.sequence,
+        taken: now.since(report.age),
+        copies: report
+            .copies
+            .iter()
+            .map(|copy| (copy.name.clone(), copy.state))
+            .collect(),
+        leaving: report.leaving,
+        quiet_until: known.map_or(ClockTime::ZERO, |view| view.quiet_until),
+        fence: known.and_then(|view| view.fence),
+        fence_retry: known.map_or(ClockTime::ZERO, |view| view.fence_retry),
+    };
+    if restarted {
+        view.quiet_until = now + lateness;
+        view.fence = None;
+        view.fence_retry = now;
+    }
+    if let Some(old) = state.views.insert(report.target.clone(), view) {
+        for name in old.copies.keys() {
+            if let Some(targets) = state.resident_on.get_mut(name) {
+                targets.remove(&report.target);
+            }
+        }
+    }
+    for copy in &report.copies {
+        if copy.state == CopyState::Resident {
+            let targets = state.resident_on.entry(copy.name.clone()).or_default();
+            targets.insert(report.target.clone());
+        }
+    }
+    let copies = report
+        .copies
+        .iter()
+        .map(|copy| (copy.name.clone(), copy.memory_bytes))
+        .collect();
+    for ended in finished {
+        end(state, now, ended.order, ended.result, out);
+    }
+    state
+        .ledger
+        .set_reported(&report.target, report.memory_bytes, copies);
+    settle(state, now, &report.target, finished);
+}
+
+/// Settles the orders of a target whose end its latest report reflects.
+fn settle(state: &mut MoveState, now: ClockTime, target: &TargetName, finished: &[FinishedOrder]) {
+    let Some(view) = state.views.get(target) else {
+        return;
+    };
+    let taken = view.taken;
+    let fenced = is_ready(state, target);
+    let checks = state
+        .fleet
+        .targets
+        .get(target)
+        .is_some_and(|spec| spec.checks_fencing);
+    let until = now + state.settings.order_lateness;
+    for order in state.by_target.get(target).into_iter().flatten() {
+        let Some(entry) = state.entries.get_mut(order) else {
+            continue;
+        };
+        // A fencing number does not stop a late repetition by the same holder, which an engine runs
+        // again if it restarted in between.
+        let (settled, reserve) = match entry.phase {
+            OrderPhase::Ended { at, repeated } => {
+                let listed = finished.iter().any(|ended| ended.order == *order);
+                (taken >= at || listed, repeated || !checks)
+            }
+            OrderPhase::Fenced => (fenced, false),
+            _ => (false, false),
+        };
+        if settled && reserve {
+            entry.phase = OrderPhase::Reserved { until };
+        } else if settled {
+            entry.phase = OrderPhase::Settled;
+        }
+    }
+}
+
+/// Ends reservations whose time is over, and forgets orders that were given up before their intent
+/// was written.
+pub(crate) fn age(state: &mut MoveState, now: ClockTime) {
+    for entry in state.entries.values_mut() {
+        if matches!(entry.phase, OrderPhase::Reserved { until } if now >= until) {
+            entry.phase = OrderPhase::Settled;
+        }
+    }
+    if !is_writing(state) {
+        let unwritten: Vec<OrderId> = state
+            .entries
+            .values()
+            .filter(|entry| entry.stored.is_none() && entry.wished().is_none())
+            .map(|entry| entry.order)
+            .collect();
+        for order in unwritten {
+            remove_entry(state, order);
+        }
+    }
+    state.refused.retain(|_, retry| now < *retry);
+    state.wants.retain(|_, until| now < *until);
+}
+
+fn set_phase(state: &mut MoveState, order: OrderId, phase: OrderPhase) {
+    if let Some(entry) = state.entries.get_mut(&order) {
+        entry.phase = phase;
+    }
+}
--- /dev/null
+++ b/crates/moves/src/reduce.rs
@@ -0,0 +1,92 @@
+//! The move reducer.
+
+use crate::effect::MoveEffect;
+use crate::event::MoveEvent;
+use crate::fleet::FleetSpec;
+use crate::lease::{holder_deadline, LeaseState};
+use crate::state::MoveState;
+use crate::{orders, schedule, store};
+use crocusyard_base::prelude::*;
+use rand::Rng;
+use std::sync::Arc;
+
+/// What the reducer is given with each event.
+pub struct MoveContext<'a> {
+    /// Now, by the monotonic clock of this host; read directly before the call.
+    pub now: ClockTime,
+    /// Random generator.
+    pub rng: &'a mut SeededRng,
+}
+
+/// Takes one event and appends its effects.
+pub fn reduce(
+    state: &mut MoveState,
+    context: &mut MoveContext<'_>,
+    event: MoveEvent,
+    out: &mut Vec<MoveEffect>,
+) {
+    if state.instance.is_none() {
+        state.instance = Some(context.rng.random());
+    }
+    state.now = context.now;
+    check_lease(state, context.now, out);
+    match event {
+        MoveEvent::Tick => {
+            orders::age(state, context.now);
+            orders::raise_fences(state, context.now, out);
+            schedule::schedule(state, context, out);
+        }
+        MoveEvent::FleetChanged(fleet) => change_fleet(state, fleet),
+        MoveEvent::PlanChanged(plan) => {
+            state.planned = plan.resident.values().flatten().cloned().collect();
+            state.plan = plan;
+            state.noted.clear();
+            schedule::schedule(state, context, out);
+        }
+        MoveEvent::WantModel { name } => {
+            let until = context.now + state.settings.demand_hold;
+            state.wants.insert(name, until);
+            schedule::schedule(state, context, out);
+        }
+        MoveEvent::TableAnswered { call, answer } => {
+            store::answered(state, context, call, answer, out);
+        }
+        MoveEvent::OrderAnswered { order, answer } => {
+            orders::answered(state, context, order, answer, out);
+        }
+        MoveEvent::FencingConfirmed {
+            target,
+            incarnation,
+            fencing,
+        } => orders::confirmed(state, context.now, &target, incarnation, fencing),
+        MoveEvent::Report { report, finished } => {
+            orders::reported(state, context.now, &report, &finished, out);
+        }
+    }
+    store::poll(state, context, out);
+    orders::drive(state, context, out);
+}
+
+/// Drops the lease at its deadline; every event passes through here, also the first after a pause.
+fn check_lease(state: &mut MoveState, now: ClockTime, out: &mut Vec<MoveEffect>) {
+    let LeaseState::Held { row, .. } = &state.lease else {
+        return;
+    };
+    if now >= holder_deadline(row, state.settings.drift) {
+        store::lose(state, out);
+        state.next_call = now;
+    }
+}
+
+fn change_fleet(state: &mut MoveState, fleet: Arc<FleetSpec>) {
+    for (name, target) in &fleet.targets {
+        state.ledger.set_declared(name, target.capacity);
+    }
+    for name in state.fleet.targets.keys() {
+        if !fleet.targets.contains_key(name) {
+            state.ledger.set_declared(name, 0);
+        }
+    }
+    state.fleet = fleet;
+    state.noted.clear();
+}
--- /dev/null
+++ b/crates/moves/src/store.rs
@@ -0,0 +1,515 @@
+//! Table calls of the move reducer: reading and taking the lease, scanning and writing intents.
+
+use crate::effect::{MoveEffect, MoveNote};
+use crate::intent::{IntentEntry, IntentRow, IntentStage, OrderAction, OrderPhase};
+use crate::lease::{holder_deadline, taker_start, LeaseRow, LeaseState};
+use crate::reduce::MoveContext;
+use crate::state::{add_entry, remove_entry, MoveState};
+use crocusyard_base::prelude::*;
+use rand::Rng;
+use std::sync::Arc;
+
+/// First pause after a failed table call.
+const BACKOFF_FIRST: ClockTime = ClockTime::from_ms(200);
+
+/// Part of the lease length after which the holder renews.
+const RENEW_PART: f64 = 0.33;
+
+/// A transaction, which always rewrites the lease row.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) struct WriteBatch {
+    /// Version of the lease row that is expected, 0 if absent.
+    version: u64,
+    /// New lease row.
+    row: LeaseRow,
+    /// Whether the write takes the lease.
+    takes: bool,
+    /// Stages to be written per order; `None` deletes the row.
+    stages: Vec<(OrderId, Option<IntentStage>)>,
+    /// Changes of the transaction.
+    changes: Vec<RowChange>,
+}
+
+/// What a table call is for.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) enum CallKind {
+    /// Reads the lease row.
+    ReadLease,
+    /// Reads intents.
+    Scan,
+    /// Writes.
+    Write(Box<WriteBatch>),
+}
+
+/// The table call in progress.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) struct PendingCall {
+    call: u64,
+    sent: ClockTime,
+    kind: CallKind,
+}
+
+/// Starts the next table call if one is due.
+pub(crate) fn poll(
+    state: &mut MoveState,
+    context: &mut MoveContext<'_>,
+    out: &mut Vec<MoveEffect>,
+) {
+    if let Some(pending) = &state.pending {
+        if context.now.since(pending.sent) < state.settings.table_timeout {
+            return;
+        }
+        let call = pending.call;
+        answered(state, context, call, TableAnswer::Unknown, out);
+    }
+    if context.now < state.next_call {
+        return;
+    }
+    if state.unresolved.is_some() {
+        read_lease(state, context, out);
+        return;
+    }
+    match &state.lease {
+        LeaseState::Unread => read_lease(state, context, out),
+        LeaseState::Watching { row, seen, .. } => {
+            let free = row.as_ref().map_or(ClockTime::ZERO, |row| {
+                taker_start(row, *seen, state.settings.drift)
+            });
+            // A host that does not know the declarations yet could not order anything.
+            if context.now >= free && !state.fleet.targets.is_empty() {
+                let batch = take_batch(state, context);
+                write(state, context, batch, out);
+            } else {
+                read_lease(state, context, out);
+            }
+        }
+        LeaseState::Held { row, scanned, .. } => {
+            let renew = context.now >= row.sent + row.length.scale(RENEW_PART);
+            if !*scanned && !renew {
+                scan(state, context, out);
+                return;
+            }
+            let changed = state
+                .entries
+                .values()
+                .any(|entry| entry.wished() != entry.stored);
+            if renew || changed {
+                let batch = hold_batch(state, context);
+                write(state, context, batch, out);
+            }
+        }
+    }
+}
+
+/// Takes the answer to a table call; answers to earlier calls are ignored.
+pub(crate) fn answered(
+    state: &mut MoveState,
+    context: &mut MoveContext<'_>,
+    call: u64,
+    answer: TableAnswer,
+    out: &mut Vec<MoveEffect>,
+) {
+    let Some(pending) = state.pending.take_if(|pending| pending.call == call) else {
+        return;
+    };
+    match (pending.kind, answer) {
+        (CallKind::Write(batch), TableAnswer::Unknown) => {
+            state.unresolved = Some(*batch);
+            back_off(state, context);
+        }
+        (CallKind::Write(batch), TableAnswer::Committed { versions }) => {
+            state.failures = 0;
+            let version = versions.first().copied().unwrap_or(batch.version + 1);
+            committed(state, context, *batch, version, out);
+        }
+        (CallKind::Write(batch), TableAnswer::Conflict { rows }) => {
+            state.failures = 0;
+            let key = lease_key(state);
+            let row = rows.into_iter().find(|row| row.key == key);
+            state.unresolved = Some(*batch);
+            lease_read(state, context, row, out);
+        }
+        (CallKind::ReadLease, TableAnswer::Row(row)) => {
+            state.failures = 0;
+            lease_read(state, context, row, out);
+        }
+        (CallKind::Scan, TableAnswer::Rows { rows, more }) => {
+            state.failures = 0;
+            scanned(state, context, rows, more, out);
+        }
+        _ => back_off(state, context),
+    }
+}
+
+/// Returns whether a write may still take effect.
+pub(crate) fn is_writing(state: &MoveState) -> bool {
+    let pending = state.pending.as_ref().map(|pending| &pending.kind);
+    state.unresolved.is_some() || matches!(pending, Some(CallKind::Write(_)))
+}
+
+/// Gives up the lease, in memory only.
+pub(crate) fn lose(state: &mut MoveState, out: &mut Vec<MoveEffect>) {
+    if matches!(state.lease, LeaseState::Held { .. }) {
+        out.push(MoveEffect::Note(MoveNote::LeaseLost));
+    }
+    state.lease = LeaseState::Unread;
+    state.pending = None;
+    state.unresolved = None;
+    clear_entries(state);
+}
+
+fn clear_entries(state: &mut MoveState) {
+    state.entries.clear();
+    state.by_target.clear();
+    state.ledger.release_all();
+}
+
+fn call(
+    state: &mut MoveState,
+    context: &MoveContext<'_>,
+    kind: CallKind,
+    request: TableCall,
+    out: &mut Vec<MoveEffect>,
+) {
+    state.calls += 1;
+    let call = state.calls;
+    state.pending = Some(PendingCall {
+        call,
+        sent: context.now,
+        kind,
+    });
+    out.push(MoveEffect::CallTable { call, request });
+}
+
+fn read_lease(state: &mut MoveState, context: &MoveContext<'_>, out: &mut Vec<MoveEffect>) {
+    let request = TableCall::Get {
+        key: lease_key(state),
+    };
+    call(state, context, CallKind::ReadLease, request, out);
+}
+
+fn scan(state: &mut MoveState, context: &MoveContext<'_>, out: &mut Vec<MoveEffect>) {
+    let LeaseState::Held { after, .. } = &state.lease else {
+        return;
+    };
+    let request = TableCall::Scan {
+        prefix: intent_prefix(state),
+        after: after.clone(),
+        limit: state.settings.scan_rows,
+    };
+    call(state, context, CallKind::Scan, request, out);
+}
+
+fn write(
+    state: &mut MoveState,
+    context: &MoveContext<'_>,
+    batch: WriteBatch,
+    out: &mut Vec<MoveEffect>,
+) {
+    let request = TableCall::Transact {
+        changes: batch.changes.clone(),
+    };
+    call(
+        state,
+        context,
+        CallKind::Write(Box::new(batch)),
+        request,
+        out,
+    );
+}
+
+fn take_batch(state: &mut MoveState, context: &MoveContext<'_>) -> WriteBatch {
+    let version = match &state.lease {
+        LeaseState::Watching { version, .. } => *version,
+        _ => 0,
+    };
+    let fencing = FencingNumber(state.highest_fencing.0 + 1);
+    new_batch(state, context, version, fencing, true)
+}
+
+fn hold_batch(state: &mut MoveState, context: &MoveContext<'_>) -> WriteBatch {
+    let (version, fencing) = match &state.lease {
+        LeaseState::Held { version, row, .. } => (*version, row.fencing),
+        _ => (0, FencingNumber(0)),
+    };
+    let mut batch = new_batch(state, context, version, fencing, false);
+    let limit = state.settings.write_rows;
+    let changed = state
+        .entries
+        .values()
+        .filter(|entry| entry.wished() != entry.stored)
+        .take(limit);
+    for entry in changed {
+        let stage = entry.wished();
+        batch.stages.push((entry.order, stage));
+        let value = stage.map(|stage| {
+            let row = IntentRow {
+                stage,
+                ..entry.row.clone()
+            };
+            to_json(&row)
+        });
+        batch.changes.push(RowChange {
+            key: intent_key(state, entry.order),
+            expect: RowExpect::Any,
+            value,
+        });
+    }
+    batch
+}
+
+fn new_batch(
+    state: &mut MoveState,
+    context: &MoveContext<'_>,
+    version: u64,
+    fencing: FencingNumber,
+    takes: bool,
+) -> WriteBatch {
+    state.writes += 1;
+    let row = LeaseRow {
+        holder: state.settings.host.clone(),
+        instance: state.instance.unwrap_or_default(),
+        write: state.writes,
+        sent: context.now,
+        fencing,
+        length: state.settings.lease_length,
+    };
+    let expect = if version == 0 {
+        RowExpect::Absent
+    } else {
+        RowExpect::Version(version)
+    };
+    let change = RowChange {
+        key: lease_key(state),
+        expect,
+        value: Some(to_json(&row)),
+    };
+    WriteBatch {
+        version,
+        row,
+        takes,
+        stages: Vec::new(),
+        changes: vec![change],
+    }
+}
+
+/// Takes what the lease row holds, and settles a write whose answer was lost.
+fn lease_read(
+    state: &mut MoveState,
+    context: &mut MoveContext<'_>,
+    found: Option<TableRow>,
+    out: &mut Vec<MoveEffect>,
+) {
+    let version = found.as_ref().map_or(0, |row| row.version);
+    let row: Option<LeaseRow> = match found.map(|row| serde_json::from_str(&row.value)) {
+        None => None,
+        Some(Ok(row)) => Some(row),
+        Some(Err(_)) => {
+            let key = lease_key(state);
+            out.push(MoveEffect::Note(MoveNote::BadRow { key }));
+            lose(state, out);
+            back_off(state, context);
+            return;
+        }
+    };
+    if let Some(row) = &row {
+        state.highest_fencing = state.highest_fencing.max(row.fencing);
+    }
+    if let Some(batch) = state.unresolved.take() {
+        let landed = row
+            .as_ref()
+            .is_some_and(|row| row.instance == batch.row.instance && row.write == batch.row.write);
+        if landed {
+            committed(state, context, batch, version, out);
+            return;
+        }
+        // A take that was sent long ago would be granted from then on, so it is made anew. If the
+        // old one takes effect after all, this host sees a row that it does not recognise and waits.
+        let length = batch.row.length;
+        let stale = batch.takes && context.now >= batch.row.sent + length.scale(RENEW_PART);
+        if version == batch.version && !stale {
+            // The write may still be on its way. The same transaction is sent again, so that at
+            // most one of the two takes effect and either one is recognised.
+            write(state, context, batch, out);
+            return;
+        }
+    }
+    if let LeaseState::Held { version: held, .. } = &state.lease {
+        if *held == version {
+            return;
+        }
+        lose(state, out);
+    }
+    watch(state, context, version, row);
+}
+
+fn watch(
+    state: &mut MoveState,
+    context: &mut MoveContext<'_>,
+    version: u64,
+    row: Option<LeaseRow>,
+) {
+    let known = match &state.lease {
+        LeaseState::Watching { version, seen, .. } => Some((*version, *seen)),
+        _ => None,
+    };
+    let seen = match known {
+        Some((known, seen)) if known == version => seen,
+        _ => context.now,
+    };
+    let length = state.settings.lease_length.as_ms();
+    let free = row.as_ref().map_or(context.now, |row| {
+        taker_start(row, seen, state.settings.drift)
+    });
+    // Random delays keep the hosts of a region from reading and taking at the same moment.
+    let read = context.now + ClockTime::from_ms(context.rng.random_range(length / 4..=length / 2));
+    let take = free + ClockTime::from_ms(context.rng.random_range(0..=length / 4));
+    state.next_call = read.min(take);
+    state.lease = LeaseState::Watching { version, row, seen };
+}
+
+fn committed(
+    state: &mut MoveState,
+    context: &mut MoveContext<'_>,
+    batch: WriteBatch,
+    new_version: u64,
+    out: &mut Vec<MoveEffect>,
+) {
+    if context.now >= holder_deadline(&batch.row, state.settings.drift) {
+        lose(state, out);
+        watch(state, context, new_version, Some(batch.row));
+        return;
+    }
+    state.next_call = context.now;
+    if batch.takes {
+        let fencing = batch.row.fencing;
+        invariant!(
+            fencing > state.held_fencing,
+            "fencing_rises",
+            "{fencing} after {}",
+            state.held_fencing
+        );
+        state.held_fencing = fencing;
+        state.highest_fencing = state.highest_fencing.max(fencing);
+        clear_entries(state);
+        state.lease = LeaseState::Held {
+            version: new_version,
+            row: batch.row,
+            since: context.now,
+            scanned: false,
+            after: None,
+        };
+        state.load_tokens = 0.0;
+        state.tokens_at = context.now;
+        out.push(MoveEffect::Note(MoveNote::LeaseTaken { fencing }));
+        return;
+    }
+    if let LeaseState::Held { version, row, .. } = &mut state.lease {
+        *version = new_version;
+        *row = batch.row;
+    }
+    for (order, stage) in batch.stages {
+        let Some(entry) = state.entries.get_mut(&order) else {
+            continue;
+        };
+        entry.stored = stage;
+        if stage.is_none() {
+            remove_entry(state, order);
+        }
+    }
+}
+
+fn scanned(
+    state: &mut MoveState,
+    context: &mut MoveContext<'_>,
+    rows: Vec<TableRow>,
+    more: bool,
+    out: &mut Vec<MoveEffect>,
+) {
+    let prefix = intent_prefix(state);
+    let last = rows.last().map(|row| row.key.clone());
+    for table_row in rows {
+        let order = table_row
+            .key
+            .strip_prefix(&*prefix)
+            .and_then(OrderId::parse);
+        let row: Option<IntentRow> = serde_json::from_str(&table_row.value).ok();
+        let (Some(order), Some(row)) = (order, row) else {
+            out.push(MoveEffect::Note(MoveNote::BadRow { key: table_row.key }));
+            if let LeaseState::Held { after, .. } = &mut state.lease {
+                *after = None;
+            }
+            back_off(state, context);
+            return;
+        };
+        if !state.entries.contains_key(&order) {
+            inherit(state, context.now, order, row);
+        }
+    }
+    if let LeaseState::Held { scanned, after, .. } = &mut state.lease {
+        *scanned = !more;
+        *after = last.or(after.take());
+    }
+    state.next_call = context.now;
+}
+
+/// Takes over an intent of an earlier holder.
+fn inherit(state: &mut MoveState, now: ClockTime, order: OrderId, row: IntentRow) {
+    let reserved = OrderPhase::Reserved {
+        until: now + state.settings.order_lateness,
+    };
+    let checks = state
+        .fleet
+        .targets
+        .get(&row.target)
+        .is_some_and(|target| target.checks_fencing);
+    let phase = match (row.stage, row.action) {
+        _ if checks => OrderPhase::Fenced,
+        // An unload is not repeated, because its copy may have become the last one.
+        (IntentStage::Reserved, _) | (IntentStage::Open, OrderAction::Unload) => reserved,
+        (IntentStage::Open, OrderAction::Load) => OrderPhase::Sent {
+            retry: now,
+            tries: 0,
+        },
+    };
+    state
+        .ledger
+        .inherit(&row.target, order, &row.name, row.bytes);
+    let entry = IntentEntry {
+        order,
+        stored: Some(row.stage),
+        row,
+        phase,
+        bridge: false,
+    };
+    add_entry(state, entry);
+}
+
+fn back_off(state: &mut MoveState, context: &mut MoveContext<'_>) {
+    state.failures = state.failures.saturating_add(1);
+    let factor = f64::from(1_u32 << state.failures.min(12)) * context.rng.random_range(0.5..1.0);
+    let pause = BACKOFF_FIRST.scale(factor).min(
+        state
+            .settings
+            .table_backoff_max
+            .scale(context.rng.random_range(0.5..1.0)),
+    );
+    state.next_call = context.now + pause;
+}
+
+fn lease_key(state: &MoveState) -> Arc<str> {
+    format!("leases/{}", state.settings.region).into()
+}
+
+fn intent_prefix(state: &MoveState) -> Arc<str> {
+    format!("intents/{}/", state.settings.region).into()
+}
+
+fn intent_key(state: &MoveState, order: OrderId) -> Arc<str> {
+    format!("intents/{}/{order}", state.settings.region).into()
+}
+
+fn to_json(row: &impl serde::Serialize) -> Arc<str> {
+    // Rows are plain structs with text keys, which always serialise.
+    serde_json::to_string(row).unwrap_or_default().into()
+}
--- /dev/null
+++ b/crates/moves/tests/support/mod.rs
@@ -0,0 +1,85 @@
+//! Small fakes of the table service and of engines, and a world that connects them to reducers.
+
+#![allow(dead_code)]
+
+pub mod engine;
+pub mod table;
+pub mod world;
+
+use crocusyard_base::prelude::*;
+use crocusyard_moves::prelude::*;
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+pub fn ms(ms: u64) -> ClockTime {
+    ClockTime::from_ms(ms)
+}
+
+pub fn settings(host: &str) -> MoveSettings {
+    let mut settings = MoveSettings::new(HostName::new(host), RegionName::new("r"));
+    settings.order_lateness = ClockTime::from_secs(8);
+    settings.order_retry_max = ClockTime::from_secs(6);
+    settings.demand_hold = ClockTime::from_secs(20);
+    settings
+}
+
+/// Makes engines `t0`, `t1` and so on; every second one ignores fencing numbers.
+pub fn fleet(
+    capacities: &[u64],
+    items: &[(&str, u64)],
+    adapters: &[(&str, &str, u64)],
+) -> FleetSpec {
+    let mut fleet = FleetSpec {
+        loads_per_second: 4.0,
+        loads_at_once: 6,
+        adapters_at_once: 8,
+        ..FleetSpec::default()
+    };
+    for (index, capacity) in capacities.iter().enumerate() {
+        let target = FleetTarget {
+            capacity: *capacity,
+            domain: DomainName::new(&format!("d{}", index % 3)),
+            checks_fencing: index % 2 == 0,
+        };
+        let name = TargetName::new(&format!("t{index}"));
+        fleet.targets.insert(name, target);
+    }
+    for (name, bytes) in items {
+        let kind = ItemKind::Model;
+        fleet.items.insert(
+            Arc::from(*name),
+            FleetItem {
+                bytes: *bytes,
+                kind,
+            },
+        );
+    }
+    for (name, model, bytes) in adapters {
+        let kind = ItemKind::Adapter {
+            model: Arc::from(*model),
+        };
+        fleet.items.insert(
+            Arc::from(*name),
+            FleetItem {
+                bytes: *bytes,
+                kind,
+            },
+        );
+    }
+    fleet
+}
+
+pub fn plan(resident: &[(&str, &[&str])], on_demand: &[&str]) -> ResidencyPlan {
+    let resident: BTreeMap<TargetName, BTreeSet<Arc<str>>> = resident
+        .iter()
+        .map(|(target, names)| {
+            let names = names.iter().map(|name| Arc::from(*name)).collect();
+            (TargetName::new(target), names)
+        })
+        .collect();
+    ResidencyPlan {
+        resident,
+        on_demand: on_demand.iter().map(|name| Arc::from(*name)).collect(),
+        drained: BTreeSet::new(),
+    }
+}
