placement: add the planner, feasibility check, baselines and comparison

Cause: the crate was empty.

A model without a copy needs room that no other model's last copy takes, so one accelerator is kept for loads on demand and check_feasible refuses a preset without such room.

Conclusion: works; the planner's time at full size has to come down.

--- /dev/null
+++ b/crates/placement/examples/compare/main.rs
@@ -0,0 +1,81 @@
+//! Compares the planner with baselines on identical seeded demand.
+//!
+//! `cargo run --release -p crocusyard_placement --example compare -- --seed N`
+
+mod day;
+mod optimum;
+
+use argh::FromArgs;
+use day::{Deployment, Policy, RunResult, DEPLOYMENTS};
+
+/// Compares placement policies.
+#[derive(FromArgs)]
+struct CompareArgs {
+    /// first seed
+    #[argh(option, default = "1")]
+    seed: u64,
+    /// number of seeds
+    #[argh(option, default = "5")]
+    seeds: u64,
+}
+
+/// Weightings of the two deployments: attainment first, and moves first.
+const WEIGHTINGS: [(&str, f64); 2] = [("attainment", 0.05), ("moves", 0.3)];
+
+fn median(values: &mut [f64]) -> (f64, f64, f64) {
+    values.sort_by(f64::total_cmp);
+    (
+        values[values.len() / 2],
+        values[0],
+        values[values.len() - 1],
+    )
+}
+
+fn compare(args: &CompareArgs, deployment: &Deployment) {
+    let seeds: Vec<u64> = (args.seed..args.seed + args.seeds).collect();
+    println!(
+        "\n{} ({} models, {} accelerators)",
+        deployment.name, deployment.models, deployment.targets
+    );
+    println!("| policy | weighting | attainment median (min to max) | moves median (min to max) |");
+    println!("| --- | --- | --- | --- |");
+    for policy in [Policy::Static, Policy::Lru, Policy::Greedy] {
+        let results: Vec<RunResult> = seeds
+            .iter()
+            .map(|&seed| day::run(deployment, policy, seed, 0.0))
+            .collect();
+        print(policy.name(), "any", &results);
+    }
+    for (name, move_cost) in WEIGHTINGS {
+        let results: Vec<RunResult> = seeds
+            .iter()
+            .map(|&seed| day::run(deployment, Policy::Planner, seed, move_cost))
+            .collect();
+        print("planner", name, &results);
+    }
+}
+
+fn print(policy: &str, weighting: &str, results: &[RunResult]) {
+    let mut shares: Vec<f64> = results.iter().map(|result| result.share).collect();
+    let mut moves: Vec<f64> = results.iter().map(|result| result.moves as f64).collect();
+    let (share, low, high) = median(&mut shares);
+    let (count, fewest, most) = median(&mut moves);
+    println!(
+        "| {policy} | {weighting} | {share:.4} ({low:.4} to {high:.4}) | {count} ({fewest} to {most}) |"
+    );
+}
+
+fn main() {
+    let args: CompareArgs = argh::from_env();
+    for deployment in &DEPLOYMENTS {
+        compare(&args, deployment);
+    }
+    println!("\nSmall case against the offline optimum (score: attained load less move cost)");
+    for (name, move_cost) in WEIGHTINGS {
+        let mut shares: Vec<f64> = (args.seed..args.seed + args.seeds)
+            .map(|seed| optimum::distance(seed, move_cost))
+            .collect();
+        let (share, low, high) = median(&mut shares);
+        println!("{name}: planner reaches {share:.4} ({low:.4} to {high:.4}) of the optimum");
+    }
+}
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -1,1 +1,25 @@
 //! Plans which model and adapter is resident on which accelerator.
+//!
+//! [`plan`](plan::plan) makes a full plan and [`replan`](plan::replan) changes a plan for a few
+//! models whose demand changed. Both keep what is present unless a change is worth its moves.
+//! Names are replaced by indices into the input, because a full plan looks at every pair of model
+//! and accelerator.
+
+pub mod baseline;
+pub mod evaluate;
+pub mod feasible;
+pub mod forecast;
+pub mod input;
+pub mod plan;
+
+/// The common names of this crate.
+pub mod prelude {
+    pub use crate::baseline::{plan_greedy, plan_lru, plan_static};
+    pub use crate::evaluate::{attained, Attained};
+    pub use crate::feasible::{check_feasible, InfeasiblePlan};
+    pub use crate::forecast::DemandForecast;
+    pub use crate::input::{
+        PlacementPlan, PlanAdapter, PlanInput, PlanModel, PlanPreset, PlanTarget, PROFILE_SLOTS,
+    };
+    pub use crate::plan::{plan, replan};
+}
