placement: look only at idle accelerators for further copies

Cause: at 1,900 models and 1,400 accelerators in overload every busy model searched all accelerators in vain; full plan 274 ms, incremental 18.4 ms.

Change: the accelerators with time to spare are listed once per plan.

Half the size: 48 to 14.7, 2.9 to 4.0 and 0.18 to 0.47 ms.

Conclusion: within the goals of 200 ms and 5 ms; four to six times the time for twice the size from half to full size.

--- a/crates/placement/src/plan.rs
+++ b/crates/placement/src/plan.rs
@@ -31,6 +31,10 @@
     spare: Vec<u64>,
     load: Vec<f64>,
     profile: Vec<[f32; PROFILE_SLOTS]>,
+    /// Every accelerator, and those with time to spare before copies are added. Only the latter can
+    /// take a copy that relieves others; in overload they are few.
+    all: Vec<usize>,
+    idle: Vec<usize>,
     /// Accelerator that is kept for loads on demand.
     reserved: Option<usize>,
     /// Moves that the weight store still allows.
@@ -42,6 +46,7 @@
     let mut draft = place_all(input);
     let mut order: Vec<usize> = (0..input.models.len()).collect();
     order.sort_by(|&a, &b| input.models[b].load.total_cmp(&input.models[a].load));
+    find_idle(&mut draft);
     for model in order {
         add_copies(&mut draft, model);
     }
@@ -141,6 +146,7 @@
             }
         }
     }
+    find_idle(&mut draft);
     for &model in changed {
         if draft.copies[model].is_empty() && before.on_demand.is_empty() {
             place_first(&mut draft, model, false);
@@ -163,6 +169,8 @@
         spare: vec![spare; targets],
         load: vec![0.0; targets],
         profile: vec![[0.0; PROFILE_SLOTS]; targets],
+        all: (0..targets).collect(),
+        idle: Vec::new(),
         reserved: None,
         moves: input.preset.loads_per_plan,
     }
@@ -260,7 +268,9 @@
     let share = share(input, model, copies.len() + 1);
     let part = 1.0 / (copies.len() + 1) as f32;
     let mut best: Option<(f64, usize)> = None;
-    for (target, place) in input.targets.iter().enumerate() {
+    let targets = if first { &draft.all } else { &draft.idle };
+    for &target in targets {
+        let place = &input.targets[target];
         let free = draft.free[target];
         let spare = if first { 0 } else { draft.spare[target] };
         let closed = place.drained || draft.reserved == Some(target);
@@ -395,6 +405,13 @@
     }
 }
 
+fn find_idle(draft: &mut PlanDraft<'_>) {
+    draft.idle = (0..draft.load.len())
+        .filter(|&target| relieves(draft, target, f64::INFINITY))
+        .collect();
+}
+
+/// Returns whether an accelerator has time for a copy of a model whose busiest place is `busiest`.
 fn relieves(draft: &PlanDraft<'_>, target: usize, busiest: f64) -> bool {
     draft.load[target] < FULL_LOAD.min(busiest) - 0.05
 }
@@ -403,7 +420,8 @@
 fn busy_swap(draft: &PlanDraft<'_>, model: usize, busiest: f64) -> Option<(usize, Vec<usize>)> {
     let bytes = draft.input.models[model].bytes;
     let mut best: Option<(f64, usize, Vec<usize>)> = None;
-    for (target, place) in draft.input.targets.iter().enumerate() {
+    for &target in &draft.idle {
+        let place = &draft.input.targets[target];
         let closed = place.drained || draft.reserved == Some(target);
         let unfit = closed || draft.copies[model].contains(&target);
         if unfit || !relieves(draft, target, busiest) {
