Weight the ranking of entry hosts by their load

Cause: with plain rendezvous hashing the few keys with much demand decide which host is busiest; at the planned size the busiest host had 4.28 times the mean load.

Change: the hash is weighted by 1 - load, so keys leave a loaded host one by one. The width grows per 2 requests a second instead of 4.

The tests of the width set the rate they mean instead of the default.

--- a/crates/experiments/src/addresses.rs
+++ b/crates/experiments/src/addresses.rs
@@ -18,6 +18,10 @@
 const TTL_MS: u64 = 10_000;
 /// Lag of the load figures used by the least-loaded baseline, milliseconds.
 const LOAD_LAG_MS: u64 = 1_000;
+/// Weight of a second's load in the smoothed load that the entry ring is given.
+const LOAD_SMOOTHING: f64 = 0.2;
+/// What a host can take, relative to the mean load of a host.
+const HOST_CAPACITY: f64 = 2.0;
 /// Points of a host on the consistent ring.
 const RING_POINTS: u64 = 100;
 /// Requests a second of one caller.
@@ -234,6 +238,8 @@
                 .unwrap_or(0)
         })
         .collect();
+    let capacity = HOST_CAPACITY * rate / size.hosts as f64;
+    let mut smoothed = vec![0.0; size.hosts];
     let mut held: Vec<Option<(usize, u64)>> = vec![None; size.callers];
     let mut before: Vec<Option<usize>> = vec![None; size.callers];
     let mut recent: HashMap<(usize, usize), u64> = HashMap::new();
@@ -242,7 +248,12 @@
         if now % 1_000 == 0 {
             for host in (0..size.hosts).filter(|&host| sim.live[host]) {
                 let heard = ClockTime::from_ms(now);
-                sim.ring.note_heard(heard, &host_name(host));
+                let name = host_name(host);
+                sim.ring.note_heard(heard, &name);
+                let second = (now.saturating_sub(LOAD_LAG_MS) / 1_000) as usize;
+                let load = f64::from(sim.loads[second][host]) / capacity;
+                smoothed[host] += LOAD_SMOOTHING * (load - smoothed[host]);
+                sim.ring.set_load(&name, smoothed[host]);
             }
         }
         if now == LEAVE_MS {
@@ -318,12 +329,16 @@
         ),
     ];
     if variants {
-        let rate = |rate| AddressPolicy::Rendezvous(RingTuning::builder().host_rate(rate).build());
+        let build = RingTuning::builder;
+        let ring = |builder: RingTuningBuilder| AddressPolicy::Rendezvous(builder.build());
+        let plain = || build().load_weighted(false);
         all.extend([
-            ("entry ring, 1 /s a host", rate(1.0)),
-            ("entry ring, 2 /s a host", rate(2.0)),
-            ("entry ring, 4 /s a host", rate(4.0)),
-            ("entry ring, 8 /s a host", rate(8.0)),
+            ("unweighted, no limit", ring(plain().overload(1e9))),
+            ("unweighted", ring(plain())),
+            ("weighted, no limit", ring(build().overload(1e9))),
+            ("1 /s a host", ring(build().host_rate(1.0))),
+            ("4 /s a host", ring(build().host_rate(4.0))),
+            ("8 /s a host", ring(build().host_rate(8.0))),
         ]);
     }
     all
--- a/crates/routing/src/address.rs
+++ b/crates/routing/src/address.rs
@@ -13,6 +13,8 @@
 const DEMAND_KEYS: usize = 8_192;
 /// Factor of the weight from one place of the answer to the next.
 const WEIGHT_STEP: f64 = 0.5;
+/// Smallest weight of a host in the ranking.
+const WEIGHT_MIN: f64 = 0.05;
 /// Weight of the first address.
 const FIRST_WEIGHT: f64 = 100.0;
 
@@ -72,6 +74,7 @@
     overload: f64,
     host_rate: f64,
     spare: usize,
+    load_weighted: bool,
 }
 
 impl Default for RingTuning {
@@ -80,8 +83,9 @@
             ttl: ClockTime::from_secs(10),
             silent_after: ClockTime::from_secs(3),
             overload: 0.9,
-            host_rate: 4.0,
+            host_rate: 2.0,
             spare: 2,
+            load_weighted: true,
         }
     }
 }
@@ -137,6 +141,13 @@
         self
     }
 
+    /// Sets whether loaded hosts rank lower, besides being left out when overloaded.
+    #[must_use]
+    pub fn load_weighted(mut self, weighted: bool) -> Self {
+        self.tuning.load_weighted = weighted;
+        self
+    }
+
     /// Finishes the tuning.
     pub fn build(self) -> RingTuning {
         self.tuning
@@ -192,6 +203,13 @@
         }
     }
 
+    /// Takes a host's load, as a share of what it can take; smoothed over some seconds.
+    pub fn set_load(&mut self, host: &HostName, load: f64) {
+        if let Some(entry) = self.hosts.get_mut(host) {
+            entry.host.load = load;
+        }
+    }
+
     /// Marks a host as leaving or staying.
     pub fn set_leaving(&mut self, host: &HostName, leaving: bool) {
         if let Some(entry) = self.hosts.get_mut(host) {
@@ -224,7 +242,7 @@
         if hosts.is_empty() {
             hosts = self.hosts_where(|_| true);
         }
-        let ranked = rank(hosts, hash_text(query.key));
+        let ranked = rank(hosts, hash_text(query.key), &self.tuning);
         let width = self.width(query.key, &ranked);
         let mut chosen = ranked;
         chosen.truncate(width + self.tuning.spare);
@@ -260,13 +278,16 @@
     }
 }
 
-/// Orders hosts by rendezvous hash, one of each failure domain first.
-fn rank(hosts: Vec<&RingEntry>, key: u64) -> Vec<&RingEntry> {
-    let mut scored: Vec<(u64, &RingEntry)> = hosts
+/// Orders hosts by weighted rendezvous hash, one of each failure domain first.
+///
+/// The weight falls with the load, so that keys leave a loaded host one by one; without it the few
+/// keys with much demand decide which host is busiest.
+fn rank<'a>(hosts: Vec<&'a RingEntry>, key: u64, tuning: &RingTuning) -> Vec<&'a RingEntry> {
+    let mut scored: Vec<(f64, &RingEntry)> = hosts
         .into_iter()
-        .map(|entry| (mix(entry.seed ^ key), entry))
+        .map(|entry| (score(entry, key, tuning), entry))
         .collect();
-    scored.sort_unstable_by_key(|&(score, _)| std::cmp::Reverse(score));
+    scored.sort_by(|left, right| right.0.total_cmp(&left.0));
     let mut places: HashMap<&DomainName, usize> = HashMap::new();
     let mut rounds: Vec<(usize, &RingEntry)> = scored
         .into_iter()
@@ -281,6 +302,16 @@
     rounds.into_iter().map(|(_, entry)| entry).collect()
 }
 
+fn score(entry: &RingEntry, key: u64, tuning: &RingTuning) -> f64 {
+    let share = (mix(entry.seed ^ key) as f64 + 1.0) / (u64::MAX as f64 + 2.0);
+    let weight = if tuning.load_weighted {
+        (1.0 - entry.host.load).clamp(WEIGHT_MIN, 1.0)
+    } else {
+        1.0
+    };
+    -weight / share.ln()
+}
+
 /// Rotates the first `width` hosts by the caller's hash; a usable last address goes first.
 fn order_for_caller(chosen: &mut [&RingEntry], width: usize, query: &AddressQuery<'_>) {
     let width = width.min(chosen.len());
--- a/crates/routing/tests/addresses.rs
+++ b/crates/routing/tests/addresses.rs
@@ -28,7 +28,7 @@
 }
 
 fn ring(hosts: usize) -> EntryRing {
-    let mut ring = EntryRing::new(RingTuning::default());
+    let mut ring = EntryRing::new(RingTuning::builder().host_rate(4.0).build());
     for index in 0..hosts {
         ring.apply_host(NOW, host(index));
     }
@@ -103,6 +103,25 @@
     assert_eq!(names(&ring.answer(&question)), vec![host(1).name]);
 }
 
+/// Guards against keys that stay on a host at its limit while its neighbours idle.
+#[test]
+fn loaded_hosts_lose_keys_to_idle_ones() {
+    let mut ring = ring(9);
+    let keys: Vec<String> = (0..300).map(|number| format!("model-{number}")).collect();
+    let held = |ring: &EntryRing| {
+        keys.iter()
+            .filter(|key| names(&ring.answer(&query(key, 1)))[0] == host(2).name)
+            .count()
+    };
+    let before = held(&ring);
+    ring.set_load(&host(2).name, 0.8);
+    assert!(
+        held(&ring) * 2 < before,
+        "{} of {before} keys stay",
+        held(&ring)
+    );
+}
+
 /// Guards against callers that lose a good connection at each new answer.
 #[test]
 fn last_address_is_kept_first() {
