Measure early refusals and read a keyed call's claim before refusing it

Cause: requests refused on arrival were missing from the metrics, and a keyed repeat of a call that crashed two targets was told not_run although the first call may have run. Two tests could not fail: the outage test dropped all but one dispatch of a step, and the late-grant test was saved by the dispatch window alone. Ruled out: an own refusal path with its own sample, which would be a second place that decides outcomes. Change: every arrival has an entry before it can be refused; suspicion of a keyed call is checked when its claim has been read. The outage test follows every dispatch; the late-grant test keeps within the dispatch window.

--- a/crates/requests/src/arrival.rs
+++ b/crates/requests/src/arrival.rs
@@ -28,19 +28,22 @@
     ) {
         return;
     }
-    if blame::is_suspect(state, context.now, spec.digest) {
-        let wait = state.settings.limits.crash_expiry;
-        return ending::refuse_unseen(key, RefusalCode::CrashSuspect, Some(wait), out);
-    }
-    if spec.deadline <= context.now {
-        return ending::refuse_unseen(key, RefusalCode::Deadline, None, out);
-    }
     let row = claims::row_of(&spec);
     let resume = spec.resume.clone();
+    let expired = spec.deadline <= context.now;
+    // A keyed call may be a repeat of one that ran, so its claim is read before it is refused.
+    let suspect = row.is_none() && blame::is_suspect(state, context.now, spec.digest);
     let mut entry = RequestEntry::new(spec, context.now);
     entry.row.clone_from(&row);
     state.requests.insert(key, entry);
     state.set_wake(key, ClockTime::NEVER);
+    if suspect {
+        let wait = Some(state.settings.limits.crash_expiry);
+        return ending::refuse(state, context, key, RefusalCode::CrashSuspect, wait, out);
+    }
+    if expired {
+        return ending::refuse(state, context, key, RefusalCode::Deadline, None, out);
+    }
     match (row, resume) {
         // A repeat of a keyed call gets its stored whole answer, so a resume point adds nothing.
         (Some(row), _) => claims::open(state, context, key, &row, out),
--- a/crates/requests/src/ending.rs
+++ b/crates/requests/src/ending.rs
@@ -12,21 +12,6 @@
 /// Wait suggested to callers when nothing better is known.
 pub(crate) const RETRY_AFTER: ClockTime = ClockTime::from_secs(1);
 
-/// Makes a refusal of a request that has no entry, so nothing was done for it.
-pub(crate) fn refuse_unseen(
-    key: RequestKey,
-    code: RefusalCode,
-    retry_after: Option<ClockTime>,
-    out: &mut Vec<RequestEffect>,
-) {
-    let refusal = RequestRefusal {
-        code,
-        outcome: RequestOutcome::NotRun,
-        retry_after,
-    };
-    out.push(RequestEffect::Refuse { key, refusal });
-}
-
 /// Returns what can truly be said of a request that has no whole answer.
 pub(crate) fn outcome_of(entry: &RequestEntry) -> RequestOutcome {
     // A dispatched attempt counts as run until its end shows otherwise: a cancellation can cross
--- a/crates/requests/src/state.rs
+++ b/crates/requests/src/state.rs
@@ -101,7 +101,7 @@
 /// What a request waits for.
 #[derive(Clone, Debug, PartialEq)]
 pub(crate) enum RequestPhase {
-    /// The claim row is being read.
+    /// The claim row is being read, or the request has just arrived.
     Reading,
     /// The claim row will be read again.
     Polling { at: ClockTime },
@@ -217,7 +217,7 @@
         Self {
             spec,
             arrived: now,
-            phase: RequestPhase::Queued,
+            phase: RequestPhase::Reading,
             wake: ClockTime::NEVER,
             admitted: None,
             dispatched: None,
--- a/crates/requests/tests/claims.rs
+++ b/crates/requests/tests/claims.rs
@@ -104,9 +104,12 @@
 // while its write is under way, which would leave the key in doubt for ever.
 #[test]
 fn grant_after_the_deadline_is_released_and_not_dispatched() {
-    let (mut host, _) = claiming(1);
-    host.now += ClockTime::from_ms(9_000);
-    let effects = host.pass(1_500);
+    let mut host = TestHost::new(1, &targets(0, 1));
+    let mut spec = booking(host.now, 7, Some("key"));
+    spec.deadline = host.now + ClockTime::from_ms(500);
+    host.arrive(1, spec);
+    host.claim(1, ClaimAnswer::Absent);
+    let effects = host.pass(600);
     assert_eq!(refusal_in(&effects).unwrap().1, RequestOutcome::NotRun);
     assert!(!any(&effects, is_release));
     let effects = host.claim(1, ClaimAnswer::Granted);
--- a/crates/requests/tests/faults.rs
+++ b/crates/requests/tests/faults.rs
@@ -22,14 +22,15 @@
     let specs = targets(4, 0);
     let mut host = TestHost::new(1, &specs);
     let mut attempts = 0;
-    let mut effects = Vec::new();
     for key in 0..REQUESTS {
-        effects.extend(host.arrive(key, stream(host.now, u128::from(key))));
+        let mut effects = host.arrive(key, stream(host.now, u128::from(key)));
         effects.extend(host.pass(10));
         host.report(&specs, key + 2, &[]);
-        while let Some((attempt, ..)) = dispatch_in(&effects) {
-            attempts += 1;
-            effects = host.end(attempt, NOT_SENT);
+        while let Some(effect) = effects.pop() {
+            if let RequestEffect::Dispatch { attempt, .. } = effect {
+                attempts += 1;
+                effects.extend(host.end(attempt, NOT_SENT));
+            }
         }
     }
     assert!(attempts > REQUESTS / 2, "{attempts} attempts");
@@ -104,6 +105,9 @@
     assert_eq!(refusal_in(&effects), suspect(RequestOutcome::Unknown));
     let again = host.arrive(2, stream(host.now, 7));
     assert_eq!(refusal_in(&again), suspect(RequestOutcome::NotRun));
+    // A keyed call may be a repeat of one that ran, so it must not be told `not_run` unread.
+    let keyed = host.arrive(3, booking(host.now, 7, Some("key")));
+    assert_eq!(refusal_in(&keyed), None);
     // Blame expires.
     host.pass(700_000);
     assert_eq!(host.state.blamed(), 0);
