Never say not_run to a caller that holds a part of an answer

Cause: a reconnecting caller whose deadline had passed, or whose digest was suspected, was refused with not_run although its stream had run; a keyed call with a resume point would have been run again if its claim was gone. Ruled out: refusing reconnects of suspected digests, since a resume runs nothing new. Change: a resume point marks the request as possibly run on arrival; such a keyed call is not dispatched. Conclusion: the outcome is true from the arrival on.

--- a/crates/requests/src/arrival.rs
+++ b/crates/requests/src/arrival.rs
@@ -31,9 +31,12 @@
     let row = claims::row_of(&spec);
     let resume = spec.resume.clone();
     let expired = spec.deadline <= context.now;
-    // A keyed call may be a repeat of one that ran, so its claim is read before it is refused.
-    let suspect = row.is_none() && blame::is_suspect(state, context.now, spec.digest);
+    // A keyed call may be a repeat of one that ran, so its claim is read before it is refused. A
+    // reconnecting caller runs nothing new.
+    let fresh = row.is_none() && resume.is_none();
+    let suspect = fresh && blame::is_suspect(state, context.now, spec.digest);
     let mut entry = RequestEntry::new(spec, context.now);
+    entry.may_have_run = resume.is_some();
     entry.row.clone_from(&row);
     state.requests.insert(key, entry);
     state.set_wake(key, ClockTime::NEVER);
@@ -67,7 +70,6 @@
     let Some(entry) = state.requests.get_mut(&key) else {
         return;
     };
-    entry.may_have_run = true;
     entry.next = point.received;
     entry.target = Some(point.target.clone());
     if !known || !matches!(entry.spec.work, WorkKind::Model { .. }) {
--- a/crates/requests/src/claims.rs
+++ b/crates/requests/src/claims.rs
@@ -234,6 +234,10 @@
     };
     // A claim is deleted only if nothing was sent, so nothing stands against a new one.
     entry.holder = None;
+    if entry.may_have_run {
+        // The caller holds a part of an answer, so the call ran, whatever became of its claim.
+        return ending::refuse(state, context, key, RefusalCode::AnswerLost, None, out);
+    }
     if !entry.claiming {
         return arrival::enqueue(state, context, key, out);
     }
--- a/crates/requests/tests/answers.rs
+++ b/crates/requests/tests/answers.rs
@@ -86,11 +86,17 @@
         target: TargetName::new("e2"),
         received: 5,
     });
+    let mut late = spec.clone();
     let (attempt, target, resume) = dispatch_in(&host.arrive(1, spec)).unwrap();
     assert_eq!((target.as_str(), resume), ("e2", Some((AttemptId(99), 5))));
     host.begin(attempt);
     assert!(!host.chunk(attempt, 4).iter().any(is_delivery));
     assert!(host.chunk(attempt, 5).iter().any(is_delivery));
+
+    // Its stream ran, so even a refusal on arrival must not say `not_run`.
+    late.deadline = host.now;
+    let expired = (RefusalCode::Deadline, RequestOutcome::Unknown);
+    assert_eq!(refusal_in(&host.arrive(2, late)), Some(expired));
 }
 
 // Guards against `not_run` after an attempt that may have run was followed by one that did not.
--- a/crates/requests/tests/claims.rs
+++ b/crates/requests/tests/claims.rs
@@ -237,6 +237,21 @@
     assert!(!any(&effects, is_release));
 }
 
+// Guards against running a call again whose caller holds a part of its answer.
+#[test]
+fn resumed_call_without_a_claim_is_not_dispatched() {
+    let mut host = TestHost::new(1, &targets(0, 1));
+    let mut spec = booking(host.now, 7, Some("key"));
+    spec.resume = Some(ResumePoint {
+        attempt: AttemptId(99),
+        target: TargetName::new("p0"),
+        received: 1,
+    });
+    host.arrive(1, spec);
+    let lost = Some((RefusalCode::AnswerLost, RequestOutcome::Unknown));
+    assert_eq!(refusal_in(&host.claim(1, ClaimAnswer::Absent)), lost);
+}
+
 // Guards against two runs of a call without a key, and against refusing it although nothing of it
 // was sent.
 #[test]
