Score two sampled candidates and bound the map of senders

Cause: with four or more candidates, hosts that share a view of 140 targets agree on the same one more often. The map from host names to log numbers grew with every host that ever sent a delta.

Change: two candidates by default, besides those with a cached prefix or the adapter; at most 1,024 senders are remembered.

--- a/crates/experiments/src/lib.rs
+++ b/crates/experiments/src/lib.rs
@@ -6,4 +6,5 @@
 pub mod engine;
 pub mod policy;
 pub mod routing;
+pub mod routing_run;
 pub mod table;
--- a/crates/experiments/src/main.rs
+++ b/crates/experiments/src/main.rs
@@ -38,6 +38,9 @@
     /// run only this deployment
     #[argh(option)]
     deployment: Option<String>,
+    /// run only this lag of reports, milliseconds
+    #[argh(option)]
+    lag: Option<u64>,
     /// file for the figures
     #[argh(option)]
     out: Option<PathBuf>,
@@ -83,9 +86,14 @@
     let args: ExperimentArgs = argh::from_env();
     match args.experiment {
         ExperimentKind::Routing(args) => {
-            let only = args.deployment.as_deref();
-            let results =
-                routing::compare(args.seed, args.seeds, args.utilisation, args.variants, only);
+            let results = routing::compare(&routing::RoutingPlan {
+                seed: args.seed,
+                seeds: args.seeds,
+                utilisation: args.utilisation,
+                variants: args.variants,
+                deployment: args.deployment,
+                lag_ms: args.lag,
+            });
             args.out
                 .map_or(Ok(()), |path| table::write_json(&path, &results))
         }
--- a/crates/routing/src/table.rs
+++ b/crates/routing/src/table.rs
@@ -16,6 +16,9 @@
 use std::collections::{HashMap, VecDeque};
 use std::sync::Arc;
 
+/// Hosts whose numbers in the load logs are remembered.
+const SENDERS_REMEMBERED: usize = 1_024;
+
 /// Settings of the choice.
 #[derive(Clone, Debug)]
 pub struct RouteSettings {
@@ -54,6 +57,7 @@
     free: Vec<u32>,
     regions: HashMap<DomainName, RegionName>,
     senders: HashMap<HostName, u32>,
+    last_sender: u32,
     dirty: VecDeque<u32>,
 }
 
@@ -77,6 +81,7 @@
             free: Vec::new(),
             regions: HashMap::new(),
             senders: HashMap::new(),
+            last_sender: SELF_SENDER,
             dirty: VecDeque::new(),
         }
     }
@@ -240,8 +245,7 @@
         let Some(&slot) = self.slots.get(&delta.target) else {
             return;
         };
-        let next = self.senders.len() as u32 + SELF_SENDER + 1;
-        let sender = *self.senders.entry(from.clone()).or_insert(next);
+        let sender = self.sender_of(from);
         let Some(entry) = self.entries[slot as usize].as_mut() else {
             return;
         };
@@ -262,6 +266,22 @@
         }
     }
 
+    /// Returns the number of a host in the load logs.
+    ///
+    /// Hosts come and go by the hundred a day. When the map is full it starts anew with fresh
+    /// numbers, so that a delta may count twice until the target's next report.
+    fn sender_of(&mut self, host: &HostName) -> u32 {
+        if let Some(&sender) = self.senders.get(host) {
+            return sender;
+        }
+        if self.senders.len() >= SENDERS_REMEMBERED {
+            self.senders.clear();
+        }
+        self.last_sender = self.last_sender.wrapping_add(1).max(SELF_SENDER + 1);
+        self.senders.insert(host.clone(), self.last_sender);
+        self.last_sender
+    }
+
     /// Takes a batch of a target's cache events.
     pub fn apply_cache(&mut self, now: ClockTime, batch: &CacheBatch) -> CacheProgress {
         match self.slots.get(&batch.target) {
--- a/crates/routing/src/tuning.rs
+++ b/crates/routing/src/tuning.rs
@@ -32,7 +32,8 @@
 impl Default for RouteTuning {
     fn default() -> Self {
         Self {
-            mode: CandidateMode::Sampled(4),
+            // More candidates make hosts that share a view agree on the same target.
+            mode: CandidateMode::Sampled(2),
             full_up_to: 0,
             jitter: 0.1,
             failure_penalty: ClockTime::from_ms(2_000),
