Keep a target out while its report does not know of the leave

Change: what the table is told and what the target reports are kept apart, and either leaves the target out. The test failed before the change (target 0 was chosen after the report).

--- a/crates/routing/src/address.rs
+++ b/crates/routing/src/address.rs
@@ -53,7 +53,7 @@
     pub host: HostName,
     /// Address.
     pub address: SocketAddr,
-    /// Weight relative to the other addresses.
+    /// Weight relative to the other addresses; 0 for one to use only when the others fail.
     pub weight: u32,
 }
 
--- a/crates/routing/src/choose.rs
+++ b/crates/routing/src/choose.rs
@@ -83,8 +83,12 @@
         .slot
         .and_then(|slot| table.entries[slot as usize].as_ref())
     {
-        let usable = !entry.leaving && !entry.suspect;
-        if invariant!(usable, "no_unusable_target_chosen", "{}", entry.spec.name) {
+        if invariant!(
+            entry.is_usable(),
+            "no_unusable_target_chosen",
+            "{}",
+            entry.spec.name
+        ) {
             return RouteChoice::Target {
                 target: entry.spec.name.clone(),
                 estimate: ClockTime::from_ms(best.estimate_ms as u64),
@@ -96,11 +100,12 @@
             estimate: ClockTime::from_ms(busy_ms as u64),
         };
     }
-    let loadable =
-        matches!(work, WorkKind::Model { .. })
-            && table.entries.iter().flatten().any(|entry| {
-                entry.spec.kind == TargetKind::Engine && !entry.leaving && !entry.suspect
-            });
+    let loadable = matches!(work, WorkKind::Model { .. })
+        && table
+            .entries
+            .iter()
+            .flatten()
+            .any(|entry| entry.spec.kind == TargetKind::Engine && entry.is_usable());
     if loadable {
         RouteChoice::NotResident
     } else {
@@ -185,7 +190,7 @@
     let Some(entry) = input.table.entries[slot as usize].as_ref() else {
         return;
     };
-    if entry.leaving || entry.suspect || input.query.tried.contains(&entry.spec.name) {
+    if !entry.is_usable() || input.query.tried.contains(&entry.spec.name) {
         return;
     }
     let estimate_ms = estimate(input, slot, entry);
--- a/crates/routing/src/table.rs
+++ b/crates/routing/src/table.rs
@@ -34,7 +34,10 @@
     pub(crate) load: LoadEstimate,
     pub(crate) limit: LatencyLimit,
     pub(crate) in_flight: u32,
-    pub(crate) leaving: bool,
+    /// Said by the host list, a peer or the preset in force.
+    told_leaving: bool,
+    /// Said by the target's last report, which may not know of the leave yet.
+    reports_leaving: bool,
     pub(crate) suspect: bool,
     pub(crate) failures: f64,
     pub(crate) failed_at: ClockTime,
@@ -43,6 +46,13 @@
     dirty: bool,
 }
 
+impl TargetEntry {
+    /// Returns whether the target may be given new work.
+    pub(crate) fn is_usable(&self) -> bool {
+        !self.told_leaving && !self.reports_leaving && !self.suspect
+    }
+}
+
 /// Route table of one host.
 #[derive(Clone, Debug)]
 pub struct RouteTable {
@@ -140,7 +150,8 @@
             report: None,
             load: LoadEstimate::new(),
             in_flight: 0,
-            leaving: false,
+            told_leaving: false,
+            reports_leaving: false,
             suspect: false,
             failures: 0.0,
             failed_at: ClockTime::ZERO,
@@ -232,7 +243,7 @@
         copies.dedup();
         self.copies.replace(slot, &entry.copies, &copies);
         entry.copies = copies;
-        entry.leaving = report.leaving;
+        entry.reports_leaving = report.leaving;
         entry.load.rebase(now, &report);
         entry.report = Some(report);
     }
@@ -326,10 +337,10 @@
         deltas
     }
 
-    /// Marks a target as leaving or staying.
+    /// Marks a target as leaving or staying; a target that reports that it leaves stays left out.
     pub fn set_leaving(&mut self, target: &TargetName, leaving: bool) {
         if let Some(entry) = self.entry_mut(target) {
-            entry.leaving = leaving;
+            entry.told_leaving = leaving;
         }
     }
 
--- a/crates/routing/tests/choice.rs
+++ b/crates/routing/tests/choice.rs
@@ -109,6 +109,21 @@
     assert_eq!(choice, RouteChoice::Unavailable);
 }
 
+/// Guards against a report that does not know of the leave yet and brings the target back.
+#[test]
+fn a_report_does_not_cancel_a_leave() {
+    let mut table = table(1);
+    let mut rng = seeded_rng(1);
+    let work = model_work();
+    table.set_leaving(&target(0), true);
+    table.apply_report(at(1), report(0, 2));
+    let choice = table.choose(at(2), &query(&work, &[]), &mut rng);
+    assert_eq!(choice, RouteChoice::Unavailable);
+    table.set_leaving(&target(0), false);
+    let choice = table.choose(at(3), &query(&work, &[]), &mut rng);
+    assert_eq!(chosen(choice), Some(target(0)));
+}
+
 /// Guards against retries in the failed domain while another domain has a copy.
 #[test]
 fn avoided_domain_is_the_last_resort() {
