Leave a domain that is to be avoided even if the sample lies in it

Cause: both sampled candidates can lie in the failure domain that a retry should leave, and the choice then stayed there.

Change: such a sample is followed by a scan of all targets. The test failed before the change. The benchmark also runs with every target at its limit, where the scan always happens.

--- a/crates/routing/benches/choice.rs
+++ b/crates/routing/benches/choice.rs
@@ -13,7 +13,7 @@
 const CHOICES: usize = 200_000;
 const NOW: ClockTime = ClockTime::from_secs(1);
 
-fn table_of(targets: usize, models: usize, tuning: RouteTuning) -> RouteTable {
+fn table_of(targets: usize, models: usize, tuning: RouteTuning, busy: bool) -> RouteTable {
     let mut rng = seeded_rng(1);
     let settings = RouteSettings {
         domain: DomainName::new("domain-0"),
@@ -48,7 +48,7 @@
             sequence: 1,
             incarnation: 1,
             age: ClockTime::from_ms(500),
-            running: rng.random_range(0..8),
+            running: if busy { 16 } else { rng.random_range(0..8) },
             waiting: 0,
             queued_tokens: rng.random_range(0..4_000),
             prefill_rate: 8_000.0,
@@ -113,7 +113,7 @@
     let mut group = criterion.benchmark_group("choice");
     for (name, tuning) in modes() {
         for (targets, models) in [(18, 30), (100, 200), (400, 600), (1_400, 1_900)] {
-            let table = table_of(targets, models, tuning.clone());
+            let table = table_of(targets, models, tuning.clone(), false);
             let works = works_of(models);
             let mut rng = seeded_rng(2);
             let prefix: Vec<u64> = (0..BLOCKS as u64).collect();
@@ -131,8 +131,11 @@
 }
 
 fn print_percentiles() {
-    for (name, tuning) in modes() {
-        let mut table = table_of(1_400, 1_900, tuning);
+    let [(_, tuning), _] = modes();
+    let all_busy = [("default, all busy", tuning, true)];
+    let usual = modes().map(|(name, tuning)| (name, tuning, false));
+    for (name, tuning, busy) in usual.into_iter().chain(all_busy) {
+        let mut table = table_of(1_400, 1_900, tuning, busy);
         let works = works_of(1_900);
         let mut rng = seeded_rng(3);
         let mut nanos: Vec<u64> = Vec::with_capacity(CHOICES);
--- a/crates/routing/src/choose.rs
+++ b/crates/routing/src/choose.rs
@@ -68,7 +68,8 @@
             if slots.len() > (count as usize).max(table.tuning.full_up_to) =>
         {
             sample(&input, slots, count, rng, &mut best);
-            if best.slot.is_none() {
+            // The sample may hold only unusable targets, or only ones in the domain to be left.
+            if best.slot.is_none() || best.avoided {
                 best = BestCandidate::default();
                 scan(&input, slots, rng, &mut best);
             }
--- a/crates/routing/tests/choice.rs
+++ b/crates/routing/tests/choice.rs
@@ -145,6 +145,22 @@
     );
 }
 
+/// Guards against sampled candidates that are all in the domain to be left.
+#[test]
+fn avoided_domain_is_left_with_many_targets() {
+    let table = table(30);
+    let mut rng = seeded_rng(1);
+    let work = model_work();
+    let avoid = DomainName::new("domain-0");
+    let mut question = query(&work, &[]);
+    question.avoid = Some(&avoid);
+    for _ in 0..200 {
+        let choice = table.choose(at(1), &question, &mut rng);
+        let target = chosen(choice).expect("a target is usable");
+        assert_ne!(table.domain_of(&target), Some(&avoid));
+    }
+}
+
 /// Guards against a failing target that attracts work because it is empty, and against exile for good.
 #[test]
 fn failures_penalise_and_decay() {
