--- a/crates/routing/src/table.rs
+++ b/crates/routing/src/table.rs
@@ -16,6 +16,9 @@
 use std::collections::{HashMap, VecDeque};
 use std::sync::Arc;
 
+/// Hosts whose numbers in the load logs are remembered.
+const SENDERS_REMEMBERED: usize = 1_024;
+
 /// Settings of the choice.
 #[derive(Clone, Debug)]
 pub struct RouteSettings {
@@ -31,7 +34,10 @@
     pub(crate) load: LoadEstimate,
     pub(crate) limit: LatencyLimit,
     pub(crate) in_flight: u32,
-    pub(crate) leaving: bool,
+    /// Said by the host list, a peer or the preset in force.
+    told_leaving: bool,
+    /// Said by the target's last report, which may not know of the leave yet.
+    reports_leaving: bool,
     pub(crate) suspect: bool,
     pub(crate) failures: f64,
     pub(crate) failed_at: ClockTime,
@@ -40,6 +46,13 @@
     dirty: bool,
 }
 
+impl TargetEntry {
+    /// Returns whether the target may be given new work.
+    pub(crate) fn is_usable(&self) -> bool {
+        !self.told_leaving && !self.reports_leaving && !self.suspect
+    }
+}
+
 /// Route table of one host.
 #[derive(Clone, Debug)]
 pub struct RouteTable {
@@ -54,6 +67,7 @@
     free: Vec<u32>,
     regions: HashMap<DomainName, RegionName>,
     senders: HashMap<HostName, u32>,
+    last_sender: u32,
     dirty: VecDeque<u32>,
 }
 
@@ -77,6 +91,7 @@
             free: Vec::new(),
             regions: HashMap::new(),
             senders: HashMap::new(),
+            last_sender: SELF_SENDER,
             dirty: VecDeque::new(),
         }
     }
@@ -135,7 +150,8 @@
             report: None,
             load: LoadEstimate::new(),
             in_flight: 0,
-            leaving: false,
+            told_leaving: false,
+            reports_leaving: false,
             suspect: false,
             failures: 0.0,
             failed_at: ClockTime::ZERO,
@@ -227,7 +243,7 @@
         copies.dedup();
         self.copies.replace(slot, &entry.copies, &copies);
         entry.copies = copies;
-        entry.leaving = report.leaving;
+        entry.reports_leaving = report.leaving;
         entry.load.rebase(now, &report);
         entry.report = Some(report);
     }
@@ -240,8 +256,7 @@
         let Some(&slot) = self.slots.get(&delta.target) else {
             return;
         };
-        let next = self.senders.len() as u32 + SELF_SENDER + 1;
-        let sender = *self.senders.entry(from.clone()).or_insert(next);
+        let sender = self.sender_of(from);
         let Some(entry) = self.entries[slot as usize].as_mut() else {
             return;
         };
@@ -262,6 +277,22 @@
         }
     }
 
+    /// Returns the number of a host in the load logs.
+    ///
+    /// Hosts come and go by the hundred a day. When the map is full it starts anew with fresh
+    /// numbers, so that a delta may count twice until the target's next report.
+    fn sender_of(&mut self, host: &HostName) -> u32 {
+        if let Some(&sender) = self.senders.get(host) {
+            return sender;
+        }
+        if self.senders.len() >= SENDERS_REMEMBERED {
+            self.senders.clear();
+        }
+        self.last_sender = self.last_sender.wrapping_add(1).max(SELF_SENDER + 1);
+        self.senders.insert(host.clone(), self.last_sender);
+        self.last_sender
+    }
+
     /// Takes a batch of a target's cache events.
     pub fn apply_cache(&mut self, now: ClockTime, batch: &CacheBatch) -> CacheProgress {
         match self.slots.get(&batch.target) {
@@ -306,10 +337,10 @@
         deltas
     }
 
-    /// Marks a target as leaving or staying.
+    /// Marks a target as leaving or staying; a target that reports that it leaves stays left out.
     pub fn set_leaving(&mut self, target: &TargetName, leaving: bool) {
         if let Some(entry) = self.entry_mut(target) {
-            entry.leaving = leaving;
+            entry.told_leaving = leaving;
         }
     }
 
