Announce a preset version only once it is in force

Cause: with the real preset reducers on top, a version took 9.6 s at p99 at 360 hosts and 1,820 of 3,600 hosts did not have it after 10 s. Membership passed the version on before the host had the body, so peers asked for bodies that were not there and waited for their repetitions. Ruled out: faster repetitions, which would only add failing requests. Change: only PresetKnown, given once a version is in force, changes the version that a host sends; a failed fetch is repeated as soon as another peer announces the version. The fake network of the tests stands in for a preset feature that follows at once, so their checks stay as strict.

--- a/crates/membership/src/effect.rs
+++ b/crates/membership/src/effect.rs
@@ -95,7 +95,7 @@
         /// Demand.
         entries: Vec<ModelDemand>,
     },
-    /// A peer knows this preset version; sent for every packet, since presets count it as contact.
+    /// A peer has this preset version in force; sent for every packet, since presets count contacts.
     PresetSeen {
         /// Peer.
         host: HostName,
--- a/crates/membership/src/event.rs
+++ b/crates/membership/src/event.rs
@@ -54,7 +54,8 @@
         /// Demand.
         demand: Vec<ModelDemand>,
     },
-    /// A committed preset version is known; lower versions than before are ignored.
+    /// A preset version is in force on the own host, which now serves its body; lower versions than
+    /// before are ignored.
     PresetKnown(PresetNotice),
     /// A request was blamed for a crash, or completed and lost the blame.
     Crash(CrashNotice),
--- a/crates/membership/src/reduce.rs
+++ b/crates/membership/src/reduce.rs
@@ -169,7 +169,8 @@
         WireMessage::Summaries(entries) => records::receive_summaries(state, now, entries, out),
         WireMessage::Demand(chunk) => demand::receive(state, sender, chunk, out),
         WireMessage::Preset(notice) => {
-            news::learn_preset(state, notice);
+            // Passed on only once it is in force here (`PresetKnown`): who hears of a version asks
+            // the sender for its body.
             if let Some(member) = state.members.get(&sender) {
                 out.push(MembershipEffect::PresetSeen {
                     host: member.host.clone(),
--- a/crates/membership/src/state.rs
+++ b/crates/membership/src/state.rs
@@ -87,7 +87,7 @@
     pub leases: BTreeMap<RegionName, LeaseNotice>,
     /// Crash digests with the time they were first heard.
     pub crashes: BTreeMap<CrashNotice, ClockTime>,
-    /// Newest preset.
+    /// Preset in force on the own host.
     pub preset: Option<PresetNotice>,
     /// Byte budget.
     pub budget: ByteBudget,
--- a/crates/membership/tests/support/mod.rs
+++ b/crates/membership/tests/support/mod.rs
@@ -31,6 +31,8 @@
     pub window_age: ClockTime,
     /// Packets that a frozen host's socket buffer holds.
     pub socket_buffer: usize,
+    /// Whether hosts put a peer's newer preset in force at once, without fetching a body.
+    pub follow_presets: bool,
 }
 
 impl NetworkSpec {
@@ -44,6 +46,7 @@
             layout: DisseminationLayout::Partitioned,
             window_age: ClockTime::from_secs(10),
             socket_buffer: 200,
+            follow_presets: true,
         }
     }
 }
@@ -203,6 +206,7 @@
         reduce(&mut host.state, now, &mut host.rng, event, &mut out);
         let keys = keys();
         let mut packets = Vec::new();
+        let mut newer = None;
         for effect in out {
             match effect {
                 MembershipEffect::Send {
@@ -216,13 +220,27 @@
                 MembershipEffect::PeerLoads { .. }
                 | MembershipEffect::DomainLoads { .. }
                 | MembershipEffect::DemandSeen { .. } => {}
-                effect => self.log.push((self.now, index, effect)),
+                effect => {
+                    if let MembershipEffect::PresetSeen { preset, .. } = &effect {
+                        newer = newer.max(Some((preset.version, preset.digest)));
+                    }
+                    self.log.push((self.now, index, effect));
+                }
             }
         }
         host.busy += begin.elapsed();
         for (address, bytes) in packets {
             self.transmit(index, address, bytes);
         }
+        let known = self.hosts[index]
+            .state
+            .preset
+            .map_or(0, |preset| preset.version);
+        let newer = newer.filter(|(version, _)| self.spec.follow_presets && *version > known);
+        if let Some((version, digest)) = newer {
+            let notice = PresetNotice { version, digest };
+            self.give(index, MembershipEvent::PresetKnown(notice));
+        }
     }
 
     fn transmit(&mut self, from: usize, to: SocketAddr, bytes: Vec<u8>) {
--- a/crates/presets/src/follow.rs
+++ b/crates/presets/src/follow.rs
@@ -52,6 +52,10 @@
         if let (Some(fetch), Some(peer)) = (&mut state.fetch, peer) {
             if fetch.peers.len() < SOURCE_LIMIT && !fetch.peers.contains(&peer) {
                 fetch.peers.push(peer);
+                // A new source need not wait for the repetition of a failed fetch.
+                if fetch.call.is_none() {
+                    start_fetch(state, now, out);
+                }
             }
         }
         return;
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -142,7 +142,7 @@
     pub entries: Vec<ModelDemand>,
 }
 
-/// Newest preset that the sender has in force or knows to be committed.
+/// Preset that the sender has in force and whose body it serves.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PresetNotice {
     /// Version.
@@ -212,7 +212,7 @@
     Summaries(Vec<DomainSummary>),
     /// Demand.
     Demand(DemandChunk),
-    /// Newest preset.
+    /// Preset in force.
     Preset(PresetNotice),
     /// Crash digests.
     Crashes(Vec<CrashNotice>),
