Follow the planner's new forecast

Cause: the forecast takes the present load as an argument now. Ruled out: reading the load back from the forecast's slots, which are means. Change: the planning state keeps the present load of every model.

--- a/crates/core/src/planning.rs
+++ b/crates/core/src/planning.rs
@@ -1,7 +1,8 @@
 //! Connects demand, the planner and the moves.
 //!
 //! Only the holder of the region's lease plans. It adds up the demand that all hosts tell, plans at
-//! intervals and after changes, and hands the plan to the move feature.
+//! intervals and after changes, and hands the plan to the move feature. The forecast's day runs on
+//! the monotonic clock: only the period of 24 hours matters, not its phase.
 
 use crate::body::PresetBody;
 use crate::effect::HostEffect;
@@ -37,6 +38,8 @@
 #[derive(Clone, Debug)]
 pub(crate) struct PlanningState {
     forecast: DemandForecast,
+    /// Present load by model position, accelerators.
+    loads: Vec<f64>,
     /// Mean time that one request keeps a stream of an engine busy, seconds.
     cost: f64,
     planned: Option<ClockTime>,
@@ -48,6 +51,7 @@
     fn default() -> Self {
         Self {
             forecast: DemandForecast::new(0),
+            loads: Vec::new(),
             cost: 1.0,
             planned: None,
             forced: true,
@@ -65,6 +69,7 @@
     /// Starts anew with another catalogue.
     pub(crate) fn reset(&mut self, catalog: &CatalogSpec) {
         self.forecast = DemandForecast::new(catalog.models.len());
+        self.loads = vec![0.0; catalog.models.len()];
         self.plan = None;
         self.forced = true;
     }
@@ -104,6 +109,7 @@
         let rate = f64::from(total.get(&position).copied().unwrap_or(0)) / DEMAND_SECONDS;
         let load = rate * state.planning.cost / concurrency;
         state.planning.forecast.observe(index, now, load);
+        state.planning.loads[index] = load;
         state.ring.set_demand(model.name.as_str(), rate);
     }
 }
@@ -272,7 +278,7 @@
             name: spec.name.clone(),
             bytes: spec.memory_bytes,
             load_ms: spec.load_ms,
-            load: forecast.expect(index, now, PLAN_AHEAD),
+            load: forecast.expect(index, state.planning.loads[index], now, PLAN_AHEAD),
             mean_load: forecast.mean(index),
             profile: forecast.profile(index),
             min_copies: min_copies(preset, &spec.name),
