Say how a failed seed of the randomised test is repeated

Cause: the head of the test did not say how to repeat one seed, and such a repeat could fail because a single seed need not reach every kind of end.

--- a/crates/requests/tests/random.rs
+++ b/crates/requests/tests/random.rs
@@ -1,6 +1,7 @@
 //! Long randomised run of several hosts' reducers against fakes with every kind of fault.
 //!
-//! `CROCUSYARD_EVENTS` sets the number of events, `CROCUSYARD_SEED` the first seed.
+//! `CROCUSYARD_EVENTS` sets the number of events, `CROCUSYARD_SEED` the first seed. A failure names
+//! its seed; `CROCUSYARD_SEED=<seed> CROCUSYARD_EVENTS=1` repeats it.
 
 mod common;
 mod world;
@@ -91,5 +92,7 @@
         seed += 1;
     }
     println!("seeds {first}..{seed}: {total:?}");
-    assert!(total.completed > 0 && total.replayed > 0 && total.unknown > 0);
+    // A repeated single seed need not reach every kind of end.
+    let every_kind = total.completed > 0 && total.replayed > 0 && total.unknown > 0;
+    assert!(every_kind || events < CI_EVENTS);
 }
