placement: plan each copy with room for its largest adapter

Cause: check_feasible did not count adapters, so a preset could leave an adapter without room wherever its base model is resident.

Change: a model's footprint is its memory and that of its largest adapter. The tight packing now takes models in the order of check_feasible, so that it succeeds whenever the check does.

Test: adapters_follow_their_model now also asks for the refusal; not run against the earlier code.

--- a/crates/placement/src/feasible.rs
+++ b/crates/placement/src/feasible.rs
@@ -56,6 +56,19 @@
     model.min_copies == 0 && model.load_ms + FIRST_TOKEN_WORK_MS <= input.preset.first_token_ms
 }
 
+/// Returns the memory that a copy of each model takes together with its largest adapter, so that
+/// every adapter can be loaded on demand where its model is resident.
+pub fn footprints(input: &PlanInput) -> Vec<u64> {
+    let mut largest = vec![0; input.models.len()];
+    for adapter in &input.adapters {
+        largest[adapter.model] = adapter.bytes.max(largest[adapter.model]);
+    }
+    let models = input.models.iter().zip(largest);
+    models
+        .map(|(model, adapter)| model.bytes + adapter)
+        .collect()
+}
+
 /// Packs one copy, or the preset's number, of each model, and returns the models that have to be
 /// loaded on demand because memory cannot hold them.
 ///
@@ -63,6 +76,7 @@
 ///
 /// Returns why a model would be unreachable.
 pub fn check_feasible(input: &PlanInput) -> Result<Vec<usize>, InfeasiblePlan> {
+    let footprint = footprints(input);
     let mut places: Vec<PackPlace> = input
         .targets
         .iter()
@@ -74,17 +88,14 @@
         .collect();
     let largest = places.iter().map(|place| place.free).max().unwrap_or(0);
     let mut order: Vec<usize> = (0..input.models.len()).collect();
-    order.sort_by_key(|&model| {
-        let bytes = input.models[model].bytes;
-        (loads_on_demand(input, model), u64::MAX - bytes)
-    });
+    order.sort_by_key(|&model| (loads_on_demand(input, model), u64::MAX - footprint[model]));
     let mut on_demand = Vec::new();
     for model in order {
         let spec = &input.models[model];
-        if spec.bytes > largest {
+        if footprint[model] > largest {
             return TooLargeSnafu {
                 model: spec.name.clone(),
-                bytes: spec.bytes,
+                bytes: footprint[model],
             }
             .fail();
         }
@@ -97,7 +108,7 @@
             }
             .fail();
         }
-        if !pack(input, &mut places, model, copies) {
+        if !pack(&mut places, model, footprint[model], copies) {
             if !loads_on_demand(input, model) {
                 return UnreachableSnafu {
                     model: spec.name.clone(),
@@ -108,7 +119,7 @@
             on_demand.push(model);
         }
     }
-    reserve(input, &places, on_demand)
+    reserve(input, &footprint, &places, on_demand)
 }
 
 /// An accelerator while models are packed.
@@ -120,10 +131,11 @@
 /// Adds the models that have to leave one accelerator, so that the others can be loaded there.
 fn reserve(
     input: &PlanInput,
+    footprint: &[u64],
     places: &[PackPlace],
     mut on_demand: Vec<usize>,
 ) -> Result<Vec<usize>, InfeasiblePlan> {
-    let size = |model: &usize| input.models[*model].bytes;
+    let size = |model: &usize| footprint[*model];
     let Some(largest) = on_demand.iter().copied().max_by_key(size) else {
         return Ok(on_demand);
     };
@@ -145,7 +157,7 @@
         let spec = &input.models[largest];
         return NoRoomOnDemandSnafu {
             model: spec.name.clone(),
-            bytes: spec.bytes,
+            bytes: footprint[largest],
         }
         .fail();
     };
@@ -155,8 +167,7 @@
 }
 
 /// Takes the tightest places that fit, each on its own accelerator.
-fn pack(input: &PlanInput, places: &mut [PackPlace], model: usize, copies: u32) -> bool {
-    let bytes = input.models[model].bytes;
+fn pack(places: &mut [PackPlace], model: usize, bytes: u64, copies: u32) -> bool {
     let mut fitting: Vec<&mut PackPlace> = places
         .iter_mut()
         .filter(|place| place.free >= bytes)
--- a/crates/placement/src/input.rs
+++ b/crates/placement/src/input.rs
@@ -1,6 +1,7 @@
 //! Input and result of the planner.
 
 use crocusyard_base::prelude::*;
+use crocusyard_catalog::prelude::*;
 
 /// Parts of a day in which a model's demand is described.
 pub const PROFILE_SLOTS: usize = 8;
@@ -63,6 +64,18 @@
     pub loads_per_plan: usize,
 }
 
+impl PlanPreset {
+    /// Takes the weights of a declared preset.
+    pub fn from_spec(spec: &PresetSpec, first_token_ms: u64, loads_per_plan: usize) -> Self {
+        Self {
+            attainment_weight: spec.attainment_weight,
+            move_cost: spec.move_cost,
+            first_token_ms,
+            loads_per_plan,
+        }
+    }
+}
+
 /// What the planner is given.
 #[derive(Clone, Debug)]
 pub struct PlanInput {
--- a/crates/placement/src/plan.rs
+++ b/crates/placement/src/plan.rs
@@ -6,7 +6,7 @@
 //! share accelerators: a place is ranked by the busiest part of the day after the placement.
 
 use crate::evaluate::FULL_LOAD;
-use crate::feasible::loads_on_demand;
+use crate::feasible::{footprints, loads_on_demand};
 use crate::input::{PlacementPlan, PlanInput, PROFILE_SLOTS};
 use std::collections::BTreeSet;
 
@@ -25,10 +25,10 @@
     resident: Vec<Vec<usize>>,
     /// Copies of each model.
     copies: Vec<Vec<usize>>,
-    /// Free memory; may not be used below `spare`.
+    /// Free memory, with the footprints of the resident models taken off.
     free: Vec<u64>,
-    /// Memory kept free for adapters and loads on demand.
-    spare: Vec<u64>,
+    /// Memory that a copy of each model takes together with its largest adapter.
+    footprint: Vec<u64>,
     load: Vec<f64>,
     profile: Vec<[f32; PROFILE_SLOTS]>,
     /// Every accelerator, and those with time to spare before copies are added. Only the latter can
@@ -97,7 +97,7 @@
 fn reserve_place(draft: &mut PlanDraft<'_>) {
     let input = draft.input;
     let missing = missing(draft);
-    let Some(largest) = missing.iter().map(|&model| input.models[model].bytes).max() else {
+    let Some(largest) = missing.iter().map(|&model| draft.footprint[model]).max() else {
         return;
     };
     let mut best: Option<(f64, usize, Vec<usize>)> = None;
@@ -110,10 +110,10 @@
                 !last || loads_on_demand(input, model)
             })
             .collect();
-        let freed: u64 = leaving.iter().map(|&model| input.models[model].bytes).sum();
+        let freed: u64 = leaving.iter().map(|&model| draft.footprint[model]).sum();
         let need = leaving
             .iter()
-            .map(|&model| input.models[model].bytes)
+            .map(|&model| draft.footprint[model])
             .fold(largest, u64::max);
         if place.drained || draft.free[target] + freed < need {
             continue;
@@ -141,7 +141,7 @@
     }
     for (target, models) in before.resident.iter().enumerate() {
         for &model in models {
-            if !input.targets[target].drained && input.models[model].bytes <= draft.free[target] {
+            if !input.targets[target].drained && draft.footprint[model] <= draft.free[target] {
                 put(&mut draft, model, target);
             }
         }
@@ -158,15 +158,12 @@
 
 fn new_draft(input: &PlanInput) -> PlanDraft<'_> {
     let targets = input.targets.len();
-    let largest_adapter = input.adapters.iter().map(|adapter| adapter.bytes).max();
-    let per_model = input.adapters.len() / input.models.len().max(1) + 1;
-    let spare = largest_adapter.unwrap_or(0) * per_model as u64;
     PlanDraft {
         input,
         resident: vec![Vec::new(); targets],
         copies: vec![Vec::new(); input.models.len()],
         free: input.targets.iter().map(|target| target.capacity).collect(),
-        spare: vec![spare; targets],
+        footprint: footprints(input),
         load: vec![0.0; targets],
         profile: vec![[0.0; PROFILE_SLOTS]; targets],
         all: (0..targets).collect(),
@@ -186,7 +183,7 @@
     spread(draft, model, &before, -1.0);
     draft.resident[target].push(model);
     draft.copies[model].push(target);
-    draft.free[target] -= draft.input.models[model].bytes;
+    draft.free[target] -= draft.footprint[model];
     let after = draft.copies[model].clone();
     spread(draft, model, &after, 1.0);
 }
@@ -196,7 +193,7 @@
     spread(draft, model, &before, -1.0);
     draft.resident[target].retain(|&other| other != model);
     draft.copies[model].retain(|&other| other != target);
-    draft.free[target] += draft.input.models[model].bytes;
+    draft.free[target] += draft.footprint[model];
     let after = draft.copies[model].clone();
     spread(draft, model, &after, 1.0);
 }
@@ -217,7 +214,7 @@
 fn keep_present(draft: &mut PlanDraft<'_>) {
     for (target, models) in draft.input.present.iter().enumerate() {
         for &model in models {
-            let fits = draft.input.models[model].bytes <= draft.free[target];
+            let fits = draft.footprint[model] <= draft.free[target];
             if !draft.input.targets[target].drained && fits {
                 put(draft, model, target);
             }
@@ -229,11 +226,12 @@
 fn place_missing(draft: &mut PlanDraft<'_>, tight: bool) {
     let input = draft.input;
     let mut order = missing(draft);
-    order.sort_by(|&a, &b| {
-        let (first, second) = (&input.models[a], &input.models[b]);
-        loads_on_demand(input, a)
-            .cmp(&loads_on_demand(input, b))
-            .then(second.bytes.cmp(&first.bytes))
+    // The order of check_feasible, so that the tight packing succeeds whenever the check does.
+    order.sort_by_key(|&model| {
+        (
+            loads_on_demand(input, model),
+            u64::MAX - draft.footprint[model],
+        )
     });
     for model in order {
         while draft.copies[model].len() < least_copies(input, model) {
@@ -264,6 +262,7 @@
 fn best_target(draft: &PlanDraft<'_>, model: usize, first: bool, tight: bool) -> Option<usize> {
     let input = draft.input;
     let spec = &input.models[model];
+    let bytes = draft.footprint[model];
     let copies = &draft.copies[model];
     let share = share(input, model, copies.len() + 1);
     let part = 1.0 / (copies.len() + 1) as f32;
@@ -272,9 +271,8 @@
     for &target in targets {
         let place = &input.targets[target];
         let free = draft.free[target];
-        let spare = if first { 0 } else { draft.spare[target] };
         let closed = place.drained || draft.reserved == Some(target);
-        if closed || free < spec.bytes + spare || copies.contains(&target) {
+        if closed || free < bytes || copies.contains(&target) {
             continue;
         }
         if tight {
@@ -293,7 +291,7 @@
             .iter()
             .filter(|&&copy| input.targets[copy].domain == place.domain)
             .count();
-        let waste = (free - spec.bytes) as f64 / place.capacity.max(1) as f64;
+        let waste = (free - bytes) as f64 / place.capacity.max(1) as f64;
         let cost = draft.load[target]
             + share
             + PROFILE_WEIGHT * f64::from(peak)
@@ -309,7 +307,7 @@
 /// Removes further copies of other models from the accelerator where the least load is displaced.
 fn room_by_eviction(draft: &mut PlanDraft<'_>, model: usize) -> Option<usize> {
     let input = draft.input;
-    let bytes = input.models[model].bytes;
+    let bytes = draft.footprint[model];
     let mut best: Option<(f64, usize, Vec<usize>)> = None;
     for (target, place) in input.targets.iter().enumerate() {
         if place.drained || draft.copies[model].contains(&target) {
@@ -352,7 +350,7 @@
         if free >= bytes {
             break;
         }
-        free += input.models[other].bytes;
+        free += draft.footprint[other];
         cost += load;
         victims.push(other);
     }
@@ -418,7 +416,7 @@
 
 /// Finds an accelerator with time to spare where further copies of other models can make room.
 fn busy_swap(draft: &PlanDraft<'_>, model: usize, busiest: f64) -> Option<(usize, Vec<usize>)> {
-    let bytes = draft.input.models[model].bytes;
+    let bytes = draft.footprint[model];
     let mut best: Option<(f64, usize, Vec<usize>)> = None;
     for &target in &draft.idle {
         let place = &draft.input.targets[target];
@@ -442,6 +440,11 @@
 fn finish(mut draft: PlanDraft<'_>) -> PlacementPlan {
     let input = draft.input;
     let mut adapters = vec![Vec::new(); input.targets.len()];
+    for (target, models) in draft.resident.iter().enumerate() {
+        for &model in models {
+            draft.free[target] += draft.footprint[model] - input.models[model].bytes;
+        }
+    }
     let present: Vec<BTreeSet<usize>> = input
         .present_adapters
         .iter()
--- a/crates/placement/tests/planning.rs
+++ b/crates/placement/tests/planning.rs
@@ -176,6 +176,10 @@
     for (models, adapters) in plan.resident.iter().zip(&plan.adapters) {
         assert_eq!(models, adapters);
     }
+    input.targets[0].capacity = 101;
+    input.targets[1].drained = true;
+    let refusal = check_feasible(&input).expect_err("no room for an adapter");
+    assert!(matches!(refusal, InfeasiblePlan::Unreachable { .. }));
     let mut forecast = DemandForecast::new(1);
     let hour = |hour: u64| ClockTime::from_secs(hour * 3_600);
     for at in 0..24 {
