--- a/crates/moves/src/event.rs
+++ b/crates/moves/src/event.rs
@@ -39,7 +39,8 @@
 /// What happened.
 #[derive(Clone, Debug)]
 pub enum MoveEvent {
-    /// Time has passed. Sent about five times a second, and once right after a pause.
+    /// Time has passed. Sent about five times a second, and once right after a pause. Moves are
+    /// scheduled and fencing numbers raised here.
     Tick,
     /// The declarations of this host's region changed, capacities included.
     FleetChanged(Arc<FleetSpec>),
--- a/crates/moves/src/orders.rs
+++ b/crates/moves/src/orders.rs
@@ -12,7 +12,7 @@
 use crocusyard_routing::prelude::*;
 use rand::Rng;
 
-/// Sends what is due: fencing numbers, new orders and repetitions.
+/// Sends what is due: new orders and repetitions.
 pub(crate) fn drive(
     state: &mut MoveState,
     context: &mut MoveContext<'_>,
