Split the preset part from the dissemination experiment

Change: examples/dissemination/preset.rs holds the preset part; sums of demand and the raised incarnation saturate, so no peer's value can overflow them; comments say what is passed on when.

--- /dev/null
+++ b/crates/membership/examples/dissemination/preset.rs
@@ -0,0 +1,153 @@
+//! Time until a preset version is in force everywhere.
+
+use crate::support::FakeNetwork;
+use crate::{make_network, percentile, run_loaded};
+use crocusyard_base::prelude::*;
+use crocusyard_membership::prelude::*;
+use crocusyard_presets::follow::put_in_force;
+use crocusyard_presets::prelude::{
+    digest_of, BodySource, PresetEffect, PresetEvent, PresetSettings, PresetState, PresetVersion,
+};
+use crocusyard_wire::prelude::*;
+use rand::Rng;
+
+/// Preset reducers on top of a network, with answers on their way.
+struct PresetRun {
+    states: Vec<PresetState>,
+    answers: Vec<(ClockTime, usize, PresetEvent)>,
+    served: Vec<u64>,
+    body: std::sync::Arc<[u8]>,
+    in_force: Vec<ClockTime>,
+}
+
+/// Time until a version is in force on every host, with the real preset reducers on top.
+///
+/// The table and the object store are down, so versions and bodies come from peers only; a fetch
+/// takes 20 to 120 ms and one in 50 fails.
+pub fn measure_preset(size: (usize, usize, usize), seed: u64) {
+    let hosts = size.0;
+    let mut network = make_network(size, seed);
+    network.spec.follow_presets = false;
+    run_loaded(&mut network, 15);
+    let new_state = |_| PresetState::new(PresetSettings::default());
+    let mut run = PresetRun {
+        states: (0..hosts).map(new_state).collect(),
+        answers: Vec::new(),
+        served: vec![0; hosts],
+        body: Vec::new().into(),
+        in_force: Vec::new(),
+    };
+    let mut times = Vec::new();
+    for version in 1..=10u64 {
+        network.log.clear();
+        let since = network.now;
+        run.body = format!("body {version}").into_bytes().into();
+        let preset = PresetVersion {
+            version,
+            digest: digest_of(&run.body),
+        };
+        let first = network.rng.random_range(0..hosts);
+        let mut effects = Vec::new();
+        run.states[first].newest = Some(preset);
+        let body = run.body.clone();
+        put_in_force(&mut run.states[first], preset, body, &mut effects);
+        perform_presets(&mut run, &mut network, first, effects);
+        while network.now.since(since) < ClockTime::from_secs(10) {
+            network.run(ClockTime::from_ms(5));
+            step_presets(&mut run, &mut network);
+        }
+        let reached = run.in_force.drain(..);
+        times.extend(reached.map(|at| at.since(since).as_ms()));
+    }
+    times.sort_unstable();
+    println!(
+        "{hosts} {} {} {} {} {}",
+        percentile(&times, 0.5),
+        percentile(&times, 0.99),
+        percentile(&times, 1.0),
+        run.served.iter().max().copied().unwrap_or(0),
+        10 * hosts - times.len(),
+    );
+}
+
+/// Gives preset reducers what membership heard, due answers and ticks.
+fn step_presets(run: &mut PresetRun, network: &mut FakeNetwork) {
+    let now = network.now;
+    let answers = std::mem::take(&mut run.answers);
+    let (due, later): (Vec<_>, Vec<_>) = answers.into_iter().partition(|(at, _, _)| *at <= now);
+    run.answers = later;
+    let due = due.into_iter().map(|(_, index, event)| (index, event));
+    let mut events: Vec<(usize, PresetEvent)> = due.collect();
+    for (_, index, effect) in network.log.drain(..) {
+        if let MembershipEffect::PresetSeen {
+            host,
+            domain,
+            preset,
+        } = effect
+        {
+            let preset = PresetVersion {
+                version: preset.version,
+                digest: preset.digest,
+            };
+            let event = PresetEvent::PeerVersion {
+                host,
+                domain,
+                preset,
+            };
+            events.push((index, event));
+        }
+    }
+    if now.as_ms() % 250 == 0 {
+        events.extend((0..run.states.len()).map(|index| (index, PresetEvent::Tick)));
+    }
+    for (index, event) in events {
+        let mut out = Vec::new();
+        let state = &mut run.states[index];
+        crocusyard_presets::prelude::reduce(state, now, &mut network.rng, event, &mut out);
+        perform_presets(run, network, index, out);
+    }
+}
+
+fn perform_presets(
+    run: &mut PresetRun,
+    network: &mut FakeNetwork,
+    index: usize,
+    effects: Vec<PresetEffect>,
+) {
+    for effect in effects {
+        match effect {
+            PresetEffect::InForce { .. } => run.in_force.push(network.now),
+            PresetEffect::Announce(PresetVersion { version, digest }) => {
+                let notice = PresetNotice { version, digest };
+                network.give(index, MembershipEvent::PresetKnown(notice));
+            }
+            PresetEffect::FetchBody {
+                call,
+                digest,
+                source: BodySource::Peer(name),
+            } => {
+                let peer = network.hosts.iter().position(|host| host.name == name);
+                let peer = peer.unwrap_or(index);
+                let has = run.states[peer]
+                    .in_force
+                    .is_some_and(|v| v.digest == digest);
+                let failed = network.rng.random_bool(0.02);
+                run.served[peer] += u64::from(has);
+                let body = (has && !failed).then(|| run.body.clone());
+                let wait = ClockTime::from_ms(network.rng.random_range(20..=120));
+                let event = PresetEvent::BodyFetched { call, body };
+                run.answers.push((network.now + wait, index, event));
+            }
+            PresetEffect::FetchBody { call, .. } => {
+                let event = PresetEvent::BodyFetched { call, body: None };
+                run.answers.push((network.now, index, event));
+            }
+            PresetEffect::Table { call, .. } => {
+                let answer = TableAnswer::Failed;
+                let event = PresetEvent::TableAnswered { call, answer };
+                run.answers.push((network.now, index, event));
+            }
+            _ => {}
+        }
+    }
+}
--- a/crates/membership/src/demand.rs
+++ b/crates/membership/src/demand.rs
@@ -106,7 +106,8 @@
         // No host's part beyond this many entries can be among the smallest positions of the sum.
         let part = entry.models.range((after, Bound::Unbounded));
         for (model, rate) in part.take(DOMAIN_CHUNK) {
-            *sums.entry(*model).or_default() += rate;
+            let sum = sums.entry(*model).or_default();
+            *sum = sum.saturating_add(*rate);
         }
     }
     let entries = next_part(&sums, None, DOMAIN_CHUNK);
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -26,9 +26,11 @@
 //!
 //! # Dissemination
 //!
-//! News (liveness, leaving, presets, leases, crash digests) is sent at once to a few hosts, each of
-//! which does the same when it first hears of it, and is repeated in the following packets
-//! ([`rumours`]). Every packet carries a hash of the sender's view; while views differ, packets also
+//! News (deaths, leaving, leases, crash digests) is sent at once to a few hosts, each of which does
+//! the same when it first hears of it, and is repeated in the following packets ([`rumours`]). A
+//! preset version is sent at once when `PresetKnown` tells that it is in force, and in every packet
+//! from then on; `PresetSeen` tells what peers have in force. Suspicions and refutations are sent at
+//! once by the observer and the refuting host alone. Every packet carries a hash of the sender's view; while views differ, packets also
 //! carry pages of the view, which heals whatever was lost, without a burst.
 //!
 //! Load deltas travel as records of single hosts within a failure domain, and as one summary per
--- a/crates/membership/src/members.rs
+++ b/crates/membership/src/members.rs
@@ -69,7 +69,7 @@
     let silent = update.state != LivenessState::Alive;
     let ahead = update.incarnation > state.incarnation;
     if ahead || (silent && update.incarnation == state.incarnation) {
-        let raised = update.incarnation + 1;
+        let raised = update.incarnation.saturating_add(1);
         invariant!(
             raised > state.incarnation,
             "incarnation_never_falls",
@@ -120,7 +120,7 @@
         return;
     }
     let known = member.observers.iter().any(|known| known.host == observer);
-    // One observer of a failure domain tells as much as two once others are missing.
+    // At most two observers of one failure domain are kept, to leave room for others.
     let same = member
         .observers
         .iter()
--- a/crates/presets/src/state.rs
+++ b/crates/presets/src/state.rs
@@ -31,7 +31,7 @@
     pub confirmed: Option<ClockTime>,
     /// Last contact with a peer of each failure domain that knew no newer version.
     pub contacts: BTreeMap<DomainName, ClockTime>,
-    /// Own failure domain's contact counts like the others'; number of failure domains.
+    /// Number of failure domains with hosts, the own one included.
     pub domains: u32,
     /// Number of other hosts.
     pub hosts: u32,
--- a/crates/wire/src/replay.rs
+++ b/crates/wire/src/replay.rs
@@ -20,7 +20,8 @@
 ///
 /// When full, the sender that was silent longest is dropped, and its incarnation and all lower
 /// ones stay refused for senders without a window. Incarnations start from the wall clock, so a
-/// restarted sender passes that floor.
+/// restarted sender passes that floor. Floors are bounded too: after as many dropped senders again,
+/// all floors are cleared, and old packets of long silent senders could be replayed.
 #[derive(Clone, Debug, Default)]
 pub struct ReplayTable {
     senders: HashMap<HostName, SenderWindow>,
