Plan, send and check open-loop load

The load crate was empty, so no run could show answers under load or the attainment of the time limits.

Callers keep address answers for their time to live, try the next address on a connection error, resume cut streams and repeat keyed calls whose outcome is unknown. Answers are checked token by token, and plain stand-ins are asked which keys ran.

Schedules have millisecond steps, the resolution of ClockTime. Latencies are kept in microseconds because the limits between tokens are tens of milliseconds.

--- /dev/null
+++ b/crates/load/src/report.rs
@@ -0,0 +1,166 @@
+//! The report of a run, as data and as text.
+
+use crate::check::DefectCounts;
+use serde::Serialize;
+use std::collections::BTreeMap;
+use std::fmt::Write;
+
+/// Quantiles of a time.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
+pub struct LatencyReport {
+    /// Number of values.
+    pub count: u64,
+    /// Median, milliseconds.
+    pub p50_ms: f64,
+    /// 95th percentile, milliseconds.
+    pub p95_ms: f64,
+    /// 99th percentile, milliseconds.
+    pub p99_ms: f64,
+    /// Highest value, milliseconds.
+    pub max_ms: f64,
+}
+
+/// Figures of one class of calls.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct ClassReport {
+    /// Request class of chats, or kind of plain calls.
+    pub class: String,
+    /// Calls that were to arrive.
+    pub planned: u64,
+    /// Whole answers.
+    pub whole: u64,
+    /// Whether 95 in 100 first tokens and gaps are within the limits.
+    pub meets_limits: bool,
+    /// Share of the planned calls that met both limits.
+    pub attainment: f64,
+    /// Planned arrival to first token, or to the whole plain answer.
+    pub first: LatencyReport,
+    /// Time between tokens.
+    pub gap: LatencyReport,
+}
+
+/// Figures of the calls that were planned for one second.
+#[derive(Clone, Debug, Default, PartialEq, Serialize)]
+pub struct SecondReport {
+    /// Second of the run.
+    pub second: u64,
+    /// Calls that were to arrive.
+    pub planned: u64,
+    /// Whole answers.
+    pub whole: u64,
+    /// Answers that met the limits.
+    pub met: u64,
+}
+
+/// Report of a run.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct LoadReport {
+    /// Seed.
+    pub seed: u64,
+    /// Length of the run, seconds.
+    pub took_s: f64,
+    /// Calls that were to arrive.
+    pub planned: u64,
+    /// Whole answers.
+    pub whole: u64,
+    /// Calls dropped because too many were in progress.
+    pub dropped: u64,
+    /// Calls that had not ended when the run stopped.
+    pub unfinished: u64,
+    /// Calls a second that met the limits.
+    pub goodput: f64,
+    /// Tokens a second of calls that met the limits.
+    pub token_goodput: f64,
+    /// Right tokens.
+    pub tokens: u64,
+    /// Repeated tries.
+    pub retries: u64,
+    /// Resumed streams.
+    pub resumes: u64,
+    /// Refusals by code. `connect`, `broken` and `too_many_tries` are the caller's own.
+    pub refusals: BTreeMap<String, u64>,
+    /// Addresses in address answers that were not on loopback and were left out.
+    pub refused_addresses: u64,
+    /// Defects.
+    pub defects: DefectCounts,
+    /// Whether the plain stand-ins were asked which calls ran.
+    pub runs_checked: bool,
+    /// Classes.
+    pub classes: Vec<ClassReport>,
+    /// Seconds.
+    pub seconds: Vec<SecondReport>,
+}
+
+impl LoadReport {
+    /// Writes the report as text.
+    pub fn to_text(&self) -> String {
+        let mut text = format!(
+            "{:<12} {:>8} {:>8} {:>8} {:>9} {:>9} {:>9} {:>9} {:>6}\n",
+            "class",
+            "planned",
+            "whole",
+            "attained",
+            "first p50",
+            "first p95",
+            "gap p50",
+            "gap p95",
+            "limits"
+        );
+        for class in &self.classes {
+            let limits = if class.meets_limits { "met" } else { "missed" };
+            // Writing to a string cannot fail.
+            let _ = writeln!(
+                text,
+                "{:<12} {:>8} {:>8} {:>7.1}% {:>9.1} {:>9.1} {:>9.2} {:>9.2} {:>6}",
+                class.class,
+                class.planned,
+                class.whole,
+                class.attainment * 100.0,
+                class.first.p50_ms,
+                class.first.p95_ms,
+                class.gap.p50_ms,
+                class.gap.p95_ms,
+                limits,
+            );
+        }
+        self.write_totals(&mut text);
+        text
+    }
+
+    fn write_totals(&self, text: &mut String) {
+        let _ = writeln!(
+            text,
+            "times in ms from the planned arrival; seed {}, {:.1} s, goodput {:.1} calls/s and {:.0} \
+             tokens/s",
+            self.seed, self.took_s, self.goodput, self.token_goodput
+        );
+        let _ = writeln!(
+            text,
+            "{} planned, {} whole, {} dropped, {} unfinished, {} retries, {} resumes",
+            self.planned, self.whole, self.dropped, self.unfinished, self.retries, self.resumes
+        );
+        let refusals: Vec<_> = self
+            .refusals
+            .iter()
+            .map(|(code, count)| format!("{code} {count}"))
+            .collect();
+        if !refusals.is_empty() {
+            let _ = writeln!(text, "refusals: {}", refusals.join(", "));
+        }
+        let defects = &self.defects;
+        let _ = write!(
+            text,
+            "answers: {} wrong, {} partial, {} duplicate tokens",
+            defects.wrong, defects.partial, defects.duplicate
+        );
+        let _ = if self.runs_checked {
+            writeln!(
+                text,
+                "; keyed calls: {} ran twice, {} answered but not run",
+                defects.ran_twice, defects.never_ran
+            )
+        } else {
+            writeln!(text, "; runs of keyed calls not checked")
+        };
+    }
+}
--- /dev/null
+++ b/crates/load/tests/figures.rs
@@ -0,0 +1,163 @@
+//! Checks of answers, statistics and address answers.
+
+use crocusyard_base::prelude::*;
+use crocusyard_border::callers::{AddressList, EntryAddress};
+use crocusyard_load::check::check_runs;
+use crocusyard_load::prelude::*;
+use crocusyard_load::stats::quantile;
+use crocusyard_standins::answers::answer_token;
+use std::collections::{BTreeMap, BTreeSet};
+
+fn check_of(indexes: &[u32]) -> StreamCheck {
+    let mut check = StreamCheck::new("chalk", "which", 4);
+    for index in indexes {
+        check.take(&answer_token("chalk", "which", *index));
+    }
+    check
+}
+
+/// Guards against a checker that overlooks wrong, missing, crossed or repeated tokens.
+#[test]
+fn the_stream_check_finds_every_defect() {
+    assert_eq!(check_of(&[0, 1, 2, 3]).defects(true), []);
+    assert_eq!(check_of(&[0, 1, 2]).defects(true), [CallDefect::Partial]);
+    assert_eq!(check_of(&[0, 1, 2]).defects(false), []);
+    let repeated = check_of(&[0, 1, 1, 2, 3]);
+    assert_eq!(repeated.defects(true), [CallDefect::Duplicate]);
+    let skipped = check_of(&[0, 2, 3]).defects(true);
+    assert_eq!(skipped, [CallDefect::Wrong, CallDefect::Partial]);
+    let longer = check_of(&[0, 1, 2, 3, 4]);
+    assert_eq!(longer.defects(true), [CallDefect::Wrong]);
+    let mut crossed = check_of(&[0, 1, 2, 3]);
+    crossed.take(&answer_token("chalk", "another call", 0));
+    assert_eq!(crossed.defects(true), [CallDefect::Wrong]);
+}
+
+/// Guards against a checker that takes another call's answer or a part of one.
+#[test]
+fn the_plain_check_finds_every_defect() {
+    let check = PlainCheck {
+        method: "POST",
+        path: "/orders",
+        query: "",
+        body: "chalk",
+    };
+    let right = br#"{"method":"POST","path":"/orders","query":"","body":"chalk","run":1}"#;
+    assert_eq!(check.defect(right), None);
+    assert_eq!(check.defect(&right[..40]), Some(CallDefect::Partial));
+    assert_eq!(check.defect(b""), Some(CallDefect::Partial));
+    let crossed = br#"{"method":"POST","path":"/orders","query":"","body":"slate","run":1}"#;
+    assert_eq!(check.defect(crossed), Some(CallDefect::Wrong));
+}
+
+/// Guards against calls that ran twice on different instances and against lost calls.
+#[test]
+fn runs_are_added_over_the_instances() {
+    let runs = |pairs: &[(&str, u64)]| -> BTreeMap<String, u64> {
+        pairs
+            .iter()
+            .map(|(key, n)| ((*key).to_owned(), *n))
+            .collect()
+    };
+    let keys =
+        |keys: &[&str]| -> BTreeSet<String> { keys.iter().map(|key| (*key).to_owned()).collect() };
+    let reports = [runs(&[("a", 1), ("other", 2)]), runs(&[("a", 1), ("b", 1)])];
+    let found = check_runs(
+        &reports,
+        &keys(&["a", "b", "c", "d"]),
+        &keys(&["a", "b", "c"]),
+    );
+    assert_eq!(found, (1, 1));
+}
+
+/// Guards against attainment that leaves out refused, late or defective calls.
+#[test]
+fn attainment_counts_every_planned_call() {
+    let at = ClockTime::from_ms(1500);
+    let good = CallResult {
+        is_whole: true,
+        first_us: Some(200_000),
+        gaps_us: vec![40_000; 19].into_iter().chain([90_000]).collect(),
+        tokens: 21,
+        ..CallResult::default()
+    };
+    let late = CallResult {
+        first_us: Some(1_800_000),
+        ..good.clone()
+    };
+    let slow = CallResult {
+        gaps_us: vec![47_000; 20],
+        ..good.clone()
+    };
+    let refused = CallResult {
+        refusals: vec!["queue_full".to_owned()],
+        ..CallResult::default()
+    };
+    let wrong = CallResult {
+        is_whole: false,
+        defects: vec![CallDefect::Wrong],
+        ..good.clone()
+    };
+    let mut stats = LoadStats::default();
+    for result in [&good, &late, &slow, &refused, &wrong] {
+        stats.plan("interactive", at);
+        stats.add("interactive", at, result);
+    }
+    stats.plan("interactive", at);
+    let report = stats.report(1, ClockTime::from_secs(2));
+    let class = &report.classes[0];
+    assert_eq!((class.planned, class.whole), (6, 3));
+    assert!((class.attainment - 1.0 / 6.0).abs() < 1e-9);
+    assert!(!class.meets_limits);
+    assert!((report.goodput - 0.5).abs() < 1e-9);
+    assert_eq!(report.refusals["queue_full"], 1);
+    assert_eq!(report.defects.wrong, 1);
+    assert_eq!(report.seconds[1].planned, 6);
+}
+
+/// Guards against a quantile that is off by one rank or fails without values.
+#[test]
+fn quantiles_take_the_nearest_rank() {
+    let values: Vec<u64> = (1..=20).rev().collect();
+    assert_eq!(quantile(&values, 0.95), 19);
+    assert_eq!(quantile(&values, 1.0), 20);
+    assert_eq!(quantile(&[], 0.95), 0);
+}
+
+/// Guards against stale or weightless addresses, failed ones taken again, and ones off loopback.
+#[test]
+fn the_address_book_follows_the_answer() {
+    let entry = |address: &str, weight| EntryAddress {
+        address: address.to_owned(),
+        weight,
+        domain: "plaza-mayor".to_owned(),
+    };
+    let list = AddressList {
+        addresses: vec![
+            entry("127.0.0.1:1", 3),
+            entry("127.0.0.1:2", 1),
+            entry("127.0.0.1:3", 0),
+            entry("192.0.2.1:4", 9),
+        ],
+        ttl_ms: 500,
+    };
+    let mut book = AddressBook::default();
+    book.keep("model=a", &list, ClockTime::from_ms(100));
+    assert!(book.holds("model=a", ClockTime::from_ms(599)));
+    assert!(!book.holds("model=a", ClockTime::from_ms(600)));
+    assert!(!book.holds("model=b", ClockTime::from_ms(100)));
+    assert_eq!(book.refused(), 1);
+    let mut random = crocusyard_base::random::seeded_rng(1);
+    let mut ports = BTreeMap::new();
+    for _ in 0..1000 {
+        let chosen = book.choose("model=a", &[], &mut random).expect("address");
+        *ports.entry(chosen.port()).or_insert(0) += 1;
+    }
+    assert_eq!(ports.len(), 2);
+    assert!((700..800).contains(&ports[&1]), "{ports:?}");
+    let tried = ["127.0.0.1:1".parse().expect("address")];
+    let next = book
+        .choose("model=a", &tried, &mut random)
+        .expect("address");
+    assert_eq!(next.port(), 2);
+}
