Add the load command

The load generator could be used from tests only. The command takes the plan from its options, prints a progress line a second to standard error and a table at the end, and writes JSON and an SVG plot if asked. It exits with 4 if an answer was wrong, so that scripts notice.

Models default to what the host lists; services and tenants have no public list and must be named. Addresses off loopback are refused, from the options and from address answers.

--- a/crates/cli/src/arguments.rs
+++ b/crates/cli/src/arguments.rs
@@ -4,6 +4,7 @@
 //! of the options.
 
 use argh::FromArgs;
+use crocusyard_load::prelude::{ArrivalShape, MixShares};
 use std::net::SocketAddr;
 
 /// Serves hundreds of language models and adapters from fewer accelerators.
@@ -20,7 +21,8 @@
             CROCUSYARD_OPERATOR_KEY.",
     error_code(1, "The command failed."),
     error_code(2, "A file has problems, which are listed."),
-    error_code(3, "Another change of the presets came first; its diff is shown.")
+    error_code(3, "Another change of the presets came first; its diff is shown."),
+    error_code(4, "A load run found wrong, partial or duplicate answers.")
 )]
 pub struct CliArguments {
     /// address and port of an entry host (127.0.0.1:7000 by default)
@@ -60,6 +62,8 @@
     Ask(AskCommand),
     /// Planned stop.
     Drain(DrainHostCommand),
+    /// Load on hosts.
+    Load(LoadCommand),
 }
 
 /// Run an entry host until it is told to stop.
@@ -198,3 +202,66 @@
 #[derive(Clone, Debug, PartialEq, FromArgs)]
 #[argh(subcommand, name = "drain")]
 pub struct DrainHostCommand {}
+
+/// Send open-loop load to entry hosts on loopback addresses and check the answers.
+///
+/// Targets must be the stand-ins, whose answers can be checked. Each run needs a seed that the
+/// deployment has not seen, because the seed makes the keys of calls that may run only once.
+#[derive(Clone, Debug, PartialEq, FromArgs)]
+#[argh(subcommand, name = "load")]
+pub struct LoadCommand {
+    /// entry host that is asked for addresses; may be repeated (--host by default)
+    #[argh(option)]
+    pub entry: Vec<SocketAddr>,
+    /// plain service stand-in that is asked at the end which calls ran; may be repeated
+    #[argh(option)]
+    pub plain: Vec<SocketAddr>,
+    /// arrivals: constant, poisson, bursty, day or shift (poisson by default)
+    #[argh(option, default = "ArrivalShape::Poisson")]
+    pub shape: ArrivalShape,
+    /// mean arrival rate, calls a second (20 by default)
+    #[argh(option, default = "20.0")]
+    pub rate: f64,
+    /// time in which calls arrive, seconds (10 by default, at most 3600)
+    #[argh(option, default = "10")]
+    pub seconds: u64,
+    /// most calls (100000 by default)
+    #[argh(option, default = "100_000")]
+    pub calls: usize,
+    /// seed of the schedule (1 by default)
+    #[argh(option, default = "1")]
+    pub seed: u64,
+    /// model or adapter, most popular first; may be repeated (all that the host lists by default)
+    #[argh(option)]
+    pub model: Vec<String>,
+    /// plain service, most popular first; may be repeated
+    #[argh(option)]
+    pub service: Vec<String>,
+    /// tenant, most active first; may be repeated
+    #[argh(option)]
+    pub tenant: Vec<String>,
+    /// exponent of the Zipf distributions of models, services and tenants (1 by default)
+    #[argh(option, default = "1.0")]
+    pub skew: f64,
+    /// shares of chats, plain reads and keyed calls (70,20,10 by default; 1,0,0 without a service)
+    #[argh(option)]
+    pub mix: Option<MixShares>,
+    /// answer length of small chats, tokens (32 by default)
+    #[argh(option, default = "32")]
+    pub tokens: u32,
+    /// share of chats in class batch, the others being interactive (0 by default)
+    #[argh(option, default = "0.0")]
+    pub batch_share: f64,
+    /// most calls in progress; more are dropped and counted (4096 by default)
+    #[argh(option, default = "4096")]
+    pub in_flight: usize,
+    /// time after the last arrival in which calls may end, seconds (30 by default)
+    #[argh(option, default = "30")]
+    pub drain_seconds: u64,
+    /// file for the report as JSON
+    #[argh(option)]
+    pub json_out: Option<String>,
+    /// file for a plot as SVG
+    #[argh(option)]
+    pub plot: Option<String>,
+}
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -1,6 +1,7 @@
 //! Errors of commands.
 
 use crocusyard_host::prelude::HostError;
+use crocusyard_load::prelude::LoadError;
 use crocusyard_logging::prelude::LoggingError;
 use crocusyard_settings::prelude::SecretError;
 use snafu::Snafu;
@@ -23,6 +24,20 @@
         /// One line for each problem.
         lines: Vec<String>,
     },
+    /// A file cannot be written.
+    #[snafu(display("{file} cannot be written: {source}"))]
+    UnwritableFile {
+        /// File.
+        file: String,
+        /// Cause.
+        source: std::io::Error,
+    },
+    /// A load run cannot be made.
+    #[snafu(display("{source}"))]
+    Load {
+        /// Cause.
+        source: LoadError,
+    },
     /// A key cannot be read.
     #[snafu(display("{name} key: {source}"))]
     MissingKey {
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -1,6 +1,6 @@
 //! The command line of the crocusyard binary.
 //!
-//! `serve` runs an entry host, `check` looks at files, and all other commands talk to the HTTP
+//! `serve` runs an entry host, `check` looks at files, `load` sends checked load, and all other commands talk to the HTTP
 //! interface of a running host. A command gives its output as data ([`CommandOutput`]), so that
 //! only [`main`] prints and exits.
 //!
@@ -12,6 +12,7 @@
 mod client;
 pub mod error;
 pub mod host_entry;
+mod load;
 pub mod output;
 mod preset;
 mod serve;
@@ -55,6 +56,7 @@
             let client = HostClient::for_operators(arguments)?;
             status::run_drain(&client, arguments.json).await
         }
+        CliCommand::Load(command) => load::run_load_command(arguments, command).await,
         CliCommand::Preset(command) => {
             let client = HostClient::for_operators(arguments)?;
             run_preset(&client, &command.action, arguments.json).await
--- /dev/null
+++ b/crates/cli/tests/load.rs
@@ -0,0 +1,32 @@
+//! Command `load`.
+
+use argh::FromArgs;
+use crocusyard_cli::arguments::CliArguments;
+
+fn run(words: &[&str]) -> crocusyard_cli::output::CommandOutput {
+    let arguments = CliArguments::from_args(&["crocusyard"], words).expect("arguments");
+    crocusyard_cli::run(&arguments)
+}
+
+/// Guards against load on other machines, also when it is asked for by the default host.
+#[test]
+fn only_loopback_addresses_are_accepted() {
+    let load = ["load", "--tenant", "plazas"];
+    let direct = run(&[&load[..], &["--entry", "192.0.2.1:7000"]].concat());
+    let default = run(&[&["--host", "192.0.2.1:7000"], &load[..]].concat());
+    let plain = run(&[&load[..], &["--plain", "192.0.2.1:80"]].concat());
+    for output in [direct, default, plain] {
+        assert_eq!(output.code, 1);
+        assert!(output.err.contains("not a loopback address"), "{output:?}");
+    }
+}
+
+/// Guards against shapes and mixes that are silently replaced by a default.
+#[test]
+fn wrong_options_are_refused() {
+    for options in [["--shape", "sine"], ["--mix", "1,2"], ["--mix", "0,0,0"]] {
+        let words = [&["load"], &options[..]].concat();
+        let parsed = CliArguments::from_args(&["crocusyard"], &words);
+        assert!(parsed.is_err(), "{options:?}");
+    }
+}
--- a/crates/load/src/caller.rs
+++ b/crates/load/src/caller.rs
@@ -15,6 +15,7 @@
 use serde::Deserialize;
 use std::cell::RefCell;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 /// Tries of one call, the first and all repeats and resumes included.
@@ -42,46 +43,69 @@
     }
 
     /// Returns the address to use, asking for addresses if no kept answer holds.
-    async fn choose(&self, query: &str, tried: &mut Vec<SocketAddr>) -> Option<SocketAddr> {
-        if !self.book.borrow().holds(query, self.now()) {
-            self.ask(query, tried.last().copied()).await;
+    async fn choose(&self, work: &WorkName, tried: &mut Vec<SocketAddr>) -> Option<SocketAddr> {
+        if !self.book.borrow().holds(&work.key, self.now()) {
+            self.ask(work, tried.last().copied()).await;
         }
         let choose = |tried: &[SocketAddr]| {
             let mut random = self.random.borrow_mut();
-            self.book.borrow().choose(query, tried, &mut random)
+            self.book.borrow().choose(&work.key, tried, &mut random)
         };
         if let Some(address) = choose(tried) {
             return Some(address);
         }
         // Every address failed: the answer is of no use any more.
-        self.book.borrow_mut().forget(query);
-        self.ask(query, tried.last().copied()).await;
+        self.book.borrow_mut().forget(&work.key);
+        self.ask(work, tried.last().copied()).await;
         tried.clear();
         choose(tried)
     }
 
-    async fn ask(&self, query: &str, last: Option<SocketAddr>) {
-        let last = last
-            .map(|address| format!("&last={address}"))
-            .unwrap_or_default();
+    async fn ask(&self, work: &WorkName, last: Option<SocketAddr>) {
+        let mut query = vec![(work.kind, work.name.to_string())];
+        query.extend(last.map(|address| ("last", address.to_string())));
         for entry in &self.entries {
-            let url = format!("http://{entry}/v1/addresses?{query}{last}");
-            let Ok(mut response) = self.client.get(url).send().await else {
+            let request = self.client.get(format!("http://{entry}/v1/addresses"));
+            let Ok(request) = request.query(&query) else {
+                return;
+            };
+            let Ok(mut response) = request.send().await else {
                 continue;
             };
             if let Ok(list) = response.json::<AddressList>().await {
-                self.book.borrow_mut().keep(query, &list, self.now());
+                self.book.borrow_mut().keep(&work.key, &list, self.now());
                 return;
             }
         }
     }
 }
 
+/// The model or service for which addresses are asked.
+struct WorkName {
+    kind: &'static str,
+    name: Arc<str>,
+    /// Key of the answer in the address book.
+    key: String,
+}
+
+impl WorkName {
+    fn of(call: &PlannedCall) -> Self {
+        let (kind, name) = match &call.kind {
+            CallKind::Chat { model, .. } => ("model", model.clone()),
+            CallKind::Get { service, .. } | CallKind::Post { service, .. } => {
+                ("service", service.clone())
+            }
+        };
+        let key = format!("{kind}={name}");
+        Self { kind, name, key }
+    }
+}
+
 /// A call in progress.
 struct RunningCall<'a> {
     shared: &'a CallerShared,
     call: &'a PlannedCall,
-    query: String,
+    work: WorkName,
     tried: Vec<SocketAddr>,
     result: CallResult,
 }
@@ -104,16 +128,10 @@
 
 /// Makes a call to its end.
 pub(crate) async fn make_call(shared: &CallerShared, call: &PlannedCall) -> CallResult {
-    let query = match &call.kind {
-        CallKind::Chat { model, .. } => format!("model={model}"),
-        CallKind::Get { service, .. } | CallKind::Post { service, .. } => {
-            format!("service={service}")
-        }
-    };
     let mut running = RunningCall {
         shared,
         call,
-        query,
+        work: WorkName::of(call),
         tried: Vec::new(),
         result: CallResult::default(),
     };
@@ -150,7 +168,7 @@
 
     /// Chooses an address; a call that finds none is tried again later.
     async fn choose(&mut self) -> Result<SocketAddr, TryEnd> {
-        let address = self.shared.choose(&self.query, &mut self.tried).await;
+        let address = self.shared.choose(&self.work, &mut self.tried).await;
         address.ok_or_else(|| {
             self.refuse("no_address");
             self.retry(RETRY_PAUSE)
--- a/crates/load/src/plan.rs
+++ b/crates/load/src/plan.rs
@@ -153,6 +153,7 @@
         let is_rate = self.rate > 0.0 && self.rate <= RATE_MAX;
         let is_calls = (1..=CALLS_MAX).contains(&self.calls);
         let is_span = self.span > ClockTime::ZERO && self.span <= SPAN_MAX;
+        let is_drain = self.drain <= SPAN_MAX;
         let is_tokens = (1..=TOKENS_MAX).contains(&self.tokens);
         let is_skew = self.skew.is_finite() && self.skew >= 0.0;
         let expected = "the rate must be above 0 and at most 20000 calls a second";
@@ -161,6 +162,8 @@
         ensure!(is_calls, WrongPlanSnafu { expected });
         let expected = "the span must be above 0 and at most an hour";
         ensure!(is_span, WrongPlanSnafu { expected });
+        let expected = "the time to end must be at most an hour";
+        ensure!(is_drain, WrongPlanSnafu { expected });
         let expected = "the answer length must be 1 to 4096 tokens";
         ensure!(is_tokens, WrongPlanSnafu { expected });
         let expected = "the skew must be at least 0";
