Return engine connections to the pool after a stream

Every streamed request opened a new connection to its engine (68 connects for 69 requests in a trace of the host). The reader stopped at the end mark, and a connection whose answer was not read to its end is closed instead of pooled. The first tokens of a stream that follows a pause were also late by 40 ms now and then, because the engine's second small write waited for a delayed acknowledgement on the new connection.

The attempt still reports its end at the end mark, and the rest of the answer is read afterwards, within 500 ms. Reading on before the report was ruled out, because an engine that keeps the answer open would delay the end.

--- a/crates/targets/src/attempt.rs
+++ b/crates/targets/src/attempt.rs
@@ -10,9 +10,12 @@
 use futures_util::StreamExt;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 /// Data of the event that ends a stream.
 const STREAM_END: &str = "[DONE]";
+/// Time in which the answer must end after its end mark; the last bytes usually come with the mark.
+const REST_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// What an attempt sends.
 #[derive(Clone, Debug)]
@@ -136,12 +139,27 @@
         _ => 0,
     };
     let is_plain = matches!(plan.kind, PlanKind::Plain { .. });
-    let result = match send(&client, address, &plan).await {
-        Err(error) => failed_send(&error),
-        Ok(response) if is_plain => pass_through(response, &report).await,
-        Ok(response) => read_stream(response, first, &report).await,
+    let mut response = match send(&client, address, &plan).await {
+        Ok(response) => response,
+        Err(error) => return report(AttemptChange::Ended(failed_send(&error))),
+    };
+    let result = if is_plain {
+        pass_through(&mut response, &report).await
+    } else {
+        read_stream(&mut response, first, &report).await
     };
     report(AttemptChange::Ended(result));
+    if matches!(result, AttemptResult::Complete { .. }) {
+        read_rest(response).await;
+    }
+}
+
+/// Reads what follows the end mark of a stream. Only a connection whose answer was read to its end
+/// goes back to the pool.
+async fn read_rest(mut response: EngineResponse) {
+    let rest = async { while let Some(Ok(_)) = response.next().await {} };
+    // A target that keeps the answer open after its end mark loses the connection.
+    let _ = actix_rt::time::timeout(REST_TIMEOUT, rest).await;
 }
 
 type EngineResponse = ClientResponse;
@@ -201,7 +219,7 @@
 }
 
 async fn pass_through(
-    mut response: EngineResponse,
+    response: &mut EngineResponse,
     report: &impl Fn(AttemptChange),
 ) -> AttemptResult {
     let head = ResponseHead {
@@ -221,7 +239,7 @@
 }
 
 async fn read_stream(
-    response: EngineResponse,
+    response: &mut EngineResponse,
     first: u32,
     report: &impl Fn(AttemptChange),
 ) -> AttemptResult {
