Give every host process a catalogue file of its own

With nine hosts, some failed to start with a catalogue without any keys: the file was written anew for each host, and was empty for a moment while the host before still read it.

--- a/crates/testbed/src/process.rs
+++ b/crates/testbed/src/process.rs
@@ -137,7 +137,9 @@
     /// Starts the process of the host with an index.
     pub fn spawn_host(&self, index: usize, settings: &str) -> Result<ProcessHandle, Whatever> {
         let host = &self.addresses[index];
-        let catalog = self.folder.join("catalog.yaml");
+        // One file for each host: a shared one would be empty for a moment while the next host is
+        // started and the one before still reads it.
+        let catalog = self.folder.join(format!("{}-catalog.yaml", host.name));
         std::fs::write(&catalog, canonical_body(&self.catalog))
             .whatever_context("catalogue cannot be written")?;
         let file = self.folder.join(format!("{}.yaml", host.name));
