Read the load of targets in use often and of the others seldom

Cause: every host read every target's load twice a second. At the planned size that would be 2,800 reads a second for one host, far beyond the 23 KB/s that control may cost. Ruled out: passing full load reports on between hosts, since 1,400 reports do not fit the byte budget either; a longer interval for all, since stale reports of the targets in use cause herding. Change: a pure schedule in the routing crate with a limit of reads a second, targets in use first; the key requests.load_polls sets the limit. Conclusion: residency of targets that a host does not use lags by up to a minute at the planned size; docs/CAPACITY.md has to name what carries it.

--- a/crates/host/src/actor.rs
+++ b/crates/host/src/actor.rs
@@ -18,6 +18,7 @@
 use crocusyard_metrics::prelude::*;
 use crocusyard_platform::prelude::*;
 use crocusyard_requests::prelude::*;
+use crocusyard_routing::prelude::PollSchedule;
 use crocusyard_settings::prelude::*;
 use crocusyard_targets::prelude::*;
 use std::collections::HashMap;
@@ -30,6 +31,8 @@
 /// Time between two ticks of the reducer; retries and time limits are rounded up to it.
 const TICK_INTERVAL: Duration = Duration::from_millis(20);
 
+/// Time between two looks at which targets' load is to be read.
+const LOAD_POLL_STEP: Duration = Duration::from_millis(50);
 /// Time between two reads of an engine's cache events.
 const CACHE_POLL: Duration = Duration::from_secs(1);
 
@@ -100,6 +103,7 @@
     pub(crate) gossip_task: Option<actix_rt::task::JoinHandle<()>>,
     pub(crate) peer_key: Arc<str>,
     pub(crate) bodies: BodyCache,
+    pub(crate) polls: PollSchedule,
     /// Last cache event read of each engine.
     pub(crate) cache_next: HashMap<TargetName, u64>,
     pub(crate) accepts: AcceptWaiters,
@@ -114,6 +118,7 @@
     /// Makes the actor.
     pub fn new(parts: HostParts) -> Self {
         let (sender, receiver) = mpsc::unbounded_channel();
+        let rhythm = crate::polling::poll_rhythm(&parts.settings);
         Self {
             settings: parts.settings,
             state: parts.state,
@@ -127,6 +132,7 @@
             gossip_task: None,
             peer_key: parts.peer_key,
             bodies: BodyCache::default(),
+            polls: PollSchedule::new(rhythm),
             cache_next: HashMap::new(),
             accepts: AcceptWaiters::new(),
             drain_wish: parts.drain_wish,
@@ -185,6 +191,8 @@
         let tenants = catalog.tenants.iter().map(|tenant| &tenant.name);
         let classes = catalog.classes.iter().map(|class| &class.name);
         self.metrics.declare_names(tenants, classes);
+        self.polls
+            .set_targets(catalog.targets.iter().map(|target| &target.name));
         self.catalog.replace(catalog);
     }
 }
@@ -200,9 +208,8 @@
         context.run_interval(TICK_INTERVAL, |actor, context| {
             actor.feed(HostEvent::Tick, context);
         });
-        let poll = Duration::from_millis(self.settings.requests.load_poll_ms.as_ms());
         self.poll_targets(context);
-        context.run_interval(poll, Self::poll_targets);
+        context.run_interval(LOAD_POLL_STEP, Self::poll_targets);
         let listing = Duration::from_millis(self.settings.platform.host_poll_ms.as_ms());
         self.poll_hosts(context);
         context.run_interval(listing, Self::poll_hosts);
--- a/crates/host/src/effects.rs
+++ b/crates/host/src/effects.rs
@@ -114,6 +114,8 @@
         target: TargetName,
         resume: Option<(AttemptId, u32)>,
     ) {
+        let now = self.now();
+        self.polls.note_used(now, &target);
         let Some(address) = self.address_of(&target) else {
             return;
         };
--- a/crates/host/src/polling.rs
+++ b/crates/host/src/polling.rs
@@ -9,18 +9,36 @@
 use crocusyard_core::prelude::*;
 use crocusyard_membership::prelude::ListedHost;
 use crocusyard_routing::prelude::*;
+use crocusyard_settings::prelude::HostSettings;
 use crocusyard_targets::management::{read_cache_events, read_load};
 use std::time::Duration;
 
+/// Ratio of the rhythm of idle targets to that of targets in use.
+const IDLE_FACTOR: f64 = 4.0;
+/// Time for which a target counts as in use after an attempt was sent to it.
+const USE_HOLD: ClockTime = ClockTime::from_secs(10);
+
+/// Returns the rhythm of load reads that the settings ask for.
+pub(crate) fn poll_rhythm(settings: &HostSettings) -> PollRhythm {
+    let used = settings.requests.load_poll_ms;
+    PollRhythm {
+        used,
+        idle: used.scale(IDLE_FACTOR),
+        hold: USE_HOLD,
+        rate: f64::from(settings.requests.load_polls),
+    }
+}
+
 impl HostActor {
-    /// Reads the load of every target.
+    /// Reads the load of the targets that are due.
     pub(crate) fn poll_targets(&mut self, context: &mut Context<Self>) {
         let timeout = Duration::from_millis(self.settings.requests.load_poll_ms.as_ms());
-        let catalog = self.state.catalog.catalog.clone();
-        for spec in &catalog.targets {
-            let client = self.pools.client(spec.address);
-            let target = spec.name.clone();
-            let address = spec.address;
+        let now = self.now();
+        for target in self.polls.take_due(now) {
+            let Some(address) = self.address_of(&target) else {
+                continue;
+            };
+            let client = self.pools.client(address);
             let actor = context.address();
             actix_rt::spawn(async move {
                 let status = read_load(&client, address, timeout).await.ok();
--- a/crates/load/tests/figures.rs
+++ b/crates/load/tests/figures.rs
@@ -128,6 +128,7 @@
 #[test]
 fn the_address_book_follows_the_answer() {
     let entry = |address: &str, weight| EntryAddress {
+        host: String::new(),
         address: address.to_owned(),
         weight,
         domain: "plaza-mayor".to_owned(),
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -5,6 +5,7 @@
 mod choose;
 mod index;
 mod load;
+pub mod polling;
 pub mod prefix;
 pub mod query;
 pub mod report;
@@ -17,6 +18,7 @@
         AddressAnswer, AddressQuery, EntryAddress, EntryHost, EntryRing, RingTuning,
         RingTuningBuilder,
     };
+    pub use crate::polling::{PollRhythm, PollSchedule};
     pub use crate::prefix::{CacheBatch, CacheEvent, CacheProgress};
     pub use crate::query::{RouteChoice, RouteQuery, WorkKind};
     pub use crate::report::{CopyState, LoadDelta, LoadReport, ResidentCopy};
--- /dev/null
+++ b/crates/routing/src/polling.rs
@@ -0,0 +1,101 @@
+//! Which targets' load is read next.
+//!
+//! Reading every target at the shortest interval would cost a host at the planned size more than
+//! all its control traffic may. Targets that a host sends work to are therefore read often and the
+//! others seldom, within a limit of reads a second. The address answers concentrate the requests of
+//! a model on a few hosts, so the targets that matter to one host are few.
+
+use crocusyard_base::prelude::*;
+use std::collections::BTreeMap;
+
+/// Rhythm of the reads.
+#[derive(Clone, Copy, Debug)]
+pub struct PollRhythm {
+    /// Time between two reads of a target that is in use.
+    pub used: ClockTime,
+    /// Time between two reads of any other target.
+    pub idle: ClockTime,
+    /// Time for which a target counts as in use after an attempt was sent to it.
+    pub hold: ClockTime,
+    /// Reads a second over all targets.
+    pub rate: f64,
+}
+
+/// Polling state of one target.
+#[derive(Clone, Copy, Debug, Default)]
+struct PollEntry {
+    read: Option<ClockTime>,
+    used: Option<ClockTime>,
+}
+
+/// Schedule of the reads of all targets.
+#[derive(Clone, Debug)]
+pub struct PollSchedule {
+    rhythm: PollRhythm,
+    entries: BTreeMap<TargetName, PollEntry>,
+    tokens: f64,
+    filled: ClockTime,
+}
+
+impl PollSchedule {
+    /// Makes an empty schedule.
+    pub fn new(rhythm: PollRhythm) -> Self {
+        Self {
+            rhythm,
+            entries: BTreeMap::new(),
+            tokens: rhythm.rate,
+            filled: ClockTime::ZERO,
+        }
+    }
+
+    /// Sets the targets; what is known of those that remain is kept.
+    pub fn set_targets<'a>(&mut self, targets: impl Iterator<Item = &'a TargetName>) {
+        let mut known = std::mem::take(&mut self.entries);
+        for target in targets {
+            let entry = known.remove(target).unwrap_or_default();
+            self.entries.insert(target.clone(), entry);
+        }
+    }
+
+    /// Notes that work is sent to a target.
+    pub fn note_used(&mut self, now: ClockTime, target: &TargetName) {
+        if let Some(entry) = self.entries.get_mut(target) {
+            entry.used = Some(now);
+        }
+    }
+
+    /// Returns the targets to read now, those in use first and then those not read for longest.
+    pub fn take_due(&mut self, now: ClockTime) -> Vec<TargetName> {
+        self.fill(now);
+        let mut due: Vec<(bool, Option<ClockTime>, TargetName)> = Vec::new();
+        for (target, entry) in &self.entries {
+            let in_use = entry
+                .used
+                .is_some_and(|used| now.since(used) < self.rhythm.hold);
+            let interval = if in_use {
+                self.rhythm.used
+            } else {
+                self.rhythm.idle
+            };
+            if entry.read.is_none_or(|read| now.since(read) >= interval) {
+                due.push((!in_use, entry.read, target.clone()));
+            }
+        }
+        due.sort_unstable();
+        due.truncate(self.tokens as usize);
+        self.tokens -= due.len() as f64;
+        for (_, _, target) in &due {
+            if let Some(entry) = self.entries.get_mut(target) {
+                entry.read = Some(now);
+            }
+        }
+        due.into_iter().map(|(_, _, target)| target).collect()
+    }
+
+    /// Adds the reads that have become allowed; at most those of one second are saved up.
+    fn fill(&mut self, now: ClockTime) {
+        let elapsed = now.since(self.filled).as_ms() as f64 / 1000.0;
+        self.filled = now;
+        self.tokens = (self.tokens + elapsed * self.rhythm.rate).min(self.rhythm.rate.max(1.0));
+    }
+}
--- a/crates/settings/src/sections.rs
+++ b/crates/settings/src/sections.rs
@@ -205,8 +205,10 @@
     pub probe_timeout_ms: ClockTime,
     /// Time between two comments on a stream that carries nothing else.
     pub keepalive_ms: ClockTime,
-    /// Time between two reads of a target's load report.
+    /// Time between two reads of the load report of a target in use; of others four times that.
     pub load_poll_ms: ClockTime,
+    /// Reads of load reports a second over all targets.
+    pub load_polls: u32,
     /// Attempts of one request, the first included.
     pub attempts: u32,
     /// Retries as a share of requests.
@@ -227,6 +229,8 @@
             probe_timeout_ms: ClockTime::from_ms(500),
             keepalive_ms: ClockTime::from_ms(5000),
             load_poll_ms: ClockTime::from_ms(500),
+            // Leaves half of the 23 KB/s for control to the messages between hosts.
+            load_polls: 25,
             attempts: 3,
             // Attempts stay at 1.1 times the requests or less in a full outage.
             retry_budget: 0.1,
