Give every settings key its effect, and drop two that had none

Cause: connect, object store and host list time limits, the renewal of the lease and the ping times were read but not used. Ruled out: keeping keys for later; an operator would set them in vain. Change: the keys reach their features; indirect_pings and summary_interval_ms are gone, since membership fixes both by measurement; ping defaults are those that were measured (250 and 500 ms); the retry budget's default is 0.09, which with the reserve stays at 1.1 attempts a request. Tests changed: the rule that a ping time-out is at most half of the interval contradicted the measured defaults; it is replaced by one that gives a suspect two ping time-outs to refute.

--- a/crates/host/src/actor.rs
+++ b/crates/host/src/actor.rs
@@ -119,13 +119,15 @@
     pub fn new(parts: HostParts) -> Self {
         let (sender, receiver) = mpsc::unbounded_channel();
         let rhythm = crate::polling::poll_rhythm(&parts.settings);
+        let connect_ms = parts.settings.requests.connect_timeout_ms.as_ms();
+        let connect_timeout = Duration::from_millis(connect_ms);
         Self {
             settings: parts.settings,
             state: parts.state,
             platform: parts.platform,
             catalog: parts.catalog,
             metrics: parts.metrics,
-            pools: TargetPools::new(sender),
+            pools: TargetPools::new(sender, connect_timeout),
             requests: HashMap::new(),
             attempts: HashMap::new(),
             gossip: parts.gossip,
--- a/crates/host/src/feature_settings.rs
+++ b/crates/host/src/feature_settings.rs
@@ -44,6 +44,8 @@
         unix_ms(),
     );
     MembershipSettings {
+        tick: section.ping_interval_ms,
+        probe_timeout: section.ping_timeout_ms,
         suspicion: section.suspicion_ms,
         budget_rate: (f64::from(section.budget_bytes) * SENT_SHARE) as u64,
         ..base
@@ -62,6 +64,7 @@
 fn move_settings(settings: &HostSettings) -> MoveSettings {
     MoveSettings {
         lease_length: settings.lease.length_ms,
+        renew: settings.lease.renew_ms,
         drift: settings.lease.drift,
         table_timeout: settings.platform.table_timeout_ms,
         order_lateness: settings.lease.order_lateness_ms,
--- a/crates/host/src/operators.rs
+++ b/crates/host/src/operators.rs
@@ -13,7 +13,7 @@
 use crocusyard_catalog::prelude::*;
 use crocusyard_core::planning::check_preset;
 use crocusyard_core::prelude::PresetBody;
-use crocusyard_platform::prelude::PlatformClient;
+use crocusyard_platform::prelude::{PlatformAddresses, PlatformClient, PlatformTimeouts};
 use crocusyard_presets::prelude::*;
 use serde::Deserialize;
 use std::sync::Arc;
@@ -36,14 +36,14 @@
 /// How to make a platform client; a client cannot be shared between threads.
 #[derive(Clone, Copy)]
 pub(crate) struct PlatformOptions {
-    pub(crate) addresses: crocusyard_platform::PlatformAddresses,
-    pub(crate) timeout: std::time::Duration,
+    pub(crate) addresses: PlatformAddresses,
+    pub(crate) timeouts: PlatformTimeouts,
 }
 
 impl PlatformOptions {
     /// Makes a client for the current thread.
     pub(crate) fn client(&self) -> PlatformClient {
-        PlatformClient::new(self.addresses, self.timeout)
+        PlatformClient::new(self.addresses, self.timeouts)
     }
 }
 
--- a/crates/host/src/serve.rs
+++ b/crates/host/src/serve.rs
@@ -195,7 +195,11 @@
             objects: settings.platform.objects,
             hosts: settings.platform.hosts,
         },
-        timeout: Duration::from_millis(settings.platform.table_timeout_ms.as_ms()),
+        timeouts: PlatformTimeouts {
+            table: Duration::from_millis(settings.platform.table_timeout_ms.as_ms()),
+            objects: Duration::from_millis(settings.platform.object_timeout_ms.as_ms()),
+            hosts: Duration::from_millis(settings.platform.host_timeout_ms.as_ms()),
+        },
     }
 }
 
--- a/crates/moves/src/state.rs
+++ b/crates/moves/src/state.rs
@@ -19,6 +19,8 @@
     pub region: RegionName,
     /// Length of the lease.
     pub lease_length: ClockTime,
+    /// Time after which the holder renews.
+    pub renew: ClockTime,
     /// Largest relative error of a monotonic clock against true time.
     pub drift: f64,
     /// Time after which the answer to a table call counts as lost.
@@ -50,6 +52,7 @@
             host,
             region,
             lease_length: ClockTime::from_secs(10),
+            renew: ClockTime::from_ms(3300),
             drift: 0.01,
             table_timeout: ClockTime::from_secs(2),
             table_backoff_max: ClockTime::from_secs(20),
--- a/crates/moves/src/store.rs
+++ b/crates/moves/src/store.rs
@@ -12,9 +12,6 @@
 /// First pause after a failed table call.
 const BACKOFF_FIRST: ClockTime = ClockTime::from_ms(200);
 
-/// Part of the lease length after which the holder renews.
-const RENEW_PART: f64 = 0.33;
-
 /// A transaction, which always rewrites the lease row.
 #[derive(Clone, Debug, PartialEq)]
 pub(crate) struct WriteBatch {
@@ -84,7 +81,7 @@
             }
         }
         LeaseState::Held { row, scanned, .. } => {
-            let renew = context.now >= row.sent + row.length.scale(RENEW_PART);
+            let renew = context.now >= row.sent + state.settings.renew;
             if !*scanned && !renew {
                 scan(state, context, out);
                 return;
@@ -325,8 +322,7 @@
         }
         // A take that was sent long ago would be granted from then on, so it is made anew. If the
         // old one takes effect after all, this host sees a row that it does not recognise and waits.
-        let length = batch.row.length;
-        let stale = batch.takes && context.now >= batch.row.sent + length.scale(RENEW_PART);
+        let stale = batch.takes && context.now >= batch.row.sent + state.settings.renew;
         if version == batch.version && !stale {
             // The write may still be on its way. The same transaction is sent again, so that at
             // most one of the two takes effect and either one is recognised.
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -19,7 +19,7 @@
 
 /// The common names of this crate.
 pub mod prelude {
-    pub use crate::{PlatformAddresses, PlatformClient, PlatformError};
+    pub use crate::{PlatformAddresses, PlatformClient, PlatformError, PlatformTimeouts};
 }
 
 /// Largest answer of the platform.
@@ -53,25 +53,36 @@
     pub hosts: SocketAddr,
 }
 
+/// Time limits of one call to each service.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PlatformTimeouts {
+    /// Table service.
+    pub table: Duration,
+    /// Object store.
+    pub objects: Duration,
+    /// Host list.
+    pub hosts: Duration,
+}
+
 /// Client of the platform; clones share connections.
 #[derive(Clone)]
 pub struct PlatformClient {
     client: Client,
     addresses: PlatformAddresses,
-    timeout: Duration,
+    timeouts: PlatformTimeouts,
 }
 
 impl PlatformClient {
-    /// Makes a client whose calls take at most `timeout`.
-    pub fn new(addresses: PlatformAddresses, timeout: Duration) -> Self {
+    /// Makes a client.
+    pub fn new(addresses: PlatformAddresses, timeouts: PlatformTimeouts) -> Self {
         let client = Client::builder()
-            .timeout(timeout)
+            .disable_timeout()
             .disable_redirects()
             .finish();
         Self {
             client,
             addresses,
-            timeout,
+            timeouts,
         }
     }
 
@@ -91,14 +102,20 @@
     /// Reads an object; `None` if there is none.
     pub async fn get_object(&self, key: &str) -> Result<Option<Bytes>, PlatformError> {
         let url = format!("http://{}/objects/{key}", self.addresses.objects);
-        let mut response = self.client.get(url).send().await.map_err(unreachable)?;
+        let mut response = self
+            .client
+            .get(url)
+            .timeout(self.timeouts.objects)
+            .send()
+            .await
+            .map_err(unreachable)?;
         match response.status().as_u16() {
             200 => {}
             404 => return Ok(None),
             status => return Err(PlatformError::Status { status }),
         }
         let body = response.body().limit(BODY_LIMIT);
-        match actix_rt::time::timeout(self.timeout, body).await {
+        match actix_rt::time::timeout(self.timeouts.objects, body).await {
             Ok(Ok(object)) => Ok(Some(object)),
             Ok(Err(error)) => Err(PlatformError::Unreachable {
                 reason: error.to_string(),
@@ -127,25 +144,35 @@
     /// Reads the host list.
     pub async fn list_hosts(&self) -> Result<HostListing, PlatformError> {
         let url = format!("http://{}/hosts", self.addresses.hosts);
-        let response = self.client.get(url).send().await.map_err(unreachable)?;
+        let timeout = self.timeouts.hosts;
+        let response = self
+            .client
+            .get(url)
+            .timeout(timeout)
+            .send()
+            .await
+            .map_err(unreachable)?;
         if !response.status().is_success() {
             return Err(PlatformError::Status {
                 status: response.status().as_u16(),
             });
         }
-        self.read_json(response).await.ok_or_else(timed_out)
+        self.read_json(response, timeout)
+            .await
+            .ok_or_else(timed_out)
     }
 
     async fn get_row(&self, key: &str) -> TableAnswer {
         let url = format!("http://{}/table/row", self.addresses.table);
-        let Ok(request) = self.client.get(url).query(&[("key", key)]) else {
+        let timeout = self.timeouts.table;
+        let Ok(request) = self.client.get(url).timeout(timeout).query(&[("key", key)]) else {
             return TableAnswer::Failed;
         };
         let Ok(response) = request.send().await else {
             return TableAnswer::Failed;
         };
         match response.status().as_u16() {
-            200 => match self.read_json::<StoredRow, _>(response).await {
+            200 => match self.read_json::<StoredRow, _>(response, timeout).await {
                 Some(row) => TableAnswer::Row(Some(table_row(row))),
                 None => TableAnswer::Failed,
             },
@@ -159,7 +186,8 @@
         let limit = limit.to_string();
         let mut query = vec![("prefix", prefix), ("limit", &limit)];
         query.extend(after.map(|after| ("after", after)));
-        let Ok(request) = self.client.get(url).query(&query) else {
+        let timeout = self.timeouts.table;
+        let Ok(request) = self.client.get(url).timeout(timeout).query(&query) else {
             return TableAnswer::Failed;
         };
         let Ok(response) = request.send().await else {
@@ -168,7 +196,7 @@
         if !response.status().is_success() {
             return TableAnswer::Failed;
         }
-        match self.read_json::<RowPage, _>(response).await {
+        match self.read_json::<RowPage, _>(response, timeout).await {
             Some(page) => TableAnswer::Rows {
                 rows: page.rows.into_iter().map(table_row).collect(),
                 more: page.more,
@@ -182,7 +210,14 @@
         let body = TableTransaction {
             changes: changes.iter().map(row_write).collect(),
         };
-        let response = match self.client.post(url).send_json(&body).await {
+        let timeout = self.timeouts.table;
+        let response = match self
+            .client
+            .post(url)
+            .timeout(timeout)
+            .send_json(&body)
+            .await
+        {
             Ok(response) => response,
             Err(SendRequestError::Connect(_) | SendRequestError::Url(_)) => {
                 return TableAnswer::Failed;
@@ -195,7 +230,10 @@
             400..=499 | 503 => return TableAnswer::Failed,
             _ => return TableAnswer::Unknown,
         }
-        match self.read_json::<TransactionResult, _>(response).await {
+        match self
+            .read_json::<TransactionResult, _>(response, timeout)
+            .await
+        {
             Some(result) if result.committed => TableAnswer::Committed {
                 versions: result.versions,
             },
@@ -206,13 +244,17 @@
         }
     }
 
-    async fn read_json<T, S>(&self, mut response: awc::ClientResponse<S>) -> Option<T>
+    async fn read_json<T, S>(
+        &self,
+        mut response: awc::ClientResponse<S>,
+        timeout: Duration,
+    ) -> Option<T>
     where
         T: DeserializeOwned,
         S: Stream<Item = Result<Bytes, awc::error::PayloadError>> + Unpin,
     {
         let body = response.json::<T>().limit(BODY_LIMIT);
-        actix_rt::time::timeout(self.timeout, body).await.ok()?.ok()
+        actix_rt::time::timeout(timeout, body).await.ok()?.ok()
     }
 }
 
--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -92,16 +92,11 @@
 
 fn check_membership(settings: &HostSettings, problems: &mut Vec<ValueProblem>) {
     let membership = &settings.membership;
-    // An indirect ping needs a second time-out before the next direct one.
+    // A suspect must have the time of an indirect ping to refute.
     let two_pings = membership.ping_timeout_ms + membership.ping_timeout_ms;
-    if two_pings > membership.ping_interval_ms {
-        let most = membership.ping_interval_ms.as_ms() / 2;
-        let expected = format!("at most {most}, half of membership.ping_interval_ms");
-        problems.push(ValueProblem::new("membership.ping_timeout_ms", expected));
-    }
-    if membership.suspicion_ms < membership.ping_interval_ms {
-        let least = membership.ping_interval_ms.as_ms();
-        let expected = format!("at least {least}, membership.ping_interval_ms");
+    if membership.suspicion_ms < two_pings {
+        let least = two_pings.as_ms();
+        let expected = format!("at least {least}, twice membership.ping_timeout_ms");
         problems.push(ValueProblem::new("membership.suspicion_ms", expected));
     }
     // A host that reads the pointer more seldom than this would leave while all is well.
--- a/crates/settings/src/keys.rs
+++ b/crates/settings/src/keys.rs
@@ -185,33 +185,21 @@
     key(
         "ping_interval_ms",
         whole(50, 60_000),
-        Default("500"),
+        Default("250"),
         "time between two pings that a host sends",
     ),
     key(
         "ping_timeout_ms",
         whole(5, 30_000),
-        Default("150"),
+        Default("500"),
         "time after which an unanswered ping is tried through other hosts",
     ),
-    key(
-        "indirect_pings",
-        whole(1, 16),
-        Default("3"),
-        "hosts that are asked to ping a silent host",
-    ),
     key(
         "suspicion_ms",
         whole(100, 120_000),
         Default("2000"),
         "time for which a suspected host may refute before it counts as dead",
     ),
-    key(
-        "summary_interval_ms",
-        whole(100, 60_000),
-        Default("1000"),
-        "time between two summaries to other failure domains",
-    ),
     key(
         "budget_bytes",
         whole(2400, 23_000),
@@ -259,7 +247,7 @@
     key("load_poll_ms", whole(50, 60_000), Default("500"), "time between two reads of the load report of a target in use; of others four times that"),
     key("load_polls", whole(1, 10_000), Default("25"), "reads of load reports a second over all targets"),
     key("attempts", whole(1, 10), Default("3"), "attempts of one request, the first included"),
-    key("retry_budget", Real { min: 0.0, max: 0.1 }, Default("0.1"), "retries as a share of requests"),
+    key("retry_budget", Real { min: 0.0, max: 0.1 }, Default("0.09"), "retries as a share of requests"),
     key("retry_pause_ms", whole(1, 60_000), Default("50"), "mean time before a retry"),
     key("crash_suspect_ms", whole(1000, 86_400_000), Default("600000"), "time for which a request that crashed two targets is refused"),
 ];
--- a/crates/settings/src/sections.rs
+++ b/crates/settings/src/sections.rs
@@ -129,12 +129,8 @@
     pub ping_interval_ms: ClockTime,
     /// Time after which an unanswered ping is tried through other hosts.
     pub ping_timeout_ms: ClockTime,
-    /// Hosts that are asked to ping a silent host.
-    pub indirect_pings: u32,
     /// Time for which a suspected host may refute before it counts as dead.
     pub suspicion_ms: ClockTime,
-    /// Time between two summaries to other failure domains.
-    pub summary_interval_ms: ClockTime,
     /// Bytes a second that a host sends to other hosts.
     pub budget_bytes: u32,
 }
@@ -142,11 +138,9 @@
 impl Default for MembershipSettings {
     fn default() -> Self {
         Self {
-            ping_interval_ms: ClockTime::from_ms(500),
-            ping_timeout_ms: ClockTime::from_ms(150),
-            indirect_pings: 3,
+            ping_interval_ms: ClockTime::from_ms(250),
+            ping_timeout_ms: ClockTime::from_ms(500),
             suspicion_ms: ClockTime::from_ms(2000),
-            summary_interval_ms: ClockTime::from_ms(1000),
             // The limit of the design at 360 hosts.
             budget_bytes: 23_000,
         }
@@ -232,8 +226,9 @@
             // Leaves half of the 23 KB/s for control to the messages between hosts.
             load_polls: 25,
             attempts: 3,
-            // Attempts stay at 1.1 times the requests or less in a full outage.
-            retry_budget: 0.1,
+            // With the reserve for the first requests of a host, attempts stay at 1.1 times the
+            // requests or less in a full outage.
+            retry_budget: 0.09,
             retry_pause_ms: ClockTime::from_ms(50),
             crash_suspect_ms: ClockTime::from_ms(600_000),
         }
--- a/crates/targets/src/management.rs
+++ b/crates/targets/src/management.rs
@@ -109,7 +109,7 @@
 
 /// Returns whether a target answers on a new connection.
 pub async fn probe(address: SocketAddr, timeout: Duration) -> bool {
-    let client = crate::pool::new_client();
+    let client = crate::pool::new_client(timeout);
     read_load(&client, address, timeout).await.is_ok()
 }
 
--- a/crates/targets/src/pool.rs
+++ b/crates/targets/src/pool.rs
@@ -16,8 +16,6 @@
 /// Where attempts report what happens to them.
 pub type UpdateSender = mpsc::UnboundedSender<AttemptUpdate>;
 
-/// Time to connect; a target on the same network that takes longer is not worth waiting for.
-const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Time for which an idle connection is kept; below the keep-alive time of common servers.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 
@@ -36,15 +34,17 @@
 /// Connection pools and running attempts of one host.
 pub struct TargetPools {
     updates: UpdateSender,
+    connect_timeout: Duration,
     clients: HashMap<SocketAddr, Client>,
     running: HashMap<AttemptId, RunningAttempt>,
 }
 
 impl TargetPools {
-    /// Makes empty pools.
-    pub fn new(updates: UpdateSender) -> Self {
+    /// Makes empty pools whose connections must stand within a time.
+    pub fn new(updates: UpdateSender, connect_timeout: Duration) -> Self {
         Self {
             updates,
+            connect_timeout,
             clients: HashMap::new(),
             running: HashMap::new(),
         }
@@ -52,9 +52,10 @@
 
     /// Returns the pooled client of a target.
     pub fn client(&mut self, address: SocketAddr) -> Client {
+        let connect_timeout = self.connect_timeout;
         self.clients
             .entry(address)
-            .or_insert_with(new_client)
+            .or_insert_with(|| new_client(connect_timeout))
             .clone()
     }
 
@@ -95,14 +96,14 @@
 }
 
 /// Makes a client with a pool of its own. The request reducer sets all time limits for answers.
-pub fn new_client() -> Client {
+pub fn new_client(connect_timeout: Duration) -> Client {
     let connect = ConnectorService::default().map(|connection| {
         set_liveness_options(connection.io_ref());
         connection
     });
     let connector = Connector::new()
         .connector(connect)
-        .timeout(CONNECT_TIMEOUT)
+        .timeout(connect_timeout)
         .conn_keep_alive(IDLE_TIMEOUT)
         .limit(0);
     Client::builder()
