--- a/examples/quickstart/main.rs
+++ b/examples/quickstart/main.rs
@@ -5,6 +5,7 @@
 
 use crocusyard_standins::prelude::EngineOptions;
 use crocusyard_testbed::prelude::*;
+use crocusyard_testbed::sample::OPERATOR_KEY;
 use futures_util::StreamExt;
 use std::error::Error;
 use std::net::SocketAddr;
@@ -68,4 +69,5 @@
     );
     println!("curl 'http://{entry}/v1/addresses?model=chalk-small'");
     println!("curl http://{entry}/metrics");
+    println!("CROCUSYARD_OPERATOR_KEY={OPERATOR_KEY} cargo run -- --host {entry} status");
 }
