Measure membership with smaller byte budgets

Cause: load reads and packets between hosts share 23 KB/s, and the default of 25 reads a second was set without a measurement of what packets need. Change: an option of the dissemination experiment and its table.

--- a/crates/membership/examples/dissemination.rs
+++ b/crates/membership/examples/dissemination.rs
@@ -27,6 +27,12 @@
 /// Models with demand on one host at 360 hosts.
 const DEMAND: u16 = 300;
 
+/// Default budget of the membership settings, bytes a second.
+const DEFAULT_BUDGET: u64 = 11_000;
+/// Head of the table of ages.
+const AGE_HEAD: &str = "layout window_s hosts sent_B/s max_B/s_in_1s received_B/s cpu_% \
+    own_mean_ms own_p99_ms own_known_% all_mean_ms all_p99_ms all_known_%";
+
 /// Measures dissemination between hosts.
 #[derive(FromArgs)]
 struct Arguments {
@@ -36,7 +42,10 @@
     /// largest number of hosts
     #[argh(option, default = "360")]
     hosts: usize,
-    /// part to run: age, detection, frozen, news, preset, cut or all
+    /// bytes a second that a host may send, in part budget
+    #[argh(option, default = "11000")]
+    budget: u64,
+    /// part to run: age, budget, detection, frozen, news, preset, cut or all
     #[argh(option, default = "String::from(\"all\")")]
     part: String,
 }
@@ -48,15 +57,27 @@
     let sizes: Vec<_> = sizes.collect();
     let wanted = |part: &str| arguments.part == part || arguments.part == "all";
     if wanted("age") {
-        println!("layout window_s hosts sent_B/s max_B/s_in_1s received_B/s cpu_% own_mean_ms own_p99_ms own_known_% all_mean_ms all_p99_ms all_known_%");
+        println!("{AGE_HEAD}");
         for size in &sizes {
             for layout in [DisseminationLayout::Flat, DisseminationLayout::Partitioned] {
                 for window in [1, 3, 10] {
-                    measure_age(*size, layout, window, arguments.seed);
+                    measure_age(*size, layout, window, DEFAULT_BUDGET, arguments.seed);
                 }
             }
         }
     }
+    if arguments.part == "budget" {
+        println!("{AGE_HEAD}");
+        for size in &sizes {
+            measure_age(
+                *size,
+                DisseminationLayout::Partitioned,
+                10,
+                arguments.budget,
+                arguments.seed,
+            );
+        }
+    }
     if wanted("detection") {
         println!("hosts suspected_median_ms suspected_p99_ms dead_median_ms dead_p99_ms never_dead false_deaths");
         sizes
@@ -150,11 +171,18 @@
         .sum()
 }
 
-fn measure_age(size: (usize, usize, usize), layout: DisseminationLayout, window: u64, seed: u64) {
+fn measure_age(
+    size: (usize, usize, usize),
+    layout: DisseminationLayout,
+    window: u64,
+    budget: u64,
+    seed: u64,
+) {
     let (hosts, domains, regions) = size;
     let mut spec = NetworkSpec::new(hosts, domains, regions);
     spec.layout = layout;
     spec.window_age = ClockTime::from_secs(window);
+    spec.budget_rate = budget;
     let mut network = FakeNetwork::new(spec, seed);
     run_loaded(&mut network, 20);
     let span = 20;
--- a/crates/membership/tests/support/mod.rs
+++ b/crates/membership/tests/support/mod.rs
@@ -29,6 +29,8 @@
     pub duplicate: f64,
     pub layout: DisseminationLayout,
     pub window_age: ClockTime,
+    /// Bytes a second that a host may send on average.
+    pub budget_rate: u64,
     /// Packets that a frozen host's socket buffer holds.
     pub socket_buffer: usize,
     /// Whether hosts put a peer's newer preset in force at once, without fetching a body.
@@ -45,6 +47,7 @@
             duplicate: 0.01,
             layout: DisseminationLayout::Partitioned,
             window_age: ClockTime::from_secs(10),
+            budget_rate: 11_000,
             socket_buffer: 200,
             follow_presets: true,
         }
@@ -129,6 +132,7 @@
         );
         settings.layout = self.spec.layout;
         settings.window_age = self.spec.window_age;
+        settings.budget_rate = self.spec.budget_rate;
         FakeHost {
             name,
             domain,
