Fill the gauges of requests and members

Cause: three gauges that docs/operators.md explains were never set. Ruled out: updating them with every event, since a scrape comes every few seconds at most.

--- a/crates/host/src/actor.rs
+++ b/crates/host/src/actor.rs
@@ -36,6 +36,9 @@
 /// Time between two reads of an engine's cache events.
 const CACHE_POLL: Duration = Duration::from_secs(2);
 
+/// Time between two updates of the gauges.
+const GAUGE_INTERVAL: Duration = Duration::from_secs(1);
+
 /// The monotonic clock of one host.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct HostClock(Instant);
@@ -52,6 +55,7 @@
     pub(crate) payload: RequestPayload,
     pub(crate) answer: Option<AnswerSender>,
     pub(crate) id: RequestId,
+    pub(crate) class: ClassName,
     /// Whether the answer is collected, so that it can be recorded under its claim.
     pub(crate) collects: bool,
     /// Answer read from a claim or from a target's record.
@@ -217,6 +221,7 @@
         context.run_interval(listing, Self::poll_hosts);
         self.poll_caches(context);
         context.run_interval(CACHE_POLL, Self::poll_caches);
+        context.run_interval(GAUGE_INTERVAL, Self::update_gauges);
     }
 
     fn stopped(&mut self, _context: &mut Self::Context) {
@@ -238,6 +243,7 @@
             payload: request.payload,
             answer: Some(request.answer),
             id: spec.id.clone(),
+            class: spec.class.clone(),
             collects: !spec.idempotent,
             stored: None,
             labels: self.metrics.labels_of(&spec.tenant, &spec.class),
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -15,6 +15,7 @@
 mod delivery;
 pub mod effects;
 mod feature_settings;
+mod gauges;
 mod gossip;
 mod intake;
 mod move_calls;
--- a/crates/host/src/status.rs
+++ b/crates/host/src/status.rs
@@ -1,6 +1,7 @@
 //! What a host tells operators of itself.
 
 use crate::actor::HostActor;
+use crate::gauges::member_state;
 use crate::operators::digest_text;
 use actix::{Context, Handler, Message};
 use crocusyard_base::prelude::*;
@@ -8,9 +9,9 @@
 use crocusyard_catalog::prelude::*;
 use crocusyard_core::prelude::PresetBody;
 use crocusyard_membership::prelude::*;
+use crocusyard_metrics::prelude::MemberState;
 use crocusyard_moves::prelude::OrderAction;
 use crocusyard_routing::prelude::CopyState;
-use crocusyard_wire::prelude::LivenessState;
 
 /// Status of a host, and the body in force.
 pub(crate) struct HostStatus {
@@ -76,7 +77,7 @@
             .map(|view| MemberStatus {
                 name: view.host.to_string(),
                 domain: view.domain.to_string(),
-                state: member_state(&view).to_owned(),
+                state: state_name(member_state(&view)).to_owned(),
                 address: self
                     .state
                     .callers_of(&view.host)
@@ -132,12 +133,12 @@
     }
 }
 
-fn member_state(view: &HostView) -> &'static str {
-    match view.state {
-        LivenessState::Alive if view.leaving => "leaving",
-        LivenessState::Alive => "alive",
-        LivenessState::Suspect => "suspect",
-        LivenessState::Dead => "dead",
+fn state_name(state: MemberState) -> &'static str {
+    match state {
+        MemberState::Alive => "alive",
+        MemberState::Suspect => "suspect",
+        MemberState::Leaving => "leaving",
+        MemberState::Dead => "dead",
     }
 }
 
