moves: repeat an unload whose copy is already gone

Cause: an engine carried out an unload and its answer was lost. Before the repetition was due, the engine with the last other copy restarted, so that the name counted as a last copy, and the check that protects last copies held the repetition back for good. The open intent then kept the name from being loaded on that engine.

Ruled out: the planner (the plan in force named the model on the engine), the memory ledger (20 units were free) and the quiet time after a restart (the engine had not restarted).

Change: the repetition is sent when the engine's last report lists no copy of the name, since there is nothing left to protect and the order id makes the engine tell its known result.

The focused test fails before the change ("not reached: the name again") and passes after it. The randomised test of this crate stays green.

--- a/crates/moves/src/orders.rs
+++ b/crates/moves/src/orders.rs
@@ -11,6 +11,7 @@
 use crocusyard_base::prelude::*;
 use crocusyard_routing::prelude::*;
 use rand::Rng;
+use std::sync::Arc;
 
 /// Sends what is due: new orders and repetitions.
 pub(crate) fn drive(
@@ -56,7 +57,12 @@
     let (used, capacity) = state.ledger.usage(&row.target);
     let allowed = match row.action {
         OrderAction::Load => used <= capacity && is_quiet_over(state, &row.target),
-        OrderAction::Unload => may_unload(state, &row.target, &row.name, Some(order)),
+        // Once the copy is gone, a repetition only learns the end of the order; without it, the
+        // open intent would keep the name from being loaded there again.
+        OrderAction::Unload => {
+            is_gone(state, &row.target, &row.name)
+                || may_unload(state, &row.target, &row.name, Some(order))
+        }
     };
     if !allowed {
         if first && row.action == OrderAction::Unload {
@@ -92,6 +98,12 @@
     });
 }
 
+/// Returns whether the last report of a target lists no copy of a name.
+fn is_gone(state: &MoveState, target: &TargetName, name: &Arc<str>) -> bool {
+    let view = state.views.get(target);
+    view.is_some_and(|view| !view.copies.contains_key(name))
+}
+
 /// Raises the fencing number at engines that check it and have not confirmed it.
 pub(crate) fn raise_fences(state: &mut MoveState, now: ClockTime, out: &mut Vec<MoveEffect>) {
     let Some((row, deadline)) = state.may_order(now) else {
--- a/crates/moves/tests/focused.rs
+++ b/crates/moves/tests/focused.rs
@@ -4,8 +4,10 @@
 
 use crocusyard_base::prelude::*;
 use crocusyard_base::random::seeded_rng;
+use crocusyard_moves::intent::{IntentEntry, OrderPhase};
 use crocusyard_moves::lease::{holder_deadline, taker_start};
 use crocusyard_moves::prelude::*;
+use crocusyard_routing::prelude::CopyState;
 use std::sync::Arc;
 use support::world::{FakeWorld, Weather};
 use support::{fleet, ms, plan, settings};
@@ -280,6 +282,41 @@
     assert_eq!(world.overcommitted(), 0);
 }
 
+/// Guards against a name that is never loaded again because the answer to its unload was lost and
+/// the last other copy went away before the unload was repeated.
+#[test]
+fn lost_answer_to_an_unload_does_not_block_the_name() {
+    let mut world = calm(1, &[100, 100]);
+    world.set_plan(plan(&[("t0", &["a"]), ("t1", &["a"])], &[]));
+    let resident = |world: &FakeWorld, engine: usize| {
+        matches!(
+            world.engines[engine].copies.get("a"),
+            Some((_, CopyState::Resident))
+        )
+    };
+    until(&mut world, 60_000, "two copies", |world| {
+        resident(world, 0) && resident(world, 1)
+    });
+    world.cut = Some(0);
+    world.reports_pass = true;
+    world.set_plan(plan(&[("t1", &["a"]), ("t0", &["b"])], &[]));
+    let sent = |entry: &IntentEntry| {
+        entry.row.action == OrderAction::Unload && matches!(entry.phase, OrderPhase::Sent { .. })
+    };
+    until(&mut world, 60_000, "an unload", |world| {
+        world.hosts[0].state.intents().any(sent)
+    });
+    // The engine ran the order, and only its answer was lost.
+    world.engines[0].copies.remove("a");
+    world.restart(1);
+    world.set_plan(plan(&[("t0", &["a"])], &[]));
+    world.run(1_000);
+    world.cut = None;
+    until(&mut world, 60_000, "the name again", |world| {
+        resident(world, 0)
+    });
+}
+
 /// Guards against new orders while the table is down for an hour, and against a burst or lost work
 /// afterwards; also against exceeding the weight store's and the adapters' limits.
 #[test]
