core: tie the word of a leaving target to one of its processes

Cause: the route table kept "leaving" as one bit per target. Four faults came of it. (1) A target that the host list or a peer had named stayed out of routing after its restart, because no report says that a new process is not leaving. (2) A target that the list named before its first report was given work. (3) A preset that ended a drain put a listed target back. (4) A late packet about an earlier process took out the present one. The lagging list can also name the new process of a restarted target; peers then kept it out for as long as that process lived. The planner did not know of any of this and kept last copies on targets that get no work.

Ruled out: the moves (every model had copies) and the membership reducer, whose notices carry the process number already.

Change: the new module features::leaving keeps what the preset, peers and the host list say, and compares it with the process of the last report. Word of a leave that a list read 30 s later does not confirm is dropped; a target that reports its leave stays out by its own report. The planner treats such targets as drained.

--- a/crates/core/src/features.rs
+++ b/crates/core/src/features.rs
@@ -1,6 +1,7 @@
 //! Hands each event to its feature.
 
 mod catalogs;
+pub(crate) mod leaving;
 mod members;
 mod moves;
 mod presets;
@@ -44,7 +45,7 @@
             leaving_targets,
         } => {
             members::list(state, now, hosts, addresses, out);
-            targets::leave(state, now, &leaving_targets, out);
+            leaving::list(state, now, &leaving_targets, out);
         }
         HostEvent::StopPlanned => members::stop(state, now, out),
         HostEvent::Tick => tick(state, now, out),
--- a/crates/core/src/features/catalogs.rs
+++ b/crates/core/src/features/catalogs.rs
@@ -1,6 +1,6 @@
 //! Puts a catalogue and its preset in force.
 
-use super::moves;
+use super::{leaving, moves};
 use crate::body::PresetBody;
 use crate::effect::HostEffect;
 use crate::state::{CatalogState, HostState, StartCatalog};
@@ -83,7 +83,7 @@
     state.routes.set_regions(&catalog.regions);
     state.routes.set_targets(&catalog.targets);
     state.queue.set_limits(&catalog.tenants, &catalog.classes);
-    drain_targets(state, drained);
+    leaving::drain(state, drained);
     if let Some(fleet) = FleetSpec::from_catalog(&catalog, &state.identity.region) {
         moves::reduce(state, now, MoveEvent::FleetChanged(Arc::new(fleet)), out);
     }
@@ -94,21 +94,6 @@
     });
 }
 
-/// Takes targets out of routing that the preset drains, and puts back those that it no longer does.
-fn drain_targets(state: &mut HostState, drained: Vec<TargetName>) {
-    for target in std::mem::take(&mut state.drained) {
-        let leaving = state
-            .routes
-            .report_of(&target)
-            .is_some_and(|report| report.leaving);
-        state.routes.set_leaving(&target, leaving);
-    }
-    for target in &drained {
-        state.routes.set_leaving(target, true);
-    }
-    state.drained = drained;
-}
-
 fn positions<'a, N: Clone + Ord + 'a>(names: impl Iterator<Item = &'a N>) -> BTreeMap<N, u16> {
     names
         .zip(0..)
--- a/crates/core/src/features/members.rs
+++ b/crates/core/src/features/members.rs
@@ -1,6 +1,6 @@
 //! Connects membership with the address answers, targets, presets and crash blame.
 
-use super::{moves, presets, requests, targets};
+use super::{leaving, moves, presets, requests, targets};
 use crate::effect::HostEffect;
 use crate::event::PeerAddresses;
 use crate::state::HostState;
@@ -120,7 +120,7 @@
     out: &mut Vec<HostEffect>,
 ) {
     match effect {
-        MembershipEffect::TargetChanged(notice) => targets::mark(state, &notice),
+        MembershipEffect::TargetChanged(notice) => leaving::tell(state, now, &notice),
         MembershipEffect::PeerLoads {
             host,
             catalog,
--- a/crates/core/src/features/targets.rs
+++ b/crates/core/src/features/targets.rs
@@ -1,6 +1,6 @@
 //! Connects load reports with routing, membership and moves.
 
-use super::{members, moves, requests};
+use super::{leaving, members, moves, requests};
 use crate::effect::HostEffect;
 use crate::state::HostState;
 use crocusyard_base::prelude::*;
@@ -28,7 +28,11 @@
         finished: Vec::new(),
     };
     moves::reduce(state, now, event, out);
+    let target = report.target.clone();
     state.routes.apply_report(now, report);
+    if let Some(newest) = state.routes.report_of(&target).cloned() {
+        leaving::report(state, now, &newest, out);
+    }
     requests::reduce(state, now, RequestEvent::Tick, out);
 }
 
@@ -52,35 +56,6 @@
     members::reduce(state, now, MembershipEvent::TargetSeen(notice), out);
 }
 
-/// Takes the targets that the host list names as leaving.
-pub(crate) fn leave(
-    state: &mut HostState,
-    now: ClockTime,
-    leaving: &[TargetName],
-    out: &mut Vec<HostEffect>,
-) {
-    for target in leaving {
-        let Some(report) = state.routes.report_of(target) else {
-            continue;
-        };
-        let notice = TargetNotice {
-            target: target.clone(),
-            incarnation: report.incarnation,
-            leaving: true,
-        };
-        mark(state, &notice);
-        members::reduce(state, now, MembershipEvent::TargetSeen(notice), out);
-    }
-}
-
-/// Takes another host's word that a target is leaving or not.
-pub(crate) fn mark(state: &mut HostState, notice: &TargetNotice) {
-    let drained = state.drained.contains(&notice.target);
-    state
-        .routes
-        .set_leaving(&notice.target, notice.leaving || drained);
-}
-
 /// Tells the other hosts what this one sent since the targets' last reports.
 pub(crate) fn share_loads(state: &mut HostState, now: ClockTime, out: &mut Vec<HostEffect>) {
     for delta in state.routes.take_deltas(DELTA_LIMIT) {
--- a/crates/core/src/planning.rs
+++ b/crates/core/src/planning.rs
@@ -7,6 +7,7 @@
 use crate::body::PresetBody;
 use crate::effect::HostEffect;
 use crate::event::HostEvent;
+use crate::features::leaving::is_leaving;
 use crate::features::reduce as reduce_host;
 use crate::state::HostState;
 use crocusyard_base::prelude::*;
@@ -259,7 +260,7 @@
                 .iter()
                 .position(|domain| *domain == spec.domain)?,
             capacity: spec.memory_bytes.min(report.memory_bytes),
-            drained: preset.drained.contains(&spec.name) || report.leaving,
+            drained: report.leaving || is_leaving(state, &spec.name),
         });
     }
     Some(input)
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -1,6 +1,7 @@
 //! State of the host reducer.
 
 use crate::demand::{DemandCounter, PeerDemand};
+use crate::features::leaving::{self, LeaveTable};
 use crate::planning::PlanningState;
 use crocusyard_admission::prelude::*;
 use crocusyard_base::prelude::*;
@@ -99,8 +100,7 @@
     pub(crate) own_demand: DemandCounter,
     pub(crate) peer_demand: PeerDemand,
     pub(crate) planning: PlanningState,
-    /// Targets that the preset drains.
-    pub(crate) drained: Vec<TargetName>,
+    pub(crate) leaves: LeaveTable,
     /// Whether this host takes new work.
     pub(crate) stopping: bool,
     pub(crate) current: bool,
@@ -139,7 +139,7 @@
             own_demand: DemandCounter::default(),
             peer_demand: PeerDemand::default(),
             planning: PlanningState::default(),
-            drained: Vec::new(),
+            leaves: LeaveTable::default(),
             stopping: false,
             // A host belongs into the answers only after it has confirmed that it is current.
             current: false,
@@ -181,6 +181,6 @@
 
     /// Returns whether the preset in force drains a target.
     pub fn is_drained(&self, target: &TargetName) -> bool {
-        self.drained.contains(target)
+        leaving::is_drained(self, target)
     }
 }
--- /dev/null
+++ b/crates/core/tests/world/catalog.rs
@@ -0,0 +1,139 @@
+//! Catalogue of the fakes, and the settings of their hosts.
+
+use crocusyard_base::prelude::*;
+use crocusyard_catalog::prelude::*;
+use crocusyard_core::prelude::*;
+use crocusyard_membership::prelude::*;
+use crocusyard_moves::prelude::*;
+use crocusyard_presets::prelude::*;
+use crocusyard_requests::prelude::*;
+use crocusyard_routing::prelude::*;
+use std::net::SocketAddr;
+
+pub const REGION: &str = "r";
+/// Loads may start so often that every model is back soon after an engine's restart.
+const LOADS_PER_SECOND: f64 = 8.0;
+
+/// Claimed calls of callers that have gone are given up sooner than by default, so that a run ends.
+const CLAIM_LINGER: ClockTime = ClockTime::from_secs(60);
+
+pub fn host_name(host: usize) -> HostName {
+    HostName::new(&format!("h{host}"))
+}
+
+pub fn gossip_address(host: usize) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 10_000 + host as u16))
+}
+
+pub fn domain(number: usize) -> DomainName {
+    DomainName::new(&format!("d{}", number % 3))
+}
+
+fn target(name: String, number: usize, kind: TargetKind) -> TargetSpec {
+    let is_plain = kind == TargetKind::Plain;
+    TargetSpec {
+        name: TargetName::new(&name),
+        address: gossip_address(1_000 + number),
+        domain: domain(number),
+        kind,
+        service: is_plain.then(|| ServiceName::new("bookings")),
+        memory_bytes: if is_plain { 0 } else { 100 },
+        concurrency: 64,
+        checks_fencing: number % 2 == 0,
+        keeps_records: is_plain && number % 2 == 1,
+    }
+}
+
+/// Makes a catalogue; the presets drain no target or one engine each.
+pub fn catalog(engines: usize, plain: usize, models: usize) -> CatalogSpec {
+    let preset = |name: String, drained: Vec<TargetName>| PresetSpec {
+        name: PresetName::new(&name),
+        attainment_weight: 1.0,
+        move_cost: 0.1,
+        copies: Vec::new(),
+        drained,
+    };
+    let engine = |number| target(format!("e{number}"), number, TargetKind::Engine);
+    let service = |number| target(format!("p{number}"), number, TargetKind::Plain);
+    let drains = (0..engines).map(|n| preset(format!("without-e{n}"), vec![engine(n).name]));
+    CatalogSpec {
+        regions: vec![RegionSpec {
+            name: RegionName::new(REGION),
+            domains: (0..3).map(domain).collect(),
+            weight_loads_per_second: LOADS_PER_SECOND,
+            weight_loads_at_once: 8,
+            adapter_loads_in_transit: 16,
+        }],
+        models: (0..models)
+            .map(|n| ModelSpec {
+                name: ModelName::new(&format!("m{n:04}")),
+                memory_bytes: 20 + 5 * (n as u64 % 3),
+                load_ms: 600,
+            })
+            .collect(),
+        adapters: (0..models / 2)
+            .map(|n| AdapterSpec {
+                name: AdapterName::new(&format!("a{n:04}")),
+                model: ModelName::new(&format!("m{n:04}")),
+                memory_bytes: 1,
+            })
+            .collect(),
+        targets: (0..engines)
+            .map(engine)
+            .chain((0..plain).map(service))
+            .collect(),
+        services: Vec::new(),
+        tenants: vec![TenantSpec {
+            name: TenantName::new("tenant"),
+            weight: 1,
+            key_env: None,
+            in_flight: 100_000,
+        }],
+        classes: vec![ClassSpec {
+            name: ClassName::new("class"),
+            priority: 0,
+            deadline_ms: 10_000,
+            aging_ms: 1_000,
+            queue_limit: 100_000,
+        }],
+        presets: std::iter::once(preset("all".to_owned(), Vec::new()))
+            .chain(drains)
+            .collect(),
+    }
+}
+
+/// Returns the settings of one process of a host.
+pub fn settings(host: usize, incarnation: u64) -> FeatureSettings {
+    let seed = incarnation * 64 + host as u64;
+    let (name, region) = (host_name(host), RegionName::new(REGION));
+    let mut moves = MoveSettings::new(name.clone(), region.clone());
+    moves.order_lateness = ClockTime::from_secs(8);
+    moves.order_retry_max = ClockTime::from_secs(6);
+    moves.demand_hold = ClockTime::from_secs(20);
+    FeatureSettings {
+        identity: HostIdentity {
+            name: name.clone(),
+            domain: domain(host),
+            region: region.clone(),
+            callers: gossip_address(100 + host),
+        },
+        ring: RingTuning::default(),
+        requests: RequestSettings {
+            id_seed: seed,
+            limits: RequestLimits {
+                claim_linger: CLAIM_LINGER,
+                ..RequestLimits::default()
+            },
+        },
+        membership: MembershipSettings::new(
+            name,
+            gossip_address(host),
+            domain(host),
+            region,
+            incarnation,
+        ),
+        presets: PresetSettings::default(),
+        moves,
+        seed,
+    }
+}
