core: randomised run of whole hosts

Four real host states over fakes of the network, table service, object store, host list, engines, plain targets, callers and operators, with kills, freezes, cuts, planned stops, leaving targets and every kind of lost, late and repeated message. The fakes of the table, the engines, the claims and the execution of requests are those of the moves and requests tests.

Each run checks M1 to M8 and ends with a quiet time, after which every model must have a copy and be served from every host.

--- /dev/null
+++ b/crates/core/tests/random.rs
@@ -0,0 +1,109 @@
+//! Long randomised run of whole hosts against fakes with every kind of fault.
+//!
+//! `CROCUSYARD_EVENTS` sets the number of events, `CROCUSYARD_SEED` the first seed. A failure names
+//! its seed; `CROCUSYARD_SEED=<seed> CROCUSYARD_EVENTS=1` repeats it.
+
+mod world;
+
+use bolero::generator::bolero_generator::driver::{Options, Rng};
+use bolero::generator::*;
+use crocusyard_base::random::seeded_rng;
+use std::collections::BTreeMap;
+use world::{Counts, World, HOSTS};
+
+const CI_EVENTS: u64 = 1_000_000;
+const SCRIPT_STEPS: usize = 400;
+
+/// What happens from outside.
+#[derive(Clone, Copy, Debug, TypeGenerator)]
+enum Step {
+    Call(u8, u8, u16),
+    CallBatch(u8, u16),
+    CallTwice(u8, u16),
+    Pass(u8),
+    PassLong(u8),
+    KillTarget(u8, u8),
+    CutTarget(u8, u8, bool),
+    LeaveTarget(u8, u8),
+    Freeze(u8, u8),
+    CutHosts(u8, u8),
+    Heal,
+    KillHost(u8, u8),
+    StopHost(u8, u8),
+    Hangup(u8),
+    Platform(u8, u8),
+    Activate(u8, u8),
+    ActivateTwice(u8, u8, u8),
+}
+
+fn perform(world: &mut World, step: Step) {
+    let host = |number: u8| usize::from(number) % HOSTS;
+    match step {
+        Step::Call(to, kind, number) => world.call(host(to), kind, usize::from(number)),
+        Step::CallBatch(kind, number) => {
+            for to in 0..4 {
+                world.call(to, kind, usize::from(number) + to);
+            }
+        }
+        Step::CallTwice(to, number) => {
+            world.call(host(to), 5, usize::from(number));
+            world.call(host(to.wrapping_add(1)), 7, usize::from(number));
+        }
+        Step::Pass(ms) => world.pass(4 * u64::from(ms)),
+        Step::PassLong(ms) => world.pass(20 * u64::from(ms)),
+        Step::KillTarget(number, ms) => world.kill_target(usize::from(number), 20 * u64::from(ms)),
+        Step::CutTarget(from, to, silent) => world.cut_target(host(from), to.into(), silent),
+        Step::LeaveTarget(number, lag) => world.leave_target(number.into(), 16 * u64::from(lag)),
+        Step::Freeze(number, ms) => world.freeze(host(number), 60 * u64::from(ms)),
+        Step::CutHosts(one, other) => world.cut_hosts(host(one), host(other)),
+        Step::Heal => world.heal_cuts(),
+        Step::KillHost(number, ms) if ms < 128 => world.kill_host(host(number), 20 * u64::from(ms)),
+        Step::StopHost(number, rare) if rare < 64 => world.stop_host(host(number)),
+        Step::Hangup(number) => world.leave(number.into()),
+        Step::Platform(kind, number) => {
+            let cut = (kind < 48).then(|| host(number));
+            world.set_platform(kind & 7 == 0, kind & 7 == 1, cut);
+        }
+        Step::Activate(at, number) => world.activate(host(at), number.into()),
+        Step::ActivateTwice(at, one, other) => {
+            world.activate(host(at), one.into());
+            world.activate(host(at.wrapping_add(1)), other.into());
+        }
+        Step::KillHost(..) | Step::StopHost(..) => world.pass(500),
+    }
+}
+
+fn run(seed: u64) -> Counts {
+    let options = Options::default().with_max_len(1 << 16);
+    let mut driver = Rng::new(seeded_rng(seed), &options);
+    let mut world = World::new(seed);
+    for _ in 0..SCRIPT_STEPS {
+        let step = Step::generate(&mut driver).expect("the driver has enough bytes");
+        perform(&mut world, step);
+    }
+    world.settle();
+    world.counts
+}
+
+fn env(name: &str, default: u64) -> u64 {
+    let text = std::env::var(name).ok();
+    text.and_then(|text| text.parse().ok()).unwrap_or(default)
+}
+
+/// Guards against a fault of the connections between the features that breaks M1 to M8.
+#[test]
+fn no_fault_breaks_a_property_of_whole_hosts() {
+    crocusyard_base::invariants::panic_on_violation();
+    let events = env("CROCUSYARD_EVENTS", CI_EVENTS);
+    let first = env("CROCUSYARD_SEED", 1);
+    let (mut total, mut seed) = (BTreeMap::new(), first);
+    while total.get("events").copied().unwrap_or(0) < events {
+        let counts = run(seed);
+        println!("seed {seed}: {:?}", counts.faults());
+        let broken = counts.faults().iter().any(|(_, count)| *count > 0);
+        assert!(!broken, "seed {seed}: {counts:?}");
+        counts.add_to(&mut total);
+        seed += 1;
+    }
+    println!("seeds {first}..{seed}: {total:?}");
+}
--- /dev/null
+++ b/crates/core/tests/world/callers.rs
@@ -0,0 +1,230 @@
+//! Callers: they send calls, repeat them, reconnect, and check their answers.
+
+use super::*;
+
+#[derive(Clone, Debug)]
+pub struct Call {
+    pub digest: u128,
+    /// Key of a booking, 0 without a key; `None` for a completion.
+    pub booking: Option<u64>,
+    pub model: usize,
+}
+
+pub struct Caller {
+    pub host: usize,
+    pub call: Call,
+    pub chunks: u32,
+    pub origin: Option<u128>,
+    pub point: Option<ResumePoint>,
+    pub executed: bool,
+    pub outcome: Option<RequestOutcome>,
+    pub left: bool,
+    /// Digest of the stored answer that the shell holds.
+    pub held: Option<BodyDigest>,
+}
+
+impl World {
+    /// Lets a caller send a call that is new, or a repeat of a former one.
+    pub fn call(&mut self, host: usize, kind: u8, number: usize) {
+        let serial = self.next_key + 1;
+        // Digests that are multiples of 32 crash each engine that runs them.
+        let crashes = number % 300 == 0;
+        let new = |booking| Call {
+            digest: u128::from(serial) * 32 + u128::from(!crashes),
+            booking,
+            model: number % MODELS,
+        };
+        let call = match kind % 8 {
+            0..=3 => new(None),
+            4 => new(Some(0)),
+            5 | 6 => new(Some(serial)),
+            _ if self.calls.is_empty() => return,
+            _ => {
+                let mut call = self.calls[number % self.calls.len()].clone();
+                if number % 8 == 0 {
+                    call.digest += 1 << 64;
+                }
+                call
+            }
+        };
+        self.calls.push(call.clone());
+        self.arrive(host, call, None);
+    }
+
+    /// Sends a call to a host, or to the next one that accepts connections.
+    pub(super) fn arrive(&mut self, host: usize, call: Call, point: Option<ResumePoint>) {
+        let takes = |host: &usize| {
+            let entry = &self.hosts[*host];
+            let is_open = entry.stopping.is_none_or(|since| self.now < since + 10_000);
+            entry.up && is_open && self.frozen[*host] <= self.now
+        };
+        let Some(host) = (0..HOSTS).map(|n| (host + n) % HOSTS).find(takes) else {
+            return;
+        };
+        self.next_key += 1;
+        self.counts.requests += 1;
+        let key = RequestKey(self.next_key);
+        let named = call.booking.filter(|name| *name > 0);
+        let work = match call.booking {
+            Some(_) => WorkKind::Service {
+                service: ServiceName::new("bookings"),
+            },
+            None => WorkKind::Model {
+                model: self.catalog.models[call.model].name.clone(),
+                adapter: None,
+            },
+        };
+        let deadline = self.clock(host) + ClockTime::from_ms(self.rng.random_range(1_000..15_000));
+        let spec = RequestSpec {
+            id: RequestId(Arc::from("request")),
+            tenant: TenantName::new("tenant"),
+            class: ClassName::new("class"),
+            work,
+            idempotent: call.booking.is_none(),
+            idempotency_key: named.map(|name| Arc::from(name.to_string())),
+            digest: BodyDigest(call.digest),
+            prefix: Vec::new(),
+            input_tokens: 100,
+            output_tokens: 20,
+            deadline,
+            resume: point.clone(),
+        };
+        let caller = Caller {
+            host,
+            call,
+            chunks: point.as_ref().map_or(0, |point| point.received),
+            origin: point.as_ref().map(|point| point.attempt.0),
+            point,
+            executed: false,
+            outcome: None,
+            left: false,
+            held: None,
+        };
+        self.callers.insert(key, caller);
+        let spec = Box::new(spec);
+        self.feed(
+            host,
+            HostEvent::Request(RequestEvent::Arrived { key, spec }),
+        );
+    }
+
+    pub(super) fn request_effect(&mut self, host: usize, effect: RequestEffect) {
+        use RequestEffect as Effect;
+        match effect {
+            Effect::CancelAttempt { attempt, target } => {
+                self.conns.remove(&attempt);
+                if let Some(fake) = self.fakes.get_mut(&target) {
+                    fake.streams.remove(&attempt.0);
+                }
+            }
+            Effect::CloseAttempt { attempt, .. } => {
+                self.conns.remove(&attempt);
+            }
+            Effect::ClosePool { target } => self
+                .conns
+                .retain(|_, conn| conn.host != host || conn.target != target || !conn.silent),
+            Effect::Deliver { key, .. } => self.deliver(key, effect),
+            Effect::Finish { key } => {
+                let caller = &self.callers[&key];
+                let is_whole = caller.origin.map(length_of) == Some(caller.chunks);
+                self.counts.partial += u64::from(!is_whole && !caller.left);
+                self.close(key, RequestOutcome::Completed);
+            }
+            Effect::Replay { key } => {
+                let caller = &self.callers[&key];
+                let is_own = caller.held == Some(BodyDigest(caller.call.digest));
+                self.counts.replayed += 1;
+                self.counts.wrong += u64::from(!is_own || caller.chunks > 0);
+                self.close(key, RequestOutcome::Completed);
+            }
+            Effect::Refuse { key, refusal } => self.close(key, refusal.outcome),
+            Effect::ReadClaim { key, .. }
+            | Effect::WriteClaim { key, .. }
+            | Effect::RecordAnswer { key, .. }
+            | Effect::ReleaseClaim { key, .. } => self.ask_claim(host, key, effect),
+            effect => self.ask_target(host, effect),
+        }
+    }
+
+    fn deliver(&mut self, key: RequestKey, effect: RequestEffect) {
+        let RequestEffect::Deliver {
+            attempt,
+            target,
+            index,
+            data,
+            ..
+        } = effect
+        else {
+            return;
+        };
+        let caller = self.callers.get_mut(&key).unwrap();
+        let (digest, origin, number, total) = unpack(&data);
+        let same = caller.origin.is_none_or(|known| known == origin) && origin == attempt.0;
+        let next = number == index && index == caller.chunks && total == length_of(origin);
+        self.counts.wrong += u64::from(digest != caller.call.digest || !same || !next);
+        self.counts.two_ends += u64::from(caller.outcome.is_some() && !caller.left);
+        caller.origin = Some(origin);
+        caller.chunks += 1;
+        let received = caller.chunks;
+        caller.point = Some(ResumePoint {
+            attempt,
+            target,
+            received,
+        });
+    }
+
+    fn close(&mut self, key: RequestKey, outcome: RequestOutcome) {
+        let caller = self.callers.get_mut(&key).unwrap();
+        if caller.left {
+            return;
+        }
+        let again = caller.outcome.replace(outcome).is_some();
+        self.counts.two_ends += u64::from(again);
+        match outcome {
+            RequestOutcome::Completed => self.counts.completed += 1,
+            RequestOutcome::NotRun => self.counts.not_run += 1,
+            RequestOutcome::Unknown => self.counts.unknown += 1,
+        }
+        let lied = outcome == RequestOutcome::NotRun && caller.executed;
+        self.counts.false_not_run += u64::from(lied);
+    }
+
+    /// Lets the callers of a lost host repeat their calls, and continue their streams, elsewhere.
+    pub(super) fn reconnect(&mut self, host: usize) {
+        let open = |caller: &Caller| caller.host == host && caller.outcome.is_none();
+        let mut moved = Vec::new();
+        for caller in self.callers.values_mut().filter(|caller| open(caller)) {
+            caller.outcome = Some(RequestOutcome::Unknown);
+            caller.left = true;
+            // A call that may not run twice is repeated from its start, and only under its key.
+            let point = caller
+                .point
+                .clone()
+                .filter(|_| caller.call.booking.is_none());
+            if caller.call.booking != Some(0) {
+                moved.push((caller.call.clone(), point));
+            }
+        }
+        for (call, point) in moved {
+            let delay = self.rng.random_range(1..200);
+            self.after(delay, Message::Repeat((host + 1) % HOSTS, call, point));
+        }
+    }
+
+    /// Lets a caller close its connection.
+    pub fn leave(&mut self, number: usize) {
+        let open: Vec<_> = self
+            .callers
+            .iter()
+            .filter(|(_, caller)| caller.outcome.is_none())
+            .map(|(key, _)| *key)
+            .collect();
+        if let Some(key) = open.get(number % open.len().max(1)) {
+            let caller = self.callers.get_mut(key).unwrap();
+            caller.outcome = Some(RequestOutcome::Unknown);
+            caller.left = true;
+            let link = (caller.host, self.epochs[caller.host], None);
+            self.event(0, link, RequestEvent::CallerGone { key: *key });
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/tests/world/faults.rs
@@ -0,0 +1,158 @@
+//! Faults, and the quiet end of a run.
+
+use super::*;
+
+/// Time after the end of all faults within which every model is resident.
+const REACHABLE_MS: u64 = 90_000;
+/// Time from the start of a target's leave to the end of its process.
+const LEAVE_MS: u64 = 12_000;
+
+impl World {
+    /// Kills a target's process for a while; its connections break.
+    pub fn kill_target(&mut self, number: usize, ms: u64) {
+        self.counts.disturbances += 1;
+        let target = self.targets[number % self.targets.len()].name.clone();
+        let fake = self.fakes.get_mut(&target).unwrap();
+        fake.down = true;
+        fake.streams.clear();
+        self.learnt.remove(&target);
+        self.after(ms, Message::RestartTarget(target.clone()));
+        self.break_conns(|conn| conn.target == target, true);
+    }
+
+    fn break_conns(&mut self, lost: impl Fn(&Conn) -> bool, broken: bool) {
+        let cut = self
+            .conns
+            .iter()
+            .filter(|(_, conn)| lost(conn) && !conn.silent);
+        let mut cut: Vec<_> = cut.map(|(id, conn)| (*id, conn.host, conn.epoch)).collect();
+        cut.sort_unstable();
+        for (attempt, host, epoch) in cut {
+            self.conns.remove(&attempt);
+            let reach = FailureReach::MaybeRun;
+            let end = AttemptEnd::Failed { reach, broken };
+            let event = RequestEvent::AttemptEnded { attempt, end };
+            self.event(1, (host, epoch, None), event);
+        }
+    }
+
+    /// Cuts a host's connections to a target, or makes them silent for good.
+    pub fn cut_target(&mut self, host: usize, number: usize, silent: bool) {
+        self.counts.disturbances += 1;
+        let target = self.targets[number % self.targets.len()].name.clone();
+        if silent {
+            let conns = self.conns.values_mut();
+            let old = conns.filter(|conn| conn.host == host && conn.target == target);
+            old.for_each(|conn| conn.silent = true);
+        } else {
+            self.break_conns(|conn| conn.host == host && conn.target == target, false);
+        }
+    }
+
+    /// Lets a target leave: it says so in its reports, and the host list later, or the reverse; then
+    /// its process ends and a new one starts.
+    pub fn leave_target(&mut self, number: usize, lag: u64) {
+        let target = self.targets[number % self.targets.len()].name.clone();
+        if self.fakes[&target].down || self.fakes[&target].leaving {
+            return;
+        }
+        self.counts.disturbances += 1;
+        self.fakes.get_mut(&target).unwrap().leaving = true;
+        self.after(lag, Message::List(target.clone(), true));
+        self.after(LEAVE_MS, Message::KillTarget(number));
+        self.after(LEAVE_MS + lag, Message::List(target, false));
+    }
+
+    /// Pauses a host's process.
+    pub fn freeze(&mut self, host: usize, ms: u64) {
+        self.counts.disturbances += 1;
+        self.frozen[host] = self.frozen[host].max(self.now + ms);
+        self.hosts[host].disturbed = self.hosts[host].disturbed.max(self.frozen[host]);
+    }
+
+    /// Cuts two hosts from each other, or ends the cut.
+    pub fn cut_hosts(&mut self, one: usize, other: usize) {
+        if one == other {
+            return;
+        }
+        let pair = (one.min(other), one.max(other));
+        self.counts.disturbances += 1;
+        if !self.cuts.insert(pair) {
+            self.cuts.remove(&pair);
+        }
+        for host in [one, other] {
+            self.hosts[host].disturbed = self.hosts[host].disturbed.max(self.now);
+        }
+    }
+
+    /// Ends all cuts between hosts.
+    pub fn heal_cuts(&mut self) {
+        for (one, other) in std::mem::take(&mut self.cuts) {
+            for host in [one, other] {
+                self.hosts[host].disturbed = self.hosts[host].disturbed.max(self.now);
+            }
+        }
+    }
+
+    /// Kills a host; a process of the same name starts later.
+    pub fn kill_host(&mut self, host: usize, ms: u64) {
+        if !self.hosts[host].up {
+            return;
+        }
+        self.counts.disturbances += 1;
+        self.counts.kills += 1;
+        self.hosts[host].up = false;
+        self.conns.retain(|_, conn| conn.host != host);
+        self.reconnect(host);
+        self.after(ms, Message::RestartHost(host));
+    }
+
+    /// Starts or ends outages of the platform.
+    pub fn set_platform(&mut self, table_down: bool, store_down: bool, cut: Option<usize>) {
+        self.counts.disturbances += u64::from(table_down || store_down || cut.is_some());
+        self.table_down = table_down;
+        self.store_down = store_down;
+        self.platform_cut = cut;
+    }
+
+    /// Ends all faults and counts what is not reachable, not served or not ended after a while.
+    pub fn settle(&mut self) {
+        self.healed = true;
+        self.set_platform(false, false, None);
+        self.heal_cuts();
+        self.pass(REACHABLE_MS);
+        for model in 0..MODELS {
+            let name = self.catalog.models[model].name.clone();
+            let has_copy = |fake: &Fake| {
+                let copy = fake.engine.copies.get(name.as_str());
+                !fake.down && copy.is_some_and(|(_, state)| *state != CopyState::Unloading)
+            };
+            if !self.fakes.values().any(has_copy) {
+                self.counts.unreachable += 1;
+            }
+            for host in 0..HOSTS {
+                self.call(host, 0, model + MODELS);
+            }
+        }
+        let last = self.next_key;
+        self.pass(20_000);
+        let served = |key: &u64| {
+            let caller = &self.callers[&RequestKey(*key)];
+            caller.outcome == Some(RequestOutcome::Completed)
+        };
+        let first = last - (MODELS * HOSTS) as u64 + 1;
+        self.counts.unreachable += (first..=last).filter(|key| !served(key)).count() as u64;
+        self.pass(60_000);
+        let open = self
+            .callers
+            .values()
+            .filter(|caller| caller.outcome.is_none());
+        self.counts.stuck += open.count() as u64;
+        for host in 0..HOSTS {
+            self.counts.stuck += self.hosts[host].state.requests.in_progress() as u64;
+            self.counts.cut_by_stop += u64::from(self.hosts[host].stopping.is_some());
+            let newest = self.digests.keys().next_back().copied().unwrap_or(0);
+            self.counts.late_preset += u64::from(self.hosts[host].version != newest);
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/tests/world/platform.rs
@@ -0,0 +1,171 @@
+//! The platform: table service, object store and host list, with outages and lost answers.
+
+use super::*;
+
+/// Feature that a table call belongs to.
+#[derive(Clone, Copy)]
+enum TableUser {
+    Moves,
+    Presets,
+}
+
+impl World {
+    fn platform_fails(&mut self, host: usize, down: bool) -> bool {
+        down || self.platform_cut == Some(host) || self.chance(1)
+    }
+
+    /// Passes a claim call on; the fake of the claims knows only whether the service is up.
+    pub(super) fn ask_claim(&mut self, host: usize, key: RequestKey, op: RequestEffect) {
+        let down = self.table_down;
+        self.table_down |= self.platform_cut == Some(host);
+        self.ask_table(host, key, op);
+        self.table_down = down;
+    }
+
+    fn call_table(&mut self, host: usize, user: TableUser, call: u64, request: &TableCall) {
+        let mut answer = if self.platform_fails(host, self.table_down) {
+            TableAnswer::Failed
+        } else {
+            self.rows.perform(request)
+        };
+        if answer != TableAnswer::Failed && self.chance(4) {
+            answer = TableAnswer::Unknown;
+        }
+        let event = match user {
+            TableUser::Moves => HostEvent::Move(MoveEvent::TableAnswered { call, answer }),
+            TableUser::Presets => HostEvent::Preset(PresetEvent::TableAnswered { call, answer }),
+        };
+        let late = if self.chance(3) { 3_000 } else { 0 };
+        self.reply(host, late, event);
+    }
+
+    /// Sends an answer to a host, sometimes late or twice.
+    pub(super) fn reply(&mut self, host: usize, late: u64, event: HostEvent) {
+        let link = (host, self.epochs[host], None);
+        let delay = self.rng.random_range(2..12) + late;
+        if self.chance(2) {
+            self.host_event(delay + 50, link, event.clone());
+        }
+        self.host_event(delay, link, event);
+    }
+
+    pub(super) fn preset_effect(&mut self, host: usize, effect: PresetEffect) {
+        match effect {
+            PresetEffect::Table { call, request } => {
+                self.call_table(host, TableUser::Presets, call, &request);
+            }
+            PresetEffect::StoreBody { call, digest, body } => {
+                let failed = self.platform_fails(host, self.store_down);
+                if !failed {
+                    self.store.insert(digest, body);
+                }
+                let stored = !failed && !self.chance(4);
+                let event = PresetEvent::BodyStored { call, stored };
+                self.reply(host, 0, HostEvent::Preset(event));
+            }
+            PresetEffect::FetchBody {
+                call,
+                digest,
+                source,
+            } => {
+                let body = self.fetch_body(host, digest, &source);
+                let event = PresetEvent::BodyFetched { call, body };
+                self.reply(host, 0, HostEvent::Preset(event));
+            }
+            PresetEffect::InForce { preset, body } => self.put_in_force(host, preset, body),
+            PresetEffect::AcceptDone { result, .. } => self.note_accepted(result),
+            PresetEffect::Announce(_) | PresetEffect::CurrencyChanged { .. } => {}
+        }
+    }
+
+    fn fetch_body(
+        &mut self,
+        host: usize,
+        digest: [u8; 32],
+        source: &BodySource,
+    ) -> Option<Arc<[u8]>> {
+        if self.chance(2) {
+            return Some(b"damaged".as_slice().into());
+        }
+        match source {
+            BodySource::ObjectStore => {
+                let failed = self.platform_fails(host, self.store_down);
+                self.store.get(&digest).filter(|_| !failed).cloned()
+            }
+            BodySource::Peer(name) => {
+                let peer = (0..HOSTS).find(|peer| catalog::host_name(*peer) == *name)?;
+                let reached = self.hosts[peer].up
+                    && self.frozen[peer] <= self.now
+                    && !self.is_cut(host, peer);
+                self.hosts[peer]
+                    .bodies
+                    .get(&digest)
+                    .filter(|_| reached)
+                    .cloned()
+            }
+        }
+    }
+
+    pub(super) fn move_effect(&mut self, host: usize, effect: MoveEffect) {
+        let epoch = self.epochs[host];
+        match effect {
+            MoveEffect::CallTable { call, request } => {
+                self.call_table(host, TableUser::Moves, call, &request);
+            }
+            MoveEffect::SendOrder {
+                target,
+                order,
+                valid_until,
+            } => {
+                let message = Message::Send(host, epoch, target, order, valid_until);
+                self.after(0, message);
+            }
+            MoveEffect::RaiseFencing {
+                target, fencing, ..
+            } => {
+                let delay = self.rng.random_range(1..5);
+                self.after(delay, Message::Fence(host, epoch, target, fencing));
+            }
+            MoveEffect::Note(MoveNote::LeaseTaken { .. }) => self.counts.takeovers += 1,
+            MoveEffect::Note(_) => {}
+        }
+    }
+
+    /// Lets an operator activate a preset at a host, which edits the version in force there.
+    pub fn activate(&mut self, host: usize, number: usize) {
+        if !self.hosts[host].up || self.frozen[host] > self.now {
+            return;
+        }
+        let preset = &self.catalog.presets[number % self.catalog.presets.len()];
+        let mut catalog = (*self.catalog).clone();
+        catalog.tenants[0].weight = 1 + number as u32;
+        let request = AcceptRequest {
+            accept: AcceptId(self.rng.random()),
+            body: PresetBody::new(preset.name.clone(), catalog).encode(),
+            author: Arc::from("operator"),
+            at_ms: self.now,
+            base: Some(self.hosts[host].state.catalog.version),
+        };
+        self.feed(host, HostEvent::Preset(PresetEvent::Accept(request)));
+    }
+
+    /// Returns the host list as a host reads it.
+    pub(super) fn host_list(&self) -> HostEvent {
+        let hosts = (0..HOSTS).map(|host| ListedHost {
+            host: catalog::host_name(host),
+            address: catalog::gossip_address(host),
+            domain: catalog::domain(host),
+            region: RegionName::new(catalog::REGION),
+            leaving: false,
+        });
+        let addresses = (0..HOSTS).map(|host| PeerAddresses {
+            host: catalog::host_name(host),
+            callers: catalog::gossip_address(100 + host),
+        });
+        HostEvent::HostsListed {
+            hosts: hosts.collect(),
+            addresses: addresses.collect(),
+            leaving_targets: self.listed.iter().cloned().collect(),
+        }
+    }
+}
