Keep the ports of test hosts from being taken

With 90 host processes, some did not start: "Address already in use". Their ports were chosen by binding to port 0 and letting go, and until the host listened, an outgoing connection or a second choice could take the same port.

Ports are now counted up on a random loopback address of the choosing process. Outgoing connections come from 127.0.0.1, and no other process uses that address. Retrying with new ports was ruled out, since the host list and the settings of the other hosts already name the first ones. The folder of the settings is named after such an address too, for a counted port is no longer unique by itself. Each host process already has its own catalogue file.

--- a/crates/testbed/src/process.rs
+++ b/crates/testbed/src/process.rs
@@ -112,7 +112,7 @@
             target.address = standin.address;
             targets.push(standin);
         }
-        let folder = std::env::temp_dir().join(format!("crocusyard-test-{}", free_port()?));
+        let folder = std::env::temp_dir().join(folder_name()?);
         std::fs::create_dir_all(&folder).whatever_context("no folder for the settings")?;
         let mut deployment = Self {
             hosts: Vec::new(),
@@ -195,8 +195,14 @@
     }
 }
 
-fn free_port() -> Result<u16, Whatever> {
-    Ok(free_tcp().whatever_context("no free port")?.port())
+/// Returns a folder name that no other deployment has, since it holds an address kept for this one.
+fn folder_name() -> Result<String, Whatever> {
+    let address = free_tcp().whatever_context("no free port")?;
+    Ok(format!(
+        "crocusyard-test-{}-{}",
+        address.ip(),
+        address.port()
+    ))
 }
 
 /// Starts a stand-in and reads the address that it prints.
