Give the stand-ins the faults that the request tests need

Cause: the tests of at-most-once and whole answers need a host held between the write of its claim and the call, a call whose answer is late after it ran, lost answers to writes only, and connections that are cut while new ones work. The stand-ins could not do any of these.

Change: answer_delay_ms delays the answer after a write or a plain call was carried out; lose_write_answers loses the answers to writes only; the relay has CutOpen; the engine counts started streams at GET /started. A plain call that has begun now runs to its end when its connection breaks, as a real service would; before, actix dropped it half-way and the count of running calls never fell. TestClient can send further headers and keeps Retry-After of a refused stream.

--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -112,6 +112,7 @@
             .route("/v1/streams/{attempt}", web::get().to(resume_stream))
             .route("/v1/streams/{attempt}", web::delete().to(cancel_stream))
             .route("/load", web::get().to(get_load))
+            .route("/started", web::get().to(get_started))
             .route("/cache-events", web::get().to(get_cache_events))
             .route("/orders", web::post().to(take_order))
             .route("/orders/{id}", web::get().to(get_order))
@@ -178,6 +179,10 @@
     HttpResponse::NoContent().finish()
 }
 
+async fn get_started(state: web::Data<EngineState>) -> web::Json<u64> {
+    web::Json(state.streams.lock().expect("stream lock").started())
+}
+
 async fn get_load(state: web::Data<EngineState>, switch: web::Data<FaultSwitch>) -> HttpResponse {
     if switch.enter().await {
         return HttpResponse::ServiceUnavailable().finish();
--- a/crates/standins/src/engine/streams.rs
+++ b/crates/standins/src/engine/streams.rs
@@ -136,6 +136,7 @@
     cached_order: VecDeque<(String, u64)>,
     events: VecDeque<CacheEvent>,
     next_event: u64,
+    started: u64,
 }
 
 impl StreamState {
@@ -143,6 +144,11 @@
         (self.running, self.waiting, self.queued_tokens)
     }
 
+    /// Returns how many streams were started; resumes are not counted.
+    pub(super) fn started(&self) -> u64 {
+        self.started
+    }
+
     pub(super) fn cancel(&mut self, attempt: &str) {
         if let Some(entry) = self.streams.get(attempt) {
             entry.set_phase(StreamPhase::Cancelled);
@@ -239,6 +245,7 @@
             progress,
         };
         streams.streams.insert(work.attempt.clone(), entry);
+        streams.started += 1;
         streams.waiting += 1;
         streams.queued_tokens += work.input_tokens();
     }
--- a/crates/standins/src/faults.rs
+++ b/crates/standins/src/faults.rs
@@ -16,6 +16,8 @@
     Down,
     /// Calls are carried out, but every answer is lost: the connection is closed without one.
     LoseAnswers,
+    /// As `LoseAnswers`, but only for writes; reads work.
+    LoseWriteAnswers,
 }
 
 /// Faults in force.
@@ -25,9 +27,12 @@
     /// Kind of fault.
     #[serde(default)]
     pub mode: FaultMode,
-    /// Delay before each answer, milliseconds.
+    /// Delay before each call is carried out, milliseconds.
     #[serde(default)]
     pub delay_ms: u64,
+    /// Delay between carrying out a write or a plain call and its answer, milliseconds.
+    #[serde(default)]
+    pub answer_delay_ms: u64,
 }
 
 /// Switch shared by the handlers of a stand-in.
@@ -51,6 +56,18 @@
         settings.mode == FaultMode::Down
     }
 
+    /// Waits before the answer to a write as the faults demand, and makes it.
+    pub async fn answer_write(&self, answer: HttpResponse) -> HttpResponse {
+        let settings = self.current();
+        if settings.answer_delay_ms > 0 {
+            actix_rt::time::sleep(Duration::from_millis(settings.answer_delay_ms)).await;
+        }
+        match settings.mode {
+            FaultMode::LoseWriteAnswers => lost_answer(),
+            _ => answer_or_lose(self, answer),
+        }
+    }
+
     /// Returns whether the answer of a call that was carried out is to be lost.
     pub fn loses_answer(&self) -> bool {
         self.current().mode == FaultMode::LoseAnswers
@@ -67,12 +84,16 @@
 }
 
 /// Makes the answer to a call that was carried out, unless it is to be lost.
-///
-/// A body that fails at once makes actix-web close the connection, as a lost answer would.
 pub fn answer_or_lose(switch: &FaultSwitch, answer: HttpResponse) -> HttpResponse {
-    if !switch.loses_answer() {
-        return answer;
+    if switch.loses_answer() {
+        lost_answer()
+    } else {
+        answer
     }
+}
+
+/// Makes an answer whose body fails at once, so that actix-web closes the connection.
+fn lost_answer() -> HttpResponse {
     let broken = futures_util::stream::once(async {
         Err::<web::Bytes, _>(std::io::Error::other("answer lost by fault injection"))
     });
--- a/crates/standins/src/plain.rs
+++ b/crates/standins/src/plain.rs
@@ -3,7 +3,7 @@
 //! It answers every call below any path with a JSON body that names the call, keeps a record of
 //! keyed calls, and counts how often each key ran, so that tests can see a call that ran twice.
 
-use crate::faults::{answer_or_lose, set_fault, FaultSwitch};
+use crate::faults::{set_fault, FaultSwitch};
 use crate::server::RunningServer;
 use actix_web::{web, App, HttpRequest, HttpResponse, HttpServer};
 use crocusyard_border::engine::{CallRecord, LoadStatus};
@@ -115,7 +115,6 @@
         .and_then(|value| value.to_str().ok())
         .map(str::to_owned);
     let number = begin_call(&state, key.as_deref());
-    actix_rt::time::sleep(Duration::from_millis(state.service_ms)).await;
     let answer = serde_json::json!({
         "method": request.method().as_str(),
         "path": request.path(),
@@ -124,11 +123,20 @@
         "run": number,
     })
     .to_string();
-    end_call(&state, key, &answer);
+    // A call that has begun runs to its end even if its connection breaks.
+    let run = actix_rt::spawn(finish_call(state, key, answer.clone()));
+    if run.await.is_err() {
+        return HttpResponse::InternalServerError().finish();
+    }
     let response = HttpResponse::Ok()
         .content_type("application/json")
         .body(answer);
-    answer_or_lose(&switch, response)
+    switch.answer_write(response).await
+}
+
+async fn finish_call(state: web::Data<PlainState>, key: Option<String>, answer: String) {
+    actix_rt::time::sleep(Duration::from_millis(state.service_ms)).await;
+    end_call(&state, key, &answer);
 }
 
 fn begin_call(state: &PlainState, key: Option<&str>) -> u64 {
--- a/crates/standins/src/platform.rs
+++ b/crates/standins/src/platform.rs
@@ -156,10 +156,12 @@
     if switch.enter().await {
         return unavailable();
     }
-    let mut store = state.store.lock().expect("store lock");
-    store.counts.writes += 1;
-    let result = apply(&mut store, &body.changes);
-    answer_or_lose(&switch, HttpResponse::Ok().json(result))
+    let result = {
+        let mut store = state.store.lock().expect("store lock");
+        store.counts.writes += 1;
+        apply(&mut store, &body.changes)
+    };
+    switch.answer_write(HttpResponse::Ok().json(result)).await
 }
 
 fn apply(store: &mut StoreState, changes: &[RowWrite]) -> TransactionResult {
--- a/crates/standins/src/relay.rs
+++ b/crates/standins/src/relay.rs
@@ -19,6 +19,8 @@
     SilenceOpen = 1,
     /// Closes open connections and refuses new ones.
     Cut = 2,
+    /// Closes the connections opened before the switch; new ones work.
+    CutOpen = 3,
 }
 
 /// Switch of a running relay.
@@ -27,22 +29,33 @@
     mode: AtomicU8,
     /// Connections with a lower generation are silent after a switch to `SilenceOpen`.
     generation: AtomicU64,
+    /// Connections with a lower generation are closed after a switch to `CutOpen`.
+    first_open: AtomicU64,
 }
 
 impl RelayState {
     /// Switches the relay.
     pub fn set_mode(&self, mode: RelayMode) {
-        if mode == RelayMode::SilenceOpen {
-            self.generation.fetch_add(1, Ordering::SeqCst);
-            return;
+        match mode {
+            RelayMode::Forward | RelayMode::Cut => self.mode.store(mode as u8, Ordering::SeqCst),
+            RelayMode::SilenceOpen => {
+                self.generation.fetch_add(1, Ordering::SeqCst);
+            }
+            RelayMode::CutOpen => {
+                let next = self.generation.fetch_add(1, Ordering::SeqCst) + 1;
+                self.first_open.store(next, Ordering::SeqCst);
+            }
         }
-        self.mode.store(mode as u8, Ordering::SeqCst);
     }
 
     fn is_cut(&self) -> bool {
         self.mode.load(Ordering::SeqCst) == RelayMode::Cut as u8
     }
 
+    fn is_closed(&self, generation: u64) -> bool {
+        self.is_cut() || generation < self.first_open.load(Ordering::SeqCst)
+    }
+
     fn is_silent(&self, generation: u64) -> bool {
         generation < self.generation.load(Ordering::SeqCst)
     }
@@ -90,14 +103,14 @@
         let read = tokio::select! {
             read = source.read(&mut buffer) => read,
             () = actix_rt::time::sleep(std::time::Duration::from_millis(20)) => {
-                if state.is_cut() {
+                if state.is_closed(generation) {
                     return;
                 }
                 continue;
             }
         };
         let Ok(count) = read else { return };
-        if count == 0 || state.is_cut() {
+        if count == 0 || state.is_closed(generation) {
             return;
         }
         if state.is_silent(generation) {
--- a/crates/testbed/src/client.rs
+++ b/crates/testbed/src/client.rs
@@ -13,7 +13,7 @@
 #[derive(Clone)]
 pub struct TestClient {
     client: awc::Client,
-    tenant: String,
+    headers: Vec<(&'static str, String)>,
 }
 
 /// What a streamed request gave.
@@ -31,6 +31,8 @@
     pub complete: bool,
     /// Error event or problem document.
     pub error: Option<Value>,
+    /// `Retry-After`, seconds.
+    pub retry_after: Option<u64>,
 }
 
 /// What a plain call gave.
@@ -58,10 +60,17 @@
         let client = awc::Client::builder().timeout(REQUEST_LIMIT).finish();
         Self {
             client,
-            tenant: tenant.to_owned(),
+            headers: vec![("x-tenant", tenant.to_owned())],
         }
     }
 
+    /// Sends a further header with every request, such as the class or the deadline.
+    #[must_use]
+    pub fn header(mut self, name: &'static str, value: &str) -> Self {
+        self.headers.push((name, value.to_owned()));
+        self
+    }
+
     /// Streams a chat completion.
     pub async fn stream(
         &self,
@@ -104,8 +113,10 @@
         });
         let mut request = self
             .client
-            .post(format!("http://{entry}/v1/chat/completions"))
-            .insert_header(("x-tenant", self.tenant.as_str()));
+            .post(format!("http://{entry}/v1/chat/completions"));
+        for (name, value) in &self.headers {
+            request = request.insert_header((*name, value.as_str()));
+        }
         if let Some(id) = last_id {
             request = request.insert_header(("last-event-id", id));
         }
@@ -113,6 +124,7 @@
             return;
         };
         answer.status = response.status().as_u16();
+        answer.retry_after = retry_after(response.headers());
         if answer.status != 200 {
             answer.error = response.json().await.ok();
             return;
@@ -138,8 +150,10 @@
     ) -> PlainAnswer {
         let mut request = self
             .client
-            .request(method, format!("http://{entry}/services/{path}"))
-            .insert_header(("x-tenant", self.tenant.as_str()));
+            .request(method, format!("http://{entry}/services/{path}"));
+        for (name, value) in &self.headers {
+            request = request.insert_header((*name, value.as_str()));
+        }
         if let Some(key) = key {
             request = request.insert_header(("idempotency-key", key));
         }
@@ -150,10 +164,7 @@
                 retry_after: None,
             },
             Ok(mut response) => {
-                let retry_after = response
-                    .headers()
-                    .get("retry-after")
-                    .and_then(|value| value.to_str().ok()?.parse().ok());
+                let retry_after = retry_after(response.headers());
                 let status = response.status().as_u16();
                 PlainAnswer {
                     status,
@@ -165,6 +176,10 @@
     }
 }
 
+fn retry_after(headers: &awc::http::header::HeaderMap) -> Option<u64> {
+    headers.get("retry-after")?.to_str().ok()?.parse().ok()
+}
+
 impl StreamedAnswer {
     fn take_event(&mut self, event: &str) {
         for line in event.lines() {
