--- a/crates/host/src/actor.rs
+++ b/crates/host/src/actor.rs
@@ -21,7 +21,7 @@
 use crocusyard_routing::prelude::PollSchedule;
 use crocusyard_settings::prelude::*;
 use crocusyard_targets::prelude::*;
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -30,13 +30,12 @@
 
 /// Time between two ticks of the reducer; retries and time limits are rounded up to it.
 const TICK_INTERVAL: Duration = Duration::from_millis(20);
-
 /// Time between two looks at which targets' load is to be read.
 const LOAD_POLL_STEP: Duration = Duration::from_millis(50);
 /// Time between two reads of an engine's cache events.
 const CACHE_POLL: Duration = Duration::from_secs(2);
 
-/// Time between two updates of the gauges.
+/// Time between two updates of the gauges; a scrape needs nothing fresher.
 const GAUGE_INTERVAL: Duration = Duration::from_secs(1);
 
 /// The monotonic clock of one host.
@@ -55,7 +54,6 @@
     pub(crate) payload: RequestPayload,
     pub(crate) answer: Option<AnswerSender>,
     pub(crate) id: RequestId,
-    pub(crate) class: ClassName,
     /// Whether the answer is collected, so that it can be recorded under its claim.
     pub(crate) collects: bool,
     /// Answer read from a claim or from a target's record.
@@ -70,7 +68,8 @@
 pub(crate) struct AttemptSlot {
     pub(crate) key: RequestKey,
     pub(crate) head: Option<Box<ResponseHead>>,
-    pub(crate) collected: Vec<u8>,
+    /// Body to record; `None` once it is too large to be recorded.
+    pub(crate) collected: Option<Vec<u8>>,
 }
 
 /// What an actor is made of.
@@ -103,6 +102,8 @@
     pub(crate) pools: TargetPools,
     pub(crate) requests: HashMap<RequestKey, RequestSlot>,
     pub(crate) attempts: HashMap<AttemptId, AttemptSlot>,
+    /// Claimed calls that go on although their callers have left.
+    pub(crate) detached: BTreeSet<RequestKey>,
     pub(crate) gossip: GossipLink,
     pub(crate) gossip_task: Option<actix_rt::task::JoinHandle<()>>,
     pub(crate) peer_key: Arc<str>,
@@ -134,6 +135,7 @@
             pools: TargetPools::new(sender, connect_timeout),
             requests: HashMap::new(),
             attempts: HashMap::new(),
+            detached: BTreeSet::new(),
             gossip: parts.gossip,
             gossip_task: None,
             peer_key: parts.peer_key,
@@ -185,6 +187,7 @@
         for effect in effects {
             self.perform(effect, context);
         }
+        self.forget_detached();
     }
 
     /// Hands an event of the request feature to the reducer.
@@ -243,7 +246,6 @@
             payload: request.payload,
             answer: Some(request.answer),
             id: spec.id.clone(),
-            class: spec.class.clone(),
             collects: !spec.idempotent,
             stored: None,
             labels: self.metrics.labels_of(&spec.tenant, &spec.class),
--- a/crates/load/src/run.rs
+++ b/crates/load/src/run.rs
@@ -241,7 +241,18 @@
         let sent = client.get(format!("http://{address}/runs")).send().await;
         let mut response = sent.map_err(|error| fail(format!("{address}: {error}")))?;
         let read = response.json().limit(RUNS_MAX).await;
-        runs.push(read.map_err(|error| fail(format!("{address}: {error}")))?);
+        let read = read.map_err(|error| fail(format!("{address}: {error}")))?;
+        runs.push(without_tenants(read));
     }
     Ok(runs)
 }
+
+/// Entry hosts give targets a key as `tenant@key`; the keys of one run are unique without tenants.
+fn without_tenants(runs: BTreeMap<String, u64>) -> BTreeMap<String, u64> {
+    let mut counts = BTreeMap::new();
+    for (key, count) in runs {
+        let plain = key.split_once('@').map_or(key.as_str(), |(_, plain)| plain);
+        *counts.entry(plain.to_owned()).or_insert(0) += count;
+    }
+    counts
+}
--- a/crates/targets/src/attempt.rs
+++ b/crates/targets/src/attempt.rs
@@ -1,13 +1,14 @@
 //! One attempt: sends a request to a target and reports its answer part by part.
 
 use crate::pool::UpdateSender;
-use awc::error::SendRequestError;
+use awc::error::{ConnectError, SendRequestError};
 use awc::http::{header::HeaderMap, Method, StatusCode};
 use awc::{Client, ClientRequest, ClientResponse};
 use bytes::Bytes;
 use crocusyard_base::prelude::*;
 use eventsource_stream::Eventsource;
 use futures_util::StreamExt;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -97,7 +98,8 @@
 /// What happened to an attempt.
 #[derive(Clone, Debug)]
 pub enum AttemptChange {
-    /// The first bytes are about to be sent.
+    /// A connection stood, so bytes were sent. It is known only once the answer or an error is
+    /// there; until then an attempt counts as sent.
     Sent,
     /// The head of the answer arrived.
     Head(Box<ResponseHead>),
@@ -133,23 +135,22 @@
         // The receiver is gone only when the process stops.
         let _ = updates.send(AttemptUpdate { attempt, change });
     };
-    report(AttemptChange::Sent);
-    let first = match &plan.kind {
-        PlanKind::Resume { from, .. } => *from,
-        _ => 0,
-    };
-    let is_plain = matches!(plan.kind, PlanKind::Plain { .. });
     let mut response = match send(&client, address, &plan).await {
         Ok(response) => response,
-        Err(error) => return report(AttemptChange::Ended(failed_send(&error))),
-    };
-    let result = if is_plain {
-        pass_through(&mut response, &report).await
-    } else {
-        read_stream(&mut response, first, &report).await
+        Err(error) => {
+            let result = failed_send(error);
+            if result != AttemptResult::NotSent {
+                report(AttemptChange::Sent);
+            }
+            return report(AttemptChange::Ended(result));
+        }
     };
+    report(AttemptChange::Sent);
+    let result = read_answer(&mut response, &plan.kind, &report).await;
     report(AttemptChange::Ended(result));
-    if matches!(result, AttemptResult::Complete { .. }) {
+    let is_stream = !matches!(plan.kind, PlanKind::Plain { .. });
+    // A plain answer was read to its end already; the HTTP library panics if it is read further.
+    if is_stream && matches!(result, AttemptResult::Complete { .. }) {
         read_rest(response).await;
     }
 }
@@ -162,6 +163,18 @@
     let _ = actix_rt::time::timeout(REST_TIMEOUT, rest).await;
 }
 
+async fn read_answer(
+    response: &mut EngineResponse,
+    kind: &PlanKind,
+    report: &impl Fn(AttemptChange),
+) -> AttemptResult {
+    match kind {
+        PlanKind::Plain { .. } => pass_through(response, report).await,
+        PlanKind::Resume { from, .. } => read_stream(response, *from, report).await,
+        PlanKind::Completion { .. } => read_stream(response, 0, report).await,
+    }
+}
+
 type EngineResponse = ClientResponse;
 
 async fn send(
@@ -211,13 +224,32 @@
 }
 
 /// Only errors from before a connection stood prove that nothing was sent.
-fn failed_send(error: &SendRequestError) -> AttemptResult {
+fn failed_send(error: SendRequestError) -> AttemptResult {
     match error {
-        SendRequestError::Url(_) | SendRequestError::Connect(_) => AttemptResult::NotSent,
+        SendRequestError::Url(_) => AttemptResult::NotSent,
+        SendRequestError::Connect(error) if is_unconnected(&error) => AttemptResult::NotSent,
         _ => AttemptResult::Broken,
     }
 }
 
+/// Returns whether an error proves that no connection stood.
+///
+/// The client also reports a connection that is closed while it waits for the answer as a
+/// `ConnectError`; such a call may have run.
+fn is_unconnected(error: &ConnectError) -> bool {
+    match error {
+        ConnectError::Timeout | ConnectError::Unresolved | ConnectError::NoRecords => true,
+        ConnectError::Io(error) => matches!(
+            error.kind(),
+            ErrorKind::ConnectionRefused
+                | ErrorKind::HostUnreachable
+                | ErrorKind::NetworkUnreachable
+                | ErrorKind::AddrNotAvailable
+        ),
+        _ => false,
+    }
+}
+
 async fn pass_through(
     response: &mut EngineResponse,
     report: &impl Fn(AttemptChange),
