Treat a connection closed before the answer as a lost answer

Cause: awc reports a connection that closes after the request was sent and before the head of the answer as Connect(Disconnected). The platform client and the attempts took every Connect error for a request that was not sent. A table transaction that had taken effect counted as failed and was repeated, and a plain call that had run counted as not run.

Ruled out: the preset reducer. A trace of its table calls shows transactions answered Failed and sent again, where Unknown leads to the read-back.

Change: Disconnected gives Unknown in the platform client and Broken in an attempt. The other Connect errors come from before a connection stood.

--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -4,7 +4,7 @@
 //! the call did not reach the service or the service refused it, [`TableAnswer::Unknown`] when the
 //! answer was lost.
 
-use awc::error::SendRequestError;
+use awc::error::{ConnectError, SendRequestError};
 use awc::Client;
 use bytes::Bytes;
 use crocusyard_base::prelude::*;
@@ -184,6 +184,10 @@
         };
         let response = match self.client.post(url).send_json(&body).await {
             Ok(response) => response,
+            // The connection closed before the head of the answer, after the request was sent.
+            Err(SendRequestError::Connect(ConnectError::Disconnected)) => {
+                return TableAnswer::Unknown;
+            }
             Err(SendRequestError::Connect(_) | SendRequestError::Url(_)) => {
                 return TableAnswer::Failed;
             }
--- a/crates/targets/src/attempt.rs
+++ b/crates/targets/src/attempt.rs
@@ -1,7 +1,7 @@
 //! One attempt: sends a request to a target and reports its answer part by part.
 
 use crate::pool::UpdateSender;
-use awc::error::SendRequestError;
+use awc::error::{ConnectError, SendRequestError};
 use awc::http::{header::HeaderMap, Method, StatusCode};
 use awc::{Client, ClientRequest, ClientResponse};
 use bytes::Bytes;
@@ -193,8 +193,12 @@
 }
 
 /// Only errors from before a connection stood prove that nothing was sent.
+///
+/// awc reports a connection that closes before the head of the answer as `Disconnected`, although
+/// the request was sent.
 fn failed_send(error: &SendRequestError) -> AttemptResult {
     match error {
+        SendRequestError::Connect(ConnectError::Disconnected) => AttemptResult::Broken,
         SendRequestError::Url(_) | SendRequestError::Connect(_) => AttemptResult::NotSent,
         _ => AttemptResult::Broken,
     }
