Introduce hosts with their address for callers

Cause: hosts knew each other's HTTP addresses only from the host list. A host that started while the platform was down met its peers by UDP and heard of the newest preset version, but could not fetch the body from them and was not ready within 60 s. The others could not have named a host unknown to the list.

Change: introductions carry the address for callers, membership keeps it with the incarnation rules of the other address, and the core takes it from the view. The number of hosts that the preset feature is told includes dead ones: a host that is cut off within one failure domain took itself for the only host, which is always current.

The count of dead hosts has no test of its own yet.

--- a/crates/core/src/features/members.rs
+++ b/crates/core/src/features/members.rs
@@ -189,6 +189,10 @@
 ///
 /// A host whose address for callers is not known yet cannot be handed out.
 fn apply_view(state: &mut HostState, now: ClockTime, view: &HostView) {
+    // While the host list is down, hosts learn each other's addresses from each other.
+    if let Some(callers) = view.callers {
+        state.addresses.insert(view.host.clone(), callers);
+    }
     if view.state != LivenessState::Alive {
         state.ring.remove_host(&view.host);
         return;
@@ -208,15 +212,14 @@
 
 /// Tells the preset feature how many hosts and failure domains there are.
 fn tell_peer_counts(state: &mut HostState, now: ClockTime, out: &mut Vec<HostEffect>) {
+    // Dead hosts count until they are forgotten: a host that is cut off takes all others for dead,
+    // and must not take itself for the only one, which is always current.
     let views = host_views(&state.members);
-    let live = views
-        .iter()
-        .filter(|view| view.state != LivenessState::Dead);
-    let mut domains: BTreeSet<&DomainName> = live.clone().map(|view| &view.domain).collect();
+    let mut domains: BTreeSet<&DomainName> = views.iter().map(|view| &view.domain).collect();
     domains.insert(&state.identity.domain);
     let event = PresetEvent::PeersChanged {
         domains: u32::try_from(domains.len()).unwrap_or(u32::MAX),
-        hosts: u32::try_from(live.count()).unwrap_or(u32::MAX),
+        hosts: u32::try_from(views.len()).unwrap_or(u32::MAX),
     };
     presets::reduce(state, now, event, out);
 }
--- a/crates/host/src/feature_settings.rs
+++ b/crates/host/src/feature_settings.rs
@@ -44,6 +44,7 @@
         unix_ms(),
     );
     MembershipSettings {
+        callers: Some(settings.listen.advertised_callers),
         suspicion: section.suspicion_ms,
         budget_rate: (f64::from(section.budget_bytes) * SENT_SHARE) as u64,
         ..base
--- a/crates/host/src/polling.rs
+++ b/crates/host/src/polling.rs
@@ -10,6 +10,7 @@
 use crocusyard_membership::prelude::ListedHost;
 use crocusyard_routing::prelude::*;
 use crocusyard_targets::management::{read_cache_events, read_load};
+use std::net::SocketAddr;
 use std::time::Duration;
 
 impl HostActor {
@@ -148,6 +149,7 @@
         Some(ListedHost {
             host: HostName::new(&host.name),
             address: host.gossip_address.as_ref()?.parse().ok()?,
+            callers: callers_of(host),
             region: region_of(state, &domain),
             domain,
             leaving: host.leaving,
@@ -156,7 +158,7 @@
     let addresses = listing.hosts.iter().filter_map(|host| {
         Some(PeerAddresses {
             host: HostName::new(&host.name),
-            callers: host.caller_address.as_ref()?.parse().ok()?,
+            callers: callers_of(host)?,
         })
     });
     let leaving = listing.targets.iter().filter(|target| target.leaving);
@@ -169,6 +171,10 @@
     }
 }
 
+fn callers_of(host: &crocusyard_border::platform::ListedHost) -> Option<SocketAddr> {
+    host.caller_address.as_ref()?.parse().ok()
+}
+
 /// Returns the region of a failure domain; an undeclared one counts to the own region.
 fn region_of(state: &HostState, domain: &DomainName) -> RegionName {
     let regions = &state.catalog.catalog.regions;
--- a/crates/membership/src/compose.rs
+++ b/crates/membership/src/compose.rs
@@ -165,6 +165,7 @@
         return Some(HostIntroduction {
             host: state.settings.host.clone(),
             address: state.settings.address,
+            callers: state.settings.callers,
             domain: state.settings.domain.clone(),
             region: state.settings.region.clone(),
             incarnation: state.incarnation,
@@ -175,6 +176,7 @@
     Some(HostIntroduction {
         host: member.host.clone(),
         address: member.address,
+        callers: member.callers,
         domain: member.domain.clone(),
         region: member.region.clone(),
         incarnation: member.incarnation,
--- a/crates/membership/src/effect.rs
+++ b/crates/membership/src/effect.rs
@@ -11,6 +11,8 @@
     pub host: HostName,
     /// Address for packets between hosts.
     pub address: SocketAddr,
+    /// Address for callers and for HTTP between hosts, as far as it is known.
+    pub callers: Option<SocketAddr>,
     /// Failure domain.
     pub domain: DomainName,
     /// Region.
--- a/crates/membership/src/event.rs
+++ b/crates/membership/src/event.rs
@@ -11,6 +11,8 @@
     pub host: HostName,
     /// Address for packets between hosts.
     pub address: SocketAddr,
+    /// Address for callers and for HTTP between hosts, if the list names it.
+    pub callers: Option<SocketAddr>,
     /// Failure domain.
     pub domain: DomainName,
     /// Region.
--- a/crates/membership/src/members.rs
+++ b/crates/membership/src/members.rs
@@ -235,6 +235,11 @@
         if introduction.incarnation > member.incarnation {
             member.address = introduction.address;
         }
+        let newest = introduction.incarnation >= member.incarnation;
+        if newest && introduction.callers.is_some() && introduction.callers != member.callers {
+            member.callers = introduction.callers;
+            out.push(MembershipEffect::HostChanged(view_of(member)));
+        }
         merge_update(state, now, update, out);
         return;
     }
@@ -242,6 +247,7 @@
         domain_id: NameId::of(introduction.domain.as_str()),
         host: introduction.host,
         address: introduction.address,
+        callers: introduction.callers,
         domain: introduction.domain,
         region: introduction.region,
         incarnation: introduction.incarnation,
@@ -281,6 +287,7 @@
             let introduction = HostIntroduction {
                 host: listed.host.clone(),
                 address: listed.address,
+                callers: listed.callers,
                 domain: listed.domain.clone(),
                 region: listed.region.clone(),
                 incarnation: 0,
@@ -296,7 +303,9 @@
         member.listed = true;
         if member.incarnation == 0 {
             member.address = listed.address;
+            member.callers = listed.callers;
         }
+        member.callers = member.callers.or(listed.callers);
         if member.listed_leaving == listed.leaving {
             continue;
         }
--- a/crates/membership/src/settings.rs
+++ b/crates/membership/src/settings.rs
@@ -19,6 +19,8 @@
     pub host: HostName,
     /// Own address for packets between hosts.
     pub address: SocketAddr,
+    /// Own address for callers, which other hosts learn without the host list.
+    pub callers: Option<SocketAddr>,
     /// Own failure domain.
     pub domain: DomainName,
     /// Own region.
@@ -59,6 +61,7 @@
         Self {
             host,
             address,
+            callers: None,
             domain,
             region,
             incarnation,
--- a/crates/membership/src/state.rs
+++ b/crates/membership/src/state.rs
@@ -28,6 +28,8 @@
     pub host: HostName,
     /// Address for packets between hosts.
     pub address: SocketAddr,
+    /// Address for callers and for HTTP between hosts, as far as it is known.
+    pub callers: Option<SocketAddr>,
     /// Failure domain.
     pub domain: DomainName,
     /// Hash of the failure domain's name.
@@ -152,6 +154,7 @@
     HostView {
         host: member.host.clone(),
         address: member.address,
+        callers: member.callers,
         domain: member.domain.clone(),
         region: member.region.clone(),
         incarnation: member.incarnation,
--- a/crates/membership/tests/liveness.rs
+++ b/crates/membership/tests/liveness.rs
@@ -166,6 +166,7 @@
     let hosts = vec![ListedHost {
         host: seed.host,
         address: seed.address,
+        callers: None,
         domain: seed.domain,
         region: seed.region,
         leaving: false,
--- a/crates/membership/tests/support/mod.rs
+++ b/crates/membership/tests/support/mod.rs
@@ -154,6 +154,7 @@
             ListedHost {
                 host: host.name.clone(),
                 address: settings.address,
+                callers: settings.callers,
                 domain: settings.domain.clone(),
                 region: settings.region.clone(),
                 leaving: false,
