Let engines load adapters for requests

The router scores a target without the adapter by the cost of loading it, so the engine has to load an adapter when a request asks for it. The stand-in answered 404. It now loads the adapter in 10 ms beside its resident base model if it fits, and drops idle adapters that requests brought in, least recently used first; its memory check is the one for orders.

The stand-ins count memory use, requests and orders at GET /usage, and the platform can lose the answers to transactions only (lose_commits).

--- a/crates/standins/src/bin/crocusyard_standin.rs
+++ b/crates/standins/src/bin/crocusyard_standin.rs
@@ -32,6 +32,9 @@
     /// model resident at the start, as NAME=BYTES; may be repeated
     #[argh(option, from_str_fn(parse_resident))]
     resident: Vec<(String, u64)>,
+    /// adapter that is loaded for a request beside its model, as NAME=MODEL=BYTES; may be repeated
+    #[argh(option, from_str_fn(parse_adapter))]
+    adapter: Vec<AdapterOption>,
     /// requests that run at once
     #[argh(option, default = "16")]
     concurrency: u32,
@@ -85,6 +88,17 @@
     Ok((name.to_owned(), bytes))
 }
 
+fn parse_adapter(text: &str) -> Result<AdapterOption, String> {
+    let expected = "expected NAME=MODEL=BYTES";
+    let (name, rest) = text.split_once('=').ok_or(expected)?;
+    let (model, bytes) = rest.split_once('=').ok_or(expected)?;
+    Ok(AdapterOption {
+        name: name.to_owned(),
+        model: model.to_owned(),
+        memory_bytes: bytes.parse().map_err(|error| format!("{error}"))?,
+    })
+}
+
 #[actix_web::main]
 async fn main() -> std::io::Result<()> {
     let args: StandinArgs = argh::from_env();
@@ -112,6 +126,7 @@
         listen: args.listen,
         memory_bytes: args.memory_bytes,
         resident: args.resident,
+        adapters: args.adapter,
         concurrency: args.concurrency,
         prefill_rate: args.prefill_rate,
         token_ms: args.token_ms,
--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -1,8 +1,8 @@
 //! Stand-in for a model engine.
 //!
 //! It generates deterministic tokens at set rates, keeps every stream for a while so that it can be
-//! resumed, carries out load and unload orders within its memory, and reports load, residency and
-//! cache events. A prompt that contains the crash marker ends the process.
+//! resumed, carries out load and unload orders within its memory, loads adapters for requests, and
+//! reports load, residency and cache events. A prompt that contains the crash marker ends the process.
 
 mod residency;
 mod streams;
@@ -11,7 +11,7 @@
 use crate::server::RunningServer;
 use actix_web::{web, App, HttpRequest, HttpResponse, HttpServer};
 use crocusyard_border::engine::{CacheEvents, EngineOrder, FencingRaise, LoadStatus, OrderState};
-use residency::ResidencyState;
+use residency::{Readiness, ResidencyState};
 use serde::Deserialize;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
@@ -21,6 +21,17 @@
 /// Prompt text that ends the process of a stand-in started with `crashes` set.
 pub const CRASH_MARKER: &str = "crash-this-engine";
 
+/// An adapter that the engine can load by itself when a request asks for it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct AdapterOption {
+    /// Name.
+    pub name: String,
+    /// Base model.
+    pub model: String,
+    /// Accelerator memory, bytes.
+    pub memory_bytes: u64,
+}
+
 /// Settings of the engine stand-in.
 #[derive(Clone, Debug)]
 pub struct EngineOptions {
@@ -30,6 +41,8 @@
     pub memory_bytes: u64,
     /// Models resident at the start, with their memory in bytes.
     pub resident: Vec<(String, u64)>,
+    /// Adapters that can be loaded for a request while their base model is resident.
+    pub adapters: Vec<AdapterOption>,
     /// Requests that run at once; more wait inside the engine.
     pub concurrency: u32,
     /// Prefill rate, tokens a second.
@@ -52,6 +65,7 @@
             listen: SocketAddr::from(([127, 0, 0, 1], 0)),
             memory_bytes: 16 << 30,
             resident: Vec::new(),
+            adapters: Vec::new(),
             concurrency: 16,
             prefill_rate: 20_000.0,
             token_ms: 5,
@@ -116,6 +130,7 @@
             .route("/orders", web::post().to(take_order))
             .route("/orders/{id}", web::get().to(get_order))
             .route("/fencing", web::post().to(raise_fencing))
+            .route("/usage", web::get().to(get_usage))
     })
     .workers(1)
     .disable_signals()
@@ -143,14 +158,16 @@
     if state.settings.crashes && work.prompt.contains(CRASH_MARKER) {
         std::process::exit(3);
     }
-    if !state
+    match residency::prepare(&state, &work.model).await {
+        Readiness::Ready => {}
+        Readiness::Absent => return HttpResponse::NotFound().body("model is not resident"),
+        Readiness::Full => return HttpResponse::ServiceUnavailable().body("memory is full"),
+    }
+    state
         .residency
         .lock()
         .expect("residency lock")
-        .serves(&work.model)
-    {
-        return HttpResponse::NotFound().body("model is not resident");
-    }
+        .note_request();
     let attempt = work.attempt.clone();
     streams::start(state.clone().into_inner(), work);
     streams::respond(&state.into_inner(), &attempt, 0)
@@ -271,6 +288,10 @@
     HttpResponse::Ok().json(status)
 }
 
+async fn get_usage(state: web::Data<EngineState>) -> HttpResponse {
+    HttpResponse::Ok().json(state.residency.lock().expect("residency lock").usage())
+}
+
 async fn raise_fencing(
     state: web::Data<EngineState>,
     raise: web::Json<FencingRaise>,
--- a/crates/standins/src/engine/residency.rs
+++ b/crates/standins/src/engine/residency.rs
@@ -1,6 +1,6 @@
 //! Models and adapters on the engine stand-in, and the orders that change them.
 
-use super::EngineOptions;
+use super::{AdapterOption, EngineOptions, EngineState};
 use crocusyard_border::engine::{
     CopyPhase, CopyStatus, EngineOrder, OrderAction, OrderState, OrderStatus,
 };
@@ -8,6 +8,29 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+/// Time to load an adapter for a request.
+const ADAPTER_LOAD: Duration = Duration::from_millis(10);
+/// Time between two looks at an adapter that another request loads.
+const ADAPTER_LOOK: Duration = Duration::from_millis(2);
+
+/// Whether a request for a model or adapter can run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Readiness {
+    /// It is resident.
+    Ready,
+    /// Neither it nor, for an adapter, its base model is resident.
+    Absent,
+    /// The adapter does not fit beside what is in use.
+    Full,
+}
+
+/// What a request for an adapter has to do.
+enum AdapterStep {
+    Done(Readiness),
+    Load,
+    Wait,
+}
+
 /// Copies and orders of one engine.
 pub(super) struct ResidencyState {
     capacity: u64,
@@ -15,6 +38,25 @@
     fencing: u64,
     copies: BTreeMap<String, CopyStatus>,
     orders: BTreeMap<String, (OrderState, Option<String>)>,
+    usage: UsageCounts,
+    adapters: Vec<AdapterOption>,
+    /// Adapters that were loaded for requests, least recently used first.
+    on_demand: Vec<String>,
+}
+
+/// Memory use, requests and orders since the start, for tests.
+#[derive(Clone, Copy, Debug, Default, serde::Serialize)]
+pub(super) struct UsageCounts {
+    /// Greatest memory in use at once, bytes.
+    peak_bytes: u64,
+    /// Requests that were started.
+    requests: u64,
+    /// Orders that were carried out or are running.
+    accepted: u64,
+    /// Orders that were refused because memory was full.
+    refused_full: u64,
+    /// Orders that were refused because of their fencing number.
+    refused_fencing: u64,
 }
 
 impl ResidencyState {
@@ -27,21 +69,98 @@
             };
             (name.clone(), copy)
         });
-        Self {
+        let mut state = Self {
             capacity: settings.memory_bytes,
             checks_fencing: settings.checks_fencing,
             fencing: 0,
             copies: copies.collect(),
             orders: BTreeMap::new(),
-        }
+            usage: UsageCounts::default(),
+            adapters: settings.adapters.clone(),
+            on_demand: Vec::new(),
+        };
+        state.note_use();
+        state
     }
 
-    pub(super) fn serves(&self, name: &str) -> bool {
+    pub(super) fn note_request(&mut self) {
+        self.usage.requests += 1;
+    }
+
+    pub(super) fn usage(&self) -> UsageCounts {
+        self.usage
+    }
+
+    fn used(&self) -> u64 {
+        self.copies.values().map(|copy| copy.memory_bytes).sum()
+    }
+
+    fn note_use(&mut self) {
+        self.usage.peak_bytes = self.usage.peak_bytes.max(self.used());
+    }
+
+    fn is_resident(&self, name: &str) -> bool {
         self.copies
             .get(name)
             .is_some_and(|copy| copy.state == CopyPhase::Resident)
     }
 
+    /// Decides about a request; `in_use` tells which adapters have running streams.
+    fn step(&mut self, name: &str, in_use: impl Fn(&str) -> bool) -> AdapterStep {
+        let option = self.adapters.iter().find(|adapter| adapter.name == name);
+        let Some(option) = option.cloned() else {
+            let ready = self.is_resident(name);
+            return AdapterStep::Done(if ready {
+                Readiness::Ready
+            } else {
+                Readiness::Absent
+            });
+        };
+        if !self.is_resident(&option.model) {
+            return AdapterStep::Done(Readiness::Absent);
+        }
+        if let Some(position) = self.on_demand.iter().position(|other| other == name) {
+            let used = self.on_demand.remove(position);
+            self.on_demand.push(used);
+        }
+        match self.copies.get(name).map(|copy| copy.state) {
+            Some(CopyPhase::Resident) => return AdapterStep::Done(Readiness::Ready),
+            Some(_) => return AdapterStep::Wait,
+            None => {}
+        }
+        if !self.free_for(option.memory_bytes, in_use) {
+            return AdapterStep::Done(Readiness::Full);
+        }
+        let copy = CopyStatus {
+            name: name.to_owned(),
+            memory_bytes: option.memory_bytes,
+            state: CopyPhase::Loading,
+        };
+        self.copies.insert(name.to_owned(), copy);
+        self.on_demand.push(name.to_owned());
+        self.note_use();
+        AdapterStep::Load
+    }
+
+    /// Drops idle adapters that requests brought in until `bytes` fit; returns whether they do.
+    fn free_for(&mut self, bytes: u64, in_use: impl Fn(&str) -> bool) -> bool {
+        while self.used() + bytes > self.capacity {
+            let idle = |name: &String| self.is_resident(name) && !in_use(name);
+            let Some(position) = self.on_demand.iter().position(idle) else {
+                return false;
+            };
+            let name = self.on_demand.remove(position);
+            self.copies.remove(&name);
+        }
+        true
+    }
+
+    fn finish_adapter(&mut self, name: &str) {
+        if let Some(copy) = self.copies.get_mut(name) {
+            copy.state = CopyPhase::Resident;
+        }
+    }
+
     pub(super) fn copies(&self) -> Vec<CopyStatus> {
         self.copies.values().cloned().collect()
     }
@@ -59,6 +178,7 @@
         let state = if refusal.is_some() {
             OrderState::Refused
         } else {
+            self.usage.accepted += 1;
             OrderState::Running
         };
         self.orders.insert(order.order_id.clone(), (state, refusal));
@@ -70,15 +190,19 @@
         true
     }
 
-    fn refusal(&self, order: &EngineOrder) -> Option<String> {
+    fn refusal(&mut self, order: &EngineOrder) -> Option<String> {
         if self.checks_fencing && order.fencing < self.fencing {
+            self.usage.refused_fencing += 1;
             return Some(format!("fencing number is below {}", self.fencing));
         }
         if !is_load(order.action) || self.copies.contains_key(&order.name) {
             return None;
         }
-        let used: u64 = self.copies.values().map(|copy| copy.memory_bytes).sum();
-        (used + order.memory_bytes > self.capacity).then(|| "memory is full".to_owned())
+        if self.used() + order.memory_bytes <= self.capacity {
+            return None;
+        }
+        self.usage.refused_full += 1;
+        Some("memory is full".to_owned())
     }
 
     fn begin(&mut self, order: &EngineOrder) {
@@ -90,6 +214,7 @@
                     memory_bytes: order.memory_bytes,
                     state: CopyPhase::Loading,
                 });
+            self.note_use();
         } else if let Some(copy) = self.copies.get_mut(&order.name) {
             copy.state = CopyPhase::Unloading;
         }
@@ -101,12 +226,29 @@
                 copy.state = CopyPhase::Resident;
             }
         } else {
-            self.copies.remove(&order.name);
+            self.remove(&order.name);
         }
         self.orders
             .insert(order.order_id.clone(), (OrderState::Finished, None));
     }
 
+    /// Removes a copy, and with a model the adapters that requests brought in for it.
+    fn remove(&mut self, name: &str) {
+        self.copies.remove(name);
+        let adapters = std::mem::take(&mut self.on_demand);
+        for adapter in adapters {
+            let option = self.adapters.iter().find(|option| option.name == adapter);
+            if adapter == name {
+                continue;
+            }
+            if option.is_some_and(|option| option.model == name) {
+                self.copies.remove(&adapter);
+            } else {
+                self.on_demand.push(adapter);
+            }
+        }
+    }
+
     pub(super) fn status(&self, id: &str) -> OrderStatus {
         let (state, reason) = self
             .orders
@@ -126,6 +268,28 @@
     matches!(action, OrderAction::LoadModel | OrderAction::LoadAdapter)
 }
 
+/// Makes a model or adapter ready for a request; an adapter is loaded beside its base model if it
+/// fits.
+pub(super) async fn prepare(state: &EngineState, name: &str) -> Readiness {
+    loop {
+        let step = {
+            let streams = state.streams.lock().expect("stream lock");
+            let in_use = |name: &str| streams.uses(name);
+            let mut residency = state.residency.lock().expect("residency lock");
+            residency.step(name, in_use)
+        };
+        match step {
+            AdapterStep::Done(readiness) => return readiness,
+            AdapterStep::Wait => actix_rt::time::sleep(ADAPTER_LOOK).await,
+            AdapterStep::Load => {
+                actix_rt::time::sleep(ADAPTER_LOAD).await;
+                let mut residency = state.residency.lock().expect("residency lock");
+                residency.finish_adapter(name);
+            }
+        }
+    }
+}
+
 /// Waits as long as the transfer of the weights takes; an unload takes no time.
 pub(super) async fn transfer(weights: Option<SocketAddr>, order: &EngineOrder) {
     if !is_load(order.action) {
--- a/crates/standins/src/engine/streams.rs
+++ b/crates/standins/src/engine/streams.rs
@@ -121,6 +121,7 @@
 }
 
 struct StreamEntry {
+    model: String,
     chunks: Vec<String>,
     progress: watch::Sender<(usize, StreamPhase)>,
 }
@@ -143,6 +144,13 @@
         (self.running, self.waiting, self.queued_tokens)
     }
 
+    /// Returns whether a stream of a model or adapter waits or runs.
+    pub(super) fn uses(&self, model: &str) -> bool {
+        let mut streams = self.streams.values();
+        streams
+            .any(|entry| entry.model == model && entry.progress.borrow().1 == StreamPhase::Running)
+    }
+
     pub(super) fn cancel(&mut self, attempt: &str) {
         if let Some(entry) = self.streams.get(attempt) {
             entry.set_phase(StreamPhase::Cancelled);
@@ -235,6 +243,7 @@
         }
         let progress = watch::channel((0, StreamPhase::Running)).0;
         let entry = StreamEntry {
+            model: work.model.clone(),
             chunks: Vec::new(),
             progress,
         };
--- a/crates/standins/src/faults.rs
+++ b/crates/standins/src/faults.rs
@@ -16,6 +16,8 @@
     Down,
     /// Calls are carried out, but every answer is lost: the connection is closed without one.
     LoseAnswers,
+    /// Table transactions are carried out, but their answers are lost; reads are answered.
+    LoseCommits,
 }
 
 /// Faults in force.
@@ -55,6 +57,11 @@
     pub fn loses_answer(&self) -> bool {
         self.current().mode == FaultMode::LoseAnswers
     }
+
+    /// Returns whether the answer to a table transaction is to be lost.
+    pub fn loses_commit(&self) -> bool {
+        self.loses_answer() || self.current().mode == FaultMode::LoseCommits
+    }
 }
 
 /// Sets the faults.
@@ -67,12 +74,15 @@
 }
 
 /// Makes the answer to a call that was carried out, unless it is to be lost.
-///
-/// A body that fails at once makes actix-web close the connection, as a lost answer would.
 pub fn answer_or_lose(switch: &FaultSwitch, answer: HttpResponse) -> HttpResponse {
-    if !switch.loses_answer() {
-        return answer;
+    if switch.loses_answer() {
+        return lost_answer();
     }
+    answer
+}
+
+/// Makes a lost answer: a body that fails at once makes actix-web close the connection.
+pub fn lost_answer() -> HttpResponse {
     let broken = futures_util::stream::once(async {
         Err::<web::Bytes, _>(std::io::Error::other("answer lost by fault injection"))
     });
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -16,7 +16,7 @@
 /// The common names of this crate.
 pub mod prelude {
     pub use crate::answers::{answer_token, answer_tokens};
-    pub use crate::engine::{start_engine, EngineOptions};
+    pub use crate::engine::{start_engine, AdapterOption, EngineOptions};
     pub use crate::faults::{FaultMode, FaultSettings};
     pub use crate::plain::{start_plain, PlainOptions};
     pub use crate::platform::{start_platform, PlatformOptions};
--- a/crates/standins/src/platform.rs
+++ b/crates/standins/src/platform.rs
@@ -1,6 +1,6 @@
 //! Stand-in for the platform: table service, object store, weight store and host list.
 
-use crate::faults::{answer_or_lose, set_fault, FaultSwitch};
+use crate::faults::{answer_or_lose, lost_answer, set_fault, FaultSwitch};
 use crate::server::RunningServer;
 use actix_web::{web, App, HttpResponse, HttpServer};
 use crocusyard_border::platform::{
@@ -159,7 +159,10 @@
     let mut store = state.store.lock().expect("store lock");
     store.counts.writes += 1;
     let result = apply(&mut store, &body.changes);
-    answer_or_lose(&switch, HttpResponse::Ok().json(result))
+    if switch.loses_commit() {
+        return lost_answer();
+    }
+    HttpResponse::Ok().json(result)
 }
 
 fn apply(store: &mut StoreState, changes: &[RowWrite]) -> TransactionResult {
