--- a/crates/testbed/src/process.rs
+++ b/crates/testbed/src/process.rs
@@ -104,6 +104,9 @@
             };
             if target.kind == TargetKind::Engine {
                 args.extend(engine_args);
+                if !target.checks_fencing {
+                    args.push("--ignores-fencing");
+                }
             }
             let standin = start_standin(&args)?;
             target.address = standin.address;
--- a/crates/testbed/src/sample.rs
+++ b/crates/testbed/src/sample.rs
@@ -68,7 +68,7 @@
          listen: {{ callers: \"{callers}\", advertised_callers: \"{callers}\", \
          gossip: \"{gossip}\", advertised_gossip: \"{gossip}\" }}\n\
          platform: {{ table: \"{platform}\", objects: \"{platform}\", hosts: \"{platform}\", \
-         host_poll_ms: 500 }}\n\
-         address: {{ ttl_ms: 500, drain_ms: 100 }}\n{extra}"
+         host_poll_ms: 500, preset_poll_ms: 500 }}\n\
+         address: {{ ttl_ms: 500, drain_ms: 100, stale_ms: 5000 }}\n{extra}"
     )
 }
