--- a/crates/host/src/feature_settings.rs
+++ b/crates/host/src/feature_settings.rs
@@ -44,6 +44,7 @@
         unix_ms(),
     );
     MembershipSettings {
+        callers: Some(settings.listen.advertised_callers),
         tick: section.ping_interval_ms,
         probe_timeout: section.ping_timeout_ms,
         suspicion: section.suspicion_ms,
