core: let engines and hosts be gone for longer in the randomised run

An engine may be down for a minute or, at the end of every second seed, for good; hosts are named as leaving by the host list, also after their restart; some completions ask for adapters.

--- a/crates/core/tests/random.rs
+++ b/crates/core/tests/random.rs
@@ -51,14 +51,16 @@
         }
         Step::Pass(ms) => world.pass(4 * u64::from(ms)),
         Step::PassLong(ms) => world.pass(20 * u64::from(ms)),
-        Step::KillTarget(number, ms) => world.kill_target(usize::from(number), 20 * u64::from(ms)),
+        Step::KillTarget(number, ms) if ms < 16 => world.kill_target(number.into(), 60_000),
+        Step::KillTarget(number, ms) => world.kill_target(number.into(), 20 * u64::from(ms)),
         Step::CutTarget(from, to, silent) => world.cut_target(host(from), to.into(), silent),
         Step::LeaveTarget(number, lag) => world.leave_target(number.into(), 16 * u64::from(lag)),
         Step::Freeze(number, ms) => world.freeze(host(number), 60 * u64::from(ms)),
         Step::CutHosts(one, other) => world.cut_hosts(host(one), host(other)),
         Step::Heal => world.heal_cuts(),
         Step::KillHost(number, ms) if ms < 128 => world.kill_host(host(number), 20 * u64::from(ms)),
-        Step::StopHost(number, rare) if rare < 64 => world.stop_host(host(number)),
+        Step::StopHost(number, rare) if rare < 48 => world.stop_host(host(number)),
+        Step::StopHost(number, rare) if rare < 64 => world.list_host(host(number)),
         Step::Hangup(number) => world.leave(number.into()),
         Step::Platform(kind, number) => {
             let cut = (kind < 48).then(|| host(number));
@@ -81,7 +83,7 @@
         let step = Step::generate(&mut driver).expect("the driver has enough bytes");
         perform(&mut world, step);
     }
-    world.settle();
+    world.settle((seed % 2 == 0).then_some(seed as usize / 2));
     world.counts
 }
 
--- a/crates/core/tests/world/callers.rs
+++ b/crates/core/tests/world/callers.rs
@@ -8,6 +8,8 @@
     /// Key of a booking, 0 without a key; `None` for a completion.
     pub booking: Option<u64>,
     pub model: usize,
+    /// Whether the model's adapter is asked for.
+    pub adapter: bool,
 }
 
 pub struct Caller {
@@ -33,6 +35,7 @@
             digest: u128::from(serial) * 32 + u128::from(!crashes),
             booking,
             model: number % MODELS,
+            adapter: number % MODELS < MODELS / 2 && number % 4 == 0,
         };
         let call = match kind % 8 {
             0..=3 => new(None),
@@ -71,7 +74,9 @@
             },
             None => WorkKind::Model {
                 model: self.catalog.models[call.model].name.clone(),
-                adapter: None,
+                adapter: call
+                    .adapter
+                    .then(|| AdapterName::new(&format!("a{:04}", call.model))),
             },
         };
         let deadline = self.clock(host) + ClockTime::from_ms(self.rng.random_range(1_000..15_000));
--- a/crates/core/tests/world/faults.rs
+++ b/crates/core/tests/world/faults.rs
@@ -107,6 +107,12 @@
         self.after(ms, Message::RestartHost(host));
     }
 
+    /// Lets the host list name a host as leaving, until some time after its restart.
+    pub fn list_host(&mut self, host: usize) {
+        self.counts.disturbances += 1;
+        self.listed_hosts.insert(host);
+    }
+
     /// Starts or ends outages of the platform.
     pub fn set_platform(&mut self, table_down: bool, store_down: bool, cut: Option<usize>) {
         self.counts.disturbances += u64::from(table_down || store_down || cut.is_some());
@@ -116,8 +122,13 @@
     }
 
     /// Ends all faults and counts what is not reachable, not served or not ended after a while.
-    pub fn settle(&mut self) {
+    ///
+    /// An engine may stay down for good: the others have room for every model.
+    pub fn settle(&mut self, gone: Option<usize>) {
         self.healed = true;
+        if let Some(number) = gone {
+            self.kill_target(number % ENGINES, 10 * REACHABLE_MS);
+        }
         self.set_platform(false, false, None);
         self.heal_cuts();
         self.pass(REACHABLE_MS);
--- a/crates/core/tests/world/hosts.rs
+++ b/crates/core/tests/world/hosts.rs
@@ -251,6 +251,7 @@
         self.counts.cut_by_stop += self.callers.values().filter(open).count() as u64;
         self.hosts[host].up = false;
         self.after(1_000, Message::RestartHost(host));
+        self.after(1_500, Message::UnlistHost(host));
         true
     }
 }
--- a/crates/core/tests/world/mod.rs
+++ b/crates/core/tests/world/mod.rs
@@ -180,6 +180,8 @@
     KillTarget(usize),
     RestartTarget(TargetName),
     RestartHost(usize),
+    /// The host list stops to name a host as leaving.
+    UnlistHost(usize),
     /// The host list begins or stops to name a target as leaving.
     List(TargetName, bool),
     /// A version was accepted at this time; every connected host must have it now.
@@ -232,6 +234,8 @@
     store_down: bool,
     /// Targets that the host list names as leaving.
     listed: BTreeSet<TargetName>,
+    /// Hosts that it names as leaving.
+    listed_hosts: BTreeSet<usize>,
     /// When each host learnt that a target's present process is leaving.
     learnt: BTreeMap<TargetName, BTreeMap<usize, u64>>,
     /// Executions of calls that may run once, by key or by request.
@@ -280,6 +284,7 @@
             store: HashMap::new(),
             store_down: false,
             listed: BTreeSet::new(),
+            listed_hosts: BTreeSet::new(),
             learnt: BTreeMap::new(),
             runs: HashMap::new(),
             callers: BTreeMap::new(),
@@ -378,6 +383,9 @@
             Message::KillTarget(number) => self.kill_target(number, 1_000),
             Message::RestartTarget(target) => self.restart_target(&target),
             Message::RestartHost(host) => self.start_host(host),
+            Message::UnlistHost(host) => {
+                self.listed_hosts.remove(&host);
+            }
             Message::List(target, listed) => {
                 if listed {
                     self.listed.insert(target);
--- a/crates/core/tests/world/platform.rs
+++ b/crates/core/tests/world/platform.rs
@@ -156,7 +156,7 @@
             address: catalog::gossip_address(host),
             domain: catalog::domain(host),
             region: RegionName::new(catalog::REGION),
-            leaving: false,
+            leaving: self.listed_hosts.contains(&host),
         });
         let addresses = (0..HOSTS).map(|host| PeerAddresses {
             host: catalog::host_name(host),
