Give the fake host list the addresses for callers

Cause: hosts now introduce themselves with their address for callers. Ruled out: an optional default in the type, which would hide a missing one. Change: the fake host list of the randomised run names them.

--- a/crates/core/tests/world/platform.rs
+++ b/crates/core/tests/world/platform.rs
@@ -154,6 +154,7 @@
         let hosts = (0..HOSTS).map(|host| ListedHost {
             host: catalog::host_name(host),
             address: catalog::gossip_address(host),
+            callers: Some(catalog::gossip_address(100 + host)),
             domain: catalog::domain(host),
             region: RegionName::new(catalog::REGION),
             leaving: self.listed_hosts.contains(&host),
