Take both addresses before the host starts; look at due reads less often

Cause: a taken address made the actor panic while it was dropped, and the schedule of load reads sorted and copied all targets twenty times a second. Ruled out: starting the actor after the server, whose handlers need it. Change: sockets are bound first; the schedule returns at once while no read is allowed and orders only the reads that are made.

--- a/crates/host/src/serve.rs
+++ b/crates/host/src/serve.rs
@@ -93,6 +93,9 @@
     let shared = SharedCatalog::default();
     let metrics = Arc::new(MetricSet::new());
     let drain_wish = Arc::new(tokio::sync::Notify::new());
+    // Both addresses are taken before the actor starts, so that a taken one is a plain error.
+    let listen = settings.listen.callers;
+    let listener = std::net::TcpListener::bind(listen).context(ListenSnafu { address: listen })?;
     let gossip = settings.listen.gossip;
     let link = std::net::UdpSocket::bind(gossip)
         .and_then(|socket| GossipLink::new(socket, keys.gossip.reveal()))
@@ -137,7 +140,7 @@
             wait: Duration::from_millis(settings.limits.header_read_ms.as_ms()),
         },
     };
-    let (address, server) = start_server(&settings, state, operators, metrics)?;
+    let (address, server) = start_server(&settings, listener, state, operators, metrics)?;
     Ok(HostHandle {
         address,
         actor,
@@ -205,6 +208,7 @@
 
 fn start_server(
     settings: &HostSettings,
+    listener: std::net::TcpListener,
     state: CallerState,
     operators: OperatorState,
     metrics: Arc<MetricSet>,
@@ -250,7 +254,7 @@
     ))
     .max_connections(settings.limits.connections as usize)
     .shutdown_timeout(30)
-    .bind(listen)
+    .listen(listener)
     .context(ListenSnafu { address: listen })?;
     let address = server.addrs()[0];
     let server = server.run();
--- a/crates/routing/src/polling.rs
+++ b/crates/routing/src/polling.rs
@@ -79,30 +79,41 @@
             .is_some_and(|used| now.since(used) < self.rhythm.hold)
     }
 
-    /// Returns the targets to read now, those in use first and then those not read for longest.
+    /// Returns the targets to read now: those in use, then those not read for longest.
     pub fn take_due(&mut self, now: ClockTime) -> Vec<TargetName> {
         self.fill(now);
-        let mut due: Vec<(bool, Option<ClockTime>, TargetName)> = Vec::new();
+        let allowed = self.tokens as usize;
+        if allowed == 0 {
+            return Vec::new();
+        }
+        let mut due: Vec<(bool, Option<ClockTime>, &TargetName)> = Vec::new();
         for (target, entry) in &self.entries {
-            let in_use = self.is_used(entry, now);
-            let interval = if in_use {
+            let is_used = self.is_used(entry, now);
+            let interval = if is_used {
                 self.rhythm.used
             } else {
                 self.rhythm.idle
             };
             if entry.read.is_none_or(|read| now.since(read) >= interval) {
-                due.push((!in_use, entry.read, target.clone()));
+                due.push((!is_used, entry.read, target));
             }
         }
-        due.sort_unstable();
-        due.truncate(self.tokens as usize);
+        if due.len() > allowed {
+            // Only the first ones are read, so the others need no order.
+            due.select_nth_unstable(allowed);
+            due.truncate(allowed);
+        }
+        let due: Vec<TargetName> = due
+            .into_iter()
+            .map(|(_, _, target)| target.clone())
+            .collect();
         self.tokens -= due.len() as f64;
-        for (_, _, target) in &due {
+        for target in &due {
             if let Some(entry) = self.entries.get_mut(target) {
                 entry.read = Some(now);
             }
         }
-        due.into_iter().map(|(_, _, target)| target).collect()
+        due
     }
 
     /// Adds the reads that have become allowed; at most those of one second are saved up.
--- a/tests/operator_view.rs
+++ b/tests/operator_view.rs
@@ -110,3 +110,19 @@
         401
     );
 }
+
+/// Guards the message for an address that is taken; the host used to panic instead.
+#[actix_web::test]
+async fn taken_address_is_a_plain_error() {
+    let deployment = LocalBuilder::default()
+        .hosts(1)
+        .start()
+        .await
+        .expect("it starts");
+    let again = deployment.start_host(&deployment.addresses[0], "");
+    let error = again.err().expect("the second host cannot start");
+    let cause = std::error::Error::source(&error)
+        .map(ToString::to_string)
+        .unwrap_or_default();
+    assert!(cause.starts_with("cannot listen on 127."), "{cause}");
+}
