--- a/tests/request_faults/common.rs
+++ b/tests/request_faults/common.rs
@@ -2,6 +2,7 @@
 
 use awc::http::Method;
 use crocusyard_base::prelude::TargetName;
+use crocusyard_standins::prelude::answer_tokens;
 use crocusyard_testbed::prelude::*;
 use serde_json::{json, Value};
 use std::collections::BTreeMap;
@@ -66,6 +67,11 @@
 
 /// Returns the sum of all series of a metric on one host.
 pub async fn metric(entry: SocketAddr, name: &str) -> f64 {
+    metric_with(entry, name, "").await
+}
+
+/// Returns the sum of the series of a metric whose lines contain a label.
+pub async fn metric_with(entry: SocketAddr, name: &str, label: &str) -> f64 {
     let url = format!("http://{entry}/metrics");
     let mut answer = awc::Client::default()
         .get(url)
@@ -80,6 +86,7 @@
     };
     text.lines()
         .filter(is_named)
+        .filter(|line| line.contains(label))
         .filter_map(|line| line.rsplit(' ').next()?.parse::<f64>().ok())
         .sum()
 }
@@ -91,6 +98,28 @@
         .await
 }
 
+/// Sends a request until it is served; a refusal must say that it was not run and when to come
+/// again. Returns how often it was refused.
+pub async fn insist(
+    client: &TestClient,
+    entry: SocketAddr,
+    (model, prompt, tokens): (&str, &str, u32),
+) -> u32 {
+    let mut refusals = 0;
+    loop {
+        let answer = client.stream(entry, model, prompt, tokens).await;
+        if answer.complete {
+            assert_eq!(answer.text, answer_tokens(model, prompt, tokens));
+            return refusals;
+        }
+        let error = answer.error.clone().unwrap_or_default();
+        assert_eq!(error["outcome"], "not_run", "{answer:?}");
+        let wait = answer.retry_after.unwrap_or_else(|| panic!("{answer:?}"));
+        refusals += 1;
+        pause(wait * 1000).await;
+    }
+}
+
 /// Starts hosts and stand-ins in processes of their own.
 pub async fn start_processes(
     hosts: usize,
--- a/tests/request_faults/streams.rs
+++ b/tests/request_faults/streams.rs
@@ -187,6 +187,9 @@
     })
     .await;
     check_streams(&deployment, 10, 20).await;
+    let completed = r#"outcome="completed""#;
+    let completed = metric_with(entry, "crocusyard_requests_total", completed).await;
+    assert_eq!(completed, 20.0, "the unread answer was kept as a whole");
     // The kernel gives the connection up, which frees what was kept for its caller. It sends no
     // reset, so the caller learns of it only from the answer to its next bytes.
     let unread = Mutex::new(unread);
