--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -14,6 +14,7 @@
 use futures_util::Stream;
 use serde::de::DeserializeOwned;
 use snafu::Snafu;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -219,13 +220,7 @@
             .await
         {
             Ok(response) => response,
-            // The connection closed before the head of the answer, after the request was sent.
-            Err(SendRequestError::Connect(ConnectError::Disconnected)) => {
-                return TableAnswer::Unknown;
-            }
-            Err(SendRequestError::Connect(_) | SendRequestError::Url(_)) => {
-                return TableAnswer::Failed;
-            }
+            Err(error) if never_sent(&error) => return TableAnswer::Failed,
             Err(_) => return TableAnswer::Unknown,
         };
         match response.status().as_u16() {
@@ -293,3 +288,17 @@
         value: change.value.as_deref().map(str::to_owned),
     }
 }
+
+/// Returns whether an error proves that nothing reached the service.
+///
+/// A connection that closes before the answer is a `ConnectError` too, and its write may have taken
+/// effect.
+fn never_sent(error: &SendRequestError) -> bool {
+    match error {
+        SendRequestError::Url(_) => true,
+        SendRequestError::Connect(ConnectError::Io(error)) => {
+            error.kind() == ErrorKind::ConnectionRefused
+        }
+        _ => false,
+    }
+}
