moves: make room for a model on demand by models with adapters

Cause: when memory cannot hold every model, the planner keeps one engine for loads on demand. A model there whose adapters were resident was never unloaded: the check for last copies refuses a model with adapters, the plan named no adapter as loadable on demand, and the sum of what could go left such models out. The place filled up once and then took no further model.

Ruled out: wants that do not reach the holder (they were in its state) and the ledger.

Change: the choice of copies that go moved to the module room, where a model counts together with its adapters and goes after them. The plan names adapters without a place as loadable on demand; they load within milliseconds.

room_on_demand_takes_a_model_with_its_adapters fails before the change.

--- a/crates/core/src/planning.rs
+++ b/crates/core/src/planning.rs
@@ -351,9 +351,15 @@
         (target.name.clone(), models.chain(adapters).collect())
     });
     let drained = input.targets.iter().filter(|target| target.drained);
+    let models = plan.on_demand.iter().map(model_name);
+    // An adapter loads within milliseconds. One without a place in the plan must not keep its model
+    // from being unloaded where models are loaded on demand.
+    let placed: BTreeSet<usize> = plan.adapters.iter().flatten().copied().collect();
+    let unplaced = (0..input.adapters.len()).filter(|index| !placed.contains(index));
+    let adapters = unplaced.map(|index| adapter_name(&index));
     ResidencyPlan {
         resident: resident.collect(),
-        on_demand: plan.on_demand.iter().map(model_name).collect(),
+        on_demand: models.chain(adapters).collect(),
         drained: drained.map(|target| target.name.clone()).collect(),
     }
 }
--- a/crates/moves/src/lib.rs
+++ b/crates/moves/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod ledger;
 pub mod orders;
 pub mod reduce;
+pub(crate) mod room;
 pub mod schedule;
 pub mod state;
 pub mod store;
--- a/crates/moves/src/schedule.rs
+++ b/crates/moves/src/schedule.rs
@@ -8,11 +8,11 @@
 use crate::fleet::ItemKind;
 use crate::intent::{IntentEntry, IntentRow, IntentStage, OrderAction, OrderPhase};
 use crate::reduce::MoveContext;
+use crate::room::{make_room, relieve_overruns, surplus};
 use crate::state::{
     add_entry, entries_on, is_heard, is_quiet_over, is_ready, is_safe_copy, MoveState,
 };
 use crocusyard_base::prelude::*;
-use crocusyard_routing::prelude::*;
 use rand::Rng;
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -102,14 +102,14 @@
 }
 
 /// Returns the base model of an adapter.
-fn item_model<'a>(state: &'a MoveState, name: &Arc<str>) -> Option<&'a Arc<str>> {
+pub(crate) fn item_model<'a>(state: &'a MoveState, name: &Arc<str>) -> Option<&'a Arc<str>> {
     match &state.fleet.items.get(name)?.kind {
         ItemKind::Model => None,
         ItemKind::Adapter { model } => Some(model),
     }
 }
 
-fn is_planned(state: &MoveState, target: &TargetName, name: &Arc<str>) -> bool {
+pub(crate) fn is_planned(state: &MoveState, target: &TargetName, name: &Arc<str>) -> bool {
     state
         .plan
         .resident
@@ -142,7 +142,7 @@
 }
 
 /// Returns whether somebody waits for a name or for an adapter of it.
-fn is_wanted(state: &MoveState, name: &Arc<str>) -> bool {
+pub(crate) fn is_wanted(state: &MoveState, name: &Arc<str>) -> bool {
     state
         .wants
         .keys()
@@ -170,15 +170,18 @@
     if has_adapters || has_orders {
         return false;
     }
-    if !state.fleet.items.contains_key(name) {
-        return true;
-    }
-    has_other_copy(state, target, name)
+    can_lose(state, target, name)
+}
+
+/// Returns whether a name can do without its copy on a target.
+pub(crate) fn can_lose(state: &MoveState, target: &TargetName, name: &Arc<str>) -> bool {
+    !state.fleet.items.contains_key(name)
+        || has_other_copy(state, target, name)
         || (state.plan.on_demand.contains(name) && !is_wanted(state, name))
 }
 
 /// Returns whether another copy is confirmed resident and stays.
-fn has_other_copy(state: &MoveState, target: &TargetName, name: &Arc<str>) -> bool {
+pub(crate) fn has_other_copy(state: &MoveState, target: &TargetName, name: &Arc<str>) -> bool {
     state.resident_on.get(name).is_some_and(|targets| {
         targets
             .iter()
@@ -268,7 +271,7 @@
             if best.is_some_and(|(evicts, ..)| !evicts) {
                 continue;
             }
-            let surplus: u64 = surplus(state, target).iter().map(|(bytes, _)| bytes).sum();
+            let surplus: u64 = surplus(state, target).iter().map(|item| item.bytes).sum();
             if free + surplus < bytes {
                 continue;
             }
@@ -349,7 +352,7 @@
     true
 }
 
-fn start_unload(
+pub(crate) fn start_unload(
     state: &mut MoveState,
     context: &mut MoveContext<'_>,
     target: &TargetName,
@@ -392,105 +395,6 @@
     }
 }
 
-/// Lists the copies on a target that may be unloaded and that the plan does not want, with their
-/// memory, largest first.
-fn surplus(state: &MoveState, target: &TargetName) -> Vec<(u64, Arc<str>)> {
-    let Some(view) = state.views.get(target) else {
-        return Vec::new();
-    };
-    let mut names: Vec<(u64, Arc<str>)> = view
-        .copies
-        .iter()
-        .filter(|(name, copy)| {
-            **copy == CopyState::Resident
-                && !is_planned(state, target, name)
-                && !is_wanted(state, name)
-                && !entries_on(state, target).any(|entry| entry.row.name == **name)
-                && may_unload(state, target, name, None)
-                && (has_other_copy(state, target, name) || !state.planned.contains(*name))
-        })
-        .map(|(name, _)| (state.ledger.copy_bytes(target, name), name.clone()))
-        .collect();
-    names.sort_by(|a, b| b.cmp(a));
-    names
-}
-
-/// Unloads surplus copies until `bytes` fit; returns whether the room is there or on its way.
-fn make_room(
-    state: &mut MoveState,
-    context: &mut MoveContext<'_>,
-    target: &TargetName,
-    bytes: u64,
-    orders: &mut usize,
-) -> bool {
-    let (used, capacity) = state.ledger.usage(target);
-    let coming: u64 = entries_on(state, target)
-        .filter(|entry| entry.row.action == OrderAction::Unload || !entry.is_open())
-        .map(|entry| entry.row.bytes)
-        .sum();
-    let mut short = (used + bytes).saturating_sub(capacity + coming);
-    let surplus = surplus(state, target);
-    // Unloading some copies without reaching the goal would only cost moves.
-    if surplus.iter().map(|(bytes, _)| bytes).sum::<u64>() < short {
-        return false;
-    }
-    for (freed, name) in surplus {
-        if short == 0 || *orders == 0 {
-            break;
-        }
-        // The previous unload of this loop may have left this copy as the last one.
-        if may_unload(state, target, &name, None) {
-            start_unload(state, context, target, &name, freed);
-            *orders -= 1;
-            short = short.saturating_sub(freed);
-        }
-    }
-    short == 0
-}
-
-/// Unloads copies from targets that use more memory than they have.
-fn relieve_overruns(
-    state: &mut MoveState,
-    context: &mut MoveContext<'_>,
-    out: &mut Vec<MoveEffect>,
-) {
-    let targets: Vec<TargetName> = state.fleet.targets.keys().cloned().collect();
-    for target in targets {
-        let (used, capacity) = state.ledger.usage(&target);
-        if used <= capacity || !is_ready(state, &target) {
-            continue;
-        }
-        note_once(
-            state,
-            &target,
-            &Arc::from(""),
-            || MoveNote::Overrun {
-                target: target.clone(),
-                used,
-                capacity,
-            },
-            out,
-        );
-        let mut orders = state.settings.orders_at_once;
-        if make_room(state, context, &target, 0, &mut orders) {
-            continue;
-        }
-        let names: Vec<Arc<str>> = state
-            .views
-            .get(&target)
-            .map(|view| view.copies.keys().cloned().collect())
-            .unwrap_or_default();
-        let planned = names.into_iter().find(|name| {
-            !entries_on(state, &target).any(|entry| entry.row.name == *name)
-                && may_unload(state, &target, name, None)
-        });
-        if let Some(name) = planned {
-            let bytes = state.ledger.copy_bytes(&target, &name);
-            start_unload(state, context, &target, &name, bytes);
-        }
-    }
-}
-
 /// Breaks a circle of full accelerators that wait for each other: one copy that stands in the way
 /// gets a further copy on any target with room, after which the first one can go. Without room, a
 /// name that may be loaded on demand is unloaded until its place is free.
@@ -571,7 +475,7 @@
         .cloned()
 }
 
-fn note_once(
+pub(crate) fn note_once(
     state: &mut MoveState,
     target: &TargetName,
     name: &Arc<str>,
--- a/crates/moves/tests/focused.rs
+++ b/crates/moves/tests/focused.rs
@@ -317,6 +317,28 @@
     });
 }
 
+/// Guards against a model that is never loaded on demand because the copies in its way have
+/// adapters, which have to go first.
+#[test]
+fn room_on_demand_takes_a_model_with_its_adapters() {
+    let weather = Weather {
+        faults: 0.0,
+        lateness: 8_000,
+    };
+    let fleet = fleet(&[100], &MODELS, &[("a-x", "a", 5)]);
+    let mut world = FakeWorld::new(1, 1, fleet, weather);
+    let has = |world: &FakeWorld, name: &str| world.engines[0].copies.contains_key(name);
+    world.set_plan(plan(&[("t0", &["a", "a-x"])], &["b"]));
+    until(&mut world, 60_000, "the adapter", |world| has(world, "a-x"));
+    world.set_plan(plan(&[], &["a", "a-x", "b"]));
+    world.tell_all(&MoveEvent::WantModel {
+        name: Arc::from("b"),
+    });
+    until(&mut world, 60_000, "the wanted model", |world| {
+        has(world, "b")
+    });
+}
+
 /// Guards against new orders while the table is down for an hour, and against a burst or lost work
 /// afterwards; also against exceeding the weight store's and the adapters' limits.
 #[test]
