moves: let no copy on a drained target satisfy a want

Cause: a drained target gets no requests, but a copy there counted as one that serves, so that a wanted model was loaded nowhere else, and as the other copy that lets a serving one go.

copy_on_a_drained_target_does_not_serve_a_want fails before the change.

--- a/crates/moves/src/schedule.rs
+++ b/crates/moves/src/schedule.rs
@@ -202,7 +202,9 @@
 fn wishes(state: &MoveState, slots: &LoadSlots) -> Vec<LoadWish> {
     let mut held: BTreeSet<Arc<str>> = BTreeSet::new();
     for (target, view) in &state.views {
-        if !view.leaving && is_heard(state, target) {
+        // A target that is drained gets no requests, so that a copy there serves nobody.
+        let serves = !view.leaving && !state.plan.drained.contains(target);
+        if serves && is_heard(state, target) {
             held.extend(view.copies.keys().cloned());
         }
     }
--- a/crates/moves/src/state.rs
+++ b/crates/moves/src/state.rs
@@ -280,6 +280,7 @@
         .get(target)
         .is_some_and(|view| view.copies.get(name) == Some(&CopyState::Resident) && !view.leaving);
     resident
+        && !state.plan.drained.contains(target)
         && is_heard(state, target)
         && !entries_on(state, target)
             .any(|entry| entry.row.action == OrderAction::Unload && entry.row.name == *name)
--- a/crates/moves/tests/focused.rs
+++ b/crates/moves/tests/focused.rs
@@ -339,6 +339,23 @@
     });
 }
 
+/// Guards against a wanted model that is not loaded because a drained target, which gets no
+/// requests, has a copy.
+#[test]
+fn copy_on_a_drained_target_does_not_serve_a_want() {
+    let mut world = calm(1, &[100, 100]);
+    let has = |world: &FakeWorld, engine: usize| world.engines[engine].copies.contains_key("a");
+    world.set_plan(plan(&[("t0", &["a"])], &[]));
+    until(&mut world, 60_000, "the copy", |world| has(world, 0));
+    let mut drained = plan(&[], &["a"]);
+    drained.drained.insert(TargetName::new("t0"));
+    world.set_plan(drained);
+    world.tell_all(&MoveEvent::WantModel {
+        name: Arc::from("a"),
+    });
+    until(&mut world, 15_000, "another copy", |world| has(world, 1));
+}
+
 /// Guards against new orders while the table is down for an hour, and against a burst or lost work
 /// afterwards; also against exceeding the weight store's and the adapters' limits.
 #[test]
