moves: ask for the end of an order when a report shows its effect

Cause: load reports do not list ended orders, although the design says so; the core always hands on an empty list. An order that an engine accepted was asked for again only after the longest pause (30 s by default), and kept its slot and its memory until then.

Ruled out: taking the copies of a report as the end itself. They can be the work of an earlier order, and the present one could still arrive.

Change: an order whose effect the latest report shows is repeated at once; its id makes the engine answer with the result. The repetition still counts as one, so that freed memory stays reserved for the lateness of an order; a list of ended orders in the load report would avoid that.

The test in crates/core fails with the change taken out: the second sending came 6 s after the first instead of within 0.5 s.

--- a/crates/core/tests/planning.rs
+++ b/crates/core/tests/planning.rs
@@ -10,14 +10,15 @@
 use crocusyard_base::prelude::*;
 use crocusyard_core::features::reduce;
 use crocusyard_core::prelude::{HostEffect, HostEvent, HostState};
-use crocusyard_moves::prelude::{MoveEffect, MoveEvent};
+use crocusyard_moves::prelude::{MoveEffect, MoveEvent, OrderAnswer};
 use crocusyard_routing::prelude::*;
 use std::ops::Range;
 use std::sync::Arc;
 
-/// Runs a host over engines that report during the given seconds, and returns the targets at which
-/// loads were ordered after `from`. Engine 0 holds the only model.
-fn loads(reporting: &[Range<u64>], from: u64) -> Vec<TargetName> {
+/// Runs a host over engines that report during the given seconds, and returns the targets to which
+/// orders were sent after `from`, with the tenth of a second. Engine 0 holds the only model; an
+/// engine accepts an order at once and shows the copy in its next report.
+fn loads(reporting: &[Range<u64>], from: u64) -> Vec<(TargetName, u64)> {
     let spec = Arc::new(catalog::catalog(reporting.len(), 0, 1));
     let mut state = HostState::new(catalog::settings(0, 1));
     let mut rows = table::FakeTable::default();
@@ -25,17 +26,20 @@
         catalog: spec.clone(),
         unix_ms: 0,
     }];
-    let mut ordered = Vec::new();
+    let mut ordered: Vec<(TargetName, u64)> = Vec::new();
     for step in 1..600 {
         let now = ClockTime::from_ms(step * 100);
         events.push(HostEvent::Tick);
         let engines = spec.targets.iter().zip(reporting).enumerate();
         for (index, (target, _)) in engines.filter(|(_, (_, span))| span.contains(&(step / 10))) {
-            let copies = (index == 0).then(|| ResidentCopy {
-                name: Arc::from(spec.models[0].name.as_str()),
-                memory_bytes: spec.models[0].memory_bytes,
-                state: CopyState::Resident,
-            });
+            let copies =
+                (index == 0 || ordered.iter().any(|(name, _)| *name == target.name)).then(|| {
+                    ResidentCopy {
+                        name: Arc::from(spec.models[0].name.as_str()),
+                        memory_bytes: spec.models[0].memory_bytes,
+                        state: CopyState::Resident,
+                    }
+                });
             events.push(HostEvent::LoadReported(Box::new(LoadReport {
                 target: target.name.clone(),
                 sequence: step,
@@ -68,8 +72,14 @@
                         incarnation: 1,
                         fencing,
                     })),
-                    HostEffect::Move(MoveEffect::SendOrder { target, .. }) if step > from * 10 => {
-                        ordered.push(target);
+                    HostEffect::Move(MoveEffect::SendOrder { target, order, .. })
+                        if step > from * 10 =>
+                    {
+                        ordered.push((target, step));
+                        events.push(HostEvent::Move(MoveEvent::OrderAnswered {
+                            order: order.order,
+                            answer: OrderAnswer::Accepted,
+                        }));
                     }
                     _ => {}
                 }
@@ -83,14 +93,14 @@
 #[test]
 fn engine_that_never_reports_does_not_stop_the_plan() {
     let ordered = loads(&[0..0, 0..60], 0);
-    assert_eq!(ordered.first(), Some(&TargetName::new("e1")));
+    assert_eq!(ordered[0].0, TargetName::new("e1"));
 }
 
 /// Guards against a model whose only copy went silent with its engine (M2).
 #[test]
 fn copy_on_a_silent_engine_is_made_up_for() {
     let ordered = loads(&[0..20, 0..60], 20);
-    assert_eq!(ordered.first(), Some(&TargetName::new("e1")));
+    assert_eq!(ordered[0].0, TargetName::new("e1"));
 }
 
 /// Guards against a second copy of a model whose engine only reports late after a takeover.
@@ -98,3 +108,11 @@
 fn plan_waits_for_the_first_reports() {
     assert_eq!(loads(&[8..60, 0..60], 0), Vec::new());
 }
+
+/// Guards against an order that counts as running, and keeps its memory, long after a report shows
+/// its effect: load reports do not list ended orders.
+#[test]
+fn shown_effect_of_an_order_is_asked_for_at_once() {
+    let ordered = loads(&[0..0, 0..60], 0);
+    assert!(ordered[1].1 - ordered[0].1 <= 5, "{ordered:?}");
+}
--- a/crates/moves/src/orders.rs
+++ b/crates/moves/src/orders.rs
@@ -279,12 +279,38 @@
     for ended in finished {
         end(state, now, ended.order, ended.result, out);
     }
+    ask_for_ends(state, now, &report.target);
     state
         .ledger
         .set_reported(&report.target, report.memory_bytes, copies);
     settle(state, now, &report.target, finished);
 }
 
+/// Repeats orders at once whose effect the latest report shows, since the answer tells their end.
+///
+/// The copies alone prove no end: they can be the work of an earlier order, and this one may still
+/// arrive.
+fn ask_for_ends(state: &mut MoveState, now: ClockTime, target: &TargetName) {
+    let Some(view) = state.views.get(target) else {
+        return;
+    };
+    for order in state.by_target.get(target).into_iter().flatten() {
+        let Some(entry) = state.entries.get_mut(order) else {
+            continue;
+        };
+        let copy = view.copies.get(&entry.row.name);
+        let is_shown = match entry.row.action {
+            OrderAction::Load => copy == Some(&CopyState::Resident),
+            OrderAction::Unload => copy.is_none(),
+        };
+        if let OrderPhase::Sent { retry, .. } = &mut entry.phase {
+            if is_shown {
+                *retry = now.min(*retry);
+            }
+        }
+    }
+}
+
 /// Settles the orders of a target whose end its latest report reflects.
 fn settle(state: &mut MoveState, now: ClockTime, target: &TargetName, finished: &[FinishedOrder]) {
     let Some(view) = state.views.get(target) else {
