--- a/crates/moves/src/schedule.rs
+++ b/crates/moves/src/schedule.rs
@@ -173,11 +173,8 @@
     if !state.fleet.items.contains_key(name) {
         return true;
     }
-    // An adapter that the plan keeps nowhere was loaded by an engine for a request; the next request
-    // loads it again wherever its model is resident.
-    let loads_itself = item_model(state, name).is_some() && !state.planned.contains(name);
     has_other_copy(state, target, name)
-        || ((state.plan.on_demand.contains(name) || loads_itself) && !is_wanted(state, name))
+        || (state.plan.on_demand.contains(name) && !is_wanted(state, name))
 }
 
 /// Returns whether another copy is confirmed resident and stays.
