Bring models that requests wait for within the first-token limit

Causes, found by requests for three models on one engine that holds two: - A host without the lease told its want only as demand, counted in intervals of 10 s. The holder learned of the end of an order by sending it again after 30 s; until then the copy could not go, and the repetition kept its memory reserved. - A copy loaded on demand was kept for 60 s even if requests waited for its room, so the third model was refused after its deadline of 30 s. - A copy that gave way was loaded again on the strength of its old want.

Change: hosts tell the lease holder by packet which model requests wait for and repeat it while they wait; the holder no longer reads wants out of the demand of the last minute. Load reports list finished orders. A copy kept since a want goes, last of the surplus, for a name that requests wait for, but not within 1.5 s of its own last want. A want that was served does not load its model a second time. The wants have a module of their own.

Tried and dropped: taking only wants of the last 1.5 s as missing. It failed hour_without_the_table_is_survived_within_the_limits, since a want must outlast an outage.

--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -31,7 +31,12 @@
     /// Event of the move feature.
     Move(MoveEvent),
     /// A target reported its load.
-    LoadReported(Box<LoadReport>),
+    LoadReported {
+        /// Report.
+        report: Box<LoadReport>,
+        /// Orders that it lists as ended.
+        finished: Vec<FinishedOrder>,
+    },
     /// A target's cache events arrived.
     CacheReported(CacheBatch),
     /// The catalogue to start from, before any version is known.
--- a/crates/core/src/features.rs
+++ b/crates/core/src/features.rs
@@ -31,7 +31,9 @@
         HostEvent::Membership(event) => members::reduce(state, now, event, out),
         HostEvent::Preset(event) => presets::reduce(state, now, event, out),
         HostEvent::Move(event) => moves::reduce(state, now, event, out),
-        HostEvent::LoadReported(report) => targets::report(state, now, *report, out),
+        HostEvent::LoadReported { report, finished } => {
+            targets::report(state, now, *report, finished, out);
+        }
         HostEvent::CacheReported(batch) => {
             state.routes.apply_cache(now, &batch);
         }
--- a/crates/core/src/features/members.rs
+++ b/crates/core/src/features/members.rs
@@ -12,6 +12,7 @@
 use crocusyard_routing::prelude::EntryHost;
 use crocusyard_wire::prelude::*;
 use std::collections::BTreeSet;
+use std::sync::Arc;
 
 /// Hands an event to the membership reducer.
 pub(crate) fn reduce(
@@ -146,6 +147,14 @@
         } if catalog == state.catalog.version => {
             state.peer_demand.apply(source, &entries);
         }
+        MembershipEffect::WantSeen { catalog, model } if catalog == state.catalog.version => {
+            let declared = &state.catalog.catalog.models;
+            let Some(spec) = declared.get(usize::from(model)) else {
+                return;
+            };
+            let name = Arc::from(spec.name.as_str());
+            moves::reduce(state, now, MoveEvent::WantModel { name }, out);
+        }
         MembershipEffect::PresetSeen {
             host,
             domain,
--- a/crates/core/src/features/requests.rs
+++ b/crates/core/src/features/requests.rs
@@ -53,6 +53,7 @@
         }
         RequestEffect::ReportCleared { digest } => tell_crash(state, now, digest, None, out),
         RequestEffect::WantModel { model, .. } => {
+            tell_want(state, now, &model, out);
             let name = Arc::from(model.as_str());
             moves::reduce(state, now, MoveEvent::WantModel { name }, out);
         }
@@ -60,6 +61,24 @@
     }
 }
 
+/// Tells the holder of the region's lease that requests wait for a model.
+fn tell_want(state: &mut HostState, now: ClockTime, model: &ModelName, out: &mut Vec<HostEffect>) {
+    let holder = state.leases.get(&state.identity.region);
+    let holder = holder.map(|lease| lease.holder.clone());
+    let Some(holder) = holder.filter(|holder| *holder != state.identity.name) else {
+        return;
+    };
+    if let Some(&model) = state.catalog.models.get(model) {
+        let catalog = state.catalog.version;
+        let event = MembershipEvent::ModelWanted {
+            holder,
+            catalog,
+            model,
+        };
+        members::reduce(state, now, event, out);
+    }
+}
+
 fn tell_crash(
     state: &mut HostState,
     now: ClockTime,
--- a/crates/core/src/features/targets.rs
+++ b/crates/core/src/features/targets.rs
@@ -5,7 +5,7 @@
 use crate::state::HostState;
 use crocusyard_base::prelude::*;
 use crocusyard_membership::prelude::MembershipEvent;
-use crocusyard_moves::prelude::MoveEvent;
+use crocusyard_moves::prelude::{FinishedOrder, MoveEvent};
 use crocusyard_requests::prelude::RequestEvent;
 use crocusyard_routing::prelude::*;
 use crocusyard_wire::prelude::{TargetDelta, TargetNotice};
@@ -19,13 +19,14 @@
     state: &mut HostState,
     now: ClockTime,
     report: LoadReport,
+    finished: Vec<FinishedOrder>,
     out: &mut Vec<HostEffect>,
 ) {
     tell_leaving(state, now, &report, out);
     let shared = Arc::new(report.clone());
     let event = MoveEvent::Report {
         report: shared,
-        finished: Vec::new(),
+        finished,
     };
     moves::reduce(state, now, event, out);
     state.routes.apply_report(now, report);
--- a/crates/core/src/planning.rs
+++ b/crates/core/src/planning.rs
@@ -16,7 +16,7 @@
 use crocusyard_placement::prelude::*;
 use crocusyard_routing::prelude::CopyState;
 use crocusyard_wire::prelude::ModelDemand;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 /// Time between two plans without a special reason.
@@ -133,7 +133,6 @@
     if state.moves.may_order(now).is_none() {
         return;
     }
-    want_missing(state, now, out);
     let due = state
         .planning
         .planned
@@ -160,43 +159,6 @@
     );
 }
 
-/// Asks for models that other hosts have requests for and that are resident nowhere.
-fn want_missing(state: &mut HostState, now: ClockTime, out: &mut Vec<HostEffect>) {
-    let mut total = BTreeMap::new();
-    state.peer_demand.add_to(&mut total);
-    if total.is_empty() {
-        return;
-    }
-    let catalog = state.catalog.catalog.clone();
-    let resident = resident_names(state, &catalog);
-    for (model, _) in total {
-        let Some(spec) = catalog.models.get(usize::from(model)) else {
-            continue;
-        };
-        if !resident.contains(spec.name.as_str()) {
-            let name = Arc::from(spec.name.as_str());
-            reduce_host(
-                state,
-                now,
-                HostEvent::Move(MoveEvent::WantModel { name }),
-                out,
-            );
-        }
-    }
-}
-
-fn resident_names(state: &HostState, catalog: &CatalogSpec) -> BTreeSet<Arc<str>> {
-    let reports = catalog
-        .targets
-        .iter()
-        .filter_map(|spec| state.routes.report_of(&spec.name));
-    let copies = reports.flat_map(|report| &report.copies);
-    copies
-        .filter(|copy| copy.state == CopyState::Resident)
-        .map(|copy| copy.name.clone())
-        .collect()
-}
-
 /// Describes the region to the planner; `None` until every engine that is not leaving has reported.
 fn plan_input(state: &HostState, now: ClockTime) -> Option<PlanInput> {
     let catalog = &state.catalog.catalog;
--- a/crates/host/src/actor.rs
+++ b/crates/host/src/actor.rs
@@ -276,8 +276,9 @@
 
     fn handle(&mut self, read: LoadRead, context: &mut Self::Context) {
         let Some(status) = read.status else { return };
-        let report = crate::polling::report_of(read.target, status);
-        self.feed(HostEvent::LoadReported(Box::new(report)), context);
+        let finished = crate::polling::finished_of(&status);
+        let report = Box::new(crate::polling::report_of(read.target, status));
+        self.feed(HostEvent::LoadReported { report, finished }, context);
     }
 }
 
--- a/crates/host/src/polling.rs
+++ b/crates/host/src/polling.rs
@@ -8,6 +8,7 @@
 use crocusyard_catalog::prelude::*;
 use crocusyard_core::prelude::*;
 use crocusyard_membership::prelude::ListedHost;
+use crocusyard_moves::prelude::{FinishedOrder, OrderResult};
 use crocusyard_routing::prelude::*;
 use crocusyard_targets::management::{read_cache_events, read_load};
 use std::net::SocketAddr;
@@ -80,6 +81,17 @@
     }
 }
 
+/// Returns the orders that a target lists as carried out.
+pub(crate) fn finished_of(status: &LoadStatus) -> Vec<FinishedOrder> {
+    let ids = status.finished_orders.iter();
+    ids.filter_map(|id| OrderId::parse(id))
+        .map(|order| FinishedOrder {
+            order,
+            result: OrderResult::Done,
+        })
+        .collect()
+}
+
 /// Turns a target's own figures into a load report.
 pub(crate) fn report_of(target: TargetName, status: LoadStatus) -> LoadReport {
     let copies = status.copies.into_iter().map(|copy| ResidentCopy {
--- a/crates/membership/src/effect.rs
+++ b/crates/membership/src/effect.rs
@@ -97,6 +97,13 @@
         /// Demand.
         entries: Vec<ModelDemand>,
     },
+    /// Requests of another host wait for a model.
+    WantSeen {
+        /// Catalogue version of the model position.
+        catalog: u64,
+        /// Model position.
+        model: u16,
+    },
     /// A peer has this preset version in force; sent for every packet, since presets count contacts.
     PresetSeen {
         /// Peer.
--- a/crates/membership/src/event.rs
+++ b/crates/membership/src/event.rs
@@ -56,6 +56,15 @@
         /// Demand.
         demand: Vec<ModelDemand>,
     },
+    /// Requests of the own host wait for a model; the holder of the region's lease is told at once.
+    ModelWanted {
+        /// Holder of the lease.
+        holder: HostName,
+        /// Catalogue version of the model position.
+        catalog: u64,
+        /// Model position.
+        model: u16,
+    },
     /// A preset version is in force on the own host, which now serves its body; lower versions than
     /// before are ignored.
     PresetKnown(PresetNotice),
--- a/crates/membership/src/reduce.rs
+++ b/crates/membership/src/reduce.rs
@@ -39,6 +39,16 @@
         }
         MembershipEvent::OwnLoads { catalog, deltas } => records::set_own(state, catalog, deltas),
         MembershipEvent::OwnDemand { catalog, demand } => demand::set_own(state, catalog, demand),
+        MembershipEvent::ModelWanted {
+            holder,
+            catalog,
+            model,
+        } => {
+            // A lost packet is made good by the next one: requests ask again while they wait.
+            let want = vec![WireMessage::Want { catalog, model }];
+            let holder = NameId::of(holder.as_str());
+            send(state, now, holder, want, PacketFill::News, out);
+        }
         MembershipEvent::PresetKnown(notice) => news::learn_preset(state, notice),
         MembershipEvent::Crash(notice) => {
             news::learn_crash(state, now, &notice);
@@ -167,6 +177,9 @@
         }
         WireMessage::Records(entries) => records::receive_records(state, now, entries, out),
         WireMessage::Summaries(entries) => records::receive_summaries(state, now, entries, out),
+        WireMessage::Want { catalog, model } => {
+            out.push(MembershipEffect::WantSeen { catalog, model });
+        }
         WireMessage::Demand(chunk) => demand::receive(state, sender, chunk, out),
         WireMessage::Preset(notice) => {
             // Passed on only once it is in force here (`PresetKnown`): who hears of a version asks
--- a/crates/moves/src/lib.rs
+++ b/crates/moves/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod schedule;
 pub mod state;
 pub mod store;
+pub mod wants;
 
 /// The common names of this crate.
 pub mod prelude {
--- a/crates/moves/src/orders.rs
+++ b/crates/moves/src/orders.rs
@@ -8,6 +8,7 @@
 use crate::schedule::may_unload;
 use crate::state::{is_quiet_over, is_ready, remove_entry, FenceProof, MoveState, TargetView};
 use crate::store::is_writing;
+use crate::wants;
 use crocusyard_base::prelude::*;
 use crocusyard_routing::prelude::*;
 use rand::Rng;
@@ -259,6 +260,7 @@
             targets.insert(report.target.clone());
         }
     }
+    wants::note_served(state, report);
     let copies = report
         .copies
         .iter()
@@ -328,7 +330,7 @@
         }
     }
     state.refused.retain(|_, retry| now < *retry);
-    state.wants.retain(|_, until| now < *until);
+    wants::age_wants(state, now);
 }
 
 fn set_phase(state: &mut MoveState, order: OrderId, phase: OrderPhase) {
--- a/crates/moves/src/reduce.rs
+++ b/crates/moves/src/reduce.rs
@@ -5,7 +5,7 @@
 use crate::fleet::FleetSpec;
 use crate::lease::{holder_deadline, LeaseState};
 use crate::state::MoveState;
-use crate::{orders, schedule, store};
+use crate::{orders, schedule, store, wants};
 use crocusyard_base::prelude::*;
 use rand::Rng;
 use std::sync::Arc;
@@ -44,8 +44,7 @@
             schedule::schedule(state, context, out);
         }
         MoveEvent::WantModel { name } => {
-            let until = context.now + state.settings.demand_hold;
-            state.wants.insert(name, until);
+            wants::want(state, name);
             schedule::schedule(state, context, out);
         }
         MoveEvent::TableAnswered { call, answer } => {
--- a/crates/moves/src/schedule.rs
+++ b/crates/moves/src/schedule.rs
@@ -5,12 +5,12 @@
 //! another resident copy is confirmed or the name may be loaded on demand.
 
 use crate::effect::{MoveEffect, MoveNote};
-use crate::fleet::ItemKind;
 use crate::intent::{IntentEntry, IntentRow, IntentStage, OrderAction, OrderPhase};
 use crate::reduce::MoveContext;
 use crate::state::{
     add_entry, entries_on, is_heard, is_quiet_over, is_ready, is_safe_copy, MoveState,
 };
+use crate::wants::{is_awaited, is_wanted, item_model};
 use crocusyard_base::prelude::*;
 use crocusyard_routing::prelude::*;
 use rand::Rng;
@@ -101,14 +101,6 @@
     }
 }
 
-/// Returns the base model of an adapter.
-fn item_model<'a>(state: &'a MoveState, name: &Arc<str>) -> Option<&'a Arc<str>> {
-    match &state.fleet.items.get(name)?.kind {
-        ItemKind::Model => None,
-        ItemKind::Adapter { model } => Some(model),
-    }
-}
-
 fn is_planned(state: &MoveState, target: &TargetName, name: &Arc<str>) -> bool {
     state
         .plan
@@ -141,14 +133,6 @@
     }
 }
 
-/// Returns whether somebody waits for a name or for an adapter of it.
-fn is_wanted(state: &MoveState, name: &Arc<str>) -> bool {
-    state
-        .wants
-        .keys()
-        .any(|want| want == name || item_model(state, want) == Some(name))
-}
-
 /// Returns whether a copy can go: another one is confirmed, or the name may be loaded on demand,
 /// or it is no longer declared.
 pub(crate) fn may_unload(
@@ -177,7 +161,7 @@
     // loads it again wherever its model is resident.
     let loads_itself = item_model(state, name).is_some() && !state.planned.contains(name);
     has_other_copy(state, target, name)
-        || ((state.plan.on_demand.contains(name) || loads_itself) && !is_wanted(state, name))
+        || ((state.plan.on_demand.contains(name) || loads_itself) && !is_awaited(state, name))
 }
 
 /// Returns whether another copy is confirmed resident and stays.
@@ -213,7 +197,11 @@
     }
     let mut wishes = Vec::new();
     let limit = (slots.models + slots.adapters).min(WANTS_PER_TICK) as usize;
-    let missing = state.wants.keys().filter(|want| !held.contains(*want));
+    // A copy that gave way to an awaited one is loaded again only when a request asks again.
+    let missing = state
+        .wants
+        .keys()
+        .filter(|want| !held.contains(*want) && !state.served.contains(*want));
     for want in missing.take(limit) {
         let name = match item_model(state, want) {
             Some(model) if !held.contains(model) => model.clone(),
@@ -271,7 +259,8 @@
             if best.is_some_and(|(evicts, ..)| !evicts) {
                 continue;
             }
-            let surplus: u64 = surplus(state, target).iter().map(|(bytes, _)| bytes).sum();
+            let surplus = surplus(state, target, true);
+            let surplus: u64 = surplus.iter().map(|(bytes, _)| bytes).sum();
             if free + surplus < bytes {
                 continue;
             }
@@ -325,7 +314,14 @@
         *free -= 1;
         slots.orders -= 1;
         wait.coming = true;
-    } else if make_room(state, context, &wish.target, bytes, &mut slots.orders) {
+    } else if make_room(
+        state,
+        context,
+        &wish.target,
+        bytes,
+        wish.rank == 0,
+        &mut slots.orders,
+    ) {
         wait.coming = true;
     } else {
         wait.blocked.push(wish);
@@ -396,8 +392,9 @@
 }
 
 /// Lists the copies on a target that may be unloaded and that the plan does not want, with their
-/// memory, largest first.
-fn surplus(state: &MoveState, target: &TargetName) -> Vec<(u64, Arc<str>)> {
+/// memory, largest first. Copies that are kept since a request asked for them come last, and only if
+/// `awaited` tells that requests wait for the room.
+fn surplus(state: &MoveState, target: &TargetName, awaited: bool) -> Vec<(u64, Arc<str>)> {
     let Some(view) = state.views.get(target) else {
         return Vec::new();
     };
@@ -407,7 +404,8 @@
         .filter(|(name, copy)| {
             **copy == CopyState::Resident
                 && !is_planned(state, target, name)
-                && !is_wanted(state, name)
+                && !is_awaited(state, name)
+                && (awaited || !is_wanted(state, name))
                 && !entries_on(state, target).any(|entry| entry.row.name == **name)
                 && may_unload(state, target, name, None)
                 && (has_other_copy(state, target, name) || !state.planned.contains(*name))
@@ -415,6 +413,7 @@
         .map(|(name, _)| (state.ledger.copy_bytes(target, name), name.clone()))
         .collect();
     names.sort_by(|a, b| b.cmp(a));
+    names.sort_by_key(|(_, name)| is_wanted(state, name));
     names
 }
 
@@ -424,6 +423,7 @@
     context: &mut MoveContext<'_>,
     target: &TargetName,
     bytes: u64,
+    awaited: bool,
     orders: &mut usize,
 ) -> bool {
     let (used, capacity) = state.ledger.usage(target);
@@ -432,7 +432,7 @@
         .map(|entry| entry.row.bytes)
         .sum();
     let mut short = (used + bytes).saturating_sub(capacity + coming);
-    let surplus = surplus(state, target);
+    let surplus = surplus(state, target, awaited);
     // Unloading some copies without reaching the goal would only cost moves.
     if surplus.iter().map(|(bytes, _)| bytes).sum::<u64>() < short {
         return false;
@@ -475,7 +475,7 @@
             out,
         );
         let mut orders = state.settings.orders_at_once;
-        if make_room(state, context, &target, 0, &mut orders) {
+        if make_room(state, context, &target, 0, false, &mut orders) {
             continue;
         }
         let names: Vec<Arc<str>> = state
--- a/crates/moves/src/state.rs
+++ b/crates/moves/src/state.rs
@@ -41,6 +41,9 @@
     pub report_stale: ClockTime,
     /// Time for which a copy loaded on demand is kept after the last want.
     pub demand_hold: ClockTime,
+    /// Time after the last want during which requests count as waiting. Until it is over, the copy
+    /// is kept even if others wait for its room; hosts repeat a want every second.
+    pub demand_wait: ClockTime,
 }
 
 impl MoveSettings {
@@ -61,6 +64,7 @@
             orders_at_once: 64,
             report_stale: ClockTime::from_secs(15),
             demand_hold: ClockTime::from_secs(60),
+            demand_wait: ClockTime::from_ms(1500),
         }
     }
 }
@@ -106,6 +110,8 @@
     pub(crate) plan: Arc<ResidencyPlan>,
     /// Names wanted on demand, and until when their copies are kept.
     pub(crate) wants: BTreeMap<Arc<str>, ClockTime>,
+    /// Wanted names that were resident after the last want.
+    pub(crate) served: BTreeSet<Arc<str>>,
     pub(crate) lease: LeaseState,
     /// Random number of this process; drawn at the first event.
     pub(crate) instance: Option<u64>,
@@ -146,6 +152,7 @@
             fleet: Arc::default(),
             plan: Arc::default(),
             wants: BTreeMap::new(),
+            served: BTreeSet::new(),
             lease: LeaseState::Unread,
             instance: None,
             highest_fencing: FencingNumber(0),
--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -222,6 +222,7 @@
 
 fn present_report(state: &EngineState, sequence: u64) -> LoadStatus {
     let (running, waiting, queued_tokens) = state.streams.lock().expect("stream lock").load();
+    let residency = state.residency.lock().expect("residency lock");
     LoadStatus {
         sequence,
         incarnation: state.incarnation,
@@ -232,8 +233,9 @@
         prefill_rate: state.settings.prefill_rate,
         decode_rate: 1000.0 / state.settings.token_ms.max(1) as f64,
         memory_bytes: state.settings.memory_bytes,
-        copies: state.residency.lock().expect("residency lock").copies(),
+        copies: residency.copies(),
         leaving: false,
+        finished_orders: residency.finished_orders(),
     }
 }
 
--- a/crates/standins/src/engine/residency.rs
+++ b/crates/standins/src/engine/residency.rs
@@ -4,12 +4,14 @@
 use crocusyard_border::engine::{
     CopyPhase, CopyStatus, EngineOrder, OrderAction, OrderState, OrderStatus,
 };
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use std::time::Duration;
 
 /// Time to load an adapter for a request.
 const ADAPTER_LOAD: Duration = Duration::from_millis(10);
+/// Finished orders that a load report lists.
+const FINISHED_KEPT: usize = 64;
 /// Time between two looks at an adapter that another request loads.
 const ADAPTER_LOOK: Duration = Duration::from_millis(2);
 
@@ -38,6 +40,7 @@
     fencing: u64,
     copies: BTreeMap<String, CopyStatus>,
     orders: BTreeMap<String, (OrderState, Option<String>)>,
+    finished: VecDeque<String>,
     usage: UsageCounts,
     adapters: Vec<AdapterOption>,
     /// Adapters that were loaded for requests, least recently used first.
@@ -75,6 +78,7 @@
             fencing: 0,
             copies: copies.collect(),
             orders: BTreeMap::new(),
+            finished: VecDeque::new(),
             usage: UsageCounts::default(),
             adapters: settings.adapters.clone(),
             on_demand: Vec::new(),
@@ -83,6 +87,10 @@
         state
     }
 
+    pub(super) fn finished_orders(&self) -> Vec<String> {
+        self.finished.iter().cloned().collect()
+    }
+
     pub(super) fn note_request(&mut self) {
         self.usage.requests += 1;
     }
@@ -230,6 +238,10 @@
         }
         self.orders
             .insert(order.order_id.clone(), (OrderState::Finished, None));
+        self.finished.push_back(order.order_id.clone());
+        if self.finished.len() > FINISHED_KEPT {
+            self.finished.pop_front();
+        }
     }
 
     /// Removes a copy, and with a model the adapters that requests brought in for it.
--- a/crates/standins/src/plain.rs
+++ b/crates/standins/src/plain.rs
@@ -80,6 +80,7 @@
         memory_bytes: 0,
         copies: Vec::new(),
         leaving: false,
+        finished_orders: Vec::new(),
     })
 }
 
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -220,4 +220,11 @@
     Crashes(Vec<CrashNotice>),
     /// Lease holders.
     Leases(Vec<LeaseNotice>),
+    /// A model that requests wait for, sent to the lease holder.
+    Want {
+        /// Catalogue version of the model position.
+        catalog: u64,
+        /// Model position.
+        model: u16,
+    },
 }
--- /dev/null
+++ b/tests/on_demand.rs
@@ -0,0 +1,46 @@
+//! Models beyond the memory of the engines.
+
+mod state;
+
+use crocusyard_standins::prelude::answer_tokens;
+use crocusyard_testbed::prelude::*;
+use state::*;
+use std::time::Instant;
+
+/// Guards M2 where memory cannot hold all models: each must be loaded on demand, also for a host that
+/// does not hold the lease, and the engine must never be asked for more than its memory.
+#[actix_web::test]
+async fn models_beyond_memory_load_on_demand() {
+    let mut catalog = fleet_catalog();
+    let kept = ["chalk-large", "quill", "slate"];
+    catalog
+        .models
+        .retain(|model| kept.contains(&model.name.as_str()));
+    catalog.adapters.clear();
+    let engines = ["asistente-2", "asistente-3", "asistente-4"];
+    catalog
+        .targets
+        .retain(|target| !engines.contains(&target.name.as_str()));
+    catalog.presets.truncate(1);
+    catalog.presets[0].copies.clear();
+    let deployment = ProcessDeployment::start(program(), 3, catalog, &EMPTY_ENGINE, SETTINGS)
+        .await
+        .expect("deployment starts");
+    let hosts = entries(&deployment);
+    until_in_force(&hosts, 1, "ordinary").await;
+    for round in 0..2 {
+        for host in &hosts {
+            for name in kept {
+                let prompt = format!("round {round}");
+                let started = Instant::now();
+                let answer = TestClient::new("plazas")
+                    .stream(*host, name, &prompt, 1)
+                    .await;
+                println!("{host} {name}: {:?}", started.elapsed());
+                assert!(answer.complete, "{name}: {answer:?}");
+                assert_eq!(answer.text, answer_tokens(name, &prompt, 1));
+            }
+        }
+    }
+    check_memory(&deployment).await;
+}
