--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -5,7 +5,7 @@
 //! The modules below [`features`] hold one such connection each.
 
 pub mod body;
-pub mod demand;
+mod demand;
 pub mod effect;
 pub mod event;
 pub mod features;
--- a/crates/core/src/planning.rs
+++ b/crates/core/src/planning.rs
@@ -28,8 +28,6 @@
 ///
 /// Reports are polled at least once a second; an engine that is silent for so long is down.
 const REPORT_WAIT: ClockTime = ClockTime::from_secs(15);
-/// Time after a request came to another host for which its model is asked for.
-const ASKED_SPAN: ClockTime = ClockTime::from_secs(10);
 /// Limit of the time to the first token.
 const FIRST_TOKEN_MS: u64 = 1700;
 /// Prefill rate of an engine that has not reported one, tokens a second.
@@ -51,7 +49,6 @@
     cost: f64,
     planned: Option<ClockTime>,
     forced: bool,
-    tells_soon: bool,
     plan: Option<Arc<ResidencyPlan>>,
 }
 
@@ -63,19 +60,12 @@
             cost: 1.0,
             planned: None,
             forced: true,
-            tells_soon: false,
             plan: None,
         }
     }
 }
 
 impl PlanningState {
-    /// Makes the next occasion tell the own demand, since a request waits for a model: the holder of
-    /// the lease loads it only when it hears of it.
-    pub(crate) fn tell_soon(&mut self) {
-        self.tells_soon = true;
-    }
-
     /// Makes the next occasion plan whatever the time.
     pub(crate) fn force(&mut self) {
         self.forced = true;
@@ -98,8 +88,7 @@
 
 /// Tells the other hosts what this one was asked for.
 pub(crate) fn share_demand(state: &mut HostState, now: ClockTime, out: &mut Vec<HostEffect>) {
-    let turned = state.own_demand.turn(now);
-    if !turned && !std::mem::take(&mut state.planning.tells_soon) {
+    if !state.own_demand.turn(now) {
         return;
     }
     let demand = state.own_demand.per_minute();
@@ -111,9 +100,7 @@
         demand: demand.collect(),
     };
     reduce_host(state, now, HostEvent::Membership(event), out);
-    if turned {
-        observe(state, now);
-    }
+    observe(state, now);
 }
 
 /// Adds up the demand of all hosts, for the forecast and for the width of the address answers.
@@ -151,7 +138,6 @@
     if state.moves.may_order(now).is_none() {
         return;
     }
-    want_missing(state, now, out);
     let due = state
         .planning
         .planned
@@ -177,43 +163,6 @@
     );
 }
 
-/// Asks for models that other hosts have requests for and that are resident nowhere.
-fn want_missing(state: &mut HostState, now: ClockTime, out: &mut Vec<HostEffect>) {
-    let asked = state.peer_demand.asked_within(now, ASKED_SPAN);
-    if asked.is_empty() {
-        return;
-    }
-    let catalog = state.catalog.catalog.clone();
-    let resident = resident_names(state, &catalog);
-    for model in asked {
-        let Some(spec) = catalog.models.get(usize::from(model)) else {
-            continue;
-        };
-        if !resident.contains(spec.name.as_str()) {
-            let name = Arc::from(spec.name.as_str());
-            reduce_host(
-                state,
-                now,
-                HostEvent::Move(MoveEvent::WantModel { name }),
-                out,
-            );
-        }
-    }
-}
-
-fn resident_names(state: &HostState, catalog: &CatalogSpec) -> BTreeSet<Arc<str>> {
-    let reports = catalog
-        .targets
-        .iter()
-        .filter(|spec| state.moves.hears(&spec.name) && !is_leaving(state, &spec.name))
-        .filter_map(|spec| state.routes.report_of(&spec.name));
-    let copies = reports.flat_map(|report| &report.copies);
-    copies
-        .filter(|copy| copy.state == CopyState::Resident)
-        .map(|copy| copy.name.clone())
-        .collect()
-}
-
 /// Returns when this host took the lease that it holds.
 fn holds_since(state: &HostState) -> Option<ClockTime> {
     match state.moves.lease() {
--- a/crates/core/tests/demand.rs
+++ b/crates/core/tests/demand.rs
@@ -1,41 +1,18 @@
-//! Demand that other hosts tell of.
+//! What the holder of the lease hears of requests that wait.
 
 #[path = "world/catalog.rs"]
 #[allow(dead_code)] // The randomised run uses the rest.
 mod catalog;
 
 use crocusyard_base::prelude::*;
-use crocusyard_core::demand::PeerDemand;
 use crocusyard_core::features::reduce;
 use crocusyard_core::prelude::{HostEffect, HostEvent, HostState};
-use crocusyard_membership::prelude::{DemandSource, ListedHost};
+use crocusyard_membership::prelude::ListedHost;
 use crocusyard_requests::prelude::{RequestEvent, RequestSpec};
 use crocusyard_routing::prelude::WorkKind;
-use crocusyard_wire::prelude::{ModelDemand, WireMessage};
+use crocusyard_wire::prelude::{LeaseNotice, WireMessage};
 use std::sync::Arc;
 
-/// Guards against models on demand that evict each other, because requests of the last minute that
-/// have long ended count as requests that wait.
-#[test]
-fn only_new_requests_ask_for_a_model() {
-    let mut demand = PeerDemand::default();
-    let source = DemandSource::Host(HostName::new("h1"));
-    let span = ClockTime::from_secs(10);
-    let mut asked = |secs, per_minute| {
-        let now = ClockTime::from_secs(secs);
-        let entry = ModelDemand {
-            model: 3,
-            per_minute,
-        };
-        demand.apply(now, source.clone(), &[entry]);
-        demand.asked_within(now, span)
-    };
-    assert_eq!(asked(1, 5), vec![3]);
-    assert_eq!(asked(12, 5), Vec::<u16>::new());
-    assert_eq!(asked(13, 4), Vec::<u16>::new());
-    assert_eq!(asked(14, 5), vec![3]);
-}
-
 /// Guards against a request that waits up to 10 s before the holder of the lease hears of its model.
 #[test]
 fn request_that_waits_for_a_model_is_told_at_once() {
@@ -67,6 +44,12 @@
         region: RegionName::new(catalog::REGION),
         leaving: false,
     };
+    let lease = LeaseNotice {
+        region: RegionName::new(catalog::REGION),
+        holder: catalog::host_name(3),
+        fencing: FencingNumber(1),
+    };
+    state.leases.insert(lease.region.clone(), lease);
     let start = [
         HostEvent::CatalogLoaded {
             catalog: Arc::new(spec),
@@ -91,9 +74,9 @@
     let told = out.iter().any(|effect| match effect {
         HostEffect::SendPacket { packet, .. } => {
             let mut messages = packet.messages.iter();
-            messages.any(|message| matches!(message, WireMessage::Demand(_)))
+            messages.any(|message| matches!(message, WireMessage::Want { model: 0, .. }))
         }
         _ => false,
     });
-    assert!(told, "the demand is told within 2 s");
+    assert!(told, "the want is told within 2 s");
 }
--- a/crates/core/tests/leaving.rs
+++ b/crates/core/tests/leaving.rs
@@ -55,20 +55,23 @@
 
     fn report(&mut self, incarnation: u64) {
         self.sequence += 1;
-        self.feed(HostEvent::LoadReported(Box::new(LoadReport {
-            target: TargetName::new("p0"),
-            sequence: self.sequence,
-            incarnation,
-            age: ClockTime::ZERO,
-            running: 0,
-            waiting: 0,
-            queued_tokens: 0,
-            prefill_rate: 1.0,
-            decode_rate: 1.0,
-            memory_bytes: 0,
-            copies: Vec::new(),
-            leaving: false,
-        })));
+        self.feed(HostEvent::LoadReported {
+            report: Box::new(LoadReport {
+                target: TargetName::new("p0"),
+                sequence: self.sequence,
+                incarnation,
+                age: ClockTime::ZERO,
+                running: 0,
+                waiting: 0,
+                queued_tokens: 0,
+                prefill_rate: 1.0,
+                decode_rate: 1.0,
+                memory_bytes: 0,
+                copies: Vec::new(),
+                leaving: false,
+            }),
+            finished: Vec::new(),
+        });
     }
 
     fn is_used(&self) -> bool {
--- a/crates/core/tests/planning.rs
+++ b/crates/core/tests/planning.rs
@@ -40,20 +40,23 @@
                         state: CopyState::Resident,
                     }
                 });
-            events.push(HostEvent::LoadReported(Box::new(LoadReport {
-                target: target.name.clone(),
-                sequence: step,
-                incarnation: 1,
-                age: ClockTime::ZERO,
-                running: 0,
-                waiting: 0,
-                queued_tokens: 0,
-                prefill_rate: 1.0,
-                decode_rate: 1.0,
-                memory_bytes: target.memory_bytes,
-                copies: copies.into_iter().collect(),
-                leaving: false,
-            })));
+            events.push(HostEvent::LoadReported {
+                report: Box::new(LoadReport {
+                    target: target.name.clone(),
+                    sequence: step,
+                    incarnation: 1,
+                    age: ClockTime::ZERO,
+                    running: 0,
+                    waiting: 0,
+                    queued_tokens: 0,
+                    prefill_rate: 1.0,
+                    decode_rate: 1.0,
+                    memory_bytes: target.memory_bytes,
+                    copies: copies.into_iter().collect(),
+                    leaving: false,
+                }),
+                finished: Vec::new(),
+            });
         }
         while let Some(event) = events.pop() {
             let mut out = Vec::new();
--- a/crates/core/tests/world/hosts.rs
+++ b/crates/core/tests/world/hosts.rs
@@ -153,7 +153,7 @@
     /// Notes when a host's process is told by a report or the host list that a target leaves.
     fn note_learnt(&mut self, host: usize, event: &HostEvent) {
         let told: Vec<TargetName> = match event {
-            HostEvent::LoadReported(report) if report.leaving => vec![report.target.clone()],
+            HostEvent::LoadReported { report, .. } if report.leaving => vec![report.target.clone()],
             HostEvent::HostsListed {
                 leaving_targets, ..
             } => leaving_targets.clone(),
--- a/crates/core/tests/world/targets.rs
+++ b/crates/core/tests/world/targets.rs
@@ -28,7 +28,11 @@
             // A report can be overtaken by later ones.
             let late = if self.chance(3) { 1_500 } else { 0 };
             let delay = self.rng.random_range(1..20) + late;
-            self.host_event(delay, link, HostEvent::LoadReported(Box::new(report)));
+            let event = HostEvent::LoadReported {
+                report: Box::new(report),
+                finished: Vec::new(),
+            };
+            self.host_event(delay, link, event);
         }
         self.after(POLL_MS, Message::Poll(host, epoch));
     }
--- a/crates/moves/src/room.rs
+++ b/crates/moves/src/room.rs
@@ -3,11 +3,9 @@
 use crate::effect::{MoveEffect, MoveNote};
 use crate::intent::OrderAction;
 use crate::reduce::MoveContext;
-use crate::schedule::{
-    can_lose, has_other_copy, is_planned, is_wanted, item_model, may_unload, note_once,
-    start_unload,
-};
+use crate::schedule::{can_lose, has_other_copy, is_planned, may_unload, note_once, start_unload};
 use crate::state::{entries_on, is_ready, MoveState, TargetView};
+use crate::wants::{is_awaited, is_wanted, item_model};
 use crocusyard_base::prelude::*;
 use crocusyard_routing::prelude::*;
 use std::collections::BTreeSet;
@@ -25,28 +23,39 @@
 }
 
 /// Lists the copies on a target that may go and that the plan does not want, largest first.
-pub(crate) fn surplus(state: &MoveState, target: &TargetName) -> Vec<SurplusCopy> {
+///
+/// Copies that are kept since a request asked for them come last, and only if `awaited` tells that
+/// requests wait for the room.
+pub(crate) fn surplus(state: &MoveState, target: &TargetName, awaited: bool) -> Vec<SurplusCopy> {
     let Some(view) = state.views.get(target) else {
         return Vec::new();
     };
     let idle = view.copies.keys().filter(|name| {
         !entries_on(state, target).any(|entry| entry.row.name == **name)
-            && is_surplus(state, view, target, name)
+            && is_surplus(state, view, target, name, awaited)
     });
-    let copies = idle.filter_map(|name| with_adapters(state, view, target, name));
+    let copies = idle.filter_map(|name| with_adapters(state, view, target, name, awaited));
     let mut copies: Vec<SurplusCopy> = copies.collect();
     // An adapter that goes with its model is not counted a second time.
     let listed = copies.iter().flat_map(|copy| copy.adapters.clone());
     let listed: BTreeSet<Arc<str>> = listed.collect();
     copies.retain(|copy| !listed.contains(&copy.name));
     copies.sort_by(|a, b| (b.bytes, &b.name).cmp(&(a.bytes, &a.name)));
+    copies.sort_by_key(|copy| is_wanted(state, &copy.name));
     copies
 }
 
-fn is_surplus(state: &MoveState, view: &TargetView, target: &TargetName, name: &Arc<str>) -> bool {
+fn is_surplus(
+    state: &MoveState,
+    view: &TargetView,
+    target: &TargetName,
+    name: &Arc<str>,
+    awaited: bool,
+) -> bool {
     view.copies.get(name) == Some(&CopyState::Resident)
         && !is_planned(state, target, name)
-        && !is_wanted(state, name)
+        && !is_awaited(state, name)
+        && (awaited || !is_wanted(state, name))
         && can_lose(state, target, name)
         && (has_other_copy(state, target, name) || !state.planned.contains(name))
 }
@@ -57,6 +66,7 @@
     view: &TargetView,
     target: &TargetName,
     name: &Arc<str>,
+    awaited: bool,
 ) -> Option<SurplusCopy> {
     let mut copy = SurplusCopy {
         name: name.clone(),
@@ -76,7 +86,7 @@
     for adapter in adapters.filter(|adapter| item_model(state, adapter) == Some(name)) {
         if entries_on(state, target).any(|entry| entry.row.name == *adapter) {
             copy.waits = true;
-        } else if is_surplus(state, view, target, adapter) {
+        } else if is_surplus(state, view, target, adapter, awaited) {
             copy.bytes += state.ledger.copy_bytes(target, adapter);
             copy.adapters.push(adapter.clone());
         } else {
@@ -94,6 +104,7 @@
     context: &mut MoveContext<'_>,
     target: &TargetName,
     bytes: u64,
+    awaited: bool,
     orders: &mut usize,
 ) -> bool {
     let (used, capacity) = state.ledger.usage(target);
@@ -102,7 +113,7 @@
         .map(|entry| entry.row.bytes)
         .sum();
     let mut short = (used + bytes).saturating_sub(capacity + coming);
-    let surplus = surplus(state, target);
+    let surplus = surplus(state, target, awaited);
     // Unloading some copies without reaching the goal would only cost moves.
     if surplus.iter().map(|copy| copy.bytes).sum::<u64>() < short {
         return false;
@@ -154,7 +165,7 @@
             out,
         );
         let mut orders = state.settings.orders_at_once;
-        if make_room(state, context, &target, 0, &mut orders) {
+        if make_room(state, context, &target, 0, false, &mut orders) {
             continue;
         }
         let names: Vec<Arc<str>> = state
--- a/crates/moves/src/schedule.rs
+++ b/crates/moves/src/schedule.rs
@@ -5,13 +5,13 @@
 //! another resident copy is confirmed or the name may be loaded on demand.
 
 use crate::effect::{MoveEffect, MoveNote};
-use crate::fleet::ItemKind;
 use crate::intent::{IntentEntry, IntentRow, IntentStage, OrderAction, OrderPhase};
 use crate::reduce::MoveContext;
 use crate::room::{make_room, relieve_overruns, surplus};
 use crate::state::{
     add_entry, entries_on, is_heard, is_quiet_over, is_ready, is_safe_copy, MoveState,
 };
+use crate::wants::{is_awaited, is_wanted, item_model};
 use crocusyard_base::prelude::*;
 use rand::Rng;
 use std::collections::{BTreeMap, BTreeSet};
@@ -101,14 +101,6 @@
     }
 }
 
-/// Returns the base model of an adapter.
-pub(crate) fn item_model<'a>(state: &'a MoveState, name: &Arc<str>) -> Option<&'a Arc<str>> {
-    match &state.fleet.items.get(name)?.kind {
-        ItemKind::Model => None,
-        ItemKind::Adapter { model } => Some(model),
-    }
-}
-
 pub(crate) fn is_planned(state: &MoveState, target: &TargetName, name: &Arc<str>) -> bool {
     state
         .plan
@@ -141,14 +133,6 @@
     }
 }
 
-/// Returns whether somebody waits for a name or for an adapter of it.
-pub(crate) fn is_wanted(state: &MoveState, name: &Arc<str>) -> bool {
-    state
-        .wants
-        .keys()
-        .any(|want| want == name || item_model(state, want) == Some(name))
-}
-
 /// Returns whether a copy can go: another one is confirmed, or the name may be loaded on demand,
 /// or it is no longer declared.
 pub(crate) fn may_unload(
@@ -178,8 +162,11 @@
     if !state.fleet.items.contains_key(name) {
         return true;
     }
+    // An adapter that the plan keeps nowhere was loaded by an engine for a request; the next request
+    // loads it again wherever its model is resident.
+    let loads_itself = item_model(state, name).is_some() && !state.planned.contains(name);
     has_other_copy(state, target, name)
-        || (state.plan.on_demand.contains(name) && !is_wanted(state, name))
+        || ((state.plan.on_demand.contains(name) || loads_itself) && !is_awaited(state, name))
 }
 
 /// Returns whether another copy is confirmed resident and stays.
@@ -217,7 +204,11 @@
     }
     let mut wishes = Vec::new();
     let limit = (slots.models + slots.adapters).min(WANTS_PER_TICK) as usize;
-    let missing = state.wants.keys().filter(|want| !held.contains(*want));
+    // A copy that gave way to an awaited one is loaded again only when a request asks again.
+    let missing = state
+        .wants
+        .keys()
+        .filter(|want| !held.contains(*want) && !state.served.contains(*want));
     for want in missing.take(limit) {
         let name = match item_model(state, want) {
             Some(model) if !held.contains(model) => model.clone(),
@@ -275,7 +266,8 @@
             if best.is_some_and(|(evicts, ..)| !evicts) {
                 continue;
             }
-            let surplus: u64 = surplus(state, target).iter().map(|item| item.bytes).sum();
+            let surplus = surplus(state, target, true);
+            let surplus: u64 = surplus.iter().map(|copy| copy.bytes).sum();
             if free + surplus < bytes {
                 continue;
             }
@@ -329,7 +321,14 @@
         *free -= 1;
         slots.orders -= 1;
         wait.coming = true;
-    } else if make_room(state, context, &wish.target, bytes, &mut slots.orders) {
+    } else if make_room(
+        state,
+        context,
+        &wish.target,
+        bytes,
+        wish.rank == 0,
+        &mut slots.orders,
+    ) {
         wait.coming = true;
     } else {
         wait.blocked.push(wish);
