core: let a dropped leave be news again

Cause: word of a leave that later lists do not confirm was dropped from routing, but the membership reducer still remembered it. When the same process left later, the host that learnt of it told nobody, since this was not news.

Ruled out: loss of packets and the rumour budget (the notice was never queued).

Change: the notice is forgotten in membership when it is dropped. The extended test unconfirmed_leave_is_dropped guards it.

--- a/crates/core/src/features/leaving.rs
+++ b/crates/core/src/features/leaving.rs
@@ -126,6 +126,8 @@
         stands
     });
     for target in dropped {
+        // A later leave of the same process has to be news to the other hosts.
+        state.members.targets.remove(&target);
         refresh(state, &target);
     }
 }
--- a/crates/core/tests/leaving.rs
+++ b/crates/core/tests/leaving.rs
@@ -143,7 +143,8 @@
     assert!(!host.is_used());
 }
 
-/// Guards against a target that is lost because the lagging list named its new process (M2).
+/// Guards against a target that is lost because the lagging list named its new process (M2), and
+/// against a later leave of that process that is no news to the other hosts (M6).
 #[test]
 fn unconfirmed_leave_is_dropped() {
     let mut host = TestHost::new();
@@ -154,4 +155,12 @@
     host.now += ClockTime::from_secs(31);
     host.list(&[]);
     assert!(host.is_used());
+    let target = TargetName::new("p0");
+    assert!(!host.state.members.targets.contains_key(&target));
+    host.list(&["p0"]);
+    assert!(!host.is_used(), "the same process leaves later");
+    assert!(
+        host.state.members.targets[&target].leaving,
+        "peers are told"
+    );
 }
