core: list a late leave that does not reach every host as known red

Word of a leave that lists do not confirm is dropped by each host 30 s after it last heard of it. If the same process leaves for real in between, a host that still remembers the earlier word takes the new one for old and drops it soon after.

Failed try: to hand repeated notices on from membership, so that they renew the word.

A notice needs a number of its own within a process, which changes the packet format.

--- a/crates/core/tests/random.rs
+++ b/crates/core/tests/random.rs
@@ -130,3 +130,11 @@
     }
     println!("seeds {first}..{seed}: {total:?}");
 }
+
+/// Guards against new work for a leaving target whose process was wrongly said to leave before (M6).
+#[test]
+fn later_leave_of_a_process_reaches_every_host() {
+    let counts = run(169);
+    let broken = counts.faults().iter().any(|(_, count)| *count > 0);
+    assert!(!broken, "{counts:?}");
+}
