--- a/crates/core/benches/host.rs
+++ b/crates/core/benches/host.rs
@@ -106,20 +106,23 @@
                 state: CopyState::Resident,
             }
         });
-        HostEvent::LoadReported(Box::new(LoadReport {
-            target: spec.name.clone(),
-            sequence: self.ticks as u64 + 1,
-            incarnation: 1,
-            age: ClockTime::ZERO,
-            running: 1,
-            waiting: 0,
-            queued_tokens: 0,
-            prefill_rate: 20_000.0,
-            decode_rate: 50.0,
-            memory_bytes: spec.memory_bytes,
-            copies: copies.collect(),
-            leaving: false,
-        }))
+        HostEvent::LoadReported {
+            report: Box::new(LoadReport {
+                target: spec.name.clone(),
+                sequence: self.ticks as u64 + 1,
+                incarnation: 1,
+                age: ClockTime::ZERO,
+                running: 1,
+                waiting: 0,
+                queued_tokens: 0,
+                prefill_rate: 20_000.0,
+                decode_rate: 50.0,
+                memory_bytes: spec.memory_bytes,
+                copies: copies.collect(),
+                leaving: false,
+            }),
+            finished: Vec::new(),
+        }
     }
 
     /// Feeds the reports that are due at this tick and returns their cost and number.
