Take the addresses of hosts for callers from membership alone

Cause: the host list's addresses were kept in a second map beside those that hosts introduce themselves with. Ruled out: keeping the map for hosts that membership does not know, since those are not handed out anyway. Change: one view of a host, looked up by its name. Conclusion: less state, same answers.

--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -7,18 +7,8 @@
 use crocusyard_presets::prelude::*;
 use crocusyard_requests::prelude::*;
 use crocusyard_routing::prelude::*;
-use std::net::SocketAddr;
 use std::sync::Arc;
 
-/// Addresses of another host for callers and for HTTP between hosts.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct PeerAddresses {
-    /// Host.
-    pub host: HostName,
-    /// Address for callers.
-    pub callers: SocketAddr,
-}
-
 /// An event of the host reducer.
 #[derive(Clone, Debug)]
 pub enum HostEvent {
@@ -46,12 +36,10 @@
         /// Wall clock, milliseconds since 1970; only recorded.
         unix_ms: u64,
     },
-    /// The host list, with the addresses for callers.
+    /// The host list.
     HostsListed {
-        /// Hosts for membership.
+        /// Entry hosts.
         hosts: Vec<ListedHost>,
-        /// Addresses for callers.
-        addresses: Vec<PeerAddresses>,
         /// Targets that the list names as leaving.
         leaving_targets: Vec<TargetName>,
     },
--- a/crates/core/src/features.rs
+++ b/crates/core/src/features.rs
@@ -43,10 +43,9 @@
         }
         HostEvent::HostsListed {
             hosts,
-            addresses,
             leaving_targets,
         } => {
-            members::list(state, now, hosts, addresses, out);
+            members::list(state, now, hosts, out);
             leaving::list(state, now, &leaving_targets, out);
         }
         HostEvent::StopPlanned => members::stop(state, now, out),
--- a/crates/core/src/features/members.rs
+++ b/crates/core/src/features/members.rs
@@ -2,7 +2,6 @@
 
 use super::{leaving, moves, presets, requests, targets};
 use crate::effect::HostEffect;
-use crate::event::PeerAddresses;
 use crate::state::HostState;
 use crocusyard_base::prelude::*;
 use crocusyard_membership::prelude::*;
@@ -43,12 +42,8 @@
     state: &mut HostState,
     now: ClockTime,
     hosts: Vec<ListedHost>,
-    addresses: Vec<PeerAddresses>,
     out: &mut Vec<HostEffect>,
 ) {
-    for address in addresses {
-        state.addresses.insert(address.host, address.callers);
-    }
     reduce(state, now, MembershipEvent::HostList { hosts }, out);
     // Hosts that were known before their address for callers belong into the answers now.
     for view in host_views(&state.members) {
@@ -198,15 +193,11 @@
 ///
 /// A host whose address for callers is not known yet cannot be handed out.
 fn apply_view(state: &mut HostState, now: ClockTime, view: &HostView) {
-    // While the host list is down, hosts learn each other's addresses from each other.
-    if let Some(callers) = view.callers {
-        state.addresses.insert(view.host.clone(), callers);
-    }
     if view.state != LivenessState::Alive {
         state.ring.remove_host(&view.host);
         return;
     }
-    let Some(&address) = state.addresses.get(&view.host) else {
+    let Some(address) = view.callers else {
         return;
     };
     let host = EntryHost {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -16,7 +16,7 @@
 pub mod prelude {
     pub use crate::body::PresetBody;
     pub use crate::effect::HostEffect;
-    pub use crate::event::{HostEvent, PeerAddresses};
+    pub use crate::event::HostEvent;
     pub use crate::features::reduce;
     pub use crate::state::{FeatureSettings, HostIdentity, HostState};
 }
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -95,7 +95,6 @@
     pub catalog: CatalogState,
     /// Leases, as far as this host heard of them.
     pub leases: BTreeMap<RegionName, LeaseNotice>,
-    pub(crate) addresses: BTreeMap<HostName, SocketAddr>,
     pub(crate) own_loads: BTreeMap<TargetName, LoadDelta>,
     pub(crate) own_demand: DemandCounter,
     pub(crate) peer_demand: PeerDemand,
@@ -134,7 +133,6 @@
             moves: MoveState::new(settings.moves),
             catalog: CatalogState::default(),
             leases: BTreeMap::new(),
-            addresses: BTreeMap::new(),
             own_loads: BTreeMap::new(),
             own_demand: DemandCounter::default(),
             peer_demand: PeerDemand::default(),
@@ -164,7 +162,7 @@
 
     /// Returns the address of another host for callers and peers.
     pub fn callers_of(&self, host: &HostName) -> Option<SocketAddr> {
-        self.addresses.get(host).copied()
+        host_view(&self.members, host)?.callers
     }
 
     /// Returns the failure domain of a host.
@@ -172,11 +170,7 @@
         if *host == self.identity.name {
             return Some(self.identity.domain.clone());
         }
-        let views = host_views(&self.members);
-        views
-            .into_iter()
-            .find(|view| view.host == *host)
-            .map(|view| view.domain)
+        host_view(&self.members, host).map(|view| view.domain)
     }
 
     /// Returns whether the preset in force drains a target.
--- a/crates/core/tests/demand.rs
+++ b/crates/core/tests/demand.rs
@@ -57,7 +57,6 @@
         },
         HostEvent::HostsListed {
             hosts: vec![peer],
-            addresses: Vec::new(),
             leaving_targets: Vec::new(),
         },
         HostEvent::Request(RequestEvent::Arrived {
--- a/crates/core/tests/leaving.rs
+++ b/crates/core/tests/leaving.rs
@@ -48,7 +48,6 @@
     fn list(&mut self, leaving: &[&str]) {
         self.feed(HostEvent::HostsListed {
             hosts: Vec::new(),
-            addresses: Vec::new(),
             leaving_targets: leaving.iter().map(|name| TargetName::new(name)).collect(),
         });
     }
--- a/crates/core/tests/world/platform.rs
+++ b/crates/core/tests/world/platform.rs
@@ -169,13 +169,8 @@
             region: RegionName::new(catalog::REGION),
             leaving: self.listed_hosts.contains(&host),
         });
-        let addresses = (0..HOSTS).map(|host| PeerAddresses {
-            host: catalog::host_name(host),
-            callers: catalog::gossip_address(100 + host),
-        });
         HostEvent::HostsListed {
             hosts: hosts.collect(),
-            addresses: addresses.collect(),
             leaving_targets: listed.map(|(target, _)| target.clone()).collect(),
         }
     }
--- a/crates/host/src/polling.rs
+++ b/crates/host/src/polling.rs
@@ -186,16 +186,9 @@
             leaving: host.leaving,
         })
     });
-    let addresses = listing.hosts.iter().filter_map(|host| {
-        Some(PeerAddresses {
-            host: HostName::new(&host.name),
-            callers: callers_of(host)?,
-        })
-    });
     let leaving = listing.targets.iter().filter(|target| target.leaving);
     HostEvent::HostsListed {
         hosts: hosts.collect(),
-        addresses: addresses.collect(),
         leaving_targets: leaving
             .map(|target| TargetName::new(&target.name))
             .collect(),
--- a/crates/membership/src/state.rs
+++ b/crates/membership/src/state.rs
@@ -163,6 +163,11 @@
     }
 }
 
+/// Returns the view of another host.
+pub fn host_view(state: &MembershipState, host: &HostName) -> Option<HostView> {
+    state.members.get(&NameId::of(host.as_str())).map(view_of)
+}
+
 /// Returns the views of all other hosts.
 pub fn host_views(state: &MembershipState) -> Vec<HostView> {
     state.members.values().map(view_of).collect()
