Let the engines of local deployments load adapters for requests

Cause: load runs against the quickstart had 21 of 158 requests for an adapter refused with target_refused. The adapter was resident on one engine; the other one, which holds the base model, answered 404, and the retries exceeded their budget. By design an engine loads an adapter beside its resident base model, but the testbed did not tell the engines of adapters. Ruled out: retries outside the budget, which would grow in an outage. Change: the testbed gives every engine the adapters of the catalogue; a test asks three hosts for an adapter that is resident on one engine. Conclusion: an engine that cannot load adapters by itself would need a declaration that keeps its base copies out of the choice; that is open.

--- a/crates/testbed/src/local.rs
+++ b/crates/testbed/src/local.rs
@@ -122,12 +122,14 @@
     }
 
     async fn start_targets(&self, deployment: &mut LocalDeployment) -> Result<(), Whatever> {
+        let adapters = adapter_options(&self.catalog);
         for target in &mut deployment.catalog.targets {
             let server = match target.kind {
                 TargetKind::Engine => start_engine(EngineOptions {
                     listen: LOOPBACK,
                     memory_bytes: target.memory_bytes,
                     checks_fencing: target.checks_fencing,
+                    adapters: adapters.clone(),
                     ..self.engine.clone()
                 }),
                 TargetKind::Plain => start_plain(PlainOptions {
@@ -150,6 +152,16 @@
     }
 }
 
+/// Lists the adapters that engines load by themselves when a request asks for one.
+fn adapter_options(catalog: &CatalogSpec) -> Vec<AdapterOption> {
+    let adapters = catalog.adapters.iter().map(|adapter| AdapterOption {
+        name: adapter.name.to_string(),
+        model: adapter.model.to_string(),
+        memory_bytes: adapter.memory_bytes,
+    });
+    adapters.collect()
+}
+
 /// A running deployment inside one program.
 pub struct LocalDeployment {
     /// Entry hosts.
--- a/tests/on_demand.rs
+++ b/tests/on_demand.rs
@@ -44,3 +44,24 @@
     }
     check_memory(&deployment).await;
 }
+
+/// Guards adapters that are resident on one engine only: requests that reach another engine with the
+/// base model must not be refused, whatever the retry budget is.
+#[actix_web::test]
+async fn adapter_is_served_by_every_engine_with_its_model() {
+    let deployment = LocalBuilder::default()
+        .start()
+        .await
+        .expect("deployment starts");
+    let calls = (0..60).map(|number| {
+        let entry = deployment.entry(number % 3);
+        async move {
+            let prompt = format!("prompt {number}");
+            let client = TestClient::new("plazas");
+            let answer = client.stream(entry, "chalk-pigments", &prompt, 3).await;
+            assert!(answer.complete, "{answer:?}");
+            assert_eq!(answer.text, answer_tokens("chalk-pigments", &prompt, 3));
+        }
+    });
+    futures_util::future::join_all(calls).await;
+}
