Read the head of a completion by a function; share the stalling test

Cause: a trait served one call, and two tests repeated their set-up. Ruled out: nothing. Conclusion: less to read.

--- a/crates/host/src/completion.rs
+++ b/crates/host/src/completion.rs
@@ -7,6 +7,7 @@
 use actix_web::http::StatusCode;
 use bytes::Bytes;
 use crocusyard_border::callers::CompletionHead;
+use serde::Deserialize;
 use serde_json::{json, Value};
 
 /// Prompt bytes that count as one token in estimates.
@@ -40,7 +41,7 @@
     pub fn parse(body: &[u8]) -> Result<Self, CallerProblem> {
         let mut json: Value =
             serde_json::from_slice(body).map_err(|error| bad_request(error.to_string()))?;
-        let head = CompletionHead::deserialize_from(&json)?;
+        let head = read_head(&json)?;
         if head.n.is_some_and(|count| count != 1) {
             return Err(bad_request("only one choice is served: n must be 1"));
         }
@@ -65,15 +66,8 @@
     }
 }
 
-trait ReadHead: Sized {
-    fn deserialize_from(json: &Value) -> Result<Self, CallerProblem>;
-}
-
-impl ReadHead for CompletionHead {
-    fn deserialize_from(json: &Value) -> Result<Self, CallerProblem> {
-        serde::Deserialize::deserialize(json)
-            .map_err(|error: serde_json::Error| bad_request(error.to_string()))
-    }
+fn read_head(json: &Value) -> Result<CompletionHead, CallerProblem> {
+    CompletionHead::deserialize(json).map_err(|error| bad_request(error.to_string()))
 }
 
 fn bad_request(detail: impl Into<String>) -> CallerProblem {
--- a/tests/malformed_input.rs
+++ b/tests/malformed_input.rs
@@ -302,9 +302,8 @@
     }
 }
 
-/// A slow sender must not hold a connection open for good.
-#[actix_web::test]
-async fn slow_sender_is_refused() {
+/// Sends the beginning of a request, stops, and returns the status of what comes back.
+async fn send_and_stall(beginning: &str) -> Option<u16> {
     let deployment = LocalBuilder::default()
         .hosts(1)
         .settings(SETTINGS)
@@ -315,7 +314,7 @@
         .await
         .expect("host accepts");
     stream
-        .write_all(b"POST /v1/chat/completions HTTP/1.1\r\nx-a: ")
+        .write_all(beginning.as_bytes())
         .await
         .expect("it sends");
     let mut answer = Vec::new();
@@ -323,29 +322,21 @@
         .await
         .expect("connection is closed")
         .expect("answer is readable");
-    assert_eq!(status_of(&answer), Some(408));
+    status_of(&answer)
+}
+
+/// A slow sender must not hold a connection open for good.
+#[actix_web::test]
+async fn slow_sender_is_refused() {
+    let beginning = format!("{CHAT}\r\nx-a: ");
+    assert_eq!(send_and_stall(&beginning).await, Some(408));
 }
 
 /// A sender that stops in the middle of a body must not hold its handler for good.
 #[actix_web::test]
 async fn stalled_body_is_refused() {
-    let deployment = LocalBuilder::default()
-        .hosts(1)
-        .settings(SETTINGS)
-        .start()
-        .await
-        .expect("it starts");
-    let mut stream = TcpStream::connect(deployment.entry(0))
-        .await
-        .expect("host accepts");
-    let head = format!("{CHAT}\r\nhost: test\r\n{TENANT}\r\ncontent-length: 100\r\n\r\n{{");
-    stream.write_all(head.as_bytes()).await.expect("it sends");
-    let mut answer = Vec::new();
-    tokio::time::timeout(CASE_LIMIT, stream.read_to_end(&mut answer))
-        .await
-        .expect("connection is closed")
-        .expect("answer is readable");
-    assert_eq!(status_of(&answer), Some(408));
+    let beginning = format!("{CHAT}\r\nhost: test\r\n{TENANT}\r\ncontent-length: 100\r\n\r\n{{");
+    assert_eq!(send_and_stall(&beginning).await, Some(408));
 }
 
 /// The host must serve others as before after all of this.
