Leave overloaded hosts out of address answers; heal missed leases

Cause: the ring took every host for idle, and for silent unless a packet with a preset version came from it within 3 s or the host list was read again. Ruled out: a longer time in the ring, since membership finds silent hosts through others within it. Change: a host counts as heard of while membership holds it for alive; every packet carries its sender's load, the share of its queue places taken, and a host at 90% or more is not named (overloaded_host_is_left_out_of_the_answers).

The extra byte moved the randomised run of membership to another course, in which a host never learnt of a lease: the news had been repeated often enough before the host was back, and the hash by which hosts find that their views differ did not cover leases, although the pages that heal a difference carry them. It covers them now. This matters since hosts tell the lease holder of models that requests wait for. Conclusion: missed leases are healed like missed members.

--- a/crates/core/src/features.rs
+++ b/crates/core/src/features.rs
@@ -66,6 +66,7 @@
     }
     if is_due(&mut state.ticked.sharing, now, SHARING_TICK) {
         targets::share_loads(state, now, out);
+        members::share_busy(state, now, out);
         planning::share_demand(state, now, out);
         planning::plan_if_due(state, now, out);
     }
--- a/crates/core/src/features/members.rs
+++ b/crates/core/src/features/members.rs
@@ -34,6 +34,7 @@
     }
     if is_tick {
         list_self(state, now);
+        note_live(state, now);
     }
 }
 
@@ -65,7 +66,7 @@
         name: identity.name.clone(),
         address: identity.callers,
         domain: identity.domain.clone(),
-        load: 0.0,
+        load: f64::from(state.busy) / 100.0,
         leaving: !state.takes_work(),
     };
     state.ring.apply_host(now, host);
@@ -150,12 +151,14 @@
             let name = Arc::from(spec.name.as_str());
             moves::reduce(state, now, MoveEvent::WantModel { name }, out);
         }
+        MembershipEffect::HostHeard { host, busy } => {
+            state.ring.set_load(&host, f64::from(busy) / 100.0);
+        }
         MembershipEffect::PresetSeen {
             host,
             domain,
             preset,
         } => {
-            state.ring.note_heard(now, &host);
             let preset = PresetVersion {
                 version: preset.version,
                 digest: preset.digest,
@@ -189,6 +192,31 @@
     }
 }
 
+/// Counts every host that membership holds for alive as heard of.
+///
+/// Hosts do not exchange packets with every other one within the time after which the ring takes a
+/// host for silent; membership finds silent hosts through others.
+fn note_live(state: &mut HostState, now: ClockTime) {
+    for view in host_views(&state.members) {
+        if view.state == LivenessState::Alive {
+            state.ring.note_heard(now, &view.host);
+        }
+    }
+}
+
+/// Tells the other hosts how full the queues of this one are.
+pub(crate) fn share_busy(state: &mut HostState, now: ClockTime, out: &mut Vec<HostEffect>) {
+    let classes = &state.catalog.catalog.classes;
+    let places: u64 = classes
+        .iter()
+        .map(|class| u64::from(class.queue_limit))
+        .sum();
+    let queued = state.queue.len() as u64;
+    let percent = (queued * 100).checked_div(places).unwrap_or(0).min(100);
+    state.busy = u8::try_from(percent).unwrap_or(100);
+    reduce(state, now, MembershipEvent::OwnBusy(state.busy), out);
+}
+
 /// Brings another host's entry in the address answers up to date.
 ///
 /// A host whose address for callers is not known yet cannot be handed out.
@@ -204,7 +232,7 @@
         name: view.host.clone(),
         address,
         domain: view.domain.clone(),
-        load: 0.0,
+        load: state.ring.load_of(&view.host),
         leaving: view.leaving,
     };
     state.ring.apply_host(now, host);
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -103,6 +103,8 @@
     /// Whether this host takes new work.
     pub(crate) stopping: bool,
     pub(crate) current: bool,
+    /// Load of this host, percent of the places in its queues.
+    pub(crate) busy: u8,
     pub(crate) start: Option<StartCatalog>,
     pub(crate) membership_tick: ClockTime,
     pub(crate) ticked: TickTimes,
@@ -141,6 +143,7 @@
             stopping: false,
             // A host belongs into the answers only after it has confirmed that it is current.
             current: false,
+            busy: 0,
             start: None,
             membership_tick,
             ticked: TickTimes::default(),
--- a/crates/core/tests/leaving.rs
+++ b/crates/core/tests/leaving.rs
@@ -117,6 +117,7 @@
         sender: catalog::host_name(1),
         incarnation: 1,
         sequence: 1,
+        busy: 0,
         messages: vec![WireMessage::Targets(vec![TargetNotice {
             target: TargetName::new("p0"),
             incarnation: 1,
--- a/crates/membership/src/compose.rs
+++ b/crates/membership/src/compose.rs
@@ -102,6 +102,7 @@
         sender: state.settings.host.clone(),
         incarnation: state.incarnation,
         sequence: state.sequence,
+        busy: state.busy,
         messages: draft.messages,
     };
     let size = encoded_len(&packet) + 17;
--- a/crates/membership/src/effect.rs
+++ b/crates/membership/src/effect.rs
@@ -48,6 +48,13 @@
     },
     /// A host appeared or its view changed.
     HostChanged(HostView),
+    /// A packet of a host arrived.
+    HostHeard {
+        /// Host.
+        host: HostName,
+        /// Its load, percent of what it can take.
+        busy: u8,
+    },
     /// A host was forgotten.
     HostForgotten(HostName),
     /// The own incarnation was raised to refute a suspicion.
--- a/crates/membership/src/event.rs
+++ b/crates/membership/src/event.rs
@@ -49,6 +49,8 @@
         /// Deltas; beyond `records::LOAD_LIMIT`, the smallest are not sent.
         deltas: Vec<TargetDelta>,
     },
+    /// Load of the own host, percent of what it can take; replaces the earlier one.
+    OwnBusy(u8),
     /// Requests a minute that the own host got, by model; replaces earlier ones.
     OwnDemand {
         /// Catalogue version of the model positions.
--- a/crates/membership/src/news.rs
+++ b/crates/membership/src/news.rs
@@ -52,6 +52,7 @@
         return false;
     }
     state.leases.insert(notice.region.clone(), notice.clone());
+    state.view = None;
     state.rumours.add(RumourKey::Lease(notice.region.clone()));
     state.urgent = true;
     true
--- a/crates/membership/src/reduce.rs
+++ b/crates/membership/src/reduce.rs
@@ -49,6 +49,7 @@
             let holder = NameId::of(holder.as_str());
             send(state, now, holder, want, PacketFill::News, out);
         }
+        MembershipEvent::OwnBusy(busy) => state.busy = busy,
         MembershipEvent::PresetKnown(notice) => news::learn_preset(state, notice),
         MembershipEvent::Crash(notice) => {
             news::learn_crash(state, now, &notice);
@@ -129,6 +130,10 @@
     };
     member.address = from;
     member.heard = now;
+    out.push(MembershipEffect::HostHeard {
+        host: member.host.clone(),
+        busy: packet.busy,
+    });
     if packet.incarnation > member.incarnation {
         let update = MemberUpdate {
             host: sender,
@@ -216,6 +221,7 @@
         sender: state.settings.host.clone(),
         incarnation: state.incarnation,
         sequence: state.sequence,
+        busy: state.busy,
         messages: ask,
     };
     let size = encoded_len(&packet) + 17 + DATAGRAM_OVERHEAD;
--- a/crates/membership/src/state.rs
+++ b/crates/membership/src/state.rs
@@ -67,6 +67,8 @@
     pub incarnation: u64,
     /// Whether the own host is leaving.
     pub leaving: bool,
+    /// Load of the own host, percent of what it can take.
+    pub busy: u8,
     /// Other hosts.
     pub members: BTreeMap<NameId, MemberRecord>,
     /// Hosts that peers mentioned and that are not known yet.
@@ -123,6 +125,7 @@
             my_domain,
             incarnation: settings.incarnation,
             leaving: false,
+            busy: 0,
             members: BTreeMap::new(),
             unknown: BTreeSet::new(),
             rumours,
@@ -173,7 +176,7 @@
     state.members.values().map(view_of).collect()
 }
 
-/// Returns the hash over all hosts that are not dead.
+/// Returns the hash over all hosts that are not dead, and over the leases.
 pub fn view_hash(state: &mut MembershipState) -> u64 {
     if let Some(hash) = state.view {
         return hash;
@@ -189,6 +192,11 @@
             hash ^= hash_member(*id, member.incarnation, member.state, member.leaving);
         }
     }
+    // A host that missed a lease finds out by the hash, and the pages of the view carry leases.
+    for lease in state.leases.values() {
+        let region = NameId::of(lease.region.as_str());
+        hash ^= hash_member(region, lease.fencing.0, LivenessState::Alive, false);
+    }
     state.view = Some(hash);
     hash
 }
--- a/crates/routing/src/address.rs
+++ b/crates/routing/src/address.rs
@@ -203,6 +203,11 @@
         }
     }
 
+    /// Returns a host's load; 0 for an unknown host.
+    pub fn load_of(&self, host: &HostName) -> f64 {
+        self.hosts.get(host).map_or(0.0, |entry| entry.host.load)
+    }
+
     /// Takes a host's load, as a share of what it can take; smoothed over some seconds.
     pub fn set_load(&mut self, host: &HostName, load: f64) {
         if let Some(entry) = self.hosts.get_mut(host) {
--- a/crates/wire/src/packet.rs
+++ b/crates/wire/src/packet.rs
@@ -33,6 +33,8 @@
     pub incarnation: u64,
     /// Number of the packet; rises with every packet of the sender to any host.
     pub sequence: u64,
+    /// Load of the sender, percent of what it can take.
+    pub busy: u8,
     /// Messages.
     pub messages: Vec<WireMessage>,
 }
--- a/crates/wire/tests/packets.rs
+++ b/crates/wire/tests/packets.rs
@@ -17,6 +17,7 @@
         sender: HostName::new("entry-1"),
         incarnation,
         sequence,
+        busy: 0,
         messages: vec![WireMessage::Ping { nonce: 5 }],
     }
 }
