Retry a request for an adapter at a target that holds it

Cause: empty_engines_are_filled_by_orders failed once in a full run with target_refused. A request for an adapter went from one engine without room for it to the next until its retries were spent, although another engine held the adapter. The test passes alone, so it depends on which engines are full at the moment. Ruled out: more retries, which the budget forbids in an outage. Change: a retry goes to a usable holder of the adapter if there is one. Conclusion: the cause was found by reading, not reproduced in a process run; if the process test fails again, the engines' refusals have to be logged.

--- a/crates/routing/src/choose.rs
+++ b/crates/routing/src/choose.rs
@@ -63,6 +63,14 @@
         adapter: adapter_of(table, now, query.work),
     };
     let mut best = BestCandidate::default();
+    // A target that refused may have had no room for the adapter; one that holds it needs none.
+    if let Some(adapter) = input.adapter.as_ref().filter(|_| !query.tried.is_empty()) {
+        scan(&input, adapter.holders, rng, &mut best);
+        if best.slot.is_some() {
+            return answer(table, query.work, &best);
+        }
+        best = BestCandidate::default();
+    }
     match table.tuning.mode {
         CandidateMode::Sampled(count)
             if slots.len() > (count as usize).max(table.tuning.full_up_to) =>
--- a/crates/routing/tests/choice.rs
+++ b/crates/routing/tests/choice.rs
@@ -245,6 +245,33 @@
     assert_eq!(chosen(choice), Some(target(9)));
 }
 
+/// Guards against a retry that goes from one engine without room for the adapter to the next, until
+/// the retries are spent, although a busier engine holds the adapter.
+#[test]
+fn retry_goes_to_a_holder_of_the_adapter() {
+    let mut table = table(8);
+    let work = WorkKind::Model {
+        model: MODEL.into(),
+        adapter: Some("adapter".into()),
+    };
+    let mut holder = report(7, 2);
+    holder.copies.push(copy("adapter"));
+    holder.running = 3;
+    table.apply_report(at(1), holder);
+    let mut rng = seeded_rng(1);
+    let tried = [target(0)];
+    let retry = RouteQuery {
+        tried: &tried,
+        ..query(&work, &[])
+    };
+    for _ in 0..50 {
+        assert_eq!(
+            chosen(table.choose(at(2), &retry, &mut rng)),
+            Some(target(7))
+        );
+    }
+}
+
 /// Guards against ignoring the region's limit on adapter loads in transit.
 #[test]
 fn adapter_loads_beyond_the_limit_cost_more() {
