Compute a body's digest only where it is shown; drop unused pool state

Ruled out: caching the digest, since one rare call needs it. Change: the handler of `GET /admin/presets/{version}` computes the digest; running attempts are kept as their tasks alone. Conclusion: same answers, and the actor is not held up by status calls.

--- a/crates/host/src/operators.rs
+++ b/crates/host/src/operators.rs
@@ -121,7 +121,7 @@
     let status = read_status(&state).await?;
     let version = version.into_inner();
     let (digest, body) = if version == status.reply.preset_version {
-        (status.digest.clone(), status.body)
+        (digest_text(&status.body.encode()), status.body)
     } else {
         read_version(&state, version).await?
     };
@@ -408,6 +408,6 @@
 }
 
 /// Returns the digits of a body's digest.
-pub(crate) fn digest_text(body: &[u8]) -> String {
+fn digest_text(body: &[u8]) -> String {
     object_key(&crocusyard_presets::row::digest_of(body))
 }
--- a/crates/host/src/status.rs
+++ b/crates/host/src/status.rs
@@ -2,7 +2,6 @@
 
 use crate::actor::HostActor;
 use crate::gauges::member_state;
-use crate::operators::digest_text;
 use actix::{Context, Handler, Message};
 use crocusyard_base::prelude::*;
 use crocusyard_border::admin::*;
@@ -17,7 +16,6 @@
 pub(crate) struct HostStatus {
     pub(crate) reply: StatusReply,
     pub(crate) body: PresetBody,
-    pub(crate) digest: String,
 }
 
 /// Asks for the status.
@@ -35,11 +33,9 @@
             .clone()
             .unwrap_or_else(|| PresetName::new(""));
         let body = PresetBody::new(preset, (*catalog.catalog).clone());
-        let digest = digest_text(&body.encode());
         actix::MessageResult(HostStatus {
             reply: self.status_reply(),
             body,
-            digest,
         })
     }
 }
--- a/crates/targets/src/pool.rs
+++ b/crates/targets/src/pool.rs
@@ -26,17 +26,12 @@
 /// Time for which sent bytes may stay unacknowledged.
 const USER_TIMEOUT: Duration = Duration::from_secs(15);
 
-struct RunningAttempt {
-    target: TargetName,
-    task: JoinHandle<()>,
-}
-
 /// Connection pools and running attempts of one host.
 pub struct TargetPools {
     updates: UpdateSender,
     connect_timeout: Duration,
     clients: HashMap<SocketAddr, Client>,
-    running: HashMap<AttemptId, RunningAttempt>,
+    running: HashMap<AttemptId, JoinHandle<()>>,
 }
 
 impl TargetPools {
@@ -63,16 +58,14 @@
     pub fn start(&mut self, address: SocketAddr, plan: AttemptPlan) {
         let client = self.client(address);
         let attempt = plan.attempt;
-        let target = plan.target.clone();
         let task = actix_rt::spawn(run_attempt(client, address, plan, self.updates.clone()));
-        self.running
-            .insert(attempt, RunningAttempt { target, task });
+        self.running.insert(attempt, task);
     }
 
     /// Drops an attempt and its connection.
     pub fn abort(&mut self, attempt: AttemptId) {
-        if let Some(running) = self.running.remove(&attempt) {
-            running.task.abort();
+        if let Some(task) = self.running.remove(&attempt) {
+            task.abort();
         }
     }
 
@@ -85,14 +78,6 @@
     pub fn close(&mut self, address: SocketAddr) {
         self.clients.remove(&address);
     }
-
-    /// Returns the number of running attempts of a target.
-    pub fn running_at(&self, target: &TargetName) -> usize {
-        self.running
-            .values()
-            .filter(|running| running.target == *target)
-            .count()
-    }
 }
 
 /// Makes a client with a pool of its own. The request reducer sets all time limits for answers.
