placement: compare seed by seed and price a move at 0.15

Cause: medians over seeds hide the difference between policies, since the seeds differ more than the policies. Change: the comparison prints the median ratio to the greedy baseline seed by seed; its attainment-first weighting is 0.15 instead of 0.05.

--- a/crates/placement/examples/compare/main.rs
+++ b/crates/placement/examples/compare/main.rs
@@ -20,7 +20,7 @@
 }
 
 /// Move costs: that of Burgos (attainment first), of Moldes del Plata (moves first), and a higher one.
-const WEIGHTINGS: [(&str, f64); 3] = [("attainment", 0.05), ("moves", 0.3), ("few moves", 1.0)];
+const WEIGHTINGS: [(&str, f64); 3] = [("attainment", 0.15), ("moves", 0.3), ("few moves", 1.0)];
 
 fn median(values: &mut [f64]) -> (f64, f64, f64) {
     values.sort_by(f64::total_cmp);
@@ -37,31 +37,44 @@
         "\n{} ({} models, {} accelerators)",
         deployment.name, deployment.models, deployment.targets
     );
-    println!("| policy | weighting | attainment median (min to max) | moves median (min to max) |");
-    println!("| --- | --- | --- | --- |");
+    println!(
+        "| policy | weighting | attainment median (min to max) | moves median (min to max) \
+         | attainment over greedy's | moves over greedy's |"
+    );
+    println!("| --- | --- | --- | --- | --- | --- |");
+    let runs = |policy: Policy, move_cost: f64| -> Vec<RunResult> {
+        let seeds = seeds.iter();
+        seeds
+            .map(|&seed| day::run(deployment, policy, seed, move_cost))
+            .collect()
+    };
+    let greedy = runs(Policy::Greedy, 0.0);
     for policy in [Policy::Static, Policy::Lru, Policy::Greedy] {
-        let results: Vec<RunResult> = seeds
-            .iter()
-            .map(|&seed| day::run(deployment, policy, seed, 0.0))
-            .collect();
-        print(policy.name(), "any", &results);
+        print(policy.name(), "any", &runs(policy, 0.0), &greedy);
     }
     for (name, move_cost) in WEIGHTINGS {
-        let results: Vec<RunResult> = seeds
-            .iter()
-            .map(|&seed| day::run(deployment, Policy::Planner, seed, move_cost))
-            .collect();
-        print("planner", name, &results);
+        print("planner", name, &runs(Policy::Planner, move_cost), &greedy);
     }
 }
 
-fn print(policy: &str, weighting: &str, results: &[RunResult]) {
+/// Prints a row; the last two columns are medians of the ratios seed by seed.
+fn print(policy: &str, weighting: &str, results: &[RunResult], greedy: &[RunResult]) {
     let mut shares: Vec<f64> = results.iter().map(|result| result.share).collect();
     let mut moves: Vec<f64> = results.iter().map(|result| result.moves as f64).collect();
     let (share, low, high) = median(&mut shares);
     let (count, fewest, most) = median(&mut moves);
+    let pairs = || results.iter().zip(greedy);
+    let mut share_ratios: Vec<f64> = pairs()
+        .map(|(own, other)| own.share / other.share)
+        .collect();
+    let mut move_ratios: Vec<f64> = pairs()
+        .map(|(own, other)| own.moves as f64 / other.moves as f64)
+        .collect();
+    let (ratio, least, greatest) = median(&mut share_ratios);
+    let (move_ratio, ..) = median(&mut move_ratios);
     println!(
-        "| {policy} | {weighting} | {share:.4} ({low:.4} to {high:.4}) | {count} ({fewest} to {most}) |"
+        "| {policy} | {weighting} | {share:.4} ({low:.4} to {high:.4}) | {count} ({fewest} to {most}) \
+         | {ratio:.4} ({least:.4} to {greatest:.4}) | {move_ratio:.3} |"
     );
 }
 
