Number the word about a leaving target, so that a later leave is news

Cause: TargetNotice carried only the target's process and a flag. Hosts drop an unconfirmed leave at different times, 30 s after a host list last named it. A real leave of the same process in between was no news to the hosts that still held the first word, which dropped it soon after.

Ruled out: a round that a host counts on each drop. A host that restarted or never heard the first word would tell a round that the others know.

Change: a notice has a sequence, taken from the load report that tells the leave. For a leave from the host list it is that of the newest report, or one above the known word if that is higher. The higher sequence holds within a process. Higher word of the same leave within 5 s of the last spreading is kept but not passed on. A dropped leave stays known as not leaving, so that late packets cannot revive it. The packet version is 2.

In `unconfirmed_leave_is_dropped`, the check that the dropped word is forgotten became a check that it no longer says leaving and that the later leave has a higher sequence, because forgotten word could be revived. `restarted_target_is_used_again` now introduces the peer; its packet was ignored as that of an unknown sender before.

--- a/crates/core/src/features/leaving.rs
+++ b/crates/core/src/features/leaving.rs
@@ -8,6 +8,7 @@
 use crate::effect::HostEffect;
 use crate::state::HostState;
 use crocusyard_base::prelude::*;
+use crocusyard_membership::news::{leave_sequence, withdraw_target};
 use crocusyard_membership::prelude::MembershipEvent;
 use crocusyard_routing::prelude::LoadReport;
 use crocusyard_wire::prelude::TargetNotice;
@@ -96,13 +97,13 @@
     let before = std::mem::take(&mut state.leaves.listed);
     for target in leaving {
         let report = state.routes.report_of(target);
-        let process = report.map(|report| report.incarnation);
+        let process = report.map(|report| (report.incarnation, report.sequence));
         let known = before.get(target).copied();
-        let listed = known.unwrap_or(process);
+        let listed = known.unwrap_or(process.map(|(incarnation, _)| incarnation));
         state.leaves.listed.insert(target.clone(), listed);
         refresh(state, target);
-        if let (None, Some(incarnation)) = (known, process) {
-            tell_peers(state, now, target, incarnation, out);
+        if let (None, Some(process)) = (known, process) {
+            tell_peers(state, now, target, process, out);
         }
     }
     drop_unconfirmed(state, now);
@@ -126,8 +127,9 @@
         stands
     });
     for target in dropped {
-        // A later leave of the same process has to be news to the other hosts.
-        state.members.targets.remove(&target);
+        // A later leave of the same process has to be news, here and at the other hosts, while
+        // these may still tell the dropped one.
+        withdraw_target(&mut state.members, &target);
         refresh(state, &target);
     }
 }
@@ -148,7 +150,8 @@
     match state.leaves.listed.get_mut(target) {
         Some(listed @ None) => {
             *listed = Some(report.incarnation);
-            tell_peers(state, now, target, report.incarnation, out);
+            let process = (report.incarnation, report.sequence);
+            tell_peers(state, now, target, process, out);
         }
         Some(Some(_)) => refresh(state, target),
         None => {}
@@ -156,16 +159,20 @@
 }
 
 /// Tells the other hosts of a leave, and keeps it beyond the target's place in the host list.
+///
+/// `process` is the process and the sequence of its newest report.
 fn tell_peers(
     state: &mut HostState,
     now: ClockTime,
     target: &TargetName,
-    incarnation: u64,
+    process: (u64, u64),
     out: &mut Vec<HostEffect>,
 ) {
+    let (incarnation, newest) = process;
     let notice = TargetNotice {
         target: target.clone(),
         incarnation,
+        sequence: leave_sequence(&state.members, target, incarnation, newest),
         leaving: true,
     };
     tell(state, now, &notice);
--- a/crates/core/src/features/targets.rs
+++ b/crates/core/src/features/targets.rs
@@ -52,6 +52,7 @@
     let notice = TargetNotice {
         target: report.target.clone(),
         incarnation: report.incarnation,
+        sequence: report.sequence,
         leaving: report.leaving,
     };
     members::reduce(state, now, MembershipEvent::TargetSeen(notice), out);
--- a/crates/core/tests/leaving.rs
+++ b/crates/core/tests/leaving.rs
@@ -73,6 +73,37 @@
         });
     }
 
+    /// Takes word of a peer that a process of the target is leaving.
+    fn hear(&mut self, incarnation: u64, sequence: u64) {
+        let peer = ListedHost {
+            host: catalog::host_name(1),
+            address: catalog::gossip_address(1),
+            callers: None,
+            domain: catalog::domain(1),
+            region: RegionName::new(catalog::REGION),
+            leaving: false,
+        };
+        let hosts = vec![peer];
+        self.feed(HostEvent::Membership(MembershipEvent::HostList { hosts }));
+        let packet = Packet {
+            sender: catalog::host_name(1),
+            incarnation: 1,
+            sequence: 1,
+            busy: 0,
+            messages: vec![WireMessage::Targets(vec![TargetNotice {
+                target: TargetName::new("p0"),
+                incarnation,
+                sequence,
+                leaving: true,
+            }])],
+        };
+        let from = catalog::gossip_address(1);
+        self.feed(HostEvent::Membership(MembershipEvent::Received {
+            from,
+            packet,
+        }));
+    }
+
     fn is_used(&self) -> bool {
         let work = WorkKind::Service {
             service: ServiceName::new("bookings"),
@@ -113,22 +144,7 @@
     assert!(!host.is_used());
     host.report(2);
     assert!(host.is_used(), "the list lags behind the restart");
-    let packet = Packet {
-        sender: catalog::host_name(1),
-        incarnation: 1,
-        sequence: 1,
-        busy: 0,
-        messages: vec![WireMessage::Targets(vec![TargetNotice {
-            target: TargetName::new("p0"),
-            incarnation: 1,
-            leaving: true,
-        }])],
-    };
-    let from = catalog::gossip_address(1);
-    host.feed(HostEvent::Membership(MembershipEvent::Received {
-        from,
-        packet,
-    }));
+    host.hear(1, 1);
     assert!(host.is_used(), "the packet is about the earlier process");
 }
 
@@ -159,11 +175,43 @@
     host.list(&[]);
     assert!(host.is_used());
     let target = TargetName::new("p0");
-    assert!(!host.state.members.targets.contains_key(&target));
+    let dropped = host.state.members.targets[&target].notice.clone();
+    assert!(!dropped.leaving);
     host.list(&["p0"]);
     assert!(!host.is_used(), "the same process leaves later");
-    assert!(
-        host.state.members.targets[&target].leaving,
-        "peers are told"
-    );
+    let told = &host.state.members.targets[&target].notice;
+    assert!(told.leaving, "peers are told");
+    assert!(told.sequence > dropped.sequence, "it is news to them");
+}
+
+/// Guards against a later leave of a process that is dropped with word of an earlier one (M6).
+#[test]
+fn later_word_of_a_leave_is_held_as_long_as_the_first() {
+    let mut host = TestHost::new();
+    host.report(2);
+    host.hear(2, 10);
+    assert!(!host.is_used());
+    host.now += ClockTime::from_secs(20);
+    host.hear(2, 50);
+    host.now += ClockTime::from_secs(20);
+    host.list(&[]);
+    assert!(!host.is_used(), "the later word is 20 s old");
+    host.now += ClockTime::from_secs(11);
+    host.list(&[]);
+    assert!(host.is_used());
+}
+
+/// Guards against a dropped leave that a host that still holds it revives (M2).
+#[test]
+fn dropped_leave_is_not_revived_by_a_peer() {
+    let mut host = TestHost::new();
+    host.report(2);
+    host.hear(2, 10);
+    host.now += ClockTime::from_secs(31);
+    host.list(&[]);
+    assert!(host.is_used());
+    host.hear(2, 10);
+    assert!(host.is_used(), "the peer drops the same word later");
+    host.hear(2, 50);
+    assert!(!host.is_used(), "a later leave is news");
 }
--- a/crates/membership/examples/dissemination.rs
+++ b/crates/membership/examples/dissemination.rs
@@ -399,6 +399,7 @@
         let target = TargetNotice {
             target: TargetName::new(&format!("asesor-{version}")),
             incarnation: version,
+            sequence: 1,
             leaving: true,
         };
         network.give(index, MembershipEvent::TargetSeen(target.clone()));
--- a/crates/membership/src/compose.rs
+++ b/crates/membership/src/compose.rs
@@ -217,7 +217,8 @@
 fn rumour_message(state: &MembershipState, key: &RumourKey) -> Option<WireMessage> {
     let message = match key {
         RumourKey::Target(name) => {
-            WireMessage::Targets(vec![state.targets.get(name.as_str())?.clone()])
+            let known = state.targets.get(name.as_str())?;
+            WireMessage::Targets(vec![known.notice.clone()])
         }
         RumourKey::Member(id) if *id == state.me => WireMessage::Members(vec![own_update(state)]),
         RumourKey::Member(id) => {
@@ -309,7 +310,8 @@
     }
     state.page_after = updates[1..].last().map(|update| update.host);
     draft.add(WireMessage::Members(updates));
-    let leaving = state.targets.values().filter(|target| target.leaving);
+    let notices = state.targets.values().map(|known| &known.notice);
+    let leaving = notices.filter(|notice| notice.leaving);
     let leaving: Vec<_> = leaving.take(8).cloned().collect();
     draft.add(WireMessage::Targets(leaving));
     let leases: Vec<_> = state.leases.values().take(4).cloned().collect();
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -60,5 +60,5 @@
     pub use crate::event::{ListedHost, MembershipEvent};
     pub use crate::reduce::reduce;
     pub use crate::settings::{DisseminationLayout, MembershipSettings};
-    pub use crate::state::{host_view, host_views, MembershipState};
+    pub use crate::state::{host_view, host_views, KnownTarget, MembershipState};
 }
--- a/crates/membership/src/news.rs
+++ b/crates/membership/src/news.rs
@@ -2,7 +2,7 @@
 
 use crate::effect::MembershipEffect;
 use crate::rumours::RumourKey;
-use crate::state::MembershipState;
+use crate::state::{KnownTarget, MembershipState};
 use crocusyard_base::prelude::*;
 use crocusyard_wire::prelude::*;
 
@@ -12,23 +12,79 @@
 pub const CRASH_LIMIT: usize = 1024;
 /// Targets whose leaving state is remembered; three times the planned number.
 pub const TARGET_LIMIT: usize = 4096;
+/// Time within which further word of the same leave is taken as a repetition and not spread.
+///
+/// Hosts that read of one leave at the same time each tell it with a sequence of their own. The
+/// time is above the 3 s in which word reaches all hosts, and well below the 30 s for which a host
+/// holds unconfirmed word, so that a later leave is spread before the earlier one is dropped.
+pub const TARGET_REPEAT: ClockTime = ClockTime::from_secs(5);
 
 /// Takes a target's leaving state; returns whether it was news.
-pub fn learn_target(state: &mut MembershipState, notice: &TargetNotice) -> bool {
-    let known = state.targets.get(&notice.target);
-    let rank = (notice.incarnation, notice.leaving);
-    if known.is_some_and(|known| (known.incarnation, known.leaving) >= rank) {
+///
+/// Of two words about a target, the one about the later process holds, and within one process the
+/// one with the higher sequence. At equal sequences, that the process is leaving holds.
+pub fn learn_target(state: &mut MembershipState, now: ClockTime, notice: &TargetNotice) -> bool {
+    let full = state.targets.len() >= TARGET_LIMIT;
+    let Some(known) = state.targets.get_mut(&notice.target) else {
+        if full {
+            return false;
+        }
+        let known = KnownTarget {
+            notice: notice.clone(),
+            spread: now,
+        };
+        state.targets.insert(notice.target.clone(), known);
+        // That a target is not leaving is news only if it was leaving before.
+        return notice.leaving && spread_target(state, notice);
+    };
+    if rank(&known.notice) >= rank(notice) {
         return false;
     }
-    // That a target is not leaving is news only if it was leaving before.
-    let was_leaving = known.is_some_and(|known| known.leaving);
-    if known.is_none() && state.targets.len() >= TARGET_LIMIT {
+    let before = std::mem::replace(&mut known.notice, notice.clone());
+    let same = before.incarnation == notice.incarnation && before.leaving == notice.leaving;
+    let recent = now.since(known.spread) < TARGET_REPEAT;
+    if (same && recent) || (!notice.leaving && !before.leaving) {
         return false;
     }
-    state.targets.insert(notice.target.clone(), notice.clone());
-    if !notice.leaving && !was_leaving {
-        return false;
+    known.spread = now;
+    spread_target(state, notice)
+}
+
+/// Returns the sequence for own word of a leave that no load report tells.
+///
+/// `newest` is the sequence of the newest report of the process. The result is also above that of
+/// any known word, since reports may be read more rarely than leaves are told.
+pub fn leave_sequence(
+    state: &MembershipState,
+    target: &TargetName,
+    incarnation: u64,
+    newest: u64,
+) -> u64 {
+    let known = state.targets.get(target).map(|known| &known.notice);
+    let known = known.filter(|notice| notice.incarnation == incarnation);
+    known.map_or(newest, |notice| {
+        newest.max(notice.sequence.saturating_add(1))
+    })
+}
+
+/// Stops holding a target's process for leaving, without word to other hosts.
+///
+/// Hosts that still hold it cannot revive the word here; a later leave is news.
+pub fn withdraw_target(state: &mut MembershipState, target: &TargetName) {
+    if let Some(known) = state.targets.get_mut(target) {
+        if known.notice.leaving {
+            known.notice.leaving = false;
+            known.notice.sequence = known.notice.sequence.saturating_add(1);
+        }
     }
+    state.rumours.drop_key(&RumourKey::Target(target.clone()));
+}
+
+fn rank(notice: &TargetNotice) -> (u64, u64, bool) {
+    (notice.incarnation, notice.sequence, notice.leaving)
+}
+
+fn spread_target(state: &mut MembershipState, notice: &TargetNotice) -> bool {
     state.rumours.add(RumourKey::Target(notice.target.clone()));
     state.urgent = true;
     true
@@ -83,7 +139,7 @@
     match message {
         WireMessage::Targets(notices) => {
             for notice in notices {
-                if learn_target(state, &notice) {
+                if learn_target(state, now, &notice) {
                     out.push(MembershipEffect::TargetChanged(notice));
                 }
             }
--- a/crates/membership/src/reduce.rs
+++ b/crates/membership/src/reduce.rs
@@ -35,7 +35,7 @@
         MembershipEvent::HostList { hosts } => members::apply_list(state, now, hosts, out),
         MembershipEvent::OwnLeaving => members::leave(state),
         MembershipEvent::TargetSeen(notice) => {
-            news::learn_target(state, &notice);
+            news::learn_target(state, now, &notice);
         }
         MembershipEvent::OwnLoads { catalog, deltas } => records::set_own(state, catalog, deltas),
         MembershipEvent::OwnDemand { catalog, demand } => demand::set_own(state, catalog, demand),
--- a/crates/membership/src/state.rs
+++ b/crates/membership/src/state.rs
@@ -54,6 +54,15 @@
     pub observers: Vec<SuspectObserver>,
 }
 
+/// What is known of a target's leaving.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct KnownTarget {
+    /// Newest word.
+    pub notice: TargetNotice,
+    /// When the word was last news that this host passed on.
+    pub spread: ClockTime,
+}
+
 /// State of membership on one host.
 #[derive(Clone, Debug)]
 pub struct MembershipState {
@@ -86,7 +95,7 @@
     /// Demand.
     pub demand: DemandTable,
     /// Leaving state of targets.
-    pub targets: BTreeMap<TargetName, TargetNotice>,
+    pub targets: BTreeMap<TargetName, KnownTarget>,
     /// Newest lease holder of each region.
     pub leases: BTreeMap<RegionName, LeaseNotice>,
     /// Crash digests with the time they were first heard.
--- a/crates/membership/tests/liveness.rs
+++ b/crates/membership/tests/liveness.rs
@@ -122,6 +122,7 @@
     let notice = TargetNotice {
         target: TargetName::new("asistente-tiza-07"),
         incarnation: 3,
+        sequence: 1,
         leaving: true,
     };
     network.give(5, MembershipEvent::TargetSeen(notice.clone()));
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -77,6 +77,10 @@
     pub target: TargetName,
     /// Number of the target's process; a later process is no longer leaving.
     pub incarnation: u64,
+    /// Rises with each word about the process, so that a later leave differs from an earlier one.
+    ///
+    /// Taken from the sequence of the process's load reports; see `news` of the membership crate.
+    pub sequence: u64,
     /// Whether that process is leaving.
     pub leaving: bool,
 }
--- a/crates/wire/src/packet.rs
+++ b/crates/wire/src/packet.rs
@@ -8,7 +8,7 @@
 use snafu::{ensure, OptionExt, ResultExt, Snafu};
 
 /// Format version in the first byte of a packet.
-pub const PACKET_VERSION: u8 = 1;
+pub const PACKET_VERSION: u8 = 2;
 /// Bytes of the keyed hash at the end of a packet.
 pub const HASH_SIZE: usize = 16;
 
