Attribute a listed leave to the next report when the newest is old

Cause: a host that was frozen reads the host list before any new report and takes the leave for one of the process that it knew before the pause.

Change: a report older than 3 s when the list first names the target does not tell the process. The target stays out, peers are told of the known process, and the next report within 3 s tells the process meant. A process first seen later than that is not held for leaving, since targets without work are read rarely at the planned size.

Tests: `listed_leave_after_a_pause_is_that_of_the_next_report` fails with the known process always taken, and `listed_leave_is_not_that_of_a_process_seen_much_later` with the next one always taken (trials).

--- a/crates/core/src/features/leaving.rs
+++ b/crates/core/src/features/leaving.rs
@@ -1,8 +1,9 @@
 //! Keeps targets out of routing that the preset drains, a peer or the host list names as leaving.
 //!
 //! A leave concerns one process of a target. The host list names no process and lags, so that a
-//! listed leave belongs to the process that was known when the list first named the target. That
-//! can be the wrong process, so that word of a leave is dropped when later lists do not confirm it.
+//! listed leave belongs to the process that was known when the list first named the target, or to
+//! the next one that is reported if that knowledge was old. That can be the wrong process, so that
+//! word of a leave is dropped when later lists do not confirm it.
 
 use super::members;
 use crate::effect::HostEffect;
@@ -19,6 +20,30 @@
 /// A leaving target that says so in its own reports stays out without the list.
 const LIST_LAG: ClockTime = ClockTime::from_secs(30);
 
+/// Time between a report and the host list within which both are taken to be about one process.
+///
+/// It is above the 2 s between two reads of an idle target. After a pause of this host the newest
+/// report can be older, and a new process may have started since.
+const REPORT_FRESH: ClockTime = ClockTime::from_secs(3);
+
+/// Newest report of a target.
+#[derive(Clone, Copy, Debug)]
+struct SeenReport {
+    incarnation: u64,
+    sequence: u64,
+    /// When this host took it.
+    taken: ClockTime,
+}
+
+/// A place of a target in the host list.
+#[derive(Clone, Copy, Debug)]
+struct ListedLeave {
+    /// Process that the list means, once it is known.
+    process: Option<u64>,
+    /// When this host first read it.
+    since: ClockTime,
+}
+
 /// Word that a process of a target is leaving.
 #[derive(Clone, Copy, Debug)]
 struct ToldLeave {
@@ -34,8 +59,10 @@
     drained: BTreeSet<TargetName>,
     /// Newest process of each target that is said to leave.
     told: BTreeMap<TargetName, ToldLeave>,
-    /// Targets that the host list names, with the process that was known then, if any.
-    listed: BTreeMap<TargetName, Option<u64>>,
+    /// Newest report of each target.
+    seen: BTreeMap<TargetName, SeenReport>,
+    /// Targets that the host list names.
+    listed: BTreeMap<TargetName, ListedLeave>,
 }
 
 /// Returns whether a target may get no new work, whatever its own report says.
@@ -48,7 +75,7 @@
     let listed = state.leaves.listed.get(target);
     is_drained(state, target)
         || told.is_some_and(|told| told.incarnation >= process)
-        || listed.is_some_and(|listed| listed.is_none_or(|listed| listed >= process))
+        || listed.is_some_and(|listed| listed.process.is_none_or(|listed| listed >= process))
 }
 
 /// Returns whether the preset in force drains a target.
@@ -60,6 +87,9 @@
 pub(crate) fn drain(state: &mut HostState, drained: Vec<TargetName>) {
     let drained = drained.into_iter().collect();
     let before = std::mem::replace(&mut state.leaves.drained, drained);
+    let routes = &state.routes;
+    let declared = |target: &TargetName| routes.spec_of(target).is_some();
+    state.leaves.seen.retain(|target, _| declared(target));
     let leaves = &state.leaves;
     let told = leaves.told.keys().chain(leaves.listed.keys());
     let mut changed: BTreeSet<TargetName> = told.chain(&leaves.drained).cloned().collect();
@@ -96,14 +126,17 @@
 ) {
     let before = std::mem::take(&mut state.leaves.listed);
     for target in leaving {
-        let report = state.routes.report_of(target);
-        let process = report.map(|report| (report.incarnation, report.sequence));
+        let seen = state.leaves.seen.get(target).copied();
+        let fresh = seen.filter(|seen| now.since(seen.taken) < REPORT_FRESH);
         let known = before.get(target).copied();
-        let listed = known.unwrap_or(process.map(|(incarnation, _)| incarnation));
+        let listed = known.unwrap_or(ListedLeave {
+            process: fresh.map(|seen| seen.incarnation),
+            since: now,
+        });
         state.leaves.listed.insert(target.clone(), listed);
         refresh(state, target);
-        if let (None, Some(process)) = (known, process) {
-            tell_peers(state, now, target, process, out);
+        if let (None, Some(seen)) = (known, seen) {
+            tell_peers(state, now, target, seen, out);
         }
     }
     drop_unconfirmed(state, now);
@@ -147,32 +180,43 @@
         state.leaves.told.remove(target);
         refresh(state, target);
     }
-    match state.leaves.listed.get_mut(target) {
-        Some(listed @ None) => {
-            *listed = Some(report.incarnation);
-            let process = (report.incarnation, report.sequence);
-            tell_peers(state, now, target, process, out);
-        }
-        Some(Some(_)) => refresh(state, target),
-        None => {}
+    let newest = (report.incarnation, report.sequence);
+    let before = state.leaves.seen.get(target).copied();
+    // The newest report stays the same when an older one arrives late.
+    if before.is_some_and(|seen| (seen.incarnation, seen.sequence) == newest) {
+        return;
+    }
+    let seen = SeenReport {
+        incarnation: report.incarnation,
+        sequence: report.sequence,
+        taken: now,
+    };
+    state.leaves.seen.insert(target.clone(), seen);
+    let Some(listed) = state.leaves.listed.get_mut(target) else {
+        return;
+    };
+    if listed.process.is_none() {
+        // A process that is first seen long after the list named the target is a later one.
+        let late = now.since(listed.since) >= REPORT_FRESH;
+        let meant = before.filter(|_| late).unwrap_or(seen);
+        listed.process = Some(meant.incarnation);
+        tell_peers(state, now, target, meant, out);
     }
+    refresh(state, target);
 }
 
 /// Tells the other hosts of a leave, and keeps it beyond the target's place in the host list.
-///
-/// `process` is the process and the sequence of its newest report.
 fn tell_peers(
     state: &mut HostState,
     now: ClockTime,
     target: &TargetName,
-    process: (u64, u64),
+    seen: SeenReport,
     out: &mut Vec<HostEffect>,
 ) {
-    let (incarnation, newest) = process;
     let notice = TargetNotice {
         target: target.clone(),
-        incarnation,
-        sequence: leave_sequence(&state.members, target, incarnation, newest),
+        incarnation: seen.incarnation,
+        sequence: leave_sequence(&state.members, target, seen.incarnation, seen.sequence),
         leaving: true,
     };
     tell(state, now, &notice);
--- a/crates/core/tests/leaving.rs
+++ b/crates/core/tests/leaving.rs
@@ -184,6 +184,38 @@
     assert!(told.sequence > dropped.sequence, "it is news to them");
 }
 
+/// Guards against new work for a process that started while this host was paused, when the host
+/// list names it before its first report is read (M6).
+#[test]
+fn listed_leave_after_a_pause_is_that_of_the_next_report() {
+    let mut host = TestHost::new();
+    host.report(1);
+    host.now += ClockTime::from_secs(10);
+    host.list(&["p0"]);
+    assert!(!host.is_used());
+    let target = TargetName::new("p0");
+    let told = |host: &TestHost| host.state.members.targets[&target].notice.incarnation;
+    assert_eq!(told(&host), 1, "peers may know no later process either");
+    host.report(2);
+    assert!(!host.is_used());
+    assert_eq!(told(&host), 2);
+    host.report(3);
+    assert!(host.is_used(), "a later process is another one");
+}
+
+/// Guards against a restarted target that stays out because this host reads its reports rarely (M2).
+#[test]
+fn listed_leave_is_not_that_of_a_process_seen_much_later() {
+    let mut host = TestHost::new();
+    host.report(1);
+    host.now += ClockTime::from_secs(10);
+    host.list(&["p0"]);
+    host.now += ClockTime::from_secs(10);
+    assert!(!host.is_used());
+    host.report(2);
+    assert!(host.is_used());
+}
+
 /// Guards against a later leave of a process that is dropped with word of an earlier one (M6).
 #[test]
 fn later_word_of_a_leave_is_held_as_long_as_the_first() {
