Tell hosts that start late of all leaving targets

Cause: only the pages of the view told a host that started after the spreading of the leaving targets, and every page had the same eight, first by name. Pages go to whichever hosts get the next packets, and none is made once the views agree.

Ruled out: the leaving targets in the hash of the view. Hosts drop unconfirmed word at different times, so that views would differ and pages take the place of records for long.

Change: the first packet to a host with a new incarnation carries up to 16 leaving targets, and pages carry eight, both in turn over all. Word of a replaced process is withdrawn, and word of a later process than the dropped one no longer is.

Tests: `restarted_host_hears_of_all_leaving_targets` failed with 8 of 12 targets heard. `reported_leave_outlasts_word_of_the_former_process` and `dropped_word_is_not_revived` fail when the process of withdrawn word is not compared (trial).

--- a/crates/core/src/features/leaving.rs
+++ b/crates/core/src/features/leaving.rs
@@ -155,14 +155,14 @@
         }
         let stands = now.since(told.heard) < LIST_LAG;
         if !stands {
-            dropped.push(target.clone());
+            dropped.push((target.clone(), told.incarnation));
         }
         stands
     });
-    for target in dropped {
+    for (target, process) in dropped {
         // A later leave of the same process has to be news, here and at the other hosts, while
         // these may still tell the dropped one.
-        withdraw_target(&mut state.members, &target);
+        withdraw_target(&mut state.members, &target, process);
         refresh(state, &target);
     }
 }
@@ -178,6 +178,8 @@
     let told = state.leaves.told.get(target);
     if told.is_some_and(|told| told.incarnation < report.incarnation) {
         state.leaves.told.remove(target);
+        // Hosts that start later need not hear of the former process.
+        withdraw_target(&mut state.members, target, report.incarnation - 1);
         refresh(state, target);
     }
     let newest = (report.incarnation, report.sequence);
--- a/crates/membership/src/compose.rs
+++ b/crates/membership/src/compose.rs
@@ -6,6 +6,7 @@
 
 use crate::demand;
 use crate::effect::MembershipEffect;
+use crate::news;
 use crate::probes::{other_domains, pick_hosts};
 use crate::records;
 use crate::rumours::{repeat_limit, RumourKey};
@@ -26,6 +27,12 @@
 const URGENT_FANOUT: usize = 2;
 /// Members on one page of the view; about 400 bytes.
 const PAGE_SIZE: usize = 24;
+/// Leaving targets on one page of the view.
+const PAGE_TARGETS: usize = 8;
+/// Leaving targets in the first packet to a host that may have missed them; about 500 bytes.
+///
+/// Every peer tells the host others of them, so that a few peers tell all.
+const MISSED_TARGETS: usize = 16;
 /// Bytes kept free for list lengths and variant numbers.
 const SLACK: usize = 32;
 
@@ -69,6 +76,7 @@
     };
     let (name, address, domain) = (member.host.clone(), member.address, member.domain_id);
     let about_recipient = member_update(member, recipient);
+    let missed_targets = member.missed_targets;
     let header = state.settings.host.as_str().len() + SLACK + 17 + 18;
     let available = state.budget.available(now);
     let allowed = available.saturating_sub(DATAGRAM_OVERHEAD as u64) as usize;
@@ -90,6 +98,7 @@
     if about_recipient.state != LivenessState::Alive {
         draft.add(WireMessage::Members(vec![about_recipient]));
     }
+    let told_targets = missed_targets && add_missed_targets(state, &mut draft);
     add_rumours(state, &mut draft);
     // Several smaller fills keep all peers fresher than a full packet for every second one.
     let spare = available.saturating_sub(FILL_RESERVE) as usize;
@@ -110,6 +119,9 @@
     if !fits || !state.budget.take(now, (size + DATAGRAM_OVERHEAD) as u64) {
         return false;
     }
+    if let Some(member) = state.members.get_mut(&recipient) {
+        member.missed_targets &= !told_targets;
+    }
     out.push(MembershipEffect::Send {
         recipient: name,
         address,
@@ -118,6 +130,12 @@
     true
 }
 
+/// Adds leaving targets for a host that may have missed word of them; returns whether they fit.
+fn add_missed_targets(state: &mut MembershipState, draft: &mut PacketDraft) -> bool {
+    let leaving = news::next_leaving(state, MISSED_TARGETS);
+    leaving.is_empty() || draft.add(WireMessage::Targets(leaving))
+}
+
 /// Sends urgent news at once to a few hosts, unless that was just done.
 pub fn send_urgent(
     state: &mut MembershipState,
@@ -310,9 +328,7 @@
     }
     state.page_after = updates[1..].last().map(|update| update.host);
     draft.add(WireMessage::Members(updates));
-    let notices = state.targets.values().map(|known| &known.notice);
-    let leaving = notices.filter(|notice| notice.leaving);
-    let leaving: Vec<_> = leaving.take(8).cloned().collect();
+    let leaving = news::next_leaving(state, PAGE_TARGETS);
     draft.add(WireMessage::Targets(leaving));
     let leases: Vec<_> = state.leases.values().take(4).cloned().collect();
     draft.add(WireMessage::Leases(leases));
--- a/crates/membership/src/members.rs
+++ b/crates/membership/src/members.rs
@@ -42,6 +42,7 @@
         member.leaving = update.leaving;
         member.observers.clear();
         member.state = LivenessState::Alive;
+        member.missed_targets = true;
     }
     member.leaving |= update.leaving;
     if update.state == LivenessState::Dead {
@@ -257,6 +258,7 @@
         listed: false,
         listed_leaving: false,
         heard: now,
+        missed_targets: true,
         observers: Vec::new(),
     };
     out.push(MembershipEffect::HostChanged(view_of(&member)));
--- a/crates/membership/src/news.rs
+++ b/crates/membership/src/news.rs
@@ -5,6 +5,7 @@
 use crate::state::{KnownTarget, MembershipState};
 use crocusyard_base::prelude::*;
 use crocusyard_wire::prelude::*;
+use std::ops::Bound;
 
 /// Time for which a crash digest is recognised as known; repeats within it are not news.
 pub const CRASH_RETENTION: ClockTime = ClockTime::from_secs(120);
@@ -67,19 +68,45 @@
     })
 }
 
-/// Stops holding a target's process for leaving, without word to other hosts.
+/// Stops holding a target's process, or an earlier one, for leaving, without word to other hosts.
 ///
 /// Hosts that still hold it cannot revive the word here; a later leave is news.
-pub fn withdraw_target(state: &mut MembershipState, target: &TargetName) {
-    if let Some(known) = state.targets.get_mut(target) {
-        if known.notice.leaving {
-            known.notice.leaving = false;
-            known.notice.sequence = known.notice.sequence.saturating_add(1);
-        }
+pub fn withdraw_target(state: &mut MembershipState, target: &TargetName, incarnation: u64) {
+    let Some(KnownTarget { notice, .. }) = state.targets.get_mut(target) else {
+        return;
+    };
+    if !notice.leaving || notice.incarnation > incarnation {
+        return;
     }
+    notice.leaving = false;
+    notice.sequence = notice.sequence.saturating_add(1);
     state.rumours.drop_key(&RumourKey::Target(target.clone()));
 }
 
+/// Returns the next leaving targets in turn, at most `limit`, to be told beside rumours.
+pub fn next_leaving(state: &mut MembershipState, limit: usize) -> Vec<TargetNotice> {
+    let leaving = |known: &&KnownTarget| known.notice.leaving;
+    let first = match &state.target_after {
+        Some(last) => Bound::Excluded(last.clone()),
+        None => Bound::Unbounded,
+    };
+    let rest = state.targets.range((first, Bound::Unbounded));
+    let all = rest.chain(&state.targets).map(|(_, known)| known);
+    let mut page: Vec<TargetNotice> = Vec::new();
+    for known in all.filter(leaving).take(limit) {
+        // The turn is over where it began.
+        if page
+            .first()
+            .is_some_and(|first| first.target == known.notice.target)
+        {
+            break;
+        }
+        page.push(known.notice.clone());
+    }
+    state.target_after = page.last().map(|notice| notice.target.clone());
+    page
+}
+
 fn rank(notice: &TargetNotice) -> (u64, u64, bool) {
     (notice.incarnation, notice.sequence, notice.leaving)
 }
--- a/crates/membership/src/state.rs
+++ b/crates/membership/src/state.rs
@@ -50,6 +50,9 @@
     pub listed_leaving: bool,
     /// When a packet or a record of the host was last made.
     pub heard: ClockTime,
+    /// Whether the host's process may have missed word of leaving targets, as it is new, was cut off
+    /// or was paused; the next packet to it carries some.
+    pub missed_targets: bool,
     /// Observers of the current suspicion.
     pub observers: Vec<SuspectObserver>,
 }
@@ -96,6 +99,8 @@
     pub demand: DemandTable,
     /// Leaving state of targets.
     pub targets: BTreeMap<TargetName, KnownTarget>,
+    /// Last leaving target that was told beside rumours.
+    pub target_after: Option<TargetName>,
     /// Newest lease holder of each region.
     pub leases: BTreeMap<RegionName, LeaseNotice>,
     /// Crash digests with the time they were first heard.
@@ -144,6 +149,7 @@
             records: RecordTable::default(),
             demand: DemandTable::default(),
             targets: BTreeMap::new(),
+            target_after: None,
             leases: BTreeMap::new(),
             crashes: BTreeMap::new(),
             preset: None,
