Ask the route table whether a granted call may go to its target

Cause: a granted call was held back only if the target itself had reported that it leaves. A target that the host list or a peer names as leaving, or that is suspected, still got it. The route table's own rule now decides; such a call moves to another target, which costs the write that names it in the claim. The new test fails with the old check.

--- a/crates/requests/src/claims.rs
+++ b/crates/requests/src/claims.rs
@@ -271,12 +271,7 @@
     entry.claiming = true;
     entry.holder = None;
     let target = entry.claim.as_ref().and_then(|claim| claim.target.clone());
-    let usable = target.filter(|target| {
-        let leaving = context.routes.report_of(target);
-        let leaving = leaving.is_some_and(|report| report.leaving);
-        context.routes.spec_of(target).is_some() && !leaving
-    });
-    match usable {
+    match target.filter(|target| context.routes.is_usable(target)) {
         Some(target) => dispatch::launch(state, context, key, target, out),
         None => dispatch::retry(state, context, key, out),
     }
--- a/crates/requests/tests/claims.rs
+++ b/crates/requests/tests/claims.rs
@@ -201,6 +201,17 @@
     assert_eq!(asked, TargetName::new("p3"));
 }
 
+// Guards against a call that is sent to a target which the host holds for unusable, although the
+// target itself has not reported that it leaves.
+#[test]
+fn granted_call_is_not_sent_to_a_target_that_was_told_to_leave() {
+    let (mut host, _) = claiming(2);
+    host.routes.set_leaving(&TargetName::new("p0"), true);
+    host.routes.set_suspect(&TargetName::new("p1"), true);
+    let effects = host.claim(1, ClaimAnswer::Granted);
+    assert_eq!(dispatch_in(&effects), None);
+}
+
 // Guards against a dispatch after the caller was told `not_run`, and against releasing a claim
 // while its write is under way, when it is not known whether there is anything to release.
 #[test]
