Draw the targets of a digest alike on all hosts until it has completed

Cause: hosts that start a crashing request at the same time know of no crash yet and draw their targets independently, so each can crash another one.

Change: the draws for a digest come from a generator seeded by the digest until it has completed on the host; 4,096 completed digests are remembered. A request that found two targets refusing connections pauses 750 ms before its third attempt, since they may have crashed under the same digest.

The limit of two holds only for hosts with the same copies in the same order and equal load reports.

--- a/crates/requests/src/arrival.rs
+++ b/crates/requests/src/arrival.rs
@@ -92,7 +92,7 @@
     let Some(entry) = state.requests.get(&key) else {
         return;
     };
-    let estimate = match dispatch::choose(context, entry) {
+    let estimate = match dispatch::choose(context, &state.proven, entry) {
         RouteChoice::Target { .. } => ClockTime::ZERO,
         RouteChoice::Busy { estimate } => estimate,
         // The time to load the model is not known here; the request waits up to its deadline.
--- a/crates/requests/src/attempts.rs
+++ b/crates/requests/src/attempts.rs
@@ -288,7 +288,11 @@
     };
     context.routes.note_failed(context.now, &current.target);
     let ran = reach == FailureReach::MaybeRun || current.sent || current.head;
-    let digest = state.requests.get(&key).map(|entry| entry.spec.digest);
+    let entry = state.requests.get_mut(&key);
+    let digest = entry.map(|entry| {
+        entry.unreached += usize::from(!ran);
+        entry.spec.digest
+    });
     if let (true, true, Some(digest)) = (broken, ran, digest) {
         blame::blame_crash(state, context.now, digest, &current.target, out);
     }
--- a/crates/requests/src/blame.rs
+++ b/crates/requests/src/blame.rs
@@ -2,12 +2,19 @@
 //!
 //! Every request that ran on a target when its connection broke is blamed, because the host cannot
 //! see which of them crashed it. Innocent requests lose the blame when they complete.
+//!
+//! Hosts that start a digest at the same time know of no crash yet. They choose its targets by the
+//! same draws until it has completed, so that its first attempts meet on the same targets.
 
 use crate::effect::RequestEffect;
 use crate::state::{RequestLimits, RequestState};
 use crocusyard_base::prelude::*;
+use crocusyard_base::random::seeded_rng;
 use smallvec::SmallVec;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+/// Keeps the seeds of successive attempts apart: generators of neighbouring seeds draw alike.
+const SEED_STEP: u64 = 0x9e37_79b9_7f4a_7c15;
 
 /// Blame of one digest.
 #[derive(Clone, Debug)]
@@ -85,6 +92,40 @@
     }
 }
 
+/// Digests that have completed on this host lately, bounded; the oldest makes room.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct ProvenTable {
+    digests: BTreeSet<BodyDigest>,
+    order: VecDeque<BodyDigest>,
+}
+
+impl ProvenTable {
+    fn note(&mut self, limits: &RequestLimits, digest: BodyDigest) {
+        if !self.digests.insert(digest) {
+            return;
+        }
+        self.order.push_back(digest);
+        while self.order.len() > limits.proven_entries {
+            if let Some(oldest) = self.order.pop_front() {
+                self.digests.remove(&oldest);
+            }
+        }
+    }
+}
+
+/// Returns the generator of the draws for a digest's next target, unless it has completed here.
+///
+/// Draws from it are the same on all hosts, but a popular body would load few targets with them.
+pub(crate) fn shared_rng(
+    proven: &ProvenTable,
+    digest: BodyDigest,
+    tried: usize,
+) -> Option<SeededRng> {
+    let seed = (digest.0 >> 64) as u64 ^ digest.0 as u64;
+    let unproven = !proven.digests.contains(&digest);
+    unproven.then(|| seeded_rng(seed ^ (tried as u64).wrapping_mul(SEED_STEP)))
+}
+
 /// Blames a digest for a crash that this host saw, and tells the other hosts.
 pub(crate) fn blame_crash(
     state: &mut RequestState,
@@ -108,6 +149,7 @@
     digest: BodyDigest,
     out: &mut Vec<RequestEffect>,
 ) {
+    state.proven.note(&state.settings.limits, digest);
     if state.blame.remove(digest).is_some() {
         out.push(RequestEffect::ReportCleared { digest });
     }
@@ -123,7 +165,8 @@
     state.blame.crashes(now, digest) >= state.settings.limits.crash_targets
 }
 
-/// Returns whether an attempt has to wait because the digest is blamed, and either runs already or
+/// Returns whether an attempt has to wait because the digest is blamed, or could not reach as many
+/// targets as it may crash, and either runs already or
 /// was held for less than the pause in which news of crashes at other hosts arrives.
 ///
 /// Without this, repeats sent side by side, or to several hosts one after another, would crash more
@@ -134,7 +177,9 @@
         return false;
     };
     let digest = entry.spec.digest;
-    if state.blame.crashes(now, digest) == 0 {
+    // Targets that refuse connections may have been crashed by this digest from other hosts.
+    let unreached = entry.unreached >= state.settings.limits.crash_targets;
+    if state.blame.crashes(now, digest) == 0 && !unreached {
         return false;
     }
     if now < *entry.held.get_or_insert(now) + pause {
--- a/crates/requests/src/dispatch.rs
+++ b/crates/requests/src/dispatch.rs
@@ -1,7 +1,7 @@
 //! Choice of a target and dispatch of attempts.
 
 use crate::attempts;
-use crate::blame;
+use crate::blame::{self, ProvenTable};
 use crate::budget;
 use crate::claims;
 use crate::effect::{RefusalCode, RequestEffect};
@@ -30,16 +30,23 @@
 }
 
 /// Asks the route table for a target that the request has not tried, if there is one.
-pub(crate) fn choose(context: &mut RequestContext<'_>, entry: &RequestEntry) -> RouteChoice {
-    choose_target(context.now, context.routes, context.rng, entry)
+pub(crate) fn choose(
+    context: &mut RequestContext<'_>,
+    proven: &ProvenTable,
+    entry: &RequestEntry,
+) -> RouteChoice {
+    choose_target(context.now, context.routes, context.rng, proven, entry)
 }
 
 fn choose_target(
     now: ClockTime,
     routes: &RouteTable,
     rng: &mut SeededRng,
+    proven: &ProvenTable,
     entry: &RequestEntry,
 ) -> RouteChoice {
+    let mut shared = blame::shared_rng(proven, entry.spec.digest, entry.tried.len());
+    let rng = shared.as_mut().unwrap_or(rng);
     let last = match entry.tried.is_empty() {
         true => None,
         false => entry.target.as_ref(),
@@ -77,7 +84,7 @@
             let Some(entry) = state.requests.get(&work.key) else {
                 return true;
             };
-            match choose_target(*now, routes, rng, entry) {
+            match choose_target(*now, routes, rng, &state.proven, entry) {
                 RouteChoice::Target { target, .. } => {
                     chosen.push((work.key, target));
                     return true;
@@ -175,7 +182,7 @@
         return launch(state, context, key, target, out);
     }
     let limits = &state.settings.limits;
-    match choose(context, entry) {
+    match choose(context, &state.proven, entry) {
         RouteChoice::Target { target, .. } => launch(state, context, key, target, out),
         RouteChoice::Busy { estimate } => {
             let wait = estimate.max(limits.backoff).min(limits.backoff_cap);
--- a/crates/requests/src/state.rs
+++ b/crates/requests/src/state.rs
@@ -1,6 +1,6 @@
 //! State of the request reducer.
 
-use crate::blame::BlameTable;
+use crate::blame::{BlameTable, ProvenTable};
 use crate::budget::RetryBudget;
 use crate::effect::RefusalCode;
 use crate::probe::ProbeTable;
@@ -64,6 +64,8 @@
     pub crash_pause: ClockTime,
     /// Blamed digests that are remembered.
     pub crash_entries: usize,
+    /// Digests of completed requests that are remembered.
+    pub proven_entries: usize,
     /// Time between two demands for one model.
     pub want_interval: ClockTime,
 }
@@ -98,6 +100,8 @@
             // second. An innocent request still starts within the 1.7 s to its first token.
             crash_pause: ClockTime::from_ms(750),
             crash_entries: 4096,
+            // Some 15 s of a host's requests at the planned peak, in about 200 KB.
+            proven_entries: 4096,
             want_interval: ClockTime::from_secs(1),
         }
     }
@@ -219,6 +223,8 @@
     pub(crate) detached: bool,
     /// Whether the request waits for its model to be loaded.
     pub(crate) wants_model: bool,
+    /// Attempts that did not reach their targets.
+    pub(crate) unreached: usize,
     /// When an attempt was first held back because the digest is blamed.
     pub(crate) held: Option<ClockTime>,
     /// Code of the refusal that the caller got, for the metrics.
@@ -254,6 +260,7 @@
             failures: 0,
             detached: false,
             wants_model: false,
+            unreached: 0,
             held: None,
             code: None,
         }
@@ -280,6 +287,7 @@
     pub(crate) wanted: BTreeMap<ModelName, ClockTime>,
     pub(crate) budget: RetryBudget,
     pub(crate) blame: BlameTable,
+    pub(crate) proven: ProvenTable,
     pub(crate) probes: ProbeTable,
     pub(crate) id_count: u64,
 }
