Test the limit on connections from callers

Cause: limits.connections had no test. Change: one test fills the places of a host with streams and asks on further connections, which must wait until a stream has ended while the streams go on whole. Another fills the places with idle connections and with callers that break off, which must free them. The part with callers that break off was not tried without its guard. Conclusion: connections beyond the limit wait in the listen queue and are served later; no fault.

--- a/tests/request_faults/main.rs
+++ b/tests/request_faults/main.rs
@@ -2,6 +2,7 @@
 
 mod claims;
 mod common;
+mod connections;
 mod load;
 mod streams;
 mod targets;
