routing: keep a share of the load reads for targets not in use

Cause: targets in use were read first, within the limit of reads a second. When they took all reads, no other target was ever read: after the loss of a failure domain, hosts kept asking the dead engine and did not learn that its models had been loaded elsewhere. Callers got 'retry_budget' for good. Ruled out: the lease (taken within 6 s) and the loads (done 24 s after the loss); the status of two of four hosts went on to show the loading engine as empty until the test gave up at 60 s. Change: a fifth of the reads is kept for targets not in use. Conclusion: a target not in use is read, however many are in use.

--- a/crates/routing/src/polling.rs
+++ b/crates/routing/src/polling.rs
@@ -8,6 +8,10 @@
 use crocusyard_base::prelude::*;
 use std::collections::BTreeMap;
 
+/// Share of the reads that targets not in use get at least. Without it, targets in use can take all
+/// reads, and a host never learns of copies that are loaded elsewhere.
+const IDLE_SHARE: f64 = 0.2;
+
 /// Rhythm of the reads.
 #[derive(Clone, Copy, Debug)]
 pub struct PollRhythm {
@@ -28,12 +32,17 @@
     used: Option<ClockTime>,
 }
 
+/// A read that is due: the time of the last one, and the target.
+type DueRead<'a> = (Option<ClockTime>, &'a TargetName);
+
 /// Schedule of the reads of all targets.
 #[derive(Clone, Debug)]
 pub struct PollSchedule {
     rhythm: PollRhythm,
     entries: BTreeMap<TargetName, PollEntry>,
     tokens: f64,
+    /// Reads kept for targets that are not in use.
+    idle_tokens: f64,
     filled: ClockTime,
 }
 
@@ -44,6 +53,7 @@
             rhythm,
             entries: BTreeMap::new(),
             tokens: rhythm.rate,
+            idle_tokens: 0.0,
             filled: ClockTime::ZERO,
         }
     }
@@ -79,34 +89,33 @@
             .is_some_and(|used| now.since(used) < self.rhythm.hold)
     }
 
-    /// Returns the targets to read now: those in use, then those not read for longest.
+    /// Returns the targets to read now: those in use, then those not read for longest, with
+    /// a share of the reads kept for the latter.
     pub fn take_due(&mut self, now: ClockTime) -> Vec<TargetName> {
         self.fill(now);
         let allowed = self.tokens as usize;
         if allowed == 0 {
             return Vec::new();
         }
-        let mut due: Vec<(bool, Option<ClockTime>, &TargetName)> = Vec::new();
+        let mut used: Vec<DueRead<'_>> = Vec::new();
+        let mut idle: Vec<DueRead<'_>> = Vec::new();
         for (target, entry) in &self.entries {
             let is_used = self.is_used(entry, now);
-            let interval = if is_used {
-                self.rhythm.used
+            let (due, interval) = if is_used {
+                (&mut used, self.rhythm.used)
             } else {
-                self.rhythm.idle
+                (&mut idle, self.rhythm.idle)
             };
             if entry.read.is_none_or(|read| now.since(read) >= interval) {
-                due.push((!is_used, entry.read, target));
+                due.push((entry.read, target));
             }
         }
-        if due.len() > allowed {
-            // Only the first ones are read, so the others need no order.
-            due.select_nth_unstable(allowed);
-            due.truncate(allowed);
-        }
-        let due: Vec<TargetName> = due
-            .into_iter()
-            .map(|(_, _, target)| target.clone())
-            .collect();
+        let kept = (self.idle_tokens as usize).min(idle.len()).min(allowed);
+        keep_oldest(&mut used, allowed - kept);
+        keep_oldest(&mut idle, allowed - used.len());
+        self.idle_tokens = (self.idle_tokens - idle.len() as f64).max(0.0);
+        let due = used.into_iter().chain(idle);
+        let due: Vec<TargetName> = due.map(|(_, target)| target.clone()).collect();
         self.tokens -= due.len() as f64;
         for target in &due {
             if let Some(entry) = self.entries.get_mut(target) {
@@ -120,6 +129,17 @@
     fn fill(&mut self, now: ClockTime) {
         let elapsed = now.since(self.filled).as_ms() as f64 / 1000.0;
         self.filled = now;
-        self.tokens = (self.tokens + elapsed * self.rhythm.rate).min(self.rhythm.rate.max(1.0));
+        let rate = self.rhythm.rate;
+        self.tokens = (self.tokens + elapsed * rate).min(rate.max(1.0));
+        let idle_rate = rate * IDLE_SHARE;
+        self.idle_tokens = (self.idle_tokens + elapsed * idle_rate).min(idle_rate.max(1.0));
+    }
+}
+
+/// Keeps the `count` reads that have waited longest; they need no order.
+fn keep_oldest(due: &mut Vec<DueRead<'_>>, count: usize) {
+    if due.len() > count {
+        due.select_nth_unstable(count);
+        due.truncate(count);
     }
 }
--- a/crates/routing/tests/polling.rs
+++ b/crates/routing/tests/polling.rs
@@ -57,3 +57,30 @@
     let counts = reads_in_a_minute(25.0);
     assert_eq!(counts.len(), TARGETS);
 }
+
+/// Guards idle targets against targets in use that would take every read, so that a host never
+/// learns of a copy that was loaded anew elsewhere.
+#[test]
+fn targets_in_use_leave_reads_for_idle_ones() {
+    const USED: usize = 60;
+    let (mut schedule, names) = schedule(25.0);
+    let mut counts = BTreeMap::new();
+    let mut now = ClockTime::ZERO;
+    while now < ClockTime::from_secs(600) {
+        for name in &names[..USED] {
+            schedule.note_used(now, name);
+        }
+        for target in schedule.take_due(now) {
+            *counts.entry(target).or_insert(0_u32) += 1;
+        }
+        now += STEP;
+    }
+    assert_eq!(counts.len(), TARGETS);
+    let total: u32 = counts.values().sum();
+    assert!(total <= 601 * 25, "{total} reads");
+    let used: u32 = names[..USED].iter().map(|name| counts[name]).sum();
+    assert!(
+        used * 4 >= total * 3,
+        "{used} of {total} reads are of targets in use"
+    );
+}
