testbed: relay packets between hosts, and print the calls that targets begin

Cause: the TCP relay cannot cut hosts from each other, what a killed target had run was lost with it, and awc takes an answer that is cut off between two reads for a whole one. Change: a UDP relay stands between the hosts' advertised addresses and can cut groups of them. Plain calls of the test client are read from the socket, so that a body without its end counts as broken off. A builder makes deployments of processes. Conclusion: whole failure domains can be killed and cut in tests.

--- a/crates/standins/src/bin/crocusyard_standin.rs
+++ b/crates/standins/src/bin/crocusyard_standin.rs
@@ -56,6 +56,9 @@
     /// age of the figures in load reports, milliseconds
     #[argh(option, default = "0")]
     report_lag_ms: u64,
+    /// print a line for each call that begins
+    #[argh(switch)]
+    print_runs: bool,
 }
 
 /// Instance of a plain service.
@@ -68,6 +71,9 @@
     /// time that a call takes, milliseconds
     #[argh(option, default = "2")]
     service_ms: u64,
+    /// print a line for each call that begins
+    #[argh(switch)]
+    print_runs: bool,
 }
 
 /// Table service, object store, weight store and host list.
@@ -102,6 +108,14 @@
 #[actix_web::main]
 async fn main() -> std::io::Result<()> {
     let args: StandinArgs = argh::from_env();
+    let prints = match &args.kind {
+        StandinKind::Engine(args) => args.print_runs,
+        StandinKind::Plain(args) => args.print_runs,
+        StandinKind::Platform(_) => false,
+    };
+    if prints {
+        print_runs();
+    }
     let server = match args.kind {
         StandinKind::Engine(args) => start_engine(engine_settings(args))?,
         StandinKind::Plain(args) => start_plain(PlainOptions {
--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -8,6 +8,7 @@
 mod streams;
 
 use crate::faults::{set_fault, FaultSwitch};
+use crate::runs::note_run;
 use crate::server::RunningServer;
 use actix_web::{web, App, HttpRequest, HttpResponse, HttpServer};
 use crocusyard_border::engine::{CacheEvents, EngineOrder, FencingRaise, LoadStatus, OrderState};
@@ -171,6 +172,7 @@
         .lock()
         .expect("residency lock")
         .note_request();
+    note_run(&format!("{} {}", work.model, work.prompt));
     let attempt = work.attempt.clone();
     streams::start(state.clone().into_inner(), work);
     streams::respond(&state.into_inner(), &attempt, 0)
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -8,9 +8,11 @@
 pub mod answers;
 pub mod engine;
 pub mod faults;
+pub mod packets;
 pub mod plain;
 pub mod platform;
 pub mod relay;
+pub mod runs;
 pub mod server;
 
 /// The common names of this crate.
@@ -18,8 +20,10 @@
     pub use crate::answers::{answer_token, answer_tokens};
     pub use crate::engine::{start_engine, AdapterOption, EngineOptions};
     pub use crate::faults::{FaultMode, FaultSettings};
+    pub use crate::packets::{start_packet_relay, PacketLink, PacketRelay};
     pub use crate::plain::{start_plain, PlainOptions};
     pub use crate::platform::{start_platform, PlatformOptions};
     pub use crate::relay::{start_relay, RelayMode, RelayState};
+    pub use crate::runs::print_runs;
     pub use crate::server::RunningServer;
 }
--- a/crates/standins/src/plain.rs
+++ b/crates/standins/src/plain.rs
@@ -4,6 +4,7 @@
 //! keyed calls, and counts how often each key ran, so that tests can see a call that ran twice.
 
 use crate::faults::{set_fault, FaultSwitch};
+use crate::runs::note_run;
 use crate::server::RunningServer;
 use actix_web::{web, App, HttpRequest, HttpResponse, HttpServer};
 use crocusyard_border::engine::{CallRecord, LoadStatus};
@@ -115,6 +116,12 @@
         .get("idempotency-key")
         .and_then(|value| value.to_str().ok())
         .map(str::to_owned);
+    note_run(&format!(
+        "{} {} {}",
+        request.method(),
+        request.path(),
+        key.as_deref().unwrap_or("-")
+    ));
     let number = begin_call(&state, key.as_deref());
     let answer = serde_json::json!({
         "method": request.method().as_str(),
--- a/crates/testbed/src/client.rs
+++ b/crates/testbed/src/client.rs
@@ -5,6 +5,8 @@
 use serde_json::{json, Value};
 use std::net::SocketAddr;
 use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 
 /// Time limit of a request in tests.
 const REQUEST_LIMIT: Duration = Duration::from_secs(60);
@@ -148,31 +150,78 @@
         key: Option<&str>,
         body: &str,
     ) -> PlainAnswer {
-        let mut request = self
-            .client
-            .request(method, format!("http://{entry}/services/{path}"));
-        for (name, value) in &self.headers {
-            request = request.insert_header((*name, value.as_str()));
-        }
-        if let Some(key) = key {
-            request = request.insert_header(("idempotency-key", key));
+        let mut head = format!(
+            "{method} /services/{path} HTTP/1.1\r\nhost: {entry}\r\nconnection: close\r\n\
+             content-length: {}\r\n",
+            body.len()
+        );
+        let key = key.map(|key| ("idempotency-key", key));
+        let headers = self.headers.iter();
+        let headers = headers.map(|(name, value)| (*name, value.as_str()));
+        for (name, value) in headers.chain(key) {
+            head.push_str(&format!("{name}: {value}\r\n"));
         }
-        match request.send_body(body.to_owned()).await {
-            Err(_) => PlainAnswer {
-                status: 0,
-                body: None,
-                retry_after: None,
-            },
-            Ok(mut response) => {
-                let retry_after = retry_after(response.headers());
-                let status = response.status().as_u16();
-                PlainAnswer {
-                    status,
-                    body: response.body().await.ok(),
-                    retry_after,
-                }
-            }
+        let exchange = exchange(entry, format!("{head}\r\n{body}"));
+        let received = actix_rt::time::timeout(REQUEST_LIMIT, exchange).await;
+        parse_answer(&received.unwrap_or_default()).unwrap_or(PlainAnswer {
+            status: 0,
+            body: None,
+            retry_after: None,
+        })
+    }
+}
+
+/// Sends a request and returns what arrives until the connection ends.
+async fn exchange(entry: SocketAddr, request: String) -> Vec<u8> {
+    let mut received = Vec::new();
+    if let Ok(mut stream) = TcpStream::connect(entry).await {
+        // A host may answer and close before it has read the whole body.
+        let _ = stream.write_all(request.as_bytes()).await;
+        let _ = stream.read_to_end(&mut received).await;
+    }
+    received
+}
+
+/// Reads an answer; the body is `None` unless its end shows that it is whole, which `awc` does not
+/// check. Returns `None` if not even the head arrived.
+fn parse_answer(received: &[u8]) -> Option<PlainAnswer> {
+    let split = received.windows(4).position(|part| part == b"\r\n\r\n")?;
+    let head = String::from_utf8_lossy(&received[..split]);
+    let mut lines = head.lines();
+    let status = lines.next()?.split(' ').nth(1)?.parse().ok()?;
+    let header = |wanted: &str| {
+        let mut pairs = lines.clone().filter_map(|line| line.split_once(':'));
+        let found = pairs.find(|(name, _)| name.eq_ignore_ascii_case(wanted));
+        found.map(|(_, value)| value.trim().to_owned())
+    };
+    let rest = &received[split + 4..];
+    let body = match header("content-length") {
+        Some(length) => length
+            .parse()
+            .ok()
+            .and_then(|length| rest.get(..length))
+            .map(<[u8]>::to_vec),
+        None => join_chunks(rest),
+    };
+    Some(PlainAnswer {
+        status,
+        body: body.map(Bytes::from),
+        retry_after: header("retry-after").and_then(|value| value.parse().ok()),
+    })
+}
+
+/// Joins the chunks of a body; `None` without the last one.
+fn join_chunks(mut rest: &[u8]) -> Option<Vec<u8>> {
+    let mut body = Vec::new();
+    loop {
+        let end = rest.windows(2).position(|part| part == b"\r\n")?;
+        let size = std::str::from_utf8(&rest[..end]).ok()?;
+        let size = usize::from_str_radix(size.trim(), 16).ok()?;
+        if size == 0 {
+            return Some(body);
         }
+        body.extend_from_slice(rest.get(end + 2..end + 2 + size)?);
+        rest = rest.get(end + size + 4..)?;
     }
 }
 
--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -14,6 +14,6 @@
 pub mod prelude {
     pub use crate::client::{PlainAnswer, StreamedAnswer, TestClient};
     pub use crate::local::{LocalBuilder, LocalDeployment};
-    pub use crate::process::{ProcessDeployment, ProcessHandle};
+    pub use crate::process::{ProcessBuilder, ProcessDeployment, ProcessHandle, StandinProcess};
     pub use crate::sample::{host_yaml, sample_catalog, HostAddresses};
 }
--- a/crates/testbed/src/process.rs
+++ b/crates/testbed/src/process.rs
@@ -3,13 +3,17 @@
 use crate::local::wait_ready;
 use crate::ports::{unused_address, LOOPBACK};
 use crate::sample::{host_yaml, HostAddresses, GOSSIP_KEY, OPERATOR_KEY};
+use crocusyard_base::prelude::*;
 use crocusyard_border::platform::HostListing;
 use crocusyard_catalog::prelude::*;
+use crocusyard_standins::prelude::*;
 use snafu::{OptionExt, ResultExt, Whatever};
+use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::{Arc, Mutex};
 
 /// A process that is killed when it is dropped.
 pub struct ProcessHandle {
@@ -62,52 +66,111 @@
     pub process: ProcessHandle,
     /// Address it listens on.
     pub address: SocketAddr,
+    lines: Arc<Mutex<Vec<String>>>,
 }
 
-/// A deployment of separate processes.
-pub struct ProcessDeployment {
-    /// Entry hosts.
-    pub hosts: Vec<ProcessHandle>,
-    /// Their names and addresses.
-    pub addresses: Vec<HostAddresses>,
-    /// Platform.
-    pub platform: StandinProcess,
-    /// Targets, in the order of the catalogue.
-    pub targets: Vec<StandinProcess>,
-    /// Catalogue with the targets' real addresses.
-    pub catalog: CatalogSpec,
+impl StandinProcess {
+    /// Returns what the process has printed after its address; this outlives the process.
+    pub fn lines(&self) -> Vec<String> {
+        self.lines.lock().expect("line lock").clone()
+    }
+}
+
+/// Builder of a [`ProcessDeployment`].
+#[derive(Clone, Debug)]
+pub struct ProcessBuilder {
     program: PathBuf,
-    folder: PathBuf,
+    hosts: usize,
+    catalog: CatalogSpec,
+    engine_args: Vec<String>,
+    target_args: BTreeMap<TargetName, Vec<String>>,
+    settings: String,
+    prints_runs: bool,
+    relays_packets: bool,
 }
 
-impl ProcessDeployment {
-    /// Starts `hosts` entry hosts of the binary `program`, with stand-ins for the catalogue's
-    /// targets, and waits until every host is ready.
-    pub async fn start(
-        program: &Path,
-        hosts: usize,
-        mut catalog: CatalogSpec,
-        engine_args: &[&str],
-        settings: &str,
-    ) -> Result<Self, Whatever> {
-        let addresses: Vec<_> = (0..hosts).map(HostAddresses::pick).collect();
-        let listen = LOOPBACK.to_string();
-        let platform = start_standin(&["platform", "--listen", &listen])?;
+impl ProcessBuilder {
+    /// Takes the binary of the entry hosts and the catalogue; target addresses are replaced by those
+    /// of the stand-ins.
+    pub fn new(program: &Path, catalog: CatalogSpec) -> Self {
+        Self {
+            program: program.to_owned(),
+            hosts: 3,
+            catalog,
+            engine_args: Vec::new(),
+            target_args: BTreeMap::new(),
+            settings: String::new(),
+            prints_runs: false,
+            relays_packets: false,
+        }
+    }
+
+    /// Sets the number of entry hosts.
+    #[must_use]
+    pub fn hosts(mut self, count: usize) -> Self {
+        self.hosts = count;
+        self
+    }
+
+    /// Sets further arguments of all engines.
+    #[must_use]
+    pub fn engine_args(mut self, args: &[&str]) -> Self {
+        self.engine_args = owned(args);
+        self
+    }
+
+    /// Sets further arguments of one target, such as what is resident at the start.
+    #[must_use]
+    pub fn target_args(mut self, target: &str, args: &[&str]) -> Self {
+        self.target_args
+            .insert(TargetName::new(target), owned(args));
+        self
+    }
+
+    /// Sets the sections of the hosts' settings file beyond addresses and platform.
+    #[must_use]
+    pub fn settings(mut self, yaml: &str) -> Self {
+        yaml.clone_into(&mut self.settings);
+        self
+    }
+
+    /// Lets the targets print each call that they begin, so that calls at killed targets count.
+    #[must_use]
+    pub fn prints_runs(mut self) -> Self {
+        self.prints_runs = true;
+        self
+    }
+
+    /// Leads all packets between hosts through a relay that can drop them.
+    #[must_use]
+    pub fn relays_packets(mut self) -> Self {
+        self.relays_packets = true;
+        self
+    }
+
+    /// Starts everything and waits until every host is ready.
+    pub async fn start(self) -> Result<ProcessDeployment, Whatever> {
+        let mut addresses: Vec<_> = (0..self.hosts).map(HostAddresses::pick).collect();
+        let packets = if self.relays_packets {
+            Some(relay_packets(&mut addresses)?)
+        } else {
+            None
+        };
+        let platform = start_standin(&["platform", "--listen", &LOOPBACK.to_string()])?;
+        let mut catalog = self.catalog;
         let mut targets = Vec::new();
         for target in &mut catalog.targets {
-            let memory = target.memory_bytes.to_string();
-            let mut args = match target.kind {
-                TargetKind::Plain => vec!["plain", "--listen", &listen],
-                TargetKind::Engine => {
-                    vec!["engine", "--listen", &listen, "--memory-bytes", &memory]
-                }
-            };
-            if target.kind == TargetKind::Engine {
-                args.extend(engine_args);
-                if !target.checks_fencing {
-                    args.push("--ignores-fencing");
-                }
+            let mut args = standin_args(target, &self.engine_args);
+            args.extend(
+                self.target_args
+                    .get(&target.name)
+                    .cloned()
+                    .unwrap_or_default(),
+            );
+            if self.prints_runs {
+                args.push("--print-runs".to_owned());
             }
+            let args: Vec<_> = args.iter().map(String::as_str).collect();
             let standin = start_standin(&args)?;
             target.address = standin.address;
             targets.push(standin);
@@ -117,18 +180,19 @@
         // Written once, because a host that starts may be reading it.
         std::fs::write(folder.join("catalog.yaml"), canonical_body(&catalog))
             .whatever_context("catalogue cannot be written")?;
-        let mut deployment = Self {
+        let mut deployment = ProcessDeployment {
             hosts: Vec::new(),
             addresses,
             platform,
             targets,
             catalog,
-            program: program.to_owned(),
+            packets,
+            program: self.program,
             folder,
         };
         deployment.publish_listing(|_| false).await?;
-        for index in 0..hosts {
-            let host = deployment.spawn_host(index, settings)?;
+        for index in 0..self.hosts {
+            let host = deployment.spawn_host(index, &self.settings)?;
             deployment.hosts.push(host);
         }
         for host in &deployment.addresses {
@@ -136,6 +200,76 @@
         }
         Ok(deployment)
     }
+}
+
+/// Starts a relay and sets the addresses that hosts advertise to it.
+fn relay_packets(addresses: &mut [HostAddresses]) -> Result<Arc<PacketRelay>, Whatever> {
+    for host in &mut *addresses {
+        host.advertised_gossip = unused_address();
+    }
+    let links = addresses.iter().map(|host| PacketLink {
+        host: host.gossip,
+        advertised: host.advertised_gossip,
+    });
+    start_packet_relay(links.collect()).whatever_context("packet relay does not start")
+}
+
+fn owned(args: &[&str]) -> Vec<String> {
+    args.iter().map(|arg| (*arg).to_owned()).collect()
+}
+
+/// Returns the arguments of a target's stand-in.
+fn standin_args(target: &TargetSpec, engine_args: &[String]) -> Vec<String> {
+    let mut args = match target.kind {
+        TargetKind::Plain => vec!["plain".to_owned()],
+        TargetKind::Engine => vec!["engine".to_owned()],
+    };
+    args.extend(["--listen".to_owned(), LOOPBACK.to_string()]);
+    if target.kind == TargetKind::Engine {
+        args.extend(["--memory-bytes".to_owned(), target.memory_bytes.to_string()]);
+        args.extend_from_slice(engine_args);
+        if !target.checks_fencing {
+            args.push("--ignores-fencing".to_owned());
+        }
+    }
+    args
+}
+
+/// A deployment of separate processes.
+pub struct ProcessDeployment {
+    /// Entry hosts.
+    pub hosts: Vec<ProcessHandle>,
+    /// Their names and addresses.
+    pub addresses: Vec<HostAddresses>,
+    /// Platform.
+    pub platform: StandinProcess,
+    /// Targets, in the order of the catalogue.
+    pub targets: Vec<StandinProcess>,
+    /// Catalogue with the targets' real addresses.
+    pub catalog: CatalogSpec,
+    /// Relay of the packets between hosts, if there is one.
+    pub packets: Option<Arc<PacketRelay>>,
+    program: PathBuf,
+    folder: PathBuf,
+}
+
+impl ProcessDeployment {
+    /// Starts `hosts` entry hosts of the binary `program`, with stand-ins for the catalogue's
+    /// targets, and waits until every host is ready.
+    pub async fn start(
+        program: &Path,
+        hosts: usize,
+        catalog: CatalogSpec,
+        engine_args: &[&str],
+        settings: &str,
+    ) -> Result<Self, Whatever> {
+        ProcessBuilder::new(program, catalog)
+            .hosts(hosts)
+            .engine_args(engine_args)
+            .settings(settings)
+            .start()
+            .await
+    }
 
     /// Starts the process of the host with an index.
     pub fn spawn_host(&self, index: usize, settings: &str) -> Result<ProcessHandle, Whatever> {
@@ -208,8 +342,9 @@
         .stdout
         .take()
         .whatever_context("stand-in has no output")?;
+    let mut output = BufReader::new(output);
     let mut line = String::new();
-    BufReader::new(output)
+    output
         .read_line(&mut line)
         .whatever_context("stand-in prints nothing")?;
     let address = line
@@ -217,7 +352,19 @@
         .strip_prefix("listening ")
         .and_then(|address| address.parse().ok())
         .whatever_context("stand-in prints no address")?;
-    Ok(StandinProcess { process, address })
+    let lines = Arc::new(Mutex::new(Vec::new()));
+    let kept = lines.clone();
+    // Ends with the process, whose death closes the pipe.
+    std::thread::spawn(move || {
+        for line in output.lines().map_while(Result::ok) {
+            kept.lock().expect("line lock").push(line);
+        }
+    });
+    Ok(StandinProcess {
+        process,
+        address,
+        lines,
+    })
 }
 
 /// Returns the stand-in program beside the running test, where `cargo build` puts it.
--- a/crates/testbed/src/sample.rs
+++ b/crates/testbed/src/sample.rs
@@ -30,16 +30,20 @@
     pub callers: SocketAddr,
     /// Address for other hosts.
     pub gossip: SocketAddr,
+    /// The same as others reach it.
+    pub advertised_gossip: SocketAddr,
 }
 
 impl HostAddresses {
     /// Picks unused addresses for the host with an index; hosts spread over the failure domains.
     pub fn pick(index: usize) -> Self {
+        let gossip = unused_address();
         Self {
             name: HostName::new(&format!("entry-{index}")),
             domain: DomainName::new(DOMAINS[index % DOMAINS.len()]),
             callers: unused_address(),
-            gossip: unused_address(),
+            gossip,
+            advertised_gossip: gossip,
         }
     }
 
@@ -49,7 +53,7 @@
             name: self.name.to_string(),
             domain: self.domain.to_string(),
             caller_address: Some(self.callers.to_string()),
-            gossip_address: Some(self.gossip.to_string()),
+            gossip_address: Some(self.advertised_gossip.to_string()),
             leaving: false,
         }
     }
@@ -62,11 +66,12 @@
         domain,
         callers,
         gossip,
+        advertised_gossip,
     } = host;
     format!(
         "name: {name}\ndomain: {domain}\nregion: castilla-norte\n\
          listen: {{ callers: \"{callers}\", advertised_callers: \"{callers}\", \
-         gossip: \"{gossip}\", advertised_gossip: \"{gossip}\" }}\n\
+         gossip: \"{gossip}\", advertised_gossip: \"{advertised_gossip}\" }}\n\
          platform: {{ table: \"{platform}\", objects: \"{platform}\", hosts: \"{platform}\", \
          host_poll_ms: 500, preset_poll_ms: 500 }}\n\
          address: {{ ttl_ms: 500, drain_ms: 100, stale_ms: 5000 }}\n{extra}"
