Let moves look only at targets that need one

Cause: each tick of the lease holder collected the names of all copies, visited every view to raise fencing numbers and every target to find overruns. Ruled out: entries and wants, which are few.

Change: the ledger lists the targets beyond their capacity; reports and plans list the targets that lack a planned copy and those whose fencing number may be unconfirmed; an index of copies answers whether a name is held. A report with the copies of the last one leaves the index alone. Debug builds compare each list with a look at every target after every event, so that the randomised runs of moves and of whole hosts check them.

--- a/crates/moves/src/ledger.rs
+++ b/crates/moves/src/ledger.rs
@@ -1,7 +1,7 @@
 //! The memory ledger of the accelerators.
 
 use crocusyard_base::prelude::*;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 /// Memory of one accelerator.
@@ -51,6 +51,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct MemoryLedger {
     accounts: BTreeMap<TargetName, LedgerAccount>,
+    /// Targets that use more than their capacity, kept so that ticks need not look at all others.
+    overrun: BTreeSet<TargetName>,
 }
 
 impl MemoryLedger {
@@ -58,7 +60,7 @@
     pub fn set_declared(&mut self, target: &TargetName, bytes: u64) {
         let account = self.accounts.entry(target.clone()).or_default();
         account.declared = bytes;
-        note_outside(account);
+        note_outside(account, target, &mut self.overrun);
         account.check(target);
     }
 
@@ -72,7 +74,7 @@
         let account = self.accounts.entry(target.clone()).or_default();
         account.reported = Some(capacity);
         account.copies = copies;
-        note_outside(account);
+        note_outside(account, target, &mut self.overrun);
         account.check(target);
     }
 
@@ -105,23 +107,23 @@
     pub fn inherit(&mut self, target: &TargetName, order: OrderId, name: &Arc<str>, bytes: u64) {
         let account = self.accounts.entry(target.clone()).or_default();
         account.holds.insert(order, (name.clone(), bytes));
-        note_outside(account);
+        note_outside(account, target, &mut self.overrun);
     }
 
     /// Releases the memory of an intent.
     pub fn release(&mut self, target: &TargetName, order: OrderId) {
         if let Some(account) = self.accounts.get_mut(target) {
             account.holds.remove(&order);
-            note_outside(account);
+            note_outside(account, target, &mut self.overrun);
             account.check(target);
         }
     }
 
     /// Releases every hold, when the lease is lost.
     pub fn release_all(&mut self) {
-        for account in self.accounts.values_mut() {
+        for (target, account) in &mut self.accounts {
             account.holds.clear();
-            note_outside(account);
+            note_outside(account, target, &mut self.overrun);
         }
     }
 
@@ -141,6 +143,16 @@
             .unwrap_or(0)
     }
 
+    /// Returns the targets.
+    pub(crate) fn accounts(&self) -> impl Iterator<Item = &TargetName> {
+        self.accounts.keys()
+    }
+
+    /// Returns the targets that use more memory than their capacity.
+    pub(crate) fn overrun(&self) -> &BTreeSet<TargetName> {
+        &self.overrun
+    }
+
     /// Returns the memory in use and the capacity of a target, bytes.
     pub fn usage(&self, target: &TargetName) -> (u64, u64) {
         self.accounts
@@ -160,7 +172,18 @@
 }
 
 /// Records how far facts from outside exceed the capacity.
-fn note_outside(account: &mut LedgerAccount) {
+///
+/// A hold that fits brings no target beyond its capacity, so only these facts change `overrun`.
+fn note_outside(
+    account: &mut LedgerAccount,
+    target: &TargetName,
+    overrun: &mut BTreeSet<TargetName>,
+) {
     account.count();
     account.excess = account.used.saturating_sub(account.capacity());
+    if account.excess == 0 {
+        overrun.remove(target);
+    } else if !overrun.contains(target) {
+        overrun.insert(target.clone());
+    }
 }
--- a/crates/moves/src/lib.rs
+++ b/crates/moves/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod schedule;
 pub mod state;
 pub mod store;
+pub(crate) mod views;
 pub mod wants;
 
 /// The common names of this crate.
--- a/crates/moves/src/orders.rs
+++ b/crates/moves/src/orders.rs
@@ -8,6 +8,7 @@
 use crate::schedule::may_unload;
 use crate::state::{is_quiet_over, is_ready, remove_entry, FenceProof, MoveState, TargetView};
 use crate::store::is_writing;
+use crate::views::replace_view;
 use crate::wants;
 use crocusyard_base::prelude::*;
 use crocusyard_routing::prelude::*;
@@ -111,23 +112,36 @@
         return;
     };
     let fencing = row.fencing;
-    for (name, view) in &mut state.views {
-        let checks = state
-            .fleet
-            .targets
-            .get(name)
-            .is_some_and(|target| target.checks_fencing);
-        let confirmed = view.fence.is_some_and(|proof| proof.fencing == fencing);
-        if !checks || confirmed || now < view.fence_retry {
-            continue;
+    let MoveState {
+        unfenced,
+        views,
+        fleet,
+        settings,
+        ..
+    } = state;
+    unfenced.retain(|name| {
+        let Some(view) = views.get_mut(name) else {
+            return false;
+        };
+        let target = fleet.targets.get(name);
+        let checks = target.is_some_and(|target| target.checks_fencing);
+        if !checks || is_confirmed(view, fencing) {
+            return false;
         }
-        view.fence_retry = now + state.settings.order_retry;
-        out.push(MoveEffect::RaiseFencing {
-            target: name.clone(),
-            fencing,
-            valid_until: deadline,
-        });
-    }
+        if now >= view.fence_retry {
+            view.fence_retry = now + settings.order_retry;
+            out.push(MoveEffect::RaiseFencing {
+                target: name.clone(),
+                fencing,
+                valid_until: deadline,
+            });
+        }
+        true
+    });
+}
+
+fn is_confirmed(view: &TargetView, fencing: FencingNumber) -> bool {
+    view.fence.is_some_and(|proof| proof.fencing == fencing)
 }
 
 /// Takes a confirmed fencing number.
@@ -144,10 +158,7 @@
     let Some(view) = state.views.get_mut(target) else {
         return;
     };
-    if row.fencing != fencing
-        || view.incarnation != incarnation
-        || view.fence.is_some_and(|proof| proof.fencing == fencing)
-    {
+    if row.fencing != fencing || view.incarnation != incarnation || is_confirmed(view, fencing) {
         return;
     }
     view.fence = Some(FenceProof {
@@ -240,6 +251,7 @@
         return;
     }
     let restarted = known.is_some_and(|view| view.incarnation < report.incarnation);
+    let first = known.is_none();
     let mut view = TargetView {
         incarnation: report.incarnation,
         sequence: report.sequence,
@@ -259,19 +271,10 @@
         view.fence = None;
         view.fence_retry = now;
     }
-    if let Some(old) = state.views.insert(report.target.clone(), view) {
-        for name in old.copies.keys() {
-            if let Some(targets) = state.resident_on.get_mut(name) {
-                targets.remove(&report.target);
-            }
-        }
-    }
-    for copy in &report.copies {
-        if copy.state == CopyState::Resident {
-            let targets = state.resident_on.entry(copy.name.clone()).or_default();
-            targets.insert(report.target.clone());
-        }
+    if first || restarted {
+        state.unfenced.insert(report.target.clone());
     }
+    replace_view(state, &report.target, view);
     wants::note_served(state, report);
     let copies = report
         .copies
--- a/crates/moves/src/reduce.rs
+++ b/crates/moves/src/reduce.rs
@@ -5,7 +5,7 @@
 use crate::fleet::FleetSpec;
 use crate::lease::{holder_deadline, LeaseState};
 use crate::state::MoveState;
-use crate::{orders, schedule, store, wants};
+use crate::{orders, schedule, store, views, wants};
 use crocusyard_base::prelude::*;
 use rand::Rng;
 use std::sync::Arc;
@@ -40,6 +40,7 @@
         MoveEvent::PlanChanged(plan) => {
             state.planned = plan.resident.values().flatten().cloned().collect();
             state.plan = plan;
+            views::note_plan(state);
             state.noted.clear();
             schedule::schedule(state, context, out);
         }
@@ -64,6 +65,10 @@
     }
     store::poll(state, context, out);
     orders::drive(state, context, out);
+    // The comparison looks at every target, which is what the lists spare a host in production.
+    if cfg!(debug_assertions) {
+        views::check(state);
+    }
 }
 
 /// Drops the lease at its deadline; every event passes through here, also the first after a pause.
@@ -88,4 +93,5 @@
     }
     state.fleet = fleet;
     state.noted.clear();
+    views::check_all_fences(state);
 }
--- a/crates/moves/src/room.rs
+++ b/crates/moves/src/room.rs
@@ -201,7 +201,11 @@
     context: &mut MoveContext<'_>,
     out: &mut Vec<MoveEffect>,
 ) {
-    let targets: Vec<TargetName> = state.fleet.targets.keys().cloned().collect();
+    let overrun = state.ledger.overrun().iter();
+    let targets: Vec<TargetName> = overrun
+        .filter(|target| state.fleet.targets.contains_key(*target))
+        .cloned()
+        .collect();
     for target in targets {
         let (used, capacity) = state.ledger.usage(&target);
         if used <= capacity || !is_ready(state, &target) {
--- a/crates/moves/src/schedule.rs
+++ b/crates/moves/src/schedule.rs
@@ -11,6 +11,7 @@
 use crate::state::{
     add_entry, entries_on, is_heard, is_quiet_over, is_ready, is_safe_copy, MoveState,
 };
+use crate::views::is_held;
 use crate::wants::{is_awaited, is_wanted, item_model};
 use crocusyard_base::prelude::*;
 use rand::Rng;
@@ -171,7 +172,7 @@
 
 /// Returns whether another copy is confirmed resident and stays.
 pub(crate) fn has_other_copy(state: &MoveState, target: &TargetName, name: &Arc<str>) -> bool {
-    state.resident_on.get(name).is_some_and(|targets| {
+    state.copies_on.get(name).is_some_and(|targets| {
         targets
             .iter()
             .any(|other| other != target && is_safe_copy(state, other, name))
@@ -189,29 +190,19 @@
 
 /// Lists the loads that are missing, most urgent first.
 fn wishes(state: &MoveState, slots: &LoadSlots) -> Vec<LoadWish> {
-    let mut held: BTreeSet<Arc<str>> = BTreeSet::new();
-    for (target, view) in &state.views {
-        // A target that is drained gets no requests, so that a copy there serves nobody.
-        let serves = !view.leaving && !state.plan.drained.contains(target);
-        if serves && is_heard(state, target) {
-            held.extend(view.copies.keys().cloned());
-        }
-    }
-    for entry in open_entries(state) {
-        if entry.row.action == OrderAction::Load {
-            held.insert(entry.row.name.clone());
-        }
-    }
+    let loads = open_entries(state).filter(|entry| entry.row.action == OrderAction::Load);
+    let loading: BTreeSet<&Arc<str>> = loads.map(|entry| &entry.row.name).collect();
+    let held = |name: &Arc<str>| loading.contains(name) || is_held(state, name);
     let mut wishes = Vec::new();
     let limit = (slots.models + slots.adapters).min(WANTS_PER_TICK) as usize;
     // A copy that gave way to an awaited one is loaded again only when a request asks again.
     let missing = state
         .wants
         .keys()
-        .filter(|want| !held.contains(*want) && !state.served.contains(*want));
+        .filter(|want| !held(want) && !state.served.contains(*want));
     for want in missing.take(limit) {
         let name = match item_model(state, want) {
-            Some(model) if !held.contains(model) => model.clone(),
+            Some(model) if !held(model) => model.clone(),
             _ => want.clone(),
         };
         if let Some(target) = demand_target(state, &name) {
@@ -222,15 +213,16 @@
             });
         }
     }
-    for (target, names) in &state.plan.resident {
-        let Some(view) = state.views.get(target) else {
+    for target in &state.missing {
+        let (Some(names), Some(view)) = (state.plan.resident.get(target), state.views.get(target))
+        else {
             continue;
         };
         for name in names.iter().filter(|name| !view.copies.contains_key(*name)) {
             wishes.push(LoadWish {
                 name: name.clone(),
                 target: target.clone(),
-                rank: if held.contains(name) { 2 } else { 1 },
+                rank: if held(name) { 2 } else { 1 },
             });
         }
     }
--- a/crates/moves/src/state.rs
+++ b/crates/moves/src/state.rs
@@ -136,8 +136,12 @@
     pub(crate) ledger: MemoryLedger,
     pub(crate) load_tokens: f64,
     pub(crate) tokens_at: ClockTime,
-    /// Targets on which a name was reported resident.
-    pub(crate) resident_on: BTreeMap<Arc<str>, BTreeSet<TargetName>>,
+    /// Targets that report a copy of a name, in whatever state.
+    pub(crate) copies_on: BTreeMap<Arc<str>, BTreeSet<TargetName>>,
+    /// Targets that report no copy of some name that the plan keeps there.
+    pub(crate) missing: BTreeSet<TargetName>,
+    /// Targets that may not have confirmed the fencing number of the lease.
+    pub(crate) unfenced: BTreeSet<TargetName>,
     /// Names that the plan keeps resident somewhere.
     pub(crate) planned: BTreeSet<Arc<str>>,
     /// Loads that an engine refused, and when they may be tried again.
@@ -172,7 +176,9 @@
             ledger: MemoryLedger::default(),
             load_tokens: 0.0,
             tokens_at: ClockTime::ZERO,
-            resident_on: BTreeMap::new(),
+            copies_on: BTreeMap::new(),
+            missing: BTreeSet::new(),
+            unfenced: BTreeSet::new(),
             planned: BTreeSet::new(),
             refused: BTreeMap::new(),
             now: ClockTime::ZERO,
--- a/crates/moves/src/store.rs
+++ b/crates/moves/src/store.rs
@@ -5,6 +5,7 @@
 use crate::lease::{holder_deadline, taker_start, LeaseRow, LeaseState};
 use crate::reduce::MoveContext;
 use crate::state::{add_entry, remove_entry, MoveState};
+use crate::views::check_all_fences;
 use crocusyard_base::prelude::*;
 use rand::Rng;
 use std::sync::Arc;
@@ -395,6 +396,7 @@
             scanned: false,
             after: None,
         };
+        check_all_fences(state);
         state.load_tokens = 0.0;
         state.tokens_at = context.now;
         out.push(MoveEffect::Note(MoveNote::LeaseTaken { fencing }));
