routing: tell peers of sends first; count reported queues uncached

Cause: in the windows with the largest bursts the busiest target gets requests from 11 to 25 hosts and up to 21 prompt families, so hosts with one view choose the same target before they learn of each other's sends. The order of the deltas delayed sends behind ended requests, and reported queues counted whole prompts beside sends less their cached part.

Ruled out: one popular prefix, and the faster targets.

Change: when not all deltas fit, those with the most untold tokens go first. Reported queues count by the smoothed share of tokens that this host expects no cache to hold.

--- a/crates/routing/src/load.rs
+++ b/crates/routing/src/load.rs
@@ -48,7 +48,10 @@
     }
 
     /// Restarts from a report; entries after the report's point are replayed on top of it.
-    pub(crate) fn rebase(&mut self, now: ClockTime, report: &LoadReport) {
+    ///
+    /// Reported tokens are whole prompts, while the log has only what no cache is expected to hold;
+    /// `uncached` is the share that makes them comparable.
+    pub(crate) fn rebase(&mut self, now: ClockTime, report: &LoadReport, uncached: f64) {
         let point = now - report.age;
         while self.log.front().is_some_and(|entry| entry.at <= point) {
             self.log.pop_front();
@@ -59,7 +62,7 @@
         } else {
             DEFAULT_RATE
         };
-        self.backlog = report.queued_tokens as f64;
+        self.backlog = report.queued_tokens as f64 * uncached;
         self.backlog_at = point;
         self.net = 0;
         for index in 0..self.log.len() {
--- a/crates/routing/src/report.rs
+++ b/crates/routing/src/report.rs
@@ -40,7 +40,7 @@
     pub running: u32,
     /// Requests that were waiting inside the target.
     pub waiting: u32,
-    /// Input tokens not yet prefilled.
+    /// Input tokens not yet prefilled, with those that the prefix cache will save.
     pub queued_tokens: u64,
     /// Prefill rate, tokens a second.
     pub prefill_rate: f64,
--- a/crates/routing/src/table.rs
+++ b/crates/routing/src/table.rs
@@ -16,6 +16,8 @@
 use std::collections::{HashMap, VecDeque};
 use std::sync::Arc;
 
+/// Weight of one send in the smoothed share of tokens that no cache holds.
+const UNCACHED_WEIGHT: f64 = 0.01;
 /// Hosts whose numbers in the load logs are remembered.
 const SENDERS_REMEMBERED: usize = 1_024;
 
@@ -44,6 +46,8 @@
     pub(crate) distance: ClockTime,
     copies: Vec<Arc<str>>,
     dirty: bool,
+    /// Tokens sent since the last delta was taken.
+    untold_tokens: i64,
 }
 
 impl TargetEntry {
@@ -68,6 +72,8 @@
     regions: HashMap<DomainName, RegionName>,
     senders: HashMap<HostName, u32>,
     last_sender: u32,
+    /// Smoothed share of the tokens sent by this host that no cache was expected to hold.
+    uncached: f64,
     dirty: VecDeque<u32>,
 }
 
@@ -92,6 +98,7 @@
             regions: HashMap::new(),
             senders: HashMap::new(),
             last_sender: SELF_SENDER,
+            uncached: 1.0,
             dirty: VecDeque::new(),
         }
     }
@@ -158,6 +165,7 @@
             distance,
             copies: Vec::new(),
             dirty: false,
+            untold_tokens: 0,
         };
         let slot = self.free.pop().unwrap_or(self.entries.len() as u32);
         if slot as usize == self.entries.len() {
@@ -244,7 +252,7 @@
         self.copies.replace(slot, &entry.copies, &copies);
         entry.copies = copies;
         entry.reports_leaving = report.leaving;
-        entry.load.rebase(now, &report);
+        entry.load.rebase(now, &report, self.uncached);
         entry.report = Some(report);
     }
 
@@ -317,8 +325,20 @@
     }
 
     /// Returns this host's deltas that changed since the last call, for the other hosts.
+    ///
+    /// Those with the most tokens that the others do not know of go first: hosts that miss them
+    /// send to the same targets.
     pub fn take_deltas(&mut self, limit: usize) -> Vec<LoadDelta> {
         let count = limit.min(self.dirty.len());
+        if count < self.dirty.len() {
+            let entries = &self.entries;
+            let untold = |slot: u32| {
+                let entry = entries[slot as usize].as_ref();
+                entry.map_or(0, |entry| entry.untold_tokens)
+            };
+            let dirty = self.dirty.make_contiguous();
+            dirty.sort_by_key(|&slot| std::cmp::Reverse(untold(slot)));
+        }
         let slots: Vec<u32> = self.dirty.drain(..count).collect();
         let mut deltas = Vec::with_capacity(count);
         for slot in slots {
@@ -326,6 +346,7 @@
                 continue;
             };
             entry.dirty = false;
+            entry.untold_tokens = 0;
             let (requests, tokens) = entry.load.sent_by(SELF_SENDER);
             deltas.push(LoadDelta {
                 target: entry.spec.name.clone(),
@@ -363,6 +384,7 @@
             .find(|hit| hit.slot == slot)
             .map_or(0.0, |hit| hit.share);
         let tokens = f64::from(query.input_tokens) * (1.0 - hit);
+        self.uncached += UNCACHED_WEIGHT * (1.0 - hit - self.uncached);
         self.change_load(now, slot, 1, tokens as i64);
         for &block in query.prefix {
             self.prefixes.store(now, slot, block);
@@ -419,6 +441,7 @@
             entry.in_flight -= 1;
         }
         entry.load.add(now, SELF_SENDER, requests, tokens);
+        entry.untold_tokens += tokens;
         if !entry.dirty {
             entry.dirty = true;
             self.dirty.push_back(slot);
--- a/crates/routing/tests/choice.rs
+++ b/crates/routing/tests/choice.rs
@@ -83,6 +83,55 @@
     assert!(table.take_deltas(9).is_empty());
 }
 
+/// Guards against hosts that learn of ended requests before they learn of sent ones.
+#[test]
+fn deltas_with_most_tokens_are_taken_first() {
+    let mut table = table(4);
+    let work = model_work();
+    for index in 0..4 {
+        table.note_sent(at(1), &target(index), &query(&work, &[]));
+    }
+    assert_eq!(table.take_deltas(9).len(), 4);
+    table.note_ended(at(2), &target(0), None);
+    table.note_ended(at(2), &target(1), None);
+    table.note_sent(at(2), &target(2), &query(&work, &[]));
+    table.note_sent(at(2), &target(3), &query(&work, &[]));
+    table.note_sent(at(2), &target(3), &query(&work, &[]));
+    let first: Vec<TargetName> = table
+        .take_deltas(2)
+        .into_iter()
+        .map(|delta| delta.target)
+        .collect();
+    assert_eq!(first, [target(3), target(2)]);
+    assert_eq!(table.take_deltas(9).len(), 2);
+}
+
+/// Guards against counting the reported tokens that prefix caches will save as work.
+#[test]
+fn reported_queue_counts_without_cached_tokens() {
+    let mut table = table(1);
+    let work = model_work();
+    let prefix = [1, 2, 3, 4];
+    let estimate = |table: &RouteTable, now| {
+        let choice = table.choose(now, &query(&work, &[]), &mut seeded_rng(1));
+        match choice {
+            RouteChoice::Target { estimate, .. } => estimate,
+            other => panic!("a target is usable: {other:?}"),
+        }
+    };
+    let mut queued = report(0, 2);
+    queued.queued_tokens = 8_000;
+    table.apply_report(at(0), queued.clone());
+    assert!(estimate(&table, at(0)) >= at(1_000));
+    for _ in 0..300 {
+        table.note_sent(at(1), &target(0), &query(&work, &prefix));
+        table.note_ended(at(1), &target(0), None);
+    }
+    queued.sequence = 3;
+    table.apply_report(at(1), queued);
+    assert!(estimate(&table, at(1)) < at(500));
+}
+
 /// Guards against work for leaving, suspect, tried and full targets, and tells the cases apart.
 #[test]
 fn unusable_targets_are_left_out() {
