routing: note that a target does not hold a model until a newer report

Cause: an engine that answers 404 for a model which its last report lists stayed among the candidates, so that later requests were sent there until its next report.

Change: note_absent takes the name out of the index of copies; a report brings it back only if it describes a later point, since one made before the refusal lists the stale copy too. For a request with an adapter, the adapter counts as missing if it is listed, else the base model. note_refused does this for status 404 and notes the failure; the reducer of requests calls it. A retry at a holder of the adapter now needs the base model there.

A 404 still ends its own request as target_refused; only 429 and 503 are retried. That is decided in crates/requests and is not changed.

--- a/crates/requests/src/attempts.rs
+++ b/crates/requests/src/attempts.rs
@@ -257,7 +257,10 @@
     let Some(current) = take(state, key) else {
         return;
     };
-    context.routes.note_failed(context.now, &current.target);
+    let work = state.requests.get(&key).map(|entry| &entry.spec.work);
+    context
+        .routes
+        .note_refused(context.now, &current.target, status, work);
     let overloaded = matches!(status, 429 | 503);
     // A target cannot refuse what it has begun to answer.
     let ran = !current.resumes && current.first.is_some();
--- a/crates/routing/src/choose.rs
+++ b/crates/routing/src/choose.rs
@@ -65,7 +65,9 @@
     let mut best = BestCandidate::default();
     // A target that refused may have had no room for the adapter; one that holds it needs none.
     if let Some(adapter) = input.adapter.as_ref().filter(|_| !query.tried.is_empty()) {
-        scan(&input, adapter.holders, rng, &mut best);
+        for &slot in adapter.holders {
+            consider_of(&input, slots, slot, rng, &mut best);
+        }
         if best.slot.is_some() {
             return answer(table, query.work, &best);
         }
--- a/crates/routing/src/table.rs
+++ b/crates/routing/src/table.rs
@@ -16,6 +16,8 @@
 use std::collections::{HashMap, VecDeque};
 use std::sync::Arc;
 
+/// Status of an engine that does not hold what it is asked for.
+const NOT_FOUND: u16 = 404;
 /// Weight of one send in the smoothed share of tokens that no cache holds.
 const UNCACHED_WEIGHT: f64 = 0.01;
 /// Hosts whose numbers in the load logs are remembered.
@@ -45,6 +47,8 @@
     pub(crate) failed_at: ClockTime,
     pub(crate) distance: ClockTime,
     copies: Vec<Arc<str>>,
+    /// Names that the target turned out not to hold, and when.
+    absent: Vec<(Arc<str>, ClockTime)>,
     dirty: bool,
     /// Tokens sent since the last delta was taken.
     untold_tokens: i64,
@@ -164,6 +168,7 @@
             failed_at: ClockTime::ZERO,
             distance,
             copies: Vec::new(),
+            absent: Vec::new(),
             dirty: false,
             untold_tokens: 0,
         };
@@ -241,10 +246,14 @@
         if known.is_some_and(|last| report.incarnation > last.incarnation) {
             self.prefixes.forget(slot);
         }
+        let point = now - report.age;
+        entry.absent.retain(|(_, noted)| *noted >= point);
+        let absent = &entry.absent;
         let mut copies: Vec<Arc<str>> = report
             .copies
             .iter()
             .filter(|copy| copy.state == CopyState::Resident)
+            .filter(|copy| absent.iter().all(|(name, _)| *name != copy.name))
             .map(|copy| copy.name.clone())
             .collect();
         copies.sort_unstable();
@@ -372,6 +381,32 @@
         }
     }
 
+    /// Notes that a target refused work because it does not hold the model or adapter.
+    ///
+    /// The name counts as not held until a report that describes a later point. Of an adapter and
+    /// its base model the adapter is taken to be missing if it is listed, else the base model.
+    pub fn note_absent(&mut self, now: ClockTime, target: &TargetName, work: &WorkKind) {
+        let WorkKind::Model { model, adapter } = work else {
+            return;
+        };
+        let Some(&slot) = self.slots.get(target) else {
+            return;
+        };
+        let Some(entry) = self.entries[slot as usize].as_mut() else {
+            return;
+        };
+        let names = adapter.iter().map(AdapterName::as_str);
+        let position = names.chain([model.as_str()]).find_map(|name| {
+            let listed = entry.copies.binary_search_by(|copy| (**copy).cmp(name));
+            listed.ok()
+        });
+        if let Some(position) = position {
+            let name = entry.copies.remove(position);
+            self.copies.remove(&name, slot);
+            entry.absent.push((name, now));
+        }
+    }
+
     /// Notes that an attempt was sent.
     pub fn note_sent(&mut self, now: ClockTime, target: &TargetName, query: &RouteQuery<'_>) {
         let Some(&slot) = self.slots.get(target) else {
@@ -427,6 +462,20 @@
         }
     }
 
+    /// Notes that a target refused an attempt with an HTTP status.
+    pub fn note_refused(
+        &mut self,
+        now: ClockTime,
+        target: &TargetName,
+        status: u16,
+        work: Option<&WorkKind>,
+    ) {
+        self.note_failed(now, target);
+        if let Some(work) = work.filter(|_| status == NOT_FOUND) {
+            self.note_absent(now, target, work);
+        }
+    }
+
     fn change_load(&mut self, now: ClockTime, slot: u32, requests: i64, tokens: i64) {
         let Some(entry) = self.entries[slot as usize].as_mut() else {
             return;
--- /dev/null
+++ b/crates/routing/tests/absent.rs
@@ -0,0 +1,117 @@
+//! Tests of models and adapters that a target turned out not to hold.
+
+mod common;
+
+use common::{at, copy, model_work, query, report, table_with, target, MODEL};
+use crocusyard_base::prelude::*;
+use crocusyard_base::random::seeded_rng;
+use crocusyard_routing::prelude::*;
+
+fn table(targets: usize) -> RouteTable {
+    table_with(targets, RouteTuning::default())
+}
+
+fn chosen(table: &RouteTable, now: ClockTime, work: &WorkKind) -> Vec<TargetName> {
+    let mut rng = seeded_rng(1);
+    let mut names: Vec<TargetName> = (0..50)
+        .filter_map(|_| match table.choose(now, &query(work, &[]), &mut rng) {
+            RouteChoice::Target { target, .. } => Some(target),
+            _ => None,
+        })
+        .collect();
+    names.sort_unstable();
+    names.dedup();
+    names
+}
+
+/// Guards against choosing an engine again and again for a model that it has refused as unknown.
+#[test]
+fn absent_model_is_not_asked_for_until_a_newer_report() {
+    let mut table = table(2);
+    let work = model_work();
+    table.note_absent(at(100), &target(0), &work);
+    assert_eq!(chosen(&table, at(101), &work), [target(1)]);
+    table.apply_report(at(200), report(0, 2));
+    assert_eq!(chosen(&table, at(201), &work), [target(0), target(1)]);
+}
+
+/// Guards against taking an overloaded engine for one that does not hold the model.
+#[test]
+fn only_a_refusal_as_not_found_means_absent() {
+    let mut table = table(1);
+    let work = model_work();
+    table.note_refused(at(100), &target(0), 503, Some(&work));
+    assert_eq!(chosen(&table, at(101), &work), [target(0)]);
+    table.note_refused(at(100), &target(0), 404, Some(&work));
+    let choice = table.choose(at(101), &query(&work, &[]), &mut seeded_rng(1));
+    assert_eq!(choice, RouteChoice::NotResident);
+}
+
+/// Guards against a report that was made before the refusal and brings the stale copy back.
+#[test]
+fn report_of_an_earlier_point_does_not_bring_an_absent_model_back() {
+    let mut table = table(2);
+    let work = model_work();
+    table.note_absent(at(100), &target(0), &work);
+    let mut late = report(0, 2);
+    late.age = at(60);
+    table.apply_report(at(150), late);
+    assert_eq!(chosen(&table, at(151), &work), [target(1)]);
+    let mut newer = report(0, 3);
+    newer.age = at(60);
+    table.apply_report(at(250), newer);
+    assert_eq!(chosen(&table, at(251), &work), [target(0), target(1)]);
+}
+
+/// Guards against a request that is sent to the last stale copy in place of loading the model.
+#[test]
+fn model_without_another_copy_is_not_resident() {
+    let mut table = table(1);
+    let work = model_work();
+    table.note_absent(at(100), &target(0), &work);
+    let choice = table.choose(at(101), &query(&work, &[]), &mut seeded_rng(1));
+    assert_eq!(choice, RouteChoice::NotResident);
+}
+
+/// Guards against leaving out the base model of an engine that only lacks the adapter, and against
+/// retrying at a holder of the adapter that lacks the base model.
+#[test]
+fn adapter_counts_as_absent_before_its_base_model() {
+    let mut table = table(3);
+    let plain = model_work();
+    let work = WorkKind::Model {
+        model: MODEL.into(),
+        adapter: Some("adapter".into()),
+    };
+    let mut holder = report(0, 2);
+    holder.copies.push(copy("adapter"));
+    table.apply_report(at(1), holder.clone());
+    table.note_absent(at(100), &target(0), &work);
+    assert!(chosen(&table, at(101), &plain).contains(&target(0)));
+    table.note_absent(at(100), &target(0), &work);
+    assert!(!chosen(&table, at(101), &plain).contains(&target(0)));
+
+    holder.sequence = 3;
+    table.apply_report(at(200), holder);
+    table.note_absent(at(300), &target(0), &plain);
+    let tried = [target(1)];
+    let retry = RouteQuery {
+        tried: &tried,
+        ..query(&work, &[])
+    };
+    let choice = table.choose(at(301), &retry, &mut seeded_rng(1));
+    assert!(matches!(choice, RouteChoice::Target { target: name, .. } if name == target(2)));
+}
+
+/// Guards against a refusal by an unknown target or of a service that changes what is known.
+#[test]
+fn unknown_targets_and_services_are_ignored() {
+    let mut table = table(2);
+    let work = model_work();
+    table.note_absent(at(100), &target(9), &work);
+    let service = WorkKind::Service {
+        service: "service".into(),
+    };
+    table.note_absent(at(100), &target(0), &service);
+    assert_eq!(chosen(&table, at(101), &work), [target(0), target(1)]);
+}
--- a/crates/routing/tests/random.rs
+++ b/crates/routing/tests/random.rs
@@ -22,7 +22,7 @@
 fn step(table: &mut RouteTable, now: ClockTime, kind: u8, index: usize, value: u64) {
     let work = model_work();
     let prefix = [value % 50, value % 50 + 100];
-    match kind % 9 {
+    match kind % 10 {
         0 => {
             let mut lagged = report(index, value);
             lagged.incarnation = value % 3 + 1;
@@ -60,6 +60,7 @@
             };
             table.apply_cache(now, &batch);
         }
+        8 => table.note_absent(now, &target(index), &work),
         _ => {
             let declared: Vec<_> = (0..TARGETS)
                 .filter(|&other| other != index)
