admission, routing: refuse work whose model cannot be loaded in time

Cause: a request for a model without a resident copy is offered with an estimate of zero and waits up to its deadline, even if the declared load time exceeds it.

Ruled out: passing the load time as the estimate of offer, which refuses at half of the deadline; a load of 1.4 s would be refused at a deadline of 2 s although it can be met.

Change: offer_loading refuses with deadline_unreachable if the load ends at or after the deadline, and queues the work otherwise. load_time of the route table gives the declared time, or zero while a report shows the model loading, since the start of that load is not known.

Partial: nothing calls these yet. crates/core has to call set_models with the models of a new catalogue, and enqueue in crates/requests has to call offer_loading for NotResident.

--- a/crates/admission/src/queue.rs
+++ b/crates/admission/src/queue.rs
@@ -165,10 +165,7 @@
         estimate: ClockTime,
     ) -> Result<(), AdmissionRefusal> {
         self.check(now, &work, estimate)
-            .map_err(|(reason, wait)| AdmissionRefusal {
-                reason,
-                retry_after: wait.map(|wait| spread_retry(wait, work.key)),
-            })?;
+            .map_err(|(reason, wait)| refusal_of(reason, wait, work.key))?;
         let Some(class) = self.classes.get_mut(&work.class) else {
             return Ok(());
         };
@@ -201,6 +198,26 @@
         Ok(())
     }
 
+    /// Queues work that waits for a load of its model, or refuses it; `load` is the least time of it.
+    ///
+    /// The work is refused only if the load ends after the deadline. The share of the deadline that
+    /// may pass in the queue does not apply, since a load takes its declared time and is no estimate
+    /// of a wait behind other work.
+    pub fn offer_loading(
+        &mut self,
+        now: ClockTime,
+        work: QueuedWork,
+        load: ClockTime,
+    ) -> Result<(), AdmissionRefusal> {
+        let left = work.deadline.since(now);
+        if load < left {
+            return self.offer(now, work, ClockTime::ZERO);
+        }
+        self.check(now, &work, ClockTime::ZERO)
+            .and(Err((RefusalReason::DeadlineUnreachable, Some(load))))
+            .map_err(|(reason, wait)| refusal_of(reason, wait, work.key))
+    }
+
     fn check(
         &self,
         now: ClockTime,
@@ -423,6 +440,13 @@
         .collect()
 }
 
+fn refusal_of(reason: RefusalReason, wait: Option<ClockTime>, key: RequestKey) -> AdmissionRefusal {
+    AdmissionRefusal {
+        reason,
+        retry_after: wait.map(|wait| spread_retry(wait, key)),
+    }
+}
+
 /// Keeps a hint within its bounds and varies it by request.
 fn spread_retry(wait: ClockTime, key: RequestKey) -> ClockTime {
     let factor = 1.0 + (key.0 % RETRY_STEPS) as f64 / (2 * RETRY_STEPS) as f64;
--- a/crates/admission/tests/queue.rs
+++ b/crates/admission/tests/queue.rs
@@ -260,6 +260,24 @@
     assert!(limit.current() <= 64);
 }
 
+/// Guards against work that waits for a load which ends after its deadline, and against refusing
+/// work that a load leaves time for.
+#[test]
+fn loads_beyond_the_deadline_are_refused() {
+    let mut queue = queue();
+    let mut item = work(1, "a", "urgent", "m");
+    item.deadline = at(2_000);
+    let refused = queue.offer_loading(at(0), item.clone(), at(2_000));
+    let refusal = refused.expect_err("the load ends at the deadline");
+    assert_eq!(refusal.reason, RefusalReason::DeadlineUnreachable);
+    assert!(refusal.retry_after >= Some(at(2_000)));
+    assert!(queue.is_empty());
+    assert_eq!(queue.offer_loading(at(0), item, at(1_900)), Ok(()));
+    let unknown = work(2, "nobody", "urgent", "m");
+    let refused = queue.offer_loading(at(0), unknown, at(2_000_000));
+    assert_eq!(reason(refused), Some(RefusalReason::Unknown));
+}
+
 /// Guards against lost, repeated or expired work and unbounded queues under any order of calls.
 #[test]
 fn any_order_of_calls_accounts_for_all_work() {
--- a/crates/routing/src/table.rs
+++ b/crates/routing/src/table.rs
@@ -74,6 +74,7 @@
     slots: HashMap<TargetName, u32>,
     free: Vec<u32>,
     regions: HashMap<DomainName, RegionName>,
+    load_times: HashMap<ModelName, ClockTime>,
     senders: HashMap<HostName, u32>,
     last_sender: u32,
     /// Smoothed share of the tokens sent by this host that no cache was expected to hold.
@@ -100,6 +101,7 @@
             slots: HashMap::new(),
             free: Vec::new(),
             regions: HashMap::new(),
+            load_times: HashMap::new(),
             senders: HashMap::new(),
             last_sender: SELF_SENDER,
             uncached: 1.0,
@@ -135,6 +137,12 @@
         }
     }
 
+    /// Sets the declared models, which give the times of loads.
+    pub fn set_models(&mut self, models: &[ModelSpec]) {
+        let time = |model: &ModelSpec| (model.name.clone(), ClockTime::from_ms(model.load_ms));
+        self.load_times = models.iter().map(time).collect();
+    }
+
     /// Sets the declared targets; what is known of those that remain is kept.
     pub fn set_targets(&mut self, targets: &[TargetSpec]) {
         let mut gone = std::mem::take(&mut self.slots);
@@ -540,6 +548,28 @@
             .map(|entry| entry.load.requests().max(entry.in_flight))
     }
 
+    /// Returns the least time until a model that is nowhere resident can run.
+    ///
+    /// That is the declared time of a load, or zero while a target reports that the model is
+    /// loading, since the start of that load is not known.
+    pub fn load_time(&self, work: &WorkKind) -> ClockTime {
+        let WorkKind::Model { model, .. } = work else {
+            return ClockTime::ZERO;
+        };
+        let reports = self
+            .entries
+            .iter()
+            .flatten()
+            .flat_map(|entry| &entry.report);
+        let is_loading = reports
+            .flat_map(|report| &report.copies)
+            .any(|copy| copy.state == CopyState::Loading && *copy.name == *model.as_str());
+        match self.load_times.get(model) {
+            Some(time) if !is_loading => *time,
+            _ => ClockTime::ZERO,
+        }
+    }
+
     /// Chooses a target for an attempt.
     pub fn choose(
         &self,
--- a/crates/routing/tests/absent.rs
+++ b/crates/routing/tests/absent.rs
@@ -1,10 +1,11 @@
-//! Tests of models and adapters that a target turned out not to hold.
+//! Tests of models and adapters that a target turned out not to hold, and of the time of a load.
 
 mod common;
 
 use common::{at, copy, model_work, query, report, table_with, target, MODEL};
 use crocusyard_base::prelude::*;
 use crocusyard_base::random::seeded_rng;
+use crocusyard_catalog::prelude::*;
 use crocusyard_routing::prelude::*;
 
 fn table(targets: usize) -> RouteTable {
@@ -115,3 +116,26 @@
     table.note_absent(at(100), &target(0), &service);
     assert_eq!(chosen(&table, at(101), &work), [target(0), target(1)]);
 }
+
+/// Guards against refusing a request early for a load that has already begun, and against taking a
+/// load for instant.
+#[test]
+fn load_time_is_declared_until_a_load_has_begun() {
+    let mut table = table_with(2, RouteTuning::default());
+    let work = model_work();
+    assert_eq!(table.load_time(&work), ClockTime::ZERO);
+    table.set_models(&[ModelSpec {
+        name: MODEL.into(),
+        memory_bytes: 1,
+        load_ms: 1_400,
+    }]);
+    table.note_absent(at(1), &target(0), &work);
+    assert_eq!(table.load_time(&work), at(1_400));
+    let mut loading = report(0, 2);
+    loading.copies = vec![ResidentCopy {
+        state: CopyState::Loading,
+        ..copy(MODEL)
+    }];
+    table.apply_report(at(2), loading);
+    assert_eq!(table.load_time(&work), ClockTime::ZERO);
+}
