--- a/crates/routing/src/table.rs
+++ b/crates/routing/src/table.rs
@@ -16,6 +16,10 @@
 use std::collections::{HashMap, VecDeque};
 use std::sync::Arc;
 
+/// Status of an engine that does not hold what it is asked for.
+const NOT_FOUND: u16 = 404;
+/// Weight of one send in the smoothed share of tokens that no cache holds.
+const UNCACHED_WEIGHT: f64 = 0.01;
 /// Hosts whose numbers in the load logs are remembered.
 const SENDERS_REMEMBERED: usize = 1_024;
 
@@ -43,7 +47,11 @@
     pub(crate) failed_at: ClockTime,
     pub(crate) distance: ClockTime,
     copies: Vec<Arc<str>>,
+    /// Names that the target turned out not to hold, and when.
+    absent: Vec<(Arc<str>, ClockTime)>,
     dirty: bool,
+    /// Tokens sent since the last delta was taken.
+    untold_tokens: i64,
 }
 
 impl TargetEntry {
@@ -66,8 +74,11 @@
     slots: HashMap<TargetName, u32>,
     free: Vec<u32>,
     regions: HashMap<DomainName, RegionName>,
+    load_times: HashMap<ModelName, ClockTime>,
     senders: HashMap<HostName, u32>,
     last_sender: u32,
+    /// Smoothed share of the tokens sent by this host that no cache was expected to hold.
+    uncached: f64,
     dirty: VecDeque<u32>,
 }
 
@@ -90,8 +101,10 @@
             slots: HashMap::new(),
             free: Vec::new(),
             regions: HashMap::new(),
+            load_times: HashMap::new(),
             senders: HashMap::new(),
             last_sender: SELF_SENDER,
+            uncached: 1.0,
             dirty: VecDeque::new(),
         }
     }
@@ -124,6 +137,12 @@
         }
     }
 
+    /// Sets the declared models, which give the times of loads.
+    pub fn set_models(&mut self, models: &[ModelSpec]) {
+        let time = |model: &ModelSpec| (model.name.clone(), ClockTime::from_ms(model.load_ms));
+        self.load_times = models.iter().map(time).collect();
+    }
+
     /// Sets the declared targets; what is known of those that remain is kept.
     pub fn set_targets(&mut self, targets: &[TargetSpec]) {
         let mut gone = std::mem::take(&mut self.slots);
@@ -157,7 +176,9 @@
             failed_at: ClockTime::ZERO,
             distance,
             copies: Vec::new(),
+            absent: Vec::new(),
             dirty: false,
+            untold_tokens: 0,
         };
         let slot = self.free.pop().unwrap_or(self.entries.len() as u32);
         if slot as usize == self.entries.len() {
@@ -233,10 +254,14 @@
         if known.is_some_and(|last| report.incarnation > last.incarnation) {
             self.prefixes.forget(slot);
         }
+        let point = now - report.age;
+        entry.absent.retain(|(_, noted)| *noted >= point);
+        let absent = &entry.absent;
         let mut copies: Vec<Arc<str>> = report
             .copies
             .iter()
             .filter(|copy| copy.state == CopyState::Resident)
+            .filter(|copy| absent.iter().all(|(name, _)| *name != copy.name))
             .map(|copy| copy.name.clone())
             .collect();
         copies.sort_unstable();
@@ -244,7 +269,7 @@
         self.copies.replace(slot, &entry.copies, &copies);
         entry.copies = copies;
         entry.reports_leaving = report.leaving;
-        entry.load.rebase(now, &report);
+        entry.load.rebase(now, &report, self.uncached);
         entry.report = Some(report);
     }
 
@@ -317,8 +342,20 @@
     }
 
     /// Returns this host's deltas that changed since the last call, for the other hosts.
+    ///
+    /// Those with the most tokens that the others do not know of go first: hosts that miss them
+    /// send to the same targets.
     pub fn take_deltas(&mut self, limit: usize) -> Vec<LoadDelta> {
         let count = limit.min(self.dirty.len());
+        if count < self.dirty.len() {
+            let entries = &self.entries;
+            let untold = |slot: u32| {
+                let entry = entries[slot as usize].as_ref();
+                entry.map_or(0, |entry| entry.untold_tokens)
+            };
+            let dirty = self.dirty.make_contiguous();
+            dirty.sort_by_key(|&slot| std::cmp::Reverse(untold(slot)));
+        }
         let slots: Vec<u32> = self.dirty.drain(..count).collect();
         let mut deltas = Vec::with_capacity(count);
         for slot in slots {
@@ -326,6 +363,7 @@
                 continue;
             };
             entry.dirty = false;
+            entry.untold_tokens = 0;
             let (requests, tokens) = entry.load.sent_by(SELF_SENDER);
             deltas.push(LoadDelta {
                 target: entry.spec.name.clone(),
@@ -351,6 +389,32 @@
         }
     }
 
+    /// Notes that a target refused work because it does not hold the model or adapter.
+    ///
+    /// The name counts as not held until a report that describes a later point. Of an adapter and
+    /// its base model the adapter is taken to be missing if it is listed, else the base model.
+    pub fn note_absent(&mut self, now: ClockTime, target: &TargetName, work: &WorkKind) {
+        let WorkKind::Model { model, adapter } = work else {
+            return;
+        };
+        let Some(&slot) = self.slots.get(target) else {
+            return;
+        };
+        let Some(entry) = self.entries[slot as usize].as_mut() else {
+            return;
+        };
+        let names = adapter.iter().map(AdapterName::as_str);
+        let position = names.chain([model.as_str()]).find_map(|name| {
+            let listed = entry.copies.binary_search_by(|copy| (**copy).cmp(name));
+            listed.ok()
+        });
+        if let Some(position) = position {
+            let name = entry.copies.remove(position);
+            self.copies.remove(&name, slot);
+            entry.absent.push((name, now));
+        }
+    }
+
     /// Notes that an attempt was sent.
     pub fn note_sent(&mut self, now: ClockTime, target: &TargetName, query: &RouteQuery<'_>) {
         let Some(&slot) = self.slots.get(target) else {
@@ -363,6 +427,7 @@
             .find(|hit| hit.slot == slot)
             .map_or(0.0, |hit| hit.share);
         let tokens = f64::from(query.input_tokens) * (1.0 - hit);
+        self.uncached += UNCACHED_WEIGHT * (1.0 - hit - self.uncached);
         self.change_load(now, slot, 1, tokens as i64);
         for &block in query.prefix {
             self.prefixes.store(now, slot, block);
@@ -405,6 +470,20 @@
         }
     }
 
+    /// Notes that a target refused an attempt with an HTTP status.
+    pub fn note_refused(
+        &mut self,
+        now: ClockTime,
+        target: &TargetName,
+        status: u16,
+        work: Option<&WorkKind>,
+    ) {
+        self.note_failed(now, target);
+        if let Some(work) = work.filter(|_| status == NOT_FOUND) {
+            self.note_absent(now, target, work);
+        }
+    }
+
     fn change_load(&mut self, now: ClockTime, slot: u32, requests: i64, tokens: i64) {
         let Some(entry) = self.entries[slot as usize].as_mut() else {
             return;
@@ -419,6 +498,7 @@
             entry.in_flight -= 1;
         }
         entry.load.add(now, SELF_SENDER, requests, tokens);
+        entry.untold_tokens += tokens;
         if !entry.dirty {
             entry.dirty = true;
             self.dirty.push_back(slot);
@@ -473,6 +553,28 @@
             .map(|entry| entry.load.requests().max(entry.in_flight))
     }
 
+    /// Returns the least time until a model that is nowhere resident can run.
+    ///
+    /// That is the declared time of a load, or zero while a target reports that the model is
+    /// loading, since the start of that load is not known.
+    pub fn load_time(&self, work: &WorkKind) -> ClockTime {
+        let WorkKind::Model { model, .. } = work else {
+            return ClockTime::ZERO;
+        };
+        let reports = self
+            .entries
+            .iter()
+            .flatten()
+            .flat_map(|entry| &entry.report);
+        let is_loading = reports
+            .flat_map(|report| &report.copies)
+            .any(|copy| copy.state == CopyState::Loading && *copy.name == *model.as_str());
+        match self.load_times.get(model) {
+            Some(time) if !is_loading => *time,
+            _ => ClockTime::ZERO,
+        }
+    }
+
     /// Chooses a target for an attempt.
     pub fn choose(
         &self,
