targets: take an answer that ends early for broken off

Cause: awc takes the end of a connection for the end of the body. A plain answer whose target died between two of its packets was passed on, and stored under its key, as a whole answer. Ruled out: streams, which need their end mark. Change: connections to targets report their end as an error. Bodies end by length or last chunk, so no whole answer needs the end of the connection. Conclusion: partial plain answers are reported as unknown. A body without length or chunks, which ends with its connection, is still passed on as empty by the HTTP library.

--- /dev/null
+++ b/crates/targets/src/connection.rs
@@ -0,0 +1,71 @@
+//! A connection to a target whose end is an error.
+//!
+//! `awc` takes the end of a connection for the end of the body, whatever length or chunks the body
+//! has still to come. The bodies that it accepts state where they end, so that no whole answer needs
+//! the end of the connection.
+
+use actix_rt::net::{ActixStream, Ready, TcpStream};
+use std::io::{Error, ErrorKind, IoSlice, Result};
+use std::pin::Pin;
+use std::task::{Context, Poll};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+
+/// A TCP connection that reports its end as [`ErrorKind::UnexpectedEof`].
+#[derive(Debug)]
+pub(crate) struct TargetConnection(pub(crate) TcpStream);
+
+impl AsyncRead for TargetConnection {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<Result<()>> {
+        let before = buffer.filled().len();
+        let has_room = buffer.remaining() > 0;
+        let read = Pin::new(&mut self.0).poll_read(context, buffer);
+        if has_room && matches!(read, Poll::Ready(Ok(()))) && buffer.filled().len() == before {
+            return Poll::Ready(Err(Error::from(ErrorKind::UnexpectedEof)));
+        }
+        read
+    }
+}
+
+impl AsyncWrite for TargetConnection {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<Result<usize>> {
+        Pin::new(&mut self.0).poll_write(context, bytes)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Result<()>> {
+        Pin::new(&mut self.0).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Result<()>> {
+        Pin::new(&mut self.0).poll_shutdown(context)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        parts: &[IoSlice<'_>],
+    ) -> Poll<Result<usize>> {
+        Pin::new(&mut self.0).poll_write_vectored(context, parts)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.0.is_write_vectored()
+    }
+}
+
+impl ActixStream for TargetConnection {
+    fn poll_read_ready(&self, context: &mut Context<'_>) -> Poll<Result<Ready>> {
+        ActixStream::poll_read_ready(&self.0, context)
+    }
+
+    fn poll_write_ready(&self, context: &mut Context<'_>) -> Poll<Result<Ready>> {
+        ActixStream::poll_write_ready(&self.0, context)
+    }
+}
--- a/crates/targets/src/lib.rs
+++ b/crates/targets/src/lib.rs
@@ -5,6 +5,7 @@
 //! one channel; the request reducer decides what it means.
 
 pub mod attempt;
+mod connection;
 pub mod error;
 pub mod management;
 pub mod pool;
--- a/crates/targets/src/pool.rs
+++ b/crates/targets/src/pool.rs
@@ -1,6 +1,7 @@
 //! Connection pools, one for each target.
 
 use crate::attempt::{run_attempt, AttemptPlan, AttemptUpdate};
+use crate::connection::TargetConnection;
 use actix_rt::task::JoinHandle;
 use actix_service::ServiceExt;
 use actix_tls::connect::ConnectorService;
@@ -84,7 +85,8 @@
 pub fn new_client(connect_timeout: Duration) -> Client {
     let connect = ConnectorService::default().map(|connection| {
         set_liveness_options(connection.io_ref());
-        connection
+        let (stream, connection) = connection.replace_io(());
+        connection.replace_io(TargetConnection(stream)).1
     });
     let connector = Connector::new()
         .connector(connect)
