--- a/tests/state/mod.rs
+++ b/tests/state/mod.rs
@@ -238,7 +238,12 @@
 
 /// Returns the entry addresses that a host names for a model.
 pub async fn ask(entry: SocketAddr, model: &str) -> Vec<SocketAddr> {
-    let url = format!("http://{entry}/v1/addresses?model={model}");
+    ask_for(entry, &format!("model={model}")).await
+}
+
+/// Returns the entry addresses that a host names for `model=NAME` or `service=NAME`.
+pub async fn ask_for(entry: SocketAddr, query: &str) -> Vec<SocketAddr> {
+    let url = format!("http://{entry}/v1/addresses?{query}");
     let Ok(mut response) = awc::Client::default().get(url).send().await else {
         return Vec::new();
     };
