standins: start every server by one function

Cause: the start of a server stood three times. Change: start_server takes the address, the time for which idle connections are kept, and the app. Delayed acknowledgements are now avoided at all three, which the engine alone did.

--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -9,8 +9,9 @@
 
 use crate::faults::{set_fault, FaultSwitch};
 use crate::runs::note_run;
-use crate::server::RunningServer;
-use actix_web::{web, App, HttpRequest, HttpResponse, HttpServer};
+use crate::server::{start_server, RunningServer};
+use actix_web::http::KeepAlive;
+use actix_web::{web, App, HttpRequest, HttpResponse};
 use crocusyard_border::engine::{CacheEvents, EngineOrder, FencingRaise, LoadStatus, OrderState};
 use residency::{Readiness, ResidencyState};
 use serde::Deserialize;
@@ -22,6 +23,9 @@
 /// Prompt text that ends the process of a stand-in started with `crashes` set.
 pub const CRASH_MARKER: &str = "crash-this-engine";
 
+/// Time for which an idle connection is kept, longer than hosts keep theirs.
+const CONNECTION_KEPT: Duration = Duration::from_secs(75);
+
 /// An adapter that the engine can load by itself when a request asks for it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct AdapterOption {
@@ -116,7 +120,7 @@
         settings,
     });
     let switch = web::Data::new(FaultSwitch::default());
-    let server = HttpServer::new(move || {
+    start_server(listen, KeepAlive::Timeout(CONNECTION_KEPT), move || {
         App::new()
             .app_data(state.clone())
             .app_data(switch.clone())
@@ -134,17 +138,6 @@
             .route("/fencing", web::post().to(raise_fencing))
             .route("/usage", web::get().to(get_usage))
     })
-    .workers(1)
-    .disable_signals()
-    // Without it, the first token waits up to 40 ms for the acknowledgement of the answer's head.
-    .tcp_nodelay(true)
-    .keep_alive(Duration::from_secs(75))
-    .bind(listen)?;
-    let address = server.addrs()[0];
-    let server = server.run();
-    let handle = server.handle();
-    actix_rt::spawn(server);
-    Ok(RunningServer::new(address, handle))
 }
 
 async fn start_completion(
--- a/crates/standins/src/plain.rs
+++ b/crates/standins/src/plain.rs
@@ -5,8 +5,9 @@
 
 use crate::faults::{set_fault, FaultSwitch};
 use crate::runs::note_run;
-use crate::server::RunningServer;
-use actix_web::{web, App, HttpRequest, HttpResponse, HttpServer};
+use crate::server::{start_server, RunningServer};
+use actix_web::http::KeepAlive;
+use actix_web::{web, App, HttpRequest, HttpResponse};
 use crocusyard_border::engine::{CallRecord, LoadStatus};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -45,7 +46,7 @@
         incarnation: crate::engine::new_incarnation(),
     });
     let switch = web::Data::new(FaultSwitch::default());
-    let server = HttpServer::new(move || {
+    start_server(settings.listen, KeepAlive::default(), move || {
         App::new()
             .app_data(state.clone())
             .app_data(switch.clone())
@@ -56,14 +57,6 @@
             .route("/runs", web::get().to(get_runs))
             .default_service(web::to(run_call))
     })
-    .workers(1)
-    .disable_signals()
-    .bind(settings.listen)?;
-    let address = server.addrs()[0];
-    let server = server.run();
-    let handle = server.handle();
-    actix_rt::spawn(server);
-    Ok(RunningServer::new(address, handle))
 }
 
 async fn get_load(state: web::Data<PlainState>) -> HttpResponse {
--- a/crates/standins/src/platform.rs
+++ b/crates/standins/src/platform.rs
@@ -1,8 +1,9 @@
 //! Stand-in for the platform: table service, object store, weight store and host list.
 
 use crate::faults::{answer_or_lose, set_fault, FaultSwitch};
-use crate::server::RunningServer;
-use actix_web::{web, App, HttpResponse, HttpServer};
+use crate::server::{start_server, RunningServer};
+use actix_web::http::KeepAlive;
+use actix_web::{web, App, HttpResponse};
 use crocusyard_border::platform::{
     HostListing, RowPage, RowWrite, StoredRow, TableTransaction, TransactionResult,
 };
@@ -53,7 +54,7 @@
         loads_at_once: settings.loads_at_once.max(1),
     });
     let switch = web::Data::new(FaultSwitch::default());
-    let server = HttpServer::new(move || {
+    start_server(settings.listen, KeepAlive::default(), move || {
         App::new()
             .app_data(state.clone())
             .app_data(switch.clone())
@@ -70,14 +71,6 @@
             .route("/hosts", web::get().to(get_hosts))
             .route("/hosts", web::put().to(put_hosts))
     })
-    .workers(1)
-    .disable_signals()
-    .bind(settings.listen)?;
-    let address = server.addrs()[0];
-    let server = server.run();
-    let handle = server.handle();
-    actix_rt::spawn(server);
-    Ok(RunningServer::new(address, handle))
 }
 
 #[derive(Deserialize)]
--- a/crates/standins/src/server.rs
+++ b/crates/standins/src/server.rs
@@ -1,6 +1,9 @@
 //! Starting and stopping a stand-in's HTTP server.
 
-use actix_web::dev::ServerHandle;
+use actix_web::body::MessageBody;
+use actix_web::dev::{ServerHandle, ServiceFactory, ServiceRequest, ServiceResponse};
+use actix_web::http::KeepAlive;
+use actix_web::{App, Error, HttpServer};
 use std::net::SocketAddr;
 
 /// A running stand-in.
@@ -12,13 +15,39 @@
 }
 
 impl RunningServer {
-    /// Wraps a started server.
-    pub(crate) fn new(address: SocketAddr, handle: ServerHandle) -> Self {
-        Self { address, handle }
-    }
-
     /// Stops at once, cutting open connections, as when the process is killed.
     pub async fn kill(&self) {
         self.handle.stop(false).await;
     }
 }
+
+/// Starts a server with one worker on the current actix system; port 0 takes a free one.
+pub(crate) fn start_server<F, T, B>(
+    listen: SocketAddr,
+    keep_alive: KeepAlive,
+    app: F,
+) -> std::io::Result<RunningServer>
+where
+    F: Fn() -> App<T> + Send + Clone + 'static,
+    T: ServiceFactory<
+            ServiceRequest,
+            Config = (),
+            Response = ServiceResponse<B>,
+            Error = Error,
+            InitError = (),
+        > + 'static,
+    B: MessageBody + 'static,
+{
+    let server = HttpServer::new(app)
+        .workers(1)
+        .disable_signals()
+        // Without it, the first token waits up to 40 ms for the acknowledgement of the answer's head.
+        .tcp_nodelay(true)
+        .keep_alive(keep_alive)
+        .bind(listen)?;
+    let address = server.addrs()[0];
+    let server = server.run();
+    let handle = server.handle();
+    actix_rt::spawn(server);
+    Ok(RunningServer { address, handle })
+}
