tests: share the reads and faults of stand-ins, and the question for addresses

Cause: reading a stand-in and setting its faults stood in two fixtures, the question for addresses and the path of the program in a third. Change: the testbed has read_json and set_faults, and the tests of processes use the state module. The shared question gives an empty list where the former failed, so the test of a planned stop now asserts that a host is named.

--- a/crates/testbed/src/client.rs
+++ b/crates/testbed/src/client.rs
@@ -225,6 +225,29 @@
     }
 }
 
+/// Reads a JSON document of a stand-in.
+///
+/// # Panics
+///
+/// Panics if the stand-in does not answer with JSON.
+pub async fn read_json(address: SocketAddr, path: &str) -> Value {
+    let url = format!("http://{address}{path}");
+    let answer = awc::Client::default().get(&url).send().await;
+    let mut answer = answer.unwrap_or_else(|error| panic!("{url}: {error}"));
+    answer.json().await.expect("answer is JSON")
+}
+
+/// Sets the faults of a stand-in; an empty object removes them.
+///
+/// # Panics
+///
+/// Panics if the stand-in refuses them.
+pub async fn set_faults(standin: SocketAddr, faults: &Value) {
+    let url = format!("http://{standin}/fault");
+    let answer = awc::Client::default().post(url).send_json(faults).await;
+    assert!(answer.expect("stand-in answers").status().is_success());
+}
+
 fn retry_after(headers: &awc::http::header::HeaderMap) -> Option<u64> {
     headers.get("retry-after")?.to_str().ok()?.parse().ok()
 }
--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -12,7 +12,7 @@
 
 /// The common names of this crate.
 pub mod prelude {
-    pub use crate::client::{PlainAnswer, StreamedAnswer, TestClient};
+    pub use crate::client::{read_json, set_faults, PlainAnswer, StreamedAnswer, TestClient};
     pub use crate::local::{LocalBuilder, LocalDeployment};
     pub use crate::process::{ProcessBuilder, ProcessDeployment, ProcessHandle, StandinProcess};
     pub use crate::sample::{host_yaml, sample_catalog, HostAddresses};
--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -1,11 +1,11 @@
 //! The whole path in separate processes, with hosts and targets killed and frozen.
 
+mod state;
+
 use crocusyard_catalog::prelude::CatalogSpec;
 use crocusyard_standins::prelude::answer_tokens;
 use crocusyard_testbed::prelude::*;
-use serde_json::Value;
-use std::net::SocketAddr;
-use std::path::Path;
+use state::{ask, program};
 
 const ENGINE: [&str; 6] = [
     "--resident",
@@ -18,32 +18,16 @@
 const SETTINGS: &str = "requests: { tenant_from: header, load_poll_ms: 100 }\n";
 
 async fn start(hosts: usize, catalog: CatalogSpec) -> ProcessDeployment {
-    let program = Path::new(env!("CARGO_BIN_EXE_crocusyard"));
-    ProcessDeployment::start(program, hosts, catalog, &ENGINE, SETTINGS)
+    ProcessDeployment::start(program(), hosts, catalog, &ENGINE, SETTINGS)
         .await
         .expect("deployment starts")
 }
 
-async fn ask_addresses(entry: SocketAddr) -> Vec<SocketAddr> {
-    let url = format!("http://{entry}/v1/addresses?model=chalk-small");
-    let mut response = awc::Client::default()
-        .get(url)
-        .send()
-        .await
-        .expect("host answers");
-    let answer: Value = response.json().await.expect("answer is JSON");
-    let addresses = answer["addresses"].as_array().cloned().unwrap_or_default();
-    addresses
-        .iter()
-        .filter_map(|address| address["address"].as_str()?.parse().ok())
-        .collect()
-}
-
 /// Guards the thin path: ask any host, connect where it says, get the whole streamed answer.
 #[actix_web::test]
 async fn request_is_served_end_to_end() {
     let deployment = start(3, sample_catalog()).await;
-    let addresses = ask_addresses(deployment.addresses[2].callers).await;
+    let addresses = ask(deployment.addresses[2].callers, "chalk-small").await;
     let answer = TestClient::new("plazas")
         .stream(addresses[0], "chalk-small", "hello", 20)
         .await;
@@ -75,7 +59,8 @@
         assert_eq!(answer.text, answer_tokens("chalk-small", &prompt, 100));
     }
     assert_eq!(deployment.hosts[0].wait().expect("host ends"), Some(0));
-    let addresses = ask_addresses(deployment.addresses[1].callers).await;
+    let addresses = ask(deployment.addresses[1].callers, "chalk-small").await;
+    assert!(!addresses.is_empty(), "no host is named");
     assert!(!addresses.contains(&entry), "{addresses:?}");
 }
 
--- a/tests/request_faults/claims.rs
+++ b/tests/request_faults/claims.rs
@@ -38,7 +38,7 @@
 
     let platform = deployment.platform.address;
     // Shorter than the hosts' time limit on table calls, so that the host waits for this answer.
-    set_fault(platform, json!({"answer_delay_ms": 900})).await;
+    set_faults(platform, &json!({"answer_delay_ms": 900})).await;
     let client = TestClient::new("plazas").header("x-request-deadline-ms", SHORT_DEADLINE_MS);
     let call = order(&client, first, "k1", "ours");
     let kill = async {
@@ -79,7 +79,7 @@
         deployment.addresses[1].callers,
     );
     let plain = deployment.targets[position_of(&deployment, "mostrador-1")].address;
-    set_fault(plain, json!({"answer_delay_ms": 5000})).await;
+    set_faults(plain, &json!({"answer_delay_ms": 5000})).await;
     let client = TestClient::new("plazas");
     let call = order(&client, first, "k1", "ours");
     let kill = async {
@@ -175,7 +175,7 @@
     let platform = deployment.platform.address;
     let client = TestClient::new("plazas");
     for mode in ["lose_write_answers", "lose_answers"] {
-        set_fault(platform, json!({ "mode": mode })).await;
+        set_faults(platform, &json!({ "mode": mode })).await;
         let calls = (0..9).map(|number| {
             let (client, entry) = (client.clone(), deployment.entry(number % 3));
             async move { order(&client, entry, &format!("{mode}-{}", number % 3), "same").await }
@@ -208,7 +208,7 @@
 async fn table_outage_refuses_keyed_calls_only() {
     let deployment = start_local(2).await;
     let (platform, plain) = (deployment.platform.address, counter_of(&deployment));
-    set_fault(platform, json!({"mode": "down"})).await;
+    set_faults(platform, &json!({"mode": "down"})).await;
     let client = TestClient::new("plazas");
     for index in 0..3 {
         let entry = deployment.entry(index);
--- a/tests/request_faults/common.rs
+++ b/tests/request_faults/common.rs
@@ -4,7 +4,7 @@
 use crocusyard_base::prelude::TargetName;
 use crocusyard_standins::prelude::answer_tokens;
 use crocusyard_testbed::prelude::*;
-use serde_json::{json, Value};
+use serde_json::json;
 use std::collections::BTreeMap;
 use std::future::Future;
 use std::net::SocketAddr;
@@ -31,37 +31,20 @@
     actix_rt::time::sleep(Duration::from_millis(ms)).await;
 }
 
-/// Sets the faults of a stand-in.
-pub async fn set_fault(standin: SocketAddr, fault: Value) {
-    let url = format!("http://{standin}/fault");
-    let answer = awc::Client::default().post(url).send_json(&fault).await;
-    assert!(answer.expect("stand-in answers").status().is_success());
-}
-
 /// Removes the faults of a stand-in.
 pub async fn clear_fault(standin: SocketAddr) {
-    set_fault(standin, json!({})).await;
-}
-
-pub async fn read_json(url: String) -> Value {
-    let mut answer = awc::Client::default()
-        .get(&url)
-        .send()
-        .await
-        .unwrap_or_else(|error| panic!("{url}: {error}"));
-    answer.json().await.expect("answer is JSON")
+    set_faults(standin, &json!({})).await;
 }
 
 /// Returns how often each keyed call ran at a plain stand-in, by tenant and key.
 pub async fn runs_at(standin: SocketAddr) -> BTreeMap<String, u64> {
-    let runs = read_json(format!("http://{standin}/runs")).await;
+    let runs = read_json(standin, "/runs").await;
     serde_json::from_value(runs).expect("runs are counts")
 }
 
 /// Returns the number of claims in the table.
 pub async fn claims_in(platform: SocketAddr) -> usize {
-    let url = format!("http://{platform}/table/rows?prefix=claims/&limit=1000");
-    let page = read_json(url).await;
+    let page = read_json(platform, "/table/rows?prefix=claims/&limit=1000").await;
     page["rows"].as_array().map_or(0, Vec::len)
 }
 
--- a/tests/request_faults/connections.rs
+++ b/tests/request_faults/connections.rs
@@ -40,7 +40,7 @@
         let mut started = 0;
         for name in ["asistente-1", "asistente-2"] {
             let engine = deployment.targets[&TargetName::new(name)].address;
-            let count = read_json(format!("http://{engine}/started")).await;
+            let count = read_json(engine, "/started").await;
             started += count.as_u64().expect("count is a number");
         }
         started >= wanted
--- a/tests/request_faults/streams.rs
+++ b/tests/request_faults/streams.rs
@@ -51,7 +51,7 @@
     wait_until("streams run", || async {
         let mut running = 0;
         for target in deployment.targets.values() {
-            let load = read_json(format!("http://{}/load", target.address)).await;
+            let load = read_json(target.address, "/load").await;
             running += load["running"].as_u64().unwrap_or(0);
         }
         running >= 20
--- a/tests/request_faults/targets.rs
+++ b/tests/request_faults/targets.rs
@@ -199,7 +199,7 @@
     let leaving = TargetName::new("asistente-1");
     let engine = deployment.targets[&leaving].address;
     let started = || async move {
-        let count = read_json(format!("http://{engine}/started")).await;
+        let count = read_json(engine, "/started").await;
         count.as_u64().expect("count is a number")
     };
     let long = (0..8).map(|number| {
--- a/tests/state/mod.rs
+++ b/tests/state/mod.rs
@@ -186,23 +186,9 @@
     .await;
 }
 
-/// Sets the faults of a stand-in.
+/// Sets the kind of fault of a stand-in.
 pub async fn set_fault(standin: SocketAddr, mode: &str) {
-    let url = format!("http://{standin}/fault");
-    let body = json!({ "mode": mode });
-    let sent = awc::Client::default().post(url).send_json(&body).await;
-    assert!(sent.expect("stand-in answers").status().is_success());
-}
-
-/// Reads a JSON document of a stand-in.
-pub async fn read_json(address: SocketAddr, path: &str) -> Value {
-    let url = format!("http://{address}{path}");
-    let mut response = awc::Client::default()
-        .get(url)
-        .send()
-        .await
-        .expect("stand-in answers");
-    response.json().await.expect("answer is JSON")
+    set_faults(standin, &json!({ "mode": mode })).await;
 }
 
 /// Returns the use of every engine, in the order of the catalogue.
