Start due load reads together, at every fifth tick

Cause: a timer of its own looked for due reads each 50 ms. It woke the host 20 times a second besides the 50 ticks, and with more than 30 targets started less than one read a time, each with wake-ups of its own. Ruled out: the reports in the reducer, 15 a second at about 3 us each.

Change: the tick looks for due reads each 100 ms, which divides the default rhythms; a shorter rhythm that is set keeps its step.

--- a/crates/host/src/actor.rs
+++ b/crates/host/src/actor.rs
@@ -29,9 +29,7 @@
 use tokio_stream::wrappers::UnboundedReceiverStream;
 
 /// Time between two ticks of the reducer; retries and time limits are rounded up to it.
-const TICK_INTERVAL: Duration = Duration::from_millis(20);
-/// Time between two looks at which targets' load is to be read.
-const LOAD_POLL_STEP: Duration = Duration::from_millis(50);
+pub(crate) const TICK_INTERVAL: Duration = Duration::from_millis(20);
 /// Time between two reads of an engine's cache events.
 const CACHE_POLL: Duration = Duration::from_secs(2);
 
@@ -109,6 +107,8 @@
     pub(crate) peer_key: Arc<str>,
     pub(crate) bodies: BodyCache,
     pub(crate) polls: PollSchedule,
+    /// Ticks since it was last looked which targets' load is to be read.
+    pub(crate) poll_ticks: u64,
     /// Last cache event read of each engine.
     pub(crate) cache_next: HashMap<TargetName, u64>,
     pub(crate) accepts: AcceptWaiters,
@@ -141,6 +141,7 @@
             peer_key: parts.peer_key,
             bodies: BodyCache::default(),
             polls: PollSchedule::new(rhythm),
+            poll_ticks: 0,
             cache_next: HashMap::new(),
             accepts: AcceptWaiters::new(),
             drain_wish: parts.drain_wish,
@@ -214,11 +215,11 @@
             Self::add_stream(UnboundedReceiverStream::new(updates), context);
         }
         self.start_gossip(context);
+        self.poll_targets(context);
         context.run_interval(TICK_INTERVAL, |actor, context| {
             actor.feed(HostEvent::Tick, context);
+            actor.poll_in_step(context);
         });
-        self.poll_targets(context);
-        context.run_interval(LOAD_POLL_STEP, Self::poll_targets);
         let listing = Duration::from_millis(self.settings.platform.host_poll_ms.as_ms());
         self.poll_hosts(context);
         context.run_interval(listing, Self::poll_hosts);
--- a/crates/host/src/polling.rs
+++ b/crates/host/src/polling.rs
@@ -1,6 +1,6 @@
 //! Polling of targets and of the host list.
 
-use crate::actor::{HostActor, HostsRead, LoadRead};
+use crate::actor::{HostActor, HostsRead, LoadRead, TICK_INTERVAL};
 use actix::{AsyncContext, Context, Handler, Message};
 use crocusyard_base::prelude::*;
 use crocusyard_border::engine::{CacheChange, CacheEvents, CopyPhase, LoadStatus};
@@ -17,6 +17,11 @@
 
 /// Ratio of the rhythm of idle targets to that of targets in use.
 const IDLE_FACTOR: f64 = 4.0;
+/// Longest time between two looks at which targets' load is to be read.
+///
+/// It divides the default rhythms. Reads that start together share their wake-ups, which cost more
+/// processor time than the reports themselves.
+const LOAD_POLL_STEP: ClockTime = ClockTime::from_ms(100);
 /// Time for which a target counts as in use after an attempt was sent to it.
 const USE_HOLD: ClockTime = ClockTime::from_secs(10);
 
@@ -32,6 +37,19 @@
 }
 
 impl HostActor {
+    /// Reads the load of the targets that are due, at those ticks that are steps of the rhythm.
+    ///
+    /// A timer of its own would wake the host between ticks.
+    pub(crate) fn poll_in_step(&mut self, context: &mut Context<Self>) {
+        let step = LOAD_POLL_STEP.min(self.settings.requests.load_poll_ms);
+        let tick_ms = u64::try_from(TICK_INTERVAL.as_millis()).unwrap_or(u64::MAX);
+        self.poll_ticks += 1;
+        if self.poll_ticks * tick_ms >= step.as_ms() {
+            self.poll_ticks = 0;
+            self.poll_targets(context);
+        }
+    }
+
     /// Reads the load of the targets that are due.
     pub(crate) fn poll_targets(&mut self, context: &mut Context<Self>) {
         let timeout = Duration::from_millis(self.settings.requests.load_poll_ms.as_ms());
