--- a/crates/moves/src/views.rs
+++ b/crates/moves/src/views.rs
@@ -83,7 +83,10 @@
         "{:?}",
         state.copies_on
     );
-    let lacking = state.views.keys().filter(|target| lacks_planned(state, target));
+    let lacking = state
+        .views
+        .keys()
+        .filter(|target| lacks_planned(state, target));
     invariant!(
         lacking.eq(&state.missing),
         "missing_listed",
