Let control_cost set the load reads a second

Separates the cost of a read from the cost of a target: the default limit is reached with 30 targets, so that the slope by targets mixes both.

--- a/crates/load/examples/control_cost.rs
+++ b/crates/load/examples/control_cost.rs
@@ -17,8 +17,6 @@
 
 /// Most processes of one deployment; the machine is shared.
 const PROCESSES_MAX: usize = 400;
-/// Settings of the hosts; all other keys keep their defaults.
-const SETTINGS: &str = "requests: { tenant_from: header }\n";
 /// Rate of the light load, calls a second for each host.
 const LIGHT_RATE: f64 = 2.0;
 /// Deployments that are measured by default, as numbers of hosts and targets.
@@ -36,11 +34,21 @@
     /// seed of the light load (1 by default)
     #[argh(option, default = "1")]
     seed: u64,
+    /// load reads a second of each host (the default of the setting by default)
+    #[argh(option)]
+    load_polls: Option<u32>,
     /// file for the figures as JSON
     #[argh(option)]
     json_out: Option<String>,
 }
 
+/// Returns the settings of the hosts; all other keys keep their defaults.
+fn host_settings(args: &ControlArgs) -> String {
+    let polls = args.load_polls;
+    let polls = polls.map_or_else(String::new, |polls| format!(", load_polls: {polls}"));
+    format!("requests: {{ tenant_from: header{polls} }}\n")
+}
+
 fn parse_size(text: &str) -> Result<(usize, usize), String> {
     let parts = text.split_once(':').and_then(|(hosts, targets)| {
         let (hosts, targets) = (hosts.parse().ok()?, targets.parse().ok()?);
@@ -135,7 +143,8 @@
     let engine_args = ["--resident", "chalk-small=4000000000"];
     let catalog = catalog_of(targets);
     let deployment =
-        ProcessDeployment::start(&program, hosts, catalog, &engine_args, SETTINGS).await?;
+        ProcessDeployment::start(&program, hosts, catalog, &engine_args, &host_settings(args))
+            .await?;
     let span = Duration::from_secs(args.seconds);
     // The costs of the start are left out.
     actix_rt::time::sleep(Duration::from_secs(2)).await;
