Send the copies in load reports only when they changed

Ruled out: shorter headers, since awc and actix-web add those that are sent; kept connections, which 100 reads share already.

Change: a report may carry a tag of everything but its counts. A read names the tag of the last whole report; the engine then answers with the counts if the tag still holds, and the host takes the rest from the report that the read named. Engines without tags ignore the query. A tag that could not stand in a query is not sent back.

--- a/crates/border/src/lib.rs
+++ b/crates/border/src/lib.rs
@@ -28,7 +28,7 @@
 pub mod engine {
     pub use crate::generated::engine::{
         CacheChange, CacheEvent, CacheEvents, CallRecord, CopyPhase, CopyStatus, EngineOrder,
-        FencingRaise, LoadStatus, OrderAction, OrderState, OrderStatus,
+        FencingRaise, LoadCounts, LoadStatus, OrderAction, OrderState, OrderStatus,
     };
 }
 
--- a/crates/host/src/actor.rs
+++ b/crates/host/src/actor.rs
@@ -7,11 +7,11 @@
 use crate::catalog_view::SharedCatalog;
 use crate::claims::StoredAnswer;
 use crate::gossip::GossipLink;
+use crate::polling::KnownReport;
 use crate::preset_calls::{AcceptWaiters, BodyCache};
 use crate::submit::{CallerLeft, RequestPayload, SubmitRequest};
 use actix::{Actor, AsyncContext, Context, Handler, Message, StreamHandler};
 use crocusyard_base::prelude::*;
-use crocusyard_border::engine::LoadStatus;
 use crocusyard_border::platform::HostListing;
 use crocusyard_catalog::prelude::*;
 use crocusyard_core::prelude::*;
@@ -20,6 +20,7 @@
 use crocusyard_requests::prelude::*;
 use crocusyard_routing::prelude::PollSchedule;
 use crocusyard_settings::prelude::*;
+use crocusyard_targets::management::LoadAnswer;
 use crocusyard_targets::prelude::*;
 use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
@@ -107,6 +108,8 @@
     pub(crate) peer_key: Arc<str>,
     pub(crate) bodies: BodyCache,
     pub(crate) polls: PollSchedule,
+    /// Last whole report of each target that gave it a tag.
+    pub(crate) known_reports: HashMap<TargetName, Arc<KnownReport>>,
     /// Ticks since it was last looked which targets' load is to be read.
     pub(crate) poll_ticks: u64,
     /// Last cache event read of each engine.
@@ -141,6 +144,7 @@
             peer_key: parts.peer_key,
             bodies: BodyCache::default(),
             polls: PollSchedule::new(rhythm),
+            known_reports: HashMap::new(),
             poll_ticks: 0,
             cache_next: HashMap::new(),
             accepts: AcceptWaiters::new(),
@@ -203,6 +207,7 @@
         self.metrics.declare_names(tenants, classes);
         self.polls
             .set_targets(catalog.targets.iter().map(|target| &target.name));
+        self.known_reports.clear();
         self.catalog.replace(catalog);
     }
 }
@@ -286,17 +291,18 @@
 #[rtype(result = "()")]
 pub(crate) struct LoadRead {
     pub(crate) target: TargetName,
-    pub(crate) status: Option<LoadStatus>,
+    pub(crate) answer: Option<LoadAnswer>,
+    /// Report whose tag the read named.
+    pub(crate) known: Option<Arc<KnownReport>>,
 }
 
 impl Handler<LoadRead> for HostActor {
     type Result = ();
 
     fn handle(&mut self, read: LoadRead, context: &mut Self::Context) {
-        let Some(status) = read.status else { return };
-        let finished = crate::polling::finished_of(&status);
-        let report = Box::new(crate::polling::report_of(read.target, status));
-        self.feed(HostEvent::LoadReported { report, finished }, context);
+        if let Some(event) = self.load_event(read) {
+            self.feed(event, context);
+        }
     }
 }
 
--- a/crates/host/src/polling.rs
+++ b/crates/host/src/polling.rs
@@ -3,7 +3,7 @@
 use crate::actor::{HostActor, HostsRead, LoadRead, TICK_INTERVAL};
 use actix::{AsyncContext, Context, Handler, Message};
 use crocusyard_base::prelude::*;
-use crocusyard_border::engine::{CacheChange, CacheEvents, CopyPhase, LoadStatus};
+use crocusyard_border::engine::{CacheChange, CacheEvents, CopyPhase, LoadCounts, LoadStatus};
 use crocusyard_border::platform::HostListing;
 use crocusyard_catalog::prelude::*;
 use crocusyard_core::prelude::*;
@@ -11,8 +11,9 @@
 use crocusyard_moves::prelude::{FinishedOrder, OrderResult};
 use crocusyard_routing::prelude::*;
 use crocusyard_settings::prelude::HostSettings;
-use crocusyard_targets::management::{read_cache_events, read_load};
+use crocusyard_targets::management::{read_cache_events, read_load_since, LoadAnswer};
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 /// Ratio of the rhythm of idle targets to that of targets in use.
@@ -60,13 +61,49 @@
             };
             let client = self.pools.client(address);
             let actor = context.address();
+            let known = self.known_reports.get(&target).cloned();
             actix_rt::spawn(async move {
-                let status = read_load(&client, address, timeout).await.ok();
-                actor.do_send(LoadRead { target, status });
+                let tag = known.as_ref().map(|known| &*known.tag);
+                let answer = read_load_since(&client, address, tag, timeout).await.ok();
+                actor.do_send(LoadRead {
+                    target,
+                    answer,
+                    known,
+                });
             });
         }
     }
 
+    /// Turns the answer to a load read into an event.
+    pub(crate) fn load_event(&mut self, read: LoadRead) -> Option<HostEvent> {
+        let (report, finished) = match read.answer? {
+            LoadAnswer::Whole(mut status) => {
+                let tag = status.residency.take();
+                let finished = finished_of(&status);
+                let report = report_of(read.target, *status);
+                if let Some(tag) = tag {
+                    let known = KnownReport {
+                        tag,
+                        report: report.clone(),
+                        finished: finished.clone(),
+                    };
+                    self.known_reports
+                        .insert(report.target.clone(), Arc::new(known));
+                } else {
+                    self.known_reports.remove(&report.target);
+                }
+                (report, finished)
+            }
+            LoadAnswer::Counts(counts) => {
+                // The counts belong to the report that the read named, whatever was read since.
+                let known = read.known?;
+                (known_with(&known, &counts), known.finished.clone())
+            }
+        };
+        let report = Box::new(report);
+        Some(HostEvent::LoadReported { report, finished })
+    }
+
     /// Reads the new cache events of the engines in use; hints of others would decay unused.
     pub(crate) fn poll_caches(&mut self, context: &mut Context<Self>) {
         let timeout = Duration::from_millis(self.settings.requests.load_poll_ms.as_ms());
@@ -118,8 +155,30 @@
     }
 }
 
+/// A whole report of a target, to which later reads that bring only counts refer.
+pub(crate) struct KnownReport {
+    /// Tag of the report.
+    tag: String,
+    report: LoadReport,
+    finished: Vec<FinishedOrder>,
+}
+
+/// Returns a report with new counts.
+fn known_with(known: &KnownReport, counts: &LoadCounts) -> LoadReport {
+    LoadReport {
+        sequence: counts.sequence,
+        age: ClockTime::from_ms(counts.age_ms),
+        running: counts.running,
+        waiting: counts.waiting,
+        queued_tokens: counts.queued_tokens,
+        prefill_rate: counts.prefill_rate,
+        decode_rate: counts.decode_rate,
+        ..known.report.clone()
+    }
+}
+
 /// Returns the orders that a target lists as carried out.
-pub(crate) fn finished_of(status: &LoadStatus) -> Vec<FinishedOrder> {
+fn finished_of(status: &LoadStatus) -> Vec<FinishedOrder> {
     let ids = status.finished_orders.iter();
     ids.filter_map(|id| OrderId::parse(id))
         .map(|order| FinishedOrder {
@@ -130,7 +189,7 @@
 }
 
 /// Turns a target's own figures into a load report.
-pub(crate) fn report_of(target: TargetName, status: LoadStatus) -> LoadReport {
+fn report_of(target: TargetName, status: LoadStatus) -> LoadReport {
     let copies = status.copies.into_iter().map(|copy| ResidentCopy {
         name: copy.name.into(),
         memory_bytes: copy.memory_bytes,
--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -10,9 +10,12 @@
 use crate::faults::{set_fault, FaultSwitch};
 use crate::server::RunningServer;
 use actix_web::{web, App, HttpRequest, HttpResponse, HttpServer};
-use crocusyard_border::engine::{CacheEvents, EngineOrder, FencingRaise, LoadStatus, OrderState};
+use crocusyard_border::engine::{
+    CacheEvents, EngineOrder, FencingRaise, LoadCounts, LoadStatus, OrderState,
+};
 use residency::{Readiness, ResidencyState};
 use serde::Deserialize;
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -202,11 +205,47 @@
     web::Json(state.streams.lock().expect("stream lock").started())
 }
 
-async fn get_load(state: web::Data<EngineState>, switch: web::Data<FaultSwitch>) -> HttpResponse {
+#[derive(Deserialize)]
+struct LoadQuery {
+    residency: Option<String>,
+}
+
+async fn get_load(
+    state: web::Data<EngineState>,
+    switch: web::Data<FaultSwitch>,
+    query: web::Query<LoadQuery>,
+) -> HttpResponse {
     if switch.enter().await {
         return HttpResponse::ServiceUnavailable().finish();
     }
-    HttpResponse::Ok().json(lagged_report(&state))
+    let report = lagged_report(&state);
+    if query.residency.is_some() && query.residency == report.residency {
+        return HttpResponse::Ok().json(counts_of(&report));
+    }
+    HttpResponse::Ok().json(report)
+}
+
+fn counts_of(report: &LoadStatus) -> LoadCounts {
+    LoadCounts {
+        sequence: report.sequence,
+        age_ms: report.age_ms,
+        running: report.running,
+        waiting: report.waiting,
+        queued_tokens: report.queued_tokens,
+        prefill_rate: report.prefill_rate,
+        decode_rate: report.decode_rate,
+    }
+}
+
+/// Returns the tag of everything in a report but its counts.
+fn residency_tag(report: &LoadStatus) -> String {
+    let mut hasher = DefaultHasher::new();
+    (report.incarnation, report.memory_bytes, report.leaving).hash(&mut hasher);
+    report.finished_orders.hash(&mut hasher);
+    for copy in &report.copies {
+        (&copy.name, copy.memory_bytes, copy.state).hash(&mut hasher);
+    }
+    format!("{:016x}", hasher.finish())
 }
 
 /// Adds the present figures to the history and returns the newest report that is old enough.
@@ -230,7 +269,7 @@
 fn present_report(state: &EngineState, sequence: u64) -> LoadStatus {
     let (running, waiting, queued_tokens) = state.streams.lock().expect("stream lock").load();
     let residency = state.residency.lock().expect("residency lock");
-    LoadStatus {
+    let mut report = LoadStatus {
         sequence,
         incarnation: state.incarnation,
         age_ms: 0,
@@ -243,7 +282,10 @@
         copies: residency.copies(),
         leaving: false,
         finished_orders: residency.finished_orders(),
-    }
+        residency: None,
+    };
+    report.residency = Some(residency_tag(&report));
+    report
 }
 
 #[derive(Deserialize)]
--- a/crates/standins/src/plain.rs
+++ b/crates/standins/src/plain.rs
@@ -81,6 +81,7 @@
         copies: Vec::new(),
         leaving: false,
         finished_orders: Vec::new(),
+        residency: None,
     })
 }
 
--- a/crates/targets/src/management.rs
+++ b/crates/targets/src/management.rs
@@ -4,16 +4,20 @@
 use awc::Client;
 use crocusyard_base::prelude::*;
 use crocusyard_border::engine::{
-    CacheEvents, CallRecord, EngineOrder, FencingRaise, LoadStatus, OrderStatus,
+    CacheEvents, CallRecord, EngineOrder, FencingRaise, LoadCounts, LoadStatus, OrderStatus,
 };
 use serde::de::DeserializeOwned;
 use serde::Serialize;
+use std::future::Future;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 /// Largest answer to a management call.
 const BODY_LIMIT: usize = 8 << 20;
 
+/// Longest tag of a report that is sent back to its target, bytes.
+const TAG_LIMIT: usize = 64;
+
 /// Reads a target's load.
 pub async fn read_load(
     client: &Client,
@@ -23,6 +27,48 @@
     get_json(client, &format!("http://{address}/load"), timeout).await
 }
 
+/// Answer to a load read.
+#[derive(Clone, Debug, PartialEq)]
+pub enum LoadAnswer {
+    /// Whole report.
+    Whole(Box<LoadStatus>),
+    /// What changed since the report with the tag that the read named.
+    Counts(LoadCounts),
+}
+
+/// Reads a target's load, or only its counts if the rest still has the tag `known`.
+///
+/// A target that knows no tags ignores the query and sends the whole report.
+pub async fn read_load_since(
+    client: &Client,
+    address: SocketAddr,
+    known: Option<&str>,
+    timeout: Duration,
+) -> Result<LoadAnswer, TargetError> {
+    let Some(known) = known.filter(|known| is_tag(known)) else {
+        let status = read_load(client, address, timeout).await?;
+        return Ok(LoadAnswer::Whole(Box::new(status)));
+    };
+    let url = format!("http://{address}/load?residency={known}");
+    let sent = client.get(url).timeout(timeout).send().await;
+    let mut response = check_status(sent)?;
+    let body = within(timeout, response.body().limit(BODY_LIMIT)).await?;
+    // Whole reports have every field of the counts, so they are tried first.
+    if let Ok(status) = serde_json::from_slice(&body) {
+        return Ok(LoadAnswer::Whole(Box::new(status)));
+    }
+    serde_json::from_slice(&body)
+        .map(LoadAnswer::Counts)
+        .map_err(|error| TargetError::Malformed {
+            reason: error.to_string(),
+        })
+}
+
+/// Returns whether a tag can stand in a query as it is.
+fn is_tag(known: &str) -> bool {
+    (1..=TAG_LIMIT).contains(&known.len()) && known.bytes().all(|byte| byte.is_ascii_alphanumeric())
+}
+
 /// Reads an engine's cache events after a sequence number.
 pub async fn read_cache_events(
     client: &Client,
@@ -139,7 +185,14 @@
 where
     S: futures_util::Stream<Item = Result<bytes::Bytes, awc::error::PayloadError>> + Unpin,
 {
-    let mut response = response.map_err(|error| TargetError::Unreachable {
+    let mut response = check_status(response)?;
+    within(timeout, response.json::<T>().limit(BODY_LIMIT)).await
+}
+
+fn check_status<S>(
+    response: Result<awc::ClientResponse<S>, awc::error::SendRequestError>,
+) -> Result<awc::ClientResponse<S>, TargetError> {
+    let response = response.map_err(|error| TargetError::Unreachable {
         reason: error.to_string(),
     })?;
     if !response.status().is_success() {
@@ -147,7 +200,14 @@
             status: response.status().as_u16(),
         });
     }
-    let body = response.json::<T>().limit(BODY_LIMIT);
+    Ok(response)
+}
+
+/// Reads a body within a time.
+async fn within<T, E: std::fmt::Display>(
+    timeout: Duration,
+    body: impl Future<Output = Result<T, E>>,
+) -> Result<T, TargetError> {
     match actix_rt::time::timeout(timeout, body).await {
         Ok(Ok(value)) => Ok(value),
         Ok(Err(error)) => Err(TargetError::Malformed {
