Judge failed sends by one rule; settle a keyed call that got a 503

Cause 1: targets and platform judged failed sends by different lists. Now only a refused connection proves that nothing was sent (crate `transport`). A target that cannot be reached is in doubt, but is not blamed for a crash.

Cause 2: a 503 of a plain service was recorded as the answer of a keyed call. It is neither recorded nor passed on now; the target's record settles the call, otherwise its outcome is `unknown`.

--- a/crates/host/src/effects.rs
+++ b/crates/host/src/effects.rs
@@ -151,6 +151,7 @@
                 path: path.clone(),
                 headers: headers.clone(),
                 body: body.clone(),
+                recorded: slot.collects && slot.payload.record_key().is_some(),
             },
         };
         let slot = AttemptSlot {
@@ -395,6 +396,10 @@
             reach: FailureReach::NotSent,
             broken: false,
         },
+        AttemptResult::Unreached => AttemptEnd::Failed {
+            reach: FailureReach::MaybeRun,
+            broken: false,
+        },
         AttemptResult::Broken => AttemptEnd::Failed {
             reach: FailureReach::MaybeRun,
             broken: true,
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -4,17 +4,17 @@
 //! the call did not reach the service or the service refused it, [`TableAnswer::Unknown`] when the
 //! answer was lost.
 
-use awc::error::{ConnectError, SendRequestError};
+use awc::error::SendRequestError;
 use awc::Client;
 use bytes::Bytes;
 use crocusyard_base::prelude::*;
 use crocusyard_border::platform::{
     HostListing, RowPage, RowWrite, StoredRow, TableTransaction, TransactionResult,
 };
+use crocusyard_transport::prelude::*;
 use futures_util::Stream;
 use serde::de::DeserializeOwned;
 use snafu::Snafu;
-use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -220,7 +220,7 @@
             .await
         {
             Ok(response) => response,
-            Err(error) if never_sent(&error) => return TableAnswer::Failed,
+            Err(error) if proves_unsent(&error) => return TableAnswer::Failed,
             Err(_) => return TableAnswer::Unknown,
         };
         match response.status().as_u16() {
@@ -288,17 +288,3 @@
         value: change.value.as_deref().map(str::to_owned),
     }
 }
-
-/// Returns whether an error proves that nothing reached the service.
-///
-/// A connection that closes before the answer is a `ConnectError` too, and its write may have taken
-/// effect.
-fn never_sent(error: &SendRequestError) -> bool {
-    match error {
-        SendRequestError::Url(_) => true,
-        SendRequestError::Connect(ConnectError::Io(error)) => {
-            error.kind() == ErrorKind::ConnectionRefused
-        }
-        _ => false,
-    }
-}
--- a/crates/requests/src/attempts.rs
+++ b/crates/requests/src/attempts.rs
@@ -259,8 +259,11 @@
     };
     context.routes.note_failed(context.now, &current.target);
     let overloaded = matches!(status, 429 | 503);
-    // A target cannot refuse what it has begun to answer.
-    let ran = !current.resumes && current.first.is_some();
+    let entry = state.requests.get(&key);
+    let once = entry.is_some_and(|entry| !entry.spec.idempotent);
+    // A target cannot refuse what it has begun to answer. That it refuses a call is no proof that
+    // it did not run it.
+    let ran = !current.resumes && (current.first.is_some() || once);
     if !overloaded && !ran && !current.resumes {
         let code = RefusalCode::TargetRefused;
         return ending::refuse(state, context, key, code, retry_after, out);
--- a/crates/requests/src/event.rs
+++ b/crates/requests/src/event.rs
@@ -23,7 +23,8 @@
         /// Chunks of the whole answer.
         chunks: u32,
     },
-    /// The target refused to run it, and said so.
+    /// The target refused to run it, and said so; for a call that may not run twice this is no
+    /// proof.
     Refused {
         /// HTTP status.
         status: u16,
--- a/crates/requests/tests/claims.rs
+++ b/crates/requests/tests/claims.rs
@@ -304,6 +304,30 @@
     }
 }
 
+// Guards against a second run of a call that a service ran before it answered 503, and against
+// `not_run` for it.
+#[test]
+fn refusal_of_a_call_that_was_sent_proves_nothing() {
+    for status in [503, 500] {
+        let mut host = TestHost::new(1, &targets(0, 2));
+        // Only `p1` keeps records.
+        host.routes.set_leaving(&TargetName::new("p0"), true);
+        host.arrive(1, booking(host.now, 7, Some("key")));
+        host.claim(1, ClaimAnswer::Absent);
+        let (attempt, ..) = dispatch_in(&host.claim(1, ClaimAnswer::Granted)).unwrap();
+        let end = AttemptEnd::Refused {
+            status,
+            retry_after: Some(ClockTime::from_secs(1)),
+        };
+        let effects = host.end(attempt, end);
+        assert!(any(&effects, is_ask) && refusal_in(&effects).is_none());
+        let key = RequestKey(1);
+        let ran = Some(true);
+        let effects = host.reduce(RequestEvent::SettleAnswered { key, ran });
+        assert!(any(&effects, is_record) && dispatch_in(&effects).is_none());
+    }
+}
+
 // Guards against a claim of a dead host that keeps its callers waiting for ever, and against
 // `not_run` for a call that the other host may have sent.
 #[test]
--- a/crates/requests/tests/world/targets.rs
+++ b/crates/requests/tests/world/targets.rs
@@ -28,6 +28,14 @@
             return; // Lost on the way to the target, without a sign.
         }
         if self.chance(3) {
+            let once = self
+                .callers
+                .get(&key)
+                .is_some_and(|caller| caller.call.booking.is_some());
+            if once && resume.is_none() && self.chance(50) {
+                // A service may answer 503 to a call that it ran.
+                self.execute(key, attempt, &target);
+            }
             let end = AttemptEnd::Refused {
                 status: 503,
                 retry_after: None,
--- a/crates/targets/src/attempt.rs
+++ b/crates/targets/src/attempt.rs
@@ -1,14 +1,14 @@
 //! One attempt: sends a request to a target and reports its answer part by part.
 
 use crate::pool::UpdateSender;
-use awc::error::{ConnectError, SendRequestError};
+use awc::error::SendRequestError;
 use awc::http::{header::HeaderMap, Method, StatusCode};
 use awc::{Client, ClientRequest, ClientResponse};
 use bytes::Bytes;
 use crocusyard_base::prelude::*;
+use crocusyard_transport::prelude::*;
 use eventsource_stream::Eventsource;
 use futures_util::StreamExt;
-use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -49,6 +49,9 @@
         headers: Arc<HeaderMap>,
         /// Body.
         body: Bytes,
+        /// Whether the answer is recorded for repeats; a 503 then counts as a refusal and is not
+        /// passed on.
+        recorded: bool,
     },
 }
 
@@ -87,14 +90,29 @@
         /// `Retry-After` of the answer, seconds.
         retry_after: Option<u64>,
     },
-    /// The connection could not be made; nothing was sent.
+    /// The connection was refused; nothing was sent.
     NotSent,
+    /// The target could not be reached, which is no proof that nothing was sent.
+    Unreached,
     /// The connection broke after bytes were sent.
     Broken,
     /// The engine no longer has the stream.
     Gone,
 }
 
+impl AttemptResult {
+    /// Returns how an attempt ended whose send failed.
+    pub fn of_failed_send(error: &SendRequestError) -> Self {
+        if proves_unsent(error) {
+            Self::NotSent
+        } else if suggests_unconnected(error) {
+            Self::Unreached
+        } else {
+            Self::Broken
+        }
+    }
+}
+
 /// What happened to an attempt.
 #[derive(Clone, Debug)]
 pub enum AttemptChange {
@@ -138,7 +156,7 @@
     let mut response = match send(&client, address, &plan).await {
         Ok(response) => response,
         Err(error) => {
-            let result = failed_send(error);
+            let result = AttemptResult::of_failed_send(&error);
             if result != AttemptResult::NotSent {
                 report(AttemptChange::Sent);
             }
@@ -169,7 +187,7 @@
     report: &impl Fn(AttemptChange),
 ) -> AttemptResult {
     match kind {
-        PlanKind::Plain { .. } => pass_through(response, report).await,
+        PlanKind::Plain { recorded, .. } => pass_through(response, *recorded, report).await,
         PlanKind::Resume { from, .. } => read_stream(response, *from, report).await,
         PlanKind::Completion { .. } => read_stream(response, 0, report).await,
     }
@@ -209,6 +227,7 @@
             path,
             headers,
             body,
+            ..
         } => {
             let request = client.request(method.clone(), format!("http://{address}{path}"));
             with_headers(request, headers).send_body(body.clone()).await
@@ -223,37 +242,22 @@
     request
 }
 
-/// Only errors from before a connection stood prove that nothing was sent.
-fn failed_send(error: SendRequestError) -> AttemptResult {
-    match error {
-        SendRequestError::Url(_) => AttemptResult::NotSent,
-        SendRequestError::Connect(error) if is_unconnected(&error) => AttemptResult::NotSent,
-        _ => AttemptResult::Broken,
-    }
-}
-
-/// Returns whether an error proves that no connection stood.
-///
-/// The client also reports a connection that is closed while it waits for the answer as a
-/// `ConnectError`; such a call may have run.
-fn is_unconnected(error: &ConnectError) -> bool {
-    match error {
-        ConnectError::Timeout | ConnectError::Unresolved | ConnectError::NoRecords => true,
-        ConnectError::Io(error) => matches!(
-            error.kind(),
-            ErrorKind::ConnectionRefused
-                | ErrorKind::HostUnreachable
-                | ErrorKind::NetworkUnreachable
-                | ErrorKind::AddrNotAvailable
-        ),
-        _ => false,
+fn refusal(response: &EngineResponse) -> AttemptResult {
+    let retry_after = response.headers().get("retry-after");
+    AttemptResult::Refused {
+        status: response.status().as_u16(),
+        retry_after: retry_after.and_then(|value| value.to_str().ok()?.parse().ok()),
     }
 }
 
 async fn pass_through(
     response: &mut EngineResponse,
+    recorded: bool,
     report: &impl Fn(AttemptChange),
 ) -> AttemptResult {
+    if recorded && response.status() == StatusCode::SERVICE_UNAVAILABLE {
+        return refusal(response);
+    }
     let head = ResponseHead {
         status: response.status(),
         headers: response.headers().clone(),
@@ -278,16 +282,7 @@
     match response.status() {
         StatusCode::OK => {}
         StatusCode::GONE => return AttemptResult::Gone,
-        status => {
-            let retry_after = response
-                .headers()
-                .get("retry-after")
-                .and_then(|value| value.to_str().ok()?.parse().ok());
-            return AttemptResult::Refused {
-                status: status.as_u16(),
-                retry_after,
-            };
-        }
+        _ => return refusal(response),
     }
     let head = ResponseHead {
         status: response.status(),
--- a/tests/request_faults/claims.rs
+++ b/tests/request_faults/claims.rs
@@ -229,3 +229,23 @@
     assert_eq!(served.status, 200, "{served:?}");
     assert_eq!(runs_at(plain).await["plazas@k1"], 1);
 }
+
+/// Guards against a 503 that is recorded as the answer of a keyed call and replayed for good, and
+/// against a second dispatch after it.
+#[actix_web::test]
+async fn refusal_by_the_service_is_not_recorded() {
+    let deployment = start_local(10).await;
+    let plain = counter_of(&deployment);
+    set_fault(plain, json!({"mode": "down"})).await;
+    let client = TestClient::new("plazas").header("x-request-deadline-ms", SHORT_DEADLINE_MS);
+    let refused = order(&client, deployment.entry(0), "k1", "one").await;
+    assert_eq!(refused.status, 502, "{refused:?}");
+    assert_eq!(refused.json()["code"], "answer_lost");
+    assert_eq!(refused.json()["outcome"], "unknown");
+    let keyless = client.call(deployment.entry(0), Method::POST, ORDERS, None, "one");
+    assert_eq!(keyless.await.status, 503);
+    clear_fault(plain).await;
+    let repeat = order(&client, deployment.entry(1), "k1", "one").await;
+    assert_eq!(repeat.json()["code"], "in_doubt", "{repeat:?}");
+    assert!(runs_at(plain).await.is_empty());
+}
