--- a/crates/targets/tests/broken.rs
+++ b/crates/targets/tests/broken.rs
@@ -34,6 +34,7 @@
             path: "/opening".into(),
             headers: std::sync::Arc::default(),
             body: bytes::Bytes::new(),
+            recorded: false,
         },
     };
     pools.start(address, plan);
