--- a/tests/request_faults/claims.rs
+++ b/tests/request_faults/claims.rs
@@ -236,7 +236,7 @@
 async fn refusal_by_the_service_is_not_recorded() {
     let deployment = start_local(10).await;
     let plain = counter_of(&deployment);
-    set_fault(plain, json!({"mode": "down"})).await;
+    set_faults(plain, &json!({"mode": "down"})).await;
     let client = TestClient::new("plazas").header("x-request-deadline-ms", SHORT_DEADLINE_MS);
     let refused = order(&client, deployment.entry(0), "k1", "one").await;
     assert_eq!(refused.status, 502, "{refused:?}");
