requests: ask for models whose targets all fail, and refuse hopeless waits

Cause 1: the last report of a target that is down goes on listing its models. Ruled out: taking silent targets out of routing after a time, since idle targets are read as seldom as once in a minute and a half at the planned size. Change: a lost attempt asks for the model once every target that holds it was tried. Cause 2: a request for a model that loads longer than its deadline waited in vain. The declared load time now refuses it at once, and the load is asked for. Tests: missing_model_is_wanted_once_and_the_requests_wait returned before its checks, because its table knew of no engine; it now has one without copies. model_whose_targets_all_fail_is_wanted fails without the change.

--- a/crates/core/src/features/catalogs.rs
+++ b/crates/core/src/features/catalogs.rs
@@ -82,6 +82,7 @@
     state.planning.reset(&catalog);
     state.routes.set_regions(&catalog.regions);
     state.routes.set_targets(&catalog.targets);
+    state.routes.set_models(&catalog.models);
     state.queue.set_limits(&catalog.tenants, &catalog.classes);
     leaving::drain(state, drained);
     if let Some(fleet) = FleetSpec::from_catalog(&catalog, &state.identity.region) {
--- a/crates/requests/src/arrival.rs
+++ b/crates/requests/src/arrival.rs
@@ -92,10 +92,14 @@
     let Some(entry) = state.requests.get(&key) else {
         return;
     };
-    let estimate = match dispatch::choose(context, &state.proven, entry) {
+    let choice = dispatch::choose(context, &state.proven, entry);
+    let load = match &choice {
+        RouteChoice::NotResident => Some(context.routes.load_time(&entry.spec.work)),
+        _ => None,
+    };
+    let estimate = match choice {
         RouteChoice::Target { .. } => ClockTime::ZERO,
         RouteChoice::Busy { estimate } => estimate,
-        // The time to load the model is not known here; the request waits up to its deadline.
         RouteChoice::NotResident => {
             dispatch::want_model(state, context.now, key, out);
             ClockTime::ZERO
@@ -109,7 +113,11 @@
         return;
     };
     let work = work_of(key, entry);
-    if let Err(refusal) = context.queue.offer(context.now, work, estimate) {
+    let offered = match load {
+        Some(load) => context.queue.offer_loading(context.now, work, load),
+        None => context.queue.offer(context.now, work, estimate),
+    };
+    if let Err(refusal) = offered {
         let code = code_of(refusal.reason);
         return ending::refuse(state, context, key, code, refusal.retry_after, out);
     }
--- a/crates/requests/src/recover.rs
+++ b/crates/requests/src/recover.rs
@@ -7,12 +7,14 @@
 use crate::arrival;
 use crate::attempts;
 use crate::budget;
+use crate::dispatch;
 use crate::effect::{RefusalCode, RequestEffect};
 use crate::ending;
 use crate::reduce::RequestContext;
 use crate::settle;
 use crate::state::{RequestPhase, RequestState};
 use crocusyard_base::prelude::*;
+use crocusyard_routing::prelude::*;
 
 /// How an attempt was lost.
 #[derive(Clone, Copy, Debug)]
@@ -95,6 +97,7 @@
     out: &mut Vec<RequestEffect>,
 ) {
     cancel_stream(state, key, out);
+    want_elsewhere(state, context, key, out);
     let limits = &state.settings.limits;
     let Some(entry) = state.requests.get_mut(&key) else {
         return;
@@ -118,6 +121,25 @@
     state.set_phase(key, RequestPhase::Retrying { at }, at);
 }
 
+/// Asks for a model to be loaded elsewhere once every target that holds it was tried in vain.
+///
+/// The last report of a target that is down goes on listing its models.
+fn want_elsewhere(
+    state: &mut RequestState,
+    context: &mut RequestContext<'_>,
+    key: RequestKey,
+    out: &mut Vec<RequestEffect>,
+) {
+    let Some(entry) = state.requests.get(&key) else {
+        return;
+    };
+    let query = dispatch::query_of(entry, &entry.tried, None);
+    let choice = context.routes.choose(context.now, &query, context.rng);
+    if choice == RouteChoice::NotResident {
+        dispatch::want_model(state, context.now, key, out);
+    }
+}
+
 /// Stops a stream at its engine that nobody will resume.
 pub(crate) fn cancel_stream(
     state: &mut RequestState,
--- a/crates/requests/tests/faults.rs
+++ b/crates/requests/tests/faults.rs
@@ -4,6 +4,7 @@
 
 use common::*;
 use crocusyard_base::prelude::*;
+use crocusyard_catalog::prelude::*;
 use crocusyard_requests::prelude::*;
 
 const NOT_SENT: AttemptEnd = AttemptEnd::Failed {
@@ -72,25 +73,56 @@
     assert!(!host.chunk(running, 0).is_empty());
 }
 
+/// Returns a host that knows one engine, on which nothing is resident.
+fn host_without_copies(engines: &[TargetSpec]) -> TestHost {
+    let mut host = TestHost::new(1, engines);
+    let mut report = report_of(&engines[0], 2);
+    report.copies.clear();
+    host.routes.apply_report(host.now, report);
+    host
+}
+
 // Guards against refusing a model that only has to be loaded, and against one demand per request.
 #[test]
 fn missing_model_is_wanted_once_and_the_requests_wait() {
-    let specs = targets(0, 1);
-    let mut host = TestHost::new(1, &specs);
+    let engines = targets(1, 0);
+    let mut host = host_without_copies(&engines);
     let mut effects = host.arrive(1, stream(host.now, 7));
     effects.extend(host.arrive(2, stream(host.now, 8)));
-    if refusal_in(&effects).is_some() {
-        return; // The route table knows of no engine at all.
-    }
+    assert!(refusal_in(&effects).is_none(), "{effects:?}");
     let wanted = |effect: &&RequestEffect| matches!(effect, RequestEffect::WantModel { .. });
     assert_eq!(effects.iter().filter(wanted).count(), 1);
-    let engines = targets(1, 0);
-    host.routes.set_targets(&engines);
-    host.report(&engines, 2, &[]);
+    host.report(&engines, 3, &[]);
     let effects = host.pass(100);
     assert!(dispatch_in(&effects).is_some());
 }
 
+// Guards against a request that waits in vain for a model that cannot be loaded before its deadline.
+#[test]
+fn model_that_loads_too_slowly_is_refused_and_wanted() {
+    let engines = targets(1, 0);
+    let mut host = host_without_copies(&engines);
+    let spec = stream(host.now, 7);
+    let left = spec.deadline.since(host.now);
+    let declare = |host: &mut TestHost, load_ms| {
+        let model = ModelSpec {
+            name: ModelName::new(MODEL),
+            memory_bytes: 1,
+            load_ms,
+        };
+        host.routes.set_models(&[model]);
+    };
+    declare(&mut host, left.as_ms());
+    let effects = host.arrive(1, spec.clone());
+    let refusal = (RefusalCode::Deadline, RequestOutcome::NotRun);
+    assert_eq!(refusal_in(&effects), Some(refusal));
+    let wanted = |effect: &RequestEffect| matches!(effect, RequestEffect::WantModel { .. });
+    assert!(effects.iter().any(wanted), "{effects:?}");
+    declare(&mut host, left.as_ms() - 1);
+    let effects = host.arrive(2, spec);
+    assert!(refusal_in(&effects).is_none(), "{effects:?}");
+}
+
 // Guards against a request that crashes target after target, and against a caller's repeats of it.
 #[test]
 fn digest_is_refused_after_crashes_of_two_targets() {
@@ -157,6 +189,21 @@
     assert_eq!(refusal_in(&effects), refusal);
 }
 
+// Guards against a model that nobody loads elsewhere because the last report of its only target,
+// which is down, still lists it.
+#[test]
+fn model_whose_targets_all_fail_is_wanted() {
+    let mut host = TestHost::new(1, &targets(1, 0));
+    let effects = host.arrive(1, stream(host.now, 7));
+    let (attempt, ..) = dispatch_in(&effects).expect("request is dispatched");
+    let wants = |effects: &[RequestEffect]| {
+        let wanted = |effect: &RequestEffect| matches!(effect, RequestEffect::WantModel { .. });
+        effects.iter().any(wanted)
+    };
+    assert!(!wants(&effects));
+    assert!(wants(&host.end(attempt, NOT_SENT)));
+}
+
 // Guards against a refusal that does not say when to come again although nothing was sent.
 #[test]
 fn request_that_reached_no_target_is_told_when_to_come_again() {
