--- a/tests/on_demand.rs
+++ b/tests/on_demand.rs
@@ -11,26 +11,12 @@
 /// does not hold the lease, and the engine must never be asked for more than its memory.
 #[actix_web::test]
 async fn models_beyond_memory_load_on_demand() {
-    let mut catalog = fleet_catalog();
-    let kept = ["chalk-large", "quill", "slate"];
-    catalog
-        .models
-        .retain(|model| kept.contains(&model.name.as_str()));
-    catalog.adapters.clear();
-    let engines = ["asistente-2", "asistente-3", "asistente-4"];
-    catalog
-        .targets
-        .retain(|target| !engines.contains(&target.name.as_str()));
-    catalog.presets.truncate(1);
-    catalog.presets[0].copies.clear();
-    let deployment = ProcessDeployment::start(program(), 3, catalog, &EMPTY_ENGINE, SETTINGS)
-        .await
-        .expect("deployment starts");
+    let deployment = start_scarce().await;
     let hosts = entries(&deployment);
     until_in_force(&hosts, 1, "ordinary").await;
     for round in 0..2 {
         for host in &hosts {
-            for name in kept {
+            for name in SCARCE_MODELS {
                 let prompt = format!("round {round}");
                 let started = Instant::now();
                 let answer = TestClient::new("plazas")
--- a/tests/outage_orders.rs
+++ b/tests/outage_orders.rs
@@ -30,22 +30,7 @@
 /// platform is back, and then it must be served.
 #[actix_web::test]
 async fn wanted_model_waits_for_the_platform() {
-    let mut catalog = fleet_catalog();
-    // The engine holds two of the three models.
-    let kept = ["chalk-large", "quill", "slate"];
-    catalog
-        .models
-        .retain(|model| kept.contains(&model.name.as_str()));
-    catalog.adapters.clear();
-    let engines = ["asistente-2", "asistente-3", "asistente-4"];
-    catalog
-        .targets
-        .retain(|target| !engines.contains(&target.name.as_str()));
-    catalog.presets.truncate(1);
-    catalog.presets[0].copies.clear();
-    let deployment = ProcessDeployment::start(program(), 3, catalog, &EMPTY_ENGINE, SETTINGS)
-        .await
-        .expect("deployment starts");
+    let deployment = start_scarce().await;
     let hosts = entries(&deployment);
     until_in_force(&hosts, 1, "ordinary").await;
     for name in ["slate", "quill"] {
--- a/tests/state/mod.rs
+++ b/tests/state/mod.rs
@@ -52,6 +52,27 @@
         .expect("deployment starts")
 }
 
+/// Models of a deployment whose only engine holds two of them.
+pub const SCARCE_MODELS: [&str; 3] = ["chalk-large", "quill", "slate"];
+
+/// Starts three hosts and one engine that cannot hold all models.
+pub async fn start_scarce() -> ProcessDeployment {
+    let mut catalog = fleet_catalog();
+    catalog
+        .models
+        .retain(|model| SCARCE_MODELS.contains(&model.name.as_str()));
+    catalog.adapters.clear();
+    let engines = ["asistente-2", "asistente-3", "asistente-4"];
+    catalog
+        .targets
+        .retain(|target| !engines.contains(&target.name.as_str()));
+    catalog.presets.truncate(1);
+    catalog.presets[0].copies.clear();
+    ProcessDeployment::start(program(), 3, catalog, &EMPTY_ENGINE, SETTINGS)
+        .await
+        .expect("deployment starts")
+}
+
 /// What a command gave.
 #[derive(Debug)]
 pub struct CommandResult {
