requests: split a long doc sentence

Cause: the sentence on waiting attempts had grown past reading. Change: the comment only. Conclusion: same content.

--- a/crates/requests/src/blame.rs
+++ b/crates/requests/src/blame.rs
@@ -165,9 +165,10 @@
     state.blame.crashes(now, digest) >= state.settings.limits.crash_targets
 }
 
-/// Returns whether an attempt has to wait because the digest is blamed, or could not reach as many
-/// targets as it may crash, and either runs already or
-/// was held for less than the pause in which news of crashes at other hosts arrives.
+/// Returns whether an attempt has to wait.
+///
+/// It has to if the digest is blamed or could not reach as many targets as it may crash, and either
+/// runs already or was held for less than the pause in which news of crashes at other hosts arrives.
 ///
 /// Without this, repeats sent side by side, or to several hosts one after another, would crash more
 /// targets than the limit.
