Work out the room for a load once; look at a routing choice once

Cause: read-through. start_wish computed the memory that a load needs twice, and once before it knew whether a slot was free; enqueue matched one choice twice. Ruled out: one rule for the largest adapter in moves and placement; they work on different types and would need a shared form. Change: each is computed once, where it is used. Behaviour is the same.

--- a/crates/moves/src/schedule.rs
+++ b/crates/moves/src/schedule.rs
@@ -304,7 +304,6 @@
     if !can_start(state, &wish.target, &wish.name) {
         return;
     }
-    let room = load_bytes(state, &wish.target, &wish.name);
     let model = item_model(state, &wish.name).cloned();
     let free = match &model {
         Some(model) if !is_safe_copy(state, &wish.target, model) => return,
@@ -315,7 +314,8 @@
         wait.coming = true;
         return;
     }
-    if has_room(state, &wish.target, &wish.name)
+    let room = load_bytes(state, &wish.target, &wish.name);
+    if state.ledger.fits(&wish.target, &wish.name, room)
         && start_load(state, context, &wish.target, &wish.name, bytes, false)
     {
         *free -= 1;
--- a/crates/requests/src/arrival.rs
+++ b/crates/requests/src/arrival.rs
@@ -92,15 +92,12 @@
     let Some(entry) = state.requests.get(&key) else {
         return;
     };
-    let choice = dispatch::choose(context, &state.proven, entry);
-    let load = match &choice {
-        RouteChoice::NotResident => Some(context.routes.load_time(&entry.spec.work)),
-        _ => None,
-    };
-    let estimate = match choice {
+    let mut load = None;
+    let estimate = match dispatch::choose(context, &state.proven, entry) {
         RouteChoice::Target { .. } => ClockTime::ZERO,
         RouteChoice::Busy { estimate } => estimate,
         RouteChoice::NotResident => {
+            load = Some(context.routes.load_time(&entry.spec.work));
             dispatch::want_model(state, context.now, key, out);
             ClockTime::ZERO
         }
