--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -19,7 +19,7 @@
     };
     pub use crate::invariant;
     pub use crate::names::{
-        AdapterName, ClassName, DomainName, HostName, ModelName, PresetName, RegionName,
+        AdapterName, ClassName, DomainName, HostName, ModelName, PresetName, RegionName, RouteName,
         ServiceName, TargetName, TenantName,
     };
     pub use crate::random::SeededRng;
--- a/crates/base/src/names.rs
+++ b/crates/base/src/names.rs
@@ -67,4 +67,6 @@
     RegionName,
     /// Name of a preset.
     PresetName,
+    /// Name of a route.
+    RouteName,
 }
--- a/crates/cli/src/arguments.rs
+++ b/crates/cli/src/arguments.rs
@@ -52,6 +52,8 @@
 pub enum CliCommand {
     /// Runs a host.
     Serve(ServeCommand),
+    /// Runs a host on the users' platform.
+    Entry(EntryCommand),
     /// Checks files.
     Check(CheckCommand),
     /// Presets.
@@ -75,6 +77,21 @@
     pub settings: String,
 }
 
+/// Run an entry host on the users' platform until it is told to stop.
+#[derive(Clone, Debug, PartialEq, FromArgs)]
+#[argh(subcommand, name = "entry")]
+pub struct EntryCommand {
+    /// settings file of the platform (the path in CROCUSYARD_CONFIG by default)
+    #[argh(option)]
+    pub settings: Option<String>,
+    /// log lines a second at most (500 by default)
+    #[argh(option, default = "500")]
+    pub log_lines: u64,
+    /// check the settings file and end
+    #[argh(switch)]
+    pub check: bool,
+}
+
 /// Check settings and catalogue files and list every problem.
 ///
 /// Each problem is printed as `file:line: key path: what was expected`. A catalogue that a settings
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -1,5 +1,7 @@
 //! Errors of commands.
 
+use crocusyard_adapter::prelude::SettingsError;
+use crocusyard_edge::prelude::EdgeError;
 use crocusyard_host::prelude::HostError;
 use crocusyard_load::prelude::LoadError;
 use crocusyard_logging::prelude::LoggingError;
@@ -46,6 +48,18 @@
         /// Cause.
         source: SecretError,
     },
+    /// The settings file of the platform cannot be used.
+    #[snafu(display("{source}"))]
+    PlatformSettings {
+        /// Cause.
+        source: SettingsError,
+    },
+    /// The host cannot run.
+    #[snafu(display("{source}"))]
+    Entry {
+        /// Cause.
+        source: EdgeError,
+    },
     /// Logging cannot be started.
     #[snafu(display("{source}"))]
     Logging {
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -10,6 +10,7 @@
 mod ask;
 mod check;
 mod client;
+mod entry;
 pub mod error;
 pub mod host_entry;
 mod load;
@@ -43,6 +44,7 @@
 async fn run_command(arguments: &CliArguments) -> Result<CommandOutput, CliError> {
     match &arguments.command {
         CliCommand::Serve(command) => serve::run_serve(command).await,
+        CliCommand::Entry(command) => entry::run_entry(command).await,
         CliCommand::Check(command) => Ok(check::run_check(command)),
         CliCommand::Ask(command) => {
             let client = HostClient::for_callers(arguments)?;
--- /dev/null
+++ b/crates/edge/src/entry.rs
@@ -0,0 +1,368 @@
+//! Callers' connections and requests.
+
+use crate::body::AnswerBody;
+use crate::clock;
+use crate::control::{answer_call, plain};
+use crate::exchange::{attempt, AttemptResult, CallerRequest};
+use crate::journal;
+use crate::shell::{EdgeShell, RequestStep};
+use crate::stream;
+use bytes::Bytes;
+use crocusyard_adapter::headers::drop_connection_headers;
+use crocusyard_adapter::prelude::*;
+use crocusyard_base::prelude::*;
+use crocusyard_httpconn::prelude::tune_stream;
+use crocusyard_serving::prelude::*;
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use hyper::header::{HeaderValue, CONNECTION, CONTENT_LENGTH, HOST, RETRY_AFTER};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use log::{debug, warn};
+use rand::Rng;
+use serde_json::json;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc::UnboundedReceiver;
+use tokio::sync::watch;
+
+/// Idle time of callers' connections before the configuration is known.
+const IDLE_START: Duration = Duration::from_secs(15);
+/// Longest head before the configuration is known, bytes.
+const HEAD_START_BYTES: usize = 64 * 1_024;
+/// Wait told to callers while no configuration is known, s.
+const START_RETRY_S: &str = "0.5";
+/// Pause after a failed accept; descriptors may be short.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// What a listener serves.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum ListenerRole {
+    /// Callers' requests.
+    Requests,
+    /// Questions to the host itself.
+    Questions,
+}
+
+/// Accepts connections until the process ends.
+pub(crate) async fn accept(
+    shell: Rc<EdgeShell>,
+    listener: TcpListener,
+    role: ListenerRole,
+    stop: watch::Receiver<bool>,
+) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                actix_rt::spawn(serve(shell.clone(), stream, role, stop.clone()));
+            }
+            Err(error) => {
+                warn!("accept: {error}");
+                actix_rt::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve(
+    shell: Rc<EdgeShell>,
+    stream: TcpStream,
+    role: ListenerRole,
+    mut stop: watch::Receiver<bool>,
+) {
+    if let Err(error) = tune_stream(&stream) {
+        debug!("connection of a caller: {error}");
+        return;
+    }
+    let idle = shell.serving.borrow().rules().map_or(IDLE_START, |rules| {
+        Duration::from_millis(rules.limits.idle_timeout.as_ms())
+    });
+    let handler_shell = shell.clone();
+    let service = service_fn(move |request| answer(handler_shell.clone(), request, role));
+    let conn = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(idle)
+        .max_buf_size(HEAD_START_BYTES)
+        .serve_connection(TokioIo::new(stream), service);
+    let mut conn = std::pin::pin!(conn);
+    let stopping = async {
+        // The sender lives as long as the process.
+        let _ = stop.wait_for(|stop| *stop).await;
+    };
+    let ended = tokio::select! {
+        ended = conn.as_mut() => ended,
+        () = stopping => {
+            conn.as_mut().graceful_shutdown();
+            conn.await
+        }
+    };
+    if let Err(error) = ended {
+        debug!("connection of a caller: {error}");
+    }
+}
+
+async fn answer(
+    shell: Rc<EdgeShell>,
+    request: Request<Incoming>,
+    role: ListenerRole,
+) -> Result<Response<AnswerBody>, AnswerAborted> {
+    if role == ListenerRole::Questions {
+        return Ok(answer_call(&shell, &request));
+    }
+    let mut response = answer_request(&shell, request).await?;
+    if shell.draining.get() {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(CONNECTION, close);
+    }
+    Ok(response)
+}
+
+/// The connection is closed without an answer.
+#[derive(Debug)]
+pub(crate) struct AnswerAborted;
+
+impl std::fmt::Display for AnswerAborted {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("closed without an answer")
+    }
+}
+
+impl std::error::Error for AnswerAborted {}
+
+/// Ends a request in the reducer when its caller leaves or its answer is complete.
+pub(crate) struct RequestGuard {
+    shell: Rc<EdgeShell>,
+    key: RequestKey,
+}
+
+impl Drop for RequestGuard {
+    fn drop(&mut self) {
+        self.shell.release(self.key);
+    }
+}
+
+/// A request in progress.
+pub(crate) struct OpenRequest {
+    pub(crate) request: CallerRequest,
+    pub(crate) steps: UnboundedReceiver<RequestStep>,
+    pub(crate) key: RequestKey,
+    pub(crate) shell: Rc<EdgeShell>,
+    pub(crate) _guard: RequestGuard,
+}
+
+async fn answer_request(
+    shell: &Rc<EdgeShell>,
+    request: Request<Incoming>,
+) -> Result<Response<AnswerBody>, AnswerAborted> {
+    let arrived = clock::now();
+    let rules = shell.serving.borrow().rules().cloned();
+    let Some(rules) = rules else {
+        let mut response = plain(StatusCode::SERVICE_UNAVAILABLE);
+        let wait = HeaderValue::from_static(START_RETRY_S);
+        response.headers_mut().insert(RETRY_AFTER, wait);
+        return Ok(response);
+    };
+    let (parts, body) = request.into_parts();
+    let host = parts
+        .headers
+        .get(HOST)
+        .and_then(|value| value.to_str().ok());
+    let host = host.or(parts.uri.host()).unwrap_or_default();
+    let path = parts.uri.path();
+    let headers = read_call(&parts.headers);
+    let Some(route) = rules.find(host, path).cloned() else {
+        journal::request(
+            &headers.id,
+            "no_route",
+            json!({"path": path, "version": rules.version}),
+        );
+        return Ok(plain(StatusCode::NOT_FOUND));
+    };
+    let body = match Limited::new(body, rules.limits.body_bytes).collect().await {
+        Ok(body) => body.to_bytes(),
+        Err(error) if error.is::<http_body_util::LengthLimitError>() => {
+            return Ok(plain(StatusCode::PAYLOAD_TOO_LARGE));
+        }
+        Err(_) => return Err(AnswerAborted),
+    };
+    let call = Rc::new(call_facts(shell, &headers, route, path, &body, arrived));
+    let (key, steps) = shell.register();
+    let open = OpenRequest {
+        request: CallerRequest {
+            method: parts.method,
+            uri: parts.uri,
+            headers: parts.headers,
+            body,
+            call: call.clone(),
+        },
+        steps,
+        key,
+        shell: shell.clone(),
+        _guard: RequestGuard {
+            shell: shell.clone(),
+            key,
+        },
+    };
+    shell.dispatch(ServingEvent::Arrived { key, call });
+    run_request(open).await
+}
+
+fn call_facts(
+    shell: &EdgeShell,
+    headers: &CallHeaders,
+    route: RouteRule,
+    path: &str,
+    body: &Bytes,
+    arrived: ClockTime,
+) -> CallFacts {
+    let patience = headers.patience.unwrap_or(route.timeout).min(route.timeout);
+    CallFacts {
+        id: headers.id.as_str().into(),
+        service: draw_service(shell, &route),
+        need: headers.need.clone(),
+        prompt: headers.prompt.clone(),
+        prompt_tokens: headers.prompt_tokens,
+        output_tokens: headers.output_tokens,
+        deadline: arrived + patience,
+        digest: CallDigest::of(path, body, &headers.prompt),
+        route,
+    }
+}
+
+/// Draws a service of a route by weight.
+fn draw_service(shell: &EdgeShell, route: &RouteRule) -> ServiceName {
+    let total: f64 = route.services.iter().map(|(_, weight)| weight).sum();
+    let mut point = shell.rng.borrow_mut().random::<f64>() * total;
+    for (name, weight) in &route.services {
+        point -= weight;
+        if point < 0.0 {
+            return name.clone();
+        }
+    }
+    route
+        .services
+        .last()
+        .map_or_else(|| ServiceName::new(""), |(name, _)| name.clone())
+}
+
+async fn run_request(mut open: OpenRequest) -> Result<Response<AnswerBody>, AnswerAborted> {
+    let mut next = open.steps.recv().await;
+    loop {
+        let plan = match next {
+            None => return Err(AnswerAborted),
+            Some(RequestStep::Send(plan)) => plan,
+            Some(RequestStep::Refuse(refusal)) => return Ok(refuse(&open, &refusal)),
+            Some(RequestStep::Fail { expired }) => return Ok(fail(&open, expired)),
+        };
+        log_send(&open, &plan);
+        match attempt(&open.shell, &open.request, &plan, None).await {
+            AttemptResult::Whole { head, body } => {
+                let status = head.status().as_u16();
+                open.end_attempt(AttemptOutcome::Answered { status });
+                match open.steps.try_recv() {
+                    // Another target may still answer well.
+                    Ok(RequestStep::Send(plan)) => next = Some(RequestStep::Send(plan)),
+                    Ok(_) | Err(_) => return Ok(deliver(&open, head, AnswerBody::whole(body))),
+                }
+            }
+            AttemptResult::Stream { answer, conn } => {
+                return stream::deliver_stream(open, answer, conn).await;
+            }
+            AttemptResult::Ended(outcome) => {
+                log_end(&open, &plan, outcome);
+                open.end_attempt(outcome);
+                next = open.steps.recv().await;
+            }
+        }
+    }
+}
+
+impl OpenRequest {
+    /// Tells the reducer how an attempt ended.
+    pub(crate) fn end_attempt(&self, outcome: AttemptOutcome) {
+        let key = self.key;
+        self.shell.dispatch(ServingEvent::Ended { key, outcome });
+    }
+}
+
+/// Makes the answer of a target the answer to the caller.
+pub(crate) fn deliver(
+    open: &OpenRequest,
+    head: Response<()>,
+    body: AnswerBody,
+) -> Response<AnswerBody> {
+    let (mut parts, ()) = head.into_parts();
+    drop_connection_headers(&mut parts.headers);
+    parts.headers.remove(CONTENT_LENGTH);
+    parts.version = hyper::Version::HTTP_11;
+    let status = parts.status.as_u16();
+    if status >= 400 {
+        journal::request(
+            &open.request.call.id,
+            "passed_on",
+            json!({"status": status}),
+        );
+    }
+    Response::from_parts(parts, body)
+}
+
+fn refuse(open: &OpenRequest, refusal: &RequestRefusal) -> Response<AnswerBody> {
+    let wait = refusal.retry_after.as_ms() as f64 / 1_000.0;
+    let call = &open.request.call;
+    journal::request(
+        &call.id,
+        "refused",
+        json!({
+            "reason": format!("{:?}", refusal.reason),
+            "retry_after_s": wait,
+            "route": call.route.name.as_str(),
+            "model": call.need.as_ref().map(|need| need.model.as_str()),
+        }),
+    );
+    let mut response = plain(StatusCode::SERVICE_UNAVAILABLE);
+    if let Ok(value) = HeaderValue::from_str(&format!("{wait:.2}")) {
+        response.headers_mut().insert(RETRY_AFTER, value);
+    }
+    response
+}
+
+fn fail(open: &OpenRequest, expired: bool) -> Response<AnswerBody> {
+    let status = if expired {
+        StatusCode::GATEWAY_TIMEOUT
+    } else {
+        StatusCode::BAD_GATEWAY
+    };
+    journal::request(
+        &open.request.call.id,
+        "failed",
+        json!({"status": status.as_u16(), "route": open.request.call.route.name.as_str()}),
+    );
+    plain(status)
+}
+
+pub(crate) fn log_send(open: &OpenRequest, plan: &AttemptPlan) {
+    let age = plan.load_age.map(ClockTime::as_ms);
+    let call = &open.request.call;
+    journal::request(
+        &call.id,
+        "sent",
+        json!({
+            "target": plan.target.as_str(),
+            "attempt": plan.attempt,
+            "load": plan.load,
+            "load_age_ms": age,
+            "left_ms": call.deadline.since(clock::now()).as_ms(),
+        }),
+    );
+}
+
+pub(crate) fn log_end(open: &OpenRequest, plan: &AttemptPlan, outcome: AttemptOutcome) {
+    journal::request(
+        &open.request.call.id,
+        "attempt_ended",
+        json!({"target": plan.target.as_str(), "outcome": format!("{outcome:?}")}),
+    );
+}
--- /dev/null
+++ b/crates/edge/src/follow.rs
@@ -0,0 +1,304 @@
+//! Follows the tables of the store.
+
+use crate::clock;
+use crate::journal;
+use crate::shell::EdgeShell;
+use crocusyard_adapter::configuration::CONFIGURATION_KEY;
+use crocusyard_adapter::prelude::*;
+use crocusyard_base::prelude::*;
+use crocusyard_serving::prelude::*;
+use log::warn;
+use serde_json::json;
+use std::collections::BTreeSet;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Longest time for an answer of the store, beyond a wait that was asked for.
+const ANSWER_LIMIT: Duration = Duration::from_millis(1_500);
+/// Wait of a feed for the first change.
+const FEED_WAIT: Duration = Duration::from_secs(10);
+/// Pause between polls of the targets; two fit into the time in which a leaving one must be known.
+const TARGET_PAUSE: Duration = Duration::from_millis(700);
+/// Pause after a failed call.
+const FAILED_PAUSE: Duration = Duration::from_millis(250);
+/// Time for which removed targets stay after the store was away: they write again within it.
+const LAPSE_TIME: ClockTime = ClockTime::from_ms(2_500);
+
+/// Whether the store answers, and since when.
+struct StoreHealth {
+    table: &'static str,
+    failing: bool,
+    back_at: Option<ClockTime>,
+}
+
+impl StoreHealth {
+    fn new(table: &'static str) -> Self {
+        Self {
+            table,
+            failing: false,
+            back_at: None,
+        }
+    }
+
+    fn failed(&mut self, error: &StoreError) {
+        if !self.failing {
+            self.failing = true;
+            let cause = error.to_string();
+            journal::belief(
+                "store",
+                "lost",
+                json!({"table": self.table, "cause": cause}),
+            );
+        }
+    }
+
+    fn answered(&mut self) {
+        if self.failing {
+            self.failing = false;
+            self.back_at = Some(clock::now());
+            journal::belief("store", "regained", json!({"table": self.table}));
+        }
+    }
+
+    /// Returns whether rows may be missing because their writers could not reach the store.
+    fn is_recovering(&self) -> bool {
+        self.back_at
+            .is_some_and(|at| clock::now().since(at) < LAPSE_TIME)
+    }
+}
+
+/// Reads a table until the store answers.
+async fn read_table(shell: &EdgeShell, table: StoreTable, health: &mut StoreHealth) -> StorePage {
+    loop {
+        match shell.store.read(table, ANSWER_LIMIT).await {
+            Ok(page) => {
+                health.answered();
+                return page;
+            }
+            Err(error) => {
+                health.failed(&error);
+                actix_rt::time::sleep(FAILED_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Follows the operators' configuration.
+pub(crate) async fn follow_rules(shell: Rc<EdgeShell>) {
+    let mut health = StoreHealth::new("configuration");
+    loop {
+        let page = read_table(&shell, StoreTable::Operator, &mut health).await;
+        take_rules(&shell, &page.rows);
+        let mut version = page.version;
+        loop {
+            let changes = shell
+                .store
+                .follow(StoreTable::Operator, version, FEED_WAIT, ANSWER_LIMIT)
+                .await;
+            match changes {
+                Ok(changes) => {
+                    health.answered();
+                    take_rules(&shell, &changes.rows);
+                    version = changes.version;
+                }
+                Err(StoreError::HistoryGone) => break,
+                Err(error) => {
+                    health.failed(&error);
+                    actix_rt::time::sleep(FAILED_PAUSE).await;
+                }
+            }
+        }
+    }
+}
+
+fn take_rules(shell: &EdgeShell, rows: &[StoreRow]) {
+    for row in rows.iter().filter(|row| row.key == CONFIGURATION_KEY) {
+        let Some(value) = &row.value else {
+            continue;
+        };
+        match read_rules(value) {
+            Ok(rules) => {
+                journal::belief(
+                    "configuration",
+                    "in_force",
+                    json!({"version": rules.version, "routes": rules.route_count()}),
+                );
+                shell.dispatch(ServingEvent::Rules(Rc::new(rules)));
+            }
+            Err(error) => warn!("configuration of row version {}: {error}", row.version),
+        }
+    }
+}
+
+/// Follows the entry hosts.
+pub(crate) async fn follow_hosts(shell: Rc<EdgeShell>) {
+    let mut health = StoreHealth::new("hosts");
+    write_own_row(&shell, &mut health).await;
+    loop {
+        let page = read_table(&shell, StoreTable::Hosts, &mut health).await;
+        take_hosts(&shell, &page.rows);
+        let mut version = page.version;
+        loop {
+            let changes = shell
+                .store
+                .follow(StoreTable::Hosts, version, FEED_WAIT, ANSWER_LIMIT)
+                .await;
+            match changes {
+                Ok(changes) => {
+                    health.answered();
+                    take_hosts(&shell, &changes.rows);
+                    version = changes.version;
+                }
+                Err(StoreError::HistoryGone) => break,
+                Err(error) => {
+                    health.failed(&error);
+                    actix_rt::time::sleep(FAILED_PAUSE).await;
+                }
+            }
+        }
+    }
+}
+
+async fn write_own_row(shell: &EdgeShell, health: &mut StoreHealth) {
+    let facts = shell.hosts.borrow().own().clone();
+    let value = match serde_json::to_vec(&facts) {
+        Ok(value) => value,
+        Err(error) => {
+            warn!("own row cannot be written: {error}");
+            return;
+        }
+    };
+    let write = StoreWrite {
+        table: StoreTable::Hosts,
+        key: facts.name.as_str().to_owned(),
+        value: Some(value),
+        expected: None,
+    };
+    loop {
+        match shell.store.write(&write, ANSWER_LIMIT).await {
+            Ok(_) => {
+                health.answered();
+                return;
+            }
+            Err(error) => {
+                health.failed(&error);
+                actix_rt::time::sleep(FAILED_PAUSE).await;
+            }
+        }
+    }
+}
+
+fn take_hosts(shell: &EdgeShell, rows: &[StoreRow]) {
+    let now = clock::now();
+    let mut hosts = shell.hosts.borrow_mut();
+    for row in rows {
+        match &row.value {
+            None => hosts.remove(&HostName::new(&row.key)),
+            Some(value) => match serde_json::from_slice::<HostFacts>(value) {
+                Ok(facts) => hosts.upsert(facts, now),
+                Err(error) => warn!("row of host {}: {error}", row.key),
+            },
+        }
+    }
+}
+
+/// Follows the targets.
+pub(crate) async fn follow_targets(shell: Rc<EdgeShell>) {
+    let mut health = StoreHealth::new("targets");
+    let mut missing: BTreeSet<TargetName> = BTreeSet::new();
+    loop {
+        let page = read_table(&shell, StoreTable::Targets, &mut health).await;
+        take_page(&shell, &page.rows, &health, &mut missing);
+        let mut version = page.version;
+        loop {
+            actix_rt::time::sleep(TARGET_PAUSE).await;
+            let changes = shell
+                .store
+                .follow(StoreTable::Targets, version, Duration::ZERO, ANSWER_LIMIT)
+                .await;
+            match changes {
+                Ok(changes) => {
+                    health.answered();
+                    take_targets(&shell, &changes.rows, &health, &mut missing);
+                    version = changes.version;
+                }
+                Err(StoreError::HistoryGone) => break,
+                Err(error) => health.failed(&error),
+            }
+        }
+    }
+}
+
+/// Takes a whole table: targets that are not in it are gone.
+fn take_page(
+    shell: &EdgeShell,
+    rows: &[StoreRow],
+    health: &StoreHealth,
+    missing: &mut BTreeSet<TargetName>,
+) {
+    let listed: BTreeSet<&str> = rows.iter().map(|row| row.key.as_str()).collect();
+    let absent: Vec<StoreRow> = shell
+        .serving
+        .borrow()
+        .targets
+        .iter()
+        .map(|state| state.record.name.as_str())
+        .filter(|name| !listed.contains(name))
+        .map(|name| StoreRow {
+            key: name.to_owned(),
+            value: None,
+            version: 0,
+        })
+        .collect();
+    let all: Vec<StoreRow> = rows.iter().cloned().chain(absent).collect();
+    take_targets(shell, &all, health, missing);
+}
+
+fn take_targets(
+    shell: &EdgeShell,
+    rows: &[StoreRow],
+    health: &StoreHealth,
+    missing: &mut BTreeSet<TargetName>,
+) {
+    let mut upserts = Vec::new();
+    for row in rows {
+        let name = TargetName::new(&row.key);
+        match &row.value {
+            None => {
+                missing.insert(name);
+            }
+            Some(value) => match read_record(&row.key, value) {
+                Ok(record) => {
+                    missing.remove(&name);
+                    log_target(shell, &record, row.version);
+                    upserts.push(record);
+                }
+                Err(error) => warn!("entry {}: {error}", row.key),
+            },
+        }
+    }
+    let mut removed = Vec::new();
+    if !health.is_recovering() {
+        removed.extend(std::mem::take(missing));
+    }
+    for name in &removed {
+        journal::belief("target", "gone", json!({"target": name.as_str()}));
+    }
+    shell.dispatch(ServingEvent::Targets { upserts, removed });
+}
+
+fn log_target(shell: &EdgeShell, record: &TargetRecord, version: u64) {
+    let serving = shell.serving.borrow();
+    let known = serving.targets.get(&record.name);
+    let change = match known {
+        None => "new",
+        Some(state) if state.record.born != record.born => "restarted",
+        Some(state) if !state.record.leaving && record.leaving => "leaving",
+        Some(_) => return,
+    };
+    journal::belief(
+        "target",
+        change,
+        json!({"target": record.name.as_str(), "row_version": version, "service": record.service.as_str()}),
+    );
+}
--- /dev/null
+++ b/crates/edge/src/gossip.rs
@@ -0,0 +1,170 @@
+//! Messages between entry hosts.
+
+use crate::clock;
+use crate::message::{HostMessage, LeaseNotice};
+use crate::moves;
+use crate::shell::EdgeShell;
+use crocusyard_serving::hosts::BEAT_PAUSE;
+use crocusyard_serving::prelude::*;
+use log::{debug, warn};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::UdpSocket;
+
+/// Longest message, bytes; fits into one datagram of any link.
+const MESSAGE_BYTES: usize = 60_000;
+
+/// Socket for messages to other hosts.
+#[derive(Clone)]
+pub(crate) struct PeerSocket {
+    socket: Rc<UdpSocket>,
+}
+
+impl PeerSocket {
+    pub(crate) async fn bind(address: SocketAddr) -> std::io::Result<Self> {
+        Ok(Self {
+            socket: Rc::new(UdpSocket::bind(address).await?),
+        })
+    }
+
+    /// Sends a message; one that does not fit the socket's buffer is lost like any datagram.
+    pub(crate) fn send(&self, address: SocketAddr, message: &HostMessage) {
+        self.send_all(&[address], message);
+    }
+
+    pub(crate) fn send_all(&self, addresses: &[SocketAddr], message: &HostMessage) {
+        let bytes = match postcard::to_stdvec(message) {
+            Ok(bytes) if bytes.len() <= MESSAGE_BYTES => bytes,
+            Ok(bytes) => {
+                warn!("message of {} bytes dropped: too long", bytes.len());
+                return;
+            }
+            Err(error) => {
+                warn!("message dropped: {error}");
+                return;
+            }
+        };
+        for address in addresses {
+            if let Err(error) = self.socket.try_send_to(&bytes, *address) {
+                debug!("message to {address} lost: {error}");
+            }
+        }
+    }
+}
+
+/// Sends beats and demand.
+pub(crate) async fn send_beats(shell: Rc<EdgeShell>) {
+    loop {
+        beat(&shell);
+        report_demand(&shell);
+        actix_rt::time::sleep(Duration::from_millis(BEAT_PAUSE.as_ms())).await;
+    }
+}
+
+pub(crate) fn beat(shell: &EdgeShell) {
+    let lease = {
+        let lease = shell.lease.borrow();
+        lease
+            .version()
+            .filter(|_| lease.is_holder())
+            .map(|version| LeaseNotice {
+                holder: shell.settings.name.clone(),
+                version,
+            })
+    };
+    let host = shell.hosts.borrow().own().clone();
+    shell.tell_all(&HostMessage::Beat {
+        host,
+        leaving: shell.draining.get(),
+        lease,
+    });
+}
+
+fn report_demand(shell: &EdgeShell) {
+    let now = clock::now();
+    let live = shell.hosts.borrow().live_count(now);
+    shell.dispatch(ServingEvent::Hosts(live));
+    let demands = shell.serving.borrow_mut().demand_report(now);
+    let own = shell.settings.name.clone();
+    if shell.lease.borrow().is_holder() {
+        shell.demands.borrow_mut().tell(&own, demands, now);
+        return;
+    }
+    let holder = shell.lease.borrow().holder().cloned();
+    let address = holder.and_then(|holder| shell.hosts.borrow().peer(&holder));
+    if let Some(address) = address {
+        let message = HostMessage::Demand { host: own, demands };
+        shell.peers.send(address, &message);
+    }
+}
+
+/// Receives messages.
+pub(crate) async fn receive(shell: Rc<EdgeShell>) {
+    let mut buffer = vec![0; MESSAGE_BYTES];
+    loop {
+        let length = match shell.peers.socket.recv_from(&mut buffer).await {
+            Ok((length, _)) => length,
+            Err(error) => {
+                // An unreachable peer shows here; the next message is not affected.
+                debug!("receive: {error}");
+                continue;
+            }
+        };
+        match postcard::from_bytes(&buffer[..length]) {
+            Ok(message) => take(&shell, message),
+            Err(error) => warn!("message of {length} bytes cannot be read: {error}"),
+        }
+    }
+}
+
+fn take(shell: &Rc<EdgeShell>, message: HostMessage) {
+    let now = clock::now();
+    match message {
+        HostMessage::Beat {
+            host,
+            leaving,
+            lease,
+        } => {
+            shell.hosts.borrow_mut().heard(&host, leaving, now);
+            if let Some(notice) = lease {
+                shell
+                    .lease
+                    .borrow_mut()
+                    .heard(&notice.holder, notice.version, now);
+            }
+        }
+        HostMessage::Demand { host, demands } => {
+            shell.demands.borrow_mut().tell(&host, demands, now);
+        }
+        HostMessage::Want { service, need } => moves::want_copy(shell, service, need),
+        HostMessage::Notice {
+            version,
+            target,
+            born,
+            models,
+        } => {
+            if is_current(shell, version) {
+                shell.dispatch(ServingEvent::Noticed {
+                    target,
+                    born,
+                    models,
+                });
+            }
+        }
+        HostMessage::Crash(report) => shell.dispatch(ServingEvent::Crash(report)),
+        HostMessage::Leaving { target, born } => {
+            shell.dispatch(ServingEvent::Leaving { target, born });
+        }
+    }
+}
+
+/// Returns whether a notice is not from an earlier holder.
+fn is_current(shell: &EdgeShell, version: u64) -> bool {
+    shell
+        .lease
+        .borrow()
+        .version()
+        .is_none_or(|seen| version >= seen)
+        || !shell.lease.borrow().is_holder()
+}
--- /dev/null
+++ b/crates/edge/src/lib.rs
@@ -0,0 +1,23 @@
+//! The process of an entry host on the users' platform.
+//!
+//! [`run::run_edge`] starts it. [`shell`] owns all state, feeds events to the reducer and carries
+//! out its effects; the other modules each talk to one kind of peer.
+
+mod body;
+mod clock;
+mod control;
+mod entry;
+mod exchange;
+mod follow;
+mod gossip;
+mod journal;
+mod message;
+mod moves;
+pub mod run;
+mod shell;
+mod stream;
+
+/// The common names of this crate.
+pub mod prelude {
+    pub use crate::run::{run_edge, EdgeError};
+}
--- /dev/null
+++ b/crates/edge/src/message.rs
@@ -0,0 +1,63 @@
+//! Messages between entry hosts, over UDP with postcard.
+
+use crocusyard_base::prelude::*;
+use crocusyard_serving::prelude::*;
+use crocusyard_serving::targets::HeldModels;
+use serde::{Deserialize, Serialize};
+
+/// What a holder tells of its lease.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub(crate) struct LeaseNotice {
+    /// Holder.
+    pub(crate) holder: HostName,
+    /// Version of the lease row.
+    pub(crate) version: u64,
+}
+
+/// A message.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub(crate) enum HostMessage {
+    /// The sender lives.
+    Beat {
+        /// Sender.
+        host: HostFacts,
+        /// Whether it is leaving.
+        leaving: bool,
+        /// Lease, if the sender holds it.
+        lease: Option<LeaseNotice>,
+    },
+    /// Demand at the sender, for the lease holder.
+    Demand {
+        /// Sender.
+        host: HostName,
+        /// Demand.
+        demands: Vec<ModelDemand>,
+    },
+    /// The sender waits for a copy.
+    Want {
+        /// Service.
+        service: ServiceName,
+        /// Model and adapter.
+        need: CallNeed,
+    },
+    /// The lease holder tells what an engine holds.
+    Notice {
+        /// Version of the lease row.
+        version: u64,
+        /// Engine.
+        target: TargetName,
+        /// Start of its incarnation.
+        born: u64,
+        /// Models with their adapters.
+        models: HeldModels,
+    },
+    /// A call broke a target.
+    Crash(CrashReport),
+    /// A target is leaving.
+    Leaving {
+        /// Target.
+        target: TargetName,
+        /// Start of its incarnation.
+        born: u64,
+    },
+}
--- /dev/null
+++ b/crates/edge/src/moves.rs
@@ -0,0 +1,526 @@
+//! The lease of the moves and the orders of its holder.
+
+use crate::clock;
+use crate::journal;
+use crate::message::HostMessage;
+use crate::shell::EdgeShell;
+use crocusyard_adapter::headers::expect_target;
+use crocusyard_adapter::orders::ORDER_PATH;
+use crocusyard_adapter::prelude::*;
+use crocusyard_base::prelude::*;
+use crocusyard_httpconn::prelude::*;
+use crocusyard_serving::adapters::{place, AdapterStep};
+use crocusyard_serving::copies::EngineView;
+use crocusyard_serving::prelude::*;
+use http_body_util::Full;
+use hyper::header::{HeaderValue, CONTENT_TYPE, HOST};
+use hyper::{HeaderMap, Method, Request};
+use log::warn;
+use serde_json::json;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Key of the lease row.
+const LEASE_KEY: &str = "moves";
+/// Longest time for an answer to a lease call.
+const LEASE_LIMIT: Duration = Duration::from_millis(800);
+/// Pause between looks at the lease.
+const LEASE_PAUSE: Duration = Duration::from_millis(100);
+/// Pause between plans; new demand is told every beat.
+const PLAN_PAUSE: Duration = Duration::from_millis(100);
+/// Longest time for an answer of an engine to an order or a report question.
+const ENGINE_LIMIT: Duration = Duration::from_millis(400);
+
+/// Time for which a want is kept; the host that waits asks again sooner.
+const WANT_TIME: ClockTime = ClockTime::from_ms(500);
+
+/// Keeps or watches the lease.
+pub(crate) async fn keep_lease(shell: Rc<EdgeShell>) {
+    let own = shell.settings.name.clone();
+    loop {
+        let was_holder = shell.lease.borrow().is_holder();
+        let step = if shell.draining.get() && !was_holder {
+            LeaseStep::Wait
+        } else {
+            shell.lease.borrow_mut().step(clock::now())
+        };
+        match step {
+            LeaseStep::Wait => {}
+            LeaseStep::Read => read_lease(&shell).await,
+            LeaseStep::Write { expected } => write_lease(&shell, &own, expected).await,
+        }
+        let is_holder = shell.lease.borrow().is_holder();
+        if is_holder != was_holder {
+            shell.orders.borrow_mut().clear();
+            let version = shell.lease.borrow().version();
+            let change = if is_holder { "taken" } else { "lost" };
+            journal::belief("lease", change, json!({"version": version}));
+            crate::gossip::beat(&shell);
+        }
+        actix_rt::time::sleep(LEASE_PAUSE).await;
+    }
+}
+
+async fn read_lease(shell: &EdgeShell) {
+    match shell.store.read(StoreTable::Lease, LEASE_LIMIT).await {
+        Ok(page) => {
+            let row = page.rows.iter().find_map(decode_lease);
+            shell.lease.borrow_mut().saw(row, clock::now());
+        }
+        Err(error) => warn!("lease cannot be read: {error}"),
+    }
+}
+
+fn decode_lease(row: &StoreRow) -> Option<(LeaseRow, u64)> {
+    if row.key != LEASE_KEY {
+        return None;
+    }
+    let value = row.value.as_ref()?;
+    match serde_json::from_slice(value) {
+        Ok(lease) => Some((lease, row.version)),
+        Err(error) => {
+            warn!("lease row: {error}");
+            None
+        }
+    }
+}
+
+async fn write_lease(shell: &EdgeShell, own: &HostName, expected: u64) {
+    let sent = clock::now();
+    let row = LeaseRow {
+        holder: own.clone(),
+    };
+    let value = match serde_json::to_vec(&row) {
+        Ok(value) => value,
+        Err(error) => {
+            warn!("lease row cannot be written: {error}");
+            return;
+        }
+    };
+    let write = StoreWrite {
+        table: StoreTable::Lease,
+        key: LEASE_KEY.to_owned(),
+        value: Some(value),
+        expected: Some(expected),
+    };
+    let result = shell.store.write(&write, LEASE_LIMIT).await;
+    let now = clock::now();
+    let mut lease = shell.lease.borrow_mut();
+    match result {
+        Ok(version) => lease.written(own, version, sent, now),
+        Err(StoreError::Conflict { rows }) => {
+            lease.saw(rows.iter().find_map(decode_lease), now);
+        }
+        Err(error) => {
+            warn!("lease cannot be written: {error}");
+            lease.write_lost(now);
+        }
+    }
+}
+
+/// Plans and gives orders while the lease is held.
+pub(crate) async fn give_orders(shell: Rc<EdgeShell>) {
+    loop {
+        actix_rt::time::sleep(PLAN_PAUSE).await;
+        if shell.lease.borrow().order_fence(clock::now()).is_some() {
+            plan_round(&shell);
+            serve_wants(&shell);
+        }
+    }
+}
+
+fn plan_round(shell: &Rc<EdgeShell>) {
+    let now = clock::now();
+    let engines = engine_addresses(shell);
+    let births = engines
+        .iter()
+        .map(|(name, engine)| (name.clone(), engine.born))
+        .collect();
+    shell.orders.borrow_mut().follow(&births);
+    let due = shell.orders.borrow_mut().reports_due(now);
+    for name in due {
+        if let Some(engine) = engines.get(&name) {
+            actix_rt::spawn(ask_report(shell.clone(), name, engine.clone()));
+        }
+    }
+    let repeats = shell.orders.borrow_mut().to_repeat(now);
+    for (name, action, expected) in repeats {
+        if let Some(engine) = engines.get(&name) {
+            send_order(shell, &name, engine, action, expected);
+        }
+    }
+    let rules = shell.serving.borrow().rules().cloned();
+    let Some(rules) = rules else {
+        return;
+    };
+    let demand = shell.demands.borrow_mut().total(now);
+    for (service, rule) in &rules.services {
+        if let Some(rule) = &rule.engine {
+            plan_service(shell, service, rule, &demand, &engines, now);
+        }
+    }
+}
+
+#[derive(Clone, Debug)]
+struct EngineAddress {
+    service: ServiceName,
+    address: SocketAddr,
+    born: u64,
+}
+
+fn engine_addresses(shell: &EdgeShell) -> BTreeMap<TargetName, EngineAddress> {
+    let serving = shell.serving.borrow();
+    let Some(rules) = serving.rules() else {
+        return BTreeMap::new();
+    };
+    serving
+        .targets
+        .iter()
+        .filter(|state| !state.record.leaving && rules.engine(&state.record.service).is_some())
+        .map(|state| {
+            let engine = EngineAddress {
+                service: state.record.service.clone(),
+                address: state.record.address,
+                born: state.record.born,
+            };
+            (state.record.name.clone(), engine)
+        })
+        .collect()
+}
+
+fn plan_service(
+    shell: &Rc<EdgeShell>,
+    service: &ServiceName,
+    rule: &EngineRule,
+    demand: &[ModelDemand],
+    engines: &BTreeMap<TargetName, EngineAddress>,
+    now: ClockTime,
+) {
+    let demand: Vec<ModelDemand> = demand
+        .iter()
+        .filter(|demand| demand.service == *service)
+        .cloned()
+        .collect();
+    let input = PlanInput {
+        rule,
+        engines: engine_views(shell, service, now),
+        demand: &demand,
+        loads_left: shell.orders.borrow_mut().loads_left(service, rule, now),
+    };
+    for (name, action) in plan_orders(&input) {
+        let Some(engine) = engines.get(&name) else {
+            continue;
+        };
+        give_order(shell, &name, engine, action);
+    }
+}
+
+fn engine_views(shell: &EdgeShell, service: &ServiceName, now: ClockTime) -> Vec<EngineView> {
+    let serving = shell.serving.borrow();
+    let orders = shell.orders.borrow();
+    serving
+        .targets
+        .of_service(service)
+        .map(|state| {
+            let name = &state.record.name;
+            let known = orders.holdings(name);
+            EngineView {
+                name: name.clone(),
+                domain: state.record.domain.clone(),
+                holdings: known.cloned().unwrap_or_else(|| TargetHoldings {
+                    orders: 0,
+                    models: state.models.clone(),
+                }),
+                in_memory: state.record.in_memory.clone(),
+                on_disk: state.record.on_disk.clone(),
+                loading: orders.loading(name).cloned(),
+                free: orders.is_free(name, now) && !state.is_avoided(now),
+            }
+        })
+        .collect()
+}
+
+fn give_order(
+    shell: &Rc<EdgeShell>,
+    name: &TargetName,
+    engine: &EngineAddress,
+    action: OrderAction,
+) {
+    let now = clock::now();
+    let expected = shell
+        .orders
+        .borrow_mut()
+        .begin(&engine.service, name, &action, now);
+    let Some(expected) = expected else {
+        return;
+    };
+    tell_unload(shell, name, engine, &action);
+    send_order(shell, name, engine, action, expected);
+}
+
+/// Tells all hosts before a copy goes, so that they send nothing more to it.
+fn tell_unload(shell: &EdgeShell, name: &TargetName, engine: &EngineAddress, action: &OrderAction) {
+    let mut models = match shell.orders.borrow().holdings(name) {
+        Some(holdings) => holdings.models.clone(),
+        None => return,
+    };
+    match action {
+        OrderAction::UnloadModel(model) => {
+            models.remove(model);
+        }
+        OrderAction::UnloadAdapter(model, adapter) => {
+            if let Some(held) = models.get_mut(model) {
+                held.remove(adapter);
+            }
+        }
+        OrderAction::LoadModel(_) | OrderAction::LoadAdapter(..) => return,
+    }
+    tell_holdings(shell, name, engine.born, &models);
+}
+
+fn tell_holdings(
+    shell: &EdgeShell,
+    name: &TargetName,
+    born: u64,
+    models: &crocusyard_serving::targets::HeldModels,
+) {
+    let version = shell.lease.borrow().version().unwrap_or(0);
+    shell.tell_all(&HostMessage::Notice {
+        version,
+        target: name.clone(),
+        born,
+        models: models.clone(),
+    });
+    shell.dispatch(ServingEvent::Noticed {
+        target: name.clone(),
+        born,
+        models: models.clone(),
+    });
+}
+
+fn send_order(
+    shell: &Rc<EdgeShell>,
+    name: &TargetName,
+    engine: &EngineAddress,
+    action: OrderAction,
+    expected: u64,
+) {
+    let Some(fence) = shell.lease.borrow().order_fence(clock::now()) else {
+        return;
+    };
+    let order = EngineOrder {
+        target: name.clone(),
+        address: engine.address,
+        action,
+        expected,
+        fence,
+    };
+    actix_rt::spawn(carry_order(shell.clone(), order, engine.clone()));
+}
+
+async fn carry_order(shell: Rc<EdgeShell>, order: EngineOrder, engine: EngineAddress) {
+    let body = match write_order(&order, &shell.settings.name) {
+        Ok(body) => body,
+        Err(error) => {
+            warn!("order cannot be written: {error}");
+            return;
+        }
+    };
+    let answer = ask_engine(
+        &shell,
+        &order.target,
+        order.address,
+        Method::POST,
+        ORDER_PATH,
+        body,
+    );
+    let status = answer.await.map(|(status, _)| status);
+    let answer = status.map_or(OrderAnswer::Unknown, read_order_answer);
+    journal::belief(
+        "order",
+        "answered",
+        json!({
+            "target": order.target.as_str(),
+            "action": format!("{:?}", order.action),
+            "expected": order.expected,
+            "fence": order.fence.0,
+            "status": status,
+        }),
+    );
+    let time = action_time(&shell, &engine.service, &order.action);
+    let holdings = shell.orders.borrow_mut().answered(
+        &order.target,
+        &order.action,
+        answer,
+        time,
+        clock::now(),
+    );
+    if let Some(holdings) = holdings {
+        tell_holdings(&shell, &order.target, engine.born, &holdings.models);
+    }
+    serve_wants(&shell);
+}
+
+/// Time that an order takes once it was accepted.
+fn action_time(shell: &EdgeShell, service: &ServiceName, action: &OrderAction) -> ClockTime {
+    let serving = shell.serving.borrow();
+    let rule = serving.rules().and_then(|rules| rules.engine(service));
+    match action {
+        OrderAction::LoadModel(model) => rule
+            .and_then(|rule| rule.models.get(model))
+            .map_or(ClockTime::ZERO, |model| model.warm_time),
+        _ => ClockTime::ZERO,
+    }
+}
+
+async fn ask_engine(
+    shell: &EdgeShell,
+    target: &TargetName,
+    address: SocketAddr,
+    method: Method,
+    path: &str,
+    body: Vec<u8>,
+) -> Option<(u16, bytes::Bytes)> {
+    let mut request = Request::new(Full::new(bytes::Bytes::from(body)));
+    *request.method_mut() = method;
+    *request.uri_mut() = path.parse().ok()?;
+    *request.headers_mut() = engine_headers(target, address);
+    let exchange = async {
+        let mut conn = shell.pool.take(address).await?;
+        let answer = conn.send(request).await?;
+        let status = answer.status().as_u16();
+        let body = read_whole(answer.into_body()).await?;
+        conn.give_back().await;
+        Ok::<_, SendError>((status, body))
+    };
+    match actix_rt::time::timeout(ENGINE_LIMIT, exchange).await {
+        Ok(Ok(answer)) => Some(answer),
+        Ok(Err(error)) => {
+            warn!("engine {target}: {error}");
+            None
+        }
+        Err(_) => {
+            warn!("engine {target}: no answer to {path}");
+            None
+        }
+    }
+}
+
+fn engine_headers(target: &TargetName, address: SocketAddr) -> HeaderMap {
+    let mut headers = HeaderMap::new();
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    if let Ok(host) = HeaderValue::from_str(&address.to_string()) {
+        headers.insert(HOST, host);
+    }
+    expect_target(&mut headers, target);
+    headers
+}
+
+async fn ask_report(shell: Rc<EdgeShell>, name: TargetName, engine: EngineAddress) {
+    let answer = ask_engine(
+        &shell,
+        &name,
+        engine.address,
+        Method::GET,
+        REPORT_PATH,
+        Vec::new(),
+    );
+    let Some((200, body)) = answer.await else {
+        return;
+    };
+    match read_report(&body) {
+        Ok(report) => {
+            let fresh = shell.orders.borrow_mut().reported(&name, &report);
+            if fresh {
+                tell_holdings(&shell, &name, engine.born, &report.holdings.models);
+            }
+        }
+        Err(error) => warn!("report of {name}: {error}"),
+    }
+}
+
+/// Notes that a host waits for a copy, and gives the order for it if that is possible now.
+pub(crate) fn want_copy(shell: &Rc<EdgeShell>, service: ServiceName, need: CallNeed) {
+    if need.adapter.is_none() || !shell.lease.borrow().is_holder() {
+        return;
+    }
+    shell
+        .wants
+        .borrow_mut()
+        .insert((service, need), clock::now());
+    serve_wants(shell);
+}
+
+/// Gives orders for the copies that hosts wait for.
+fn serve_wants(shell: &Rc<EdgeShell>) {
+    let now = clock::now();
+    if shell.lease.borrow().order_fence(now).is_none() {
+        return;
+    }
+    let wants: Vec<(ServiceName, CallNeed)> = {
+        let mut wants = shell.wants.borrow_mut();
+        wants.retain(|_, asked| now.since(*asked) < WANT_TIME);
+        wants.keys().cloned().collect()
+    };
+    if wants.is_empty() {
+        return;
+    }
+    let demand = shell.demands.borrow_mut().total(now);
+    for (service, need) in wants {
+        if place_adapter(shell, &service, &need, &demand) {
+            shell.wants.borrow_mut().remove(&(service, need));
+        }
+    }
+}
+
+/// Gives the next order for an adapter; returns whether an engine holds it.
+fn place_adapter(
+    shell: &Rc<EdgeShell>,
+    service: &ServiceName,
+    need: &CallNeed,
+    demand: &[ModelDemand],
+) -> bool {
+    let now = clock::now();
+    let rules = shell.serving.borrow().rules().cloned();
+    let Some(rule) = rules.as_ref().and_then(|rules| rules.engine(service)) else {
+        return false;
+    };
+    let views = engine_views(shell, service, now);
+    let step = place(rule, &views, demand, need, |name| {
+        let serving = shell.serving.borrow();
+        serving.targets.get(name).map_or(0, |state| state.load(now))
+    });
+    match step {
+        AdapterStep::Held(name) => {
+            repeat_notice(shell, &name);
+            true
+        }
+        AdapterStep::Order(name, action) => {
+            if let Some(engine) = engine_addresses(shell).get(&name) {
+                give_order(shell, &name, engine, action);
+            }
+            false
+        }
+        AdapterStep::Wait => false,
+    }
+}
+
+/// Tells again what an engine holds; the host that asks has missed it.
+fn repeat_notice(shell: &EdgeShell, name: &TargetName) {
+    let models = shell
+        .orders
+        .borrow()
+        .holdings(name)
+        .map(|held| held.models.clone());
+    let born = shell
+        .serving
+        .borrow()
+        .targets
+        .get(name)
+        .map(|state| state.record.born);
+    if let (Some(models), Some(born)) = (models, born) {
+        tell_holdings(shell, name, born, &models);
+    }
+}
--- /dev/null
+++ b/crates/httpconn/src/lib.rs
@@ -0,0 +1,14 @@
+//! HTTP/1.1 connections with exact ends.
+//!
+//! A [`ConnPool`] keeps idle connections by address. A failed send tells whether the request was
+//! written ([`SendError::is_unsent`]), an answer that ends early gives an error instead of an end,
+//! and dropping a [`HeldConn`] closes the socket at once, which cancels the request at the peer.
+
+pub mod connect;
+pub mod pool;
+
+/// The common names of this crate.
+pub mod prelude {
+    pub use crate::connect::{listen_on, tune_stream};
+    pub use crate::pool::{read_whole, ConnPool, HeldConn, PoolLimits, SendError};
+}
--- /dev/null
+++ b/crates/httpconn/src/pool.rs
@@ -0,0 +1,265 @@
+//! Idle connections by address.
+
+use crate::connect::tune_stream;
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper::{Request, Response};
+use hyper_util::rt::TokioIo;
+use snafu::Snafu;
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::net::TcpStream;
+use tokio::task::JoinHandle;
+use tokio::time::timeout;
+
+/// Time in which a connection must be ready for the next request after a whole answer.
+const READY_TIMEOUT: Duration = Duration::from_millis(50);
+
+/// Failure of a send.
+#[derive(Debug, Snafu)]
+pub enum SendError {
+    /// No connection could be opened; nothing was sent.
+    #[snafu(display("no connection: {reason}"))]
+    NoConnection {
+        /// What the system said.
+        reason: String,
+    },
+    /// The connection closed before the request was written; nothing was sent.
+    #[snafu(display("closed before the request was written: {reason}"))]
+    Unsent {
+        /// What the library said.
+        reason: String,
+    },
+    /// The request was written, at least in part, and no whole answer came.
+    #[snafu(display("no answer: {reason}"))]
+    Lost {
+        /// What the library said.
+        reason: String,
+        /// Whether the bytes that came were no HTTP answer.
+        malformed: bool,
+    },
+}
+
+impl SendError {
+    /// Returns whether the peer cannot have seen the request.
+    pub fn is_unsent(&self) -> bool {
+        !matches!(self, Self::Lost { .. })
+    }
+}
+
+/// Limits of a pool.
+#[derive(Clone, Copy, Debug)]
+pub struct PoolLimits {
+    /// Longest time to open a connection.
+    pub connect_timeout: Duration,
+    /// Longest time that an idle connection is kept.
+    pub idle_limit: Duration,
+    /// Idle connections kept for one address.
+    pub idle_count: usize,
+}
+
+struct OpenConn {
+    sender: SendRequest<Full<Bytes>>,
+    driver: JoinHandle<()>,
+    idle_since: Instant,
+}
+
+impl Drop for OpenConn {
+    fn drop(&mut self) {
+        self.driver.abort();
+    }
+}
+
+#[derive(Default)]
+struct PoolState {
+    idle: HashMap<SocketAddr, Vec<OpenConn>>,
+    opened: u64,
+}
+
+/// Pool of idle connections.
+#[derive(Clone)]
+pub struct ConnPool {
+    limits: PoolLimits,
+    state: Rc<RefCell<PoolState>>,
+}
+
+/// A connection that serves one request; dropping it closes the socket.
+pub struct HeldConn {
+    conn: OpenConn,
+    address: SocketAddr,
+    pool: ConnPool,
+    /// Whether the connection has served a request before.
+    pub reused: bool,
+    closing: bool,
+}
+
+impl ConnPool {
+    /// Makes an empty pool.
+    pub fn new(limits: PoolLimits) -> Self {
+        Self {
+            limits,
+            state: Rc::default(),
+        }
+    }
+
+    /// Connections opened so far.
+    pub fn opened(&self) -> u64 {
+        self.state.borrow().opened
+    }
+
+    /// Takes an idle connection, or opens one.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no connection could be opened in time.
+    pub async fn take(&self, address: SocketAddr) -> Result<HeldConn, SendError> {
+        if let Some(held) = self.take_idle(address) {
+            return Ok(held);
+        }
+        self.open(address).await
+    }
+
+    fn take_idle(&self, address: SocketAddr) -> Option<HeldConn> {
+        let mut state = self.state.borrow_mut();
+        let idle = state.idle.get_mut(&address)?;
+        while let Some(conn) = idle.pop() {
+            let fresh = conn.idle_since.elapsed() < self.limits.idle_limit;
+            if fresh && !conn.sender.is_closed() && conn.sender.is_ready() {
+                return Some(HeldConn {
+                    conn,
+                    address,
+                    pool: self.clone(),
+                    reused: true,
+                    closing: false,
+                });
+            }
+        }
+        None
+    }
+
+    /// Opens a connection.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the peer refuses or does not answer in time.
+    pub async fn open(&self, address: SocketAddr) -> Result<HeldConn, SendError> {
+        let no_connection = |reason: String| SendError::NoConnection { reason };
+        self.state.borrow_mut().opened += 1;
+        let stream = timeout(self.limits.connect_timeout, TcpStream::connect(address))
+            .await
+            .map_err(|_| no_connection("timed out".to_owned()))?
+            .map_err(|error| no_connection(error.to_string()))?;
+        tune_stream(&stream).map_err(|error| no_connection(error.to_string()))?;
+        let (sender, driver) = http1::handshake(TokioIo::new(stream))
+            .await
+            .map_err(|error| no_connection(error.to_string()))?;
+        let driver = actix_rt::spawn(async move {
+            // Its error also reaches whoever waits for the answer.
+            let _ = driver.await;
+        });
+        Ok(HeldConn {
+            conn: OpenConn {
+                sender,
+                driver,
+                idle_since: Instant::now(),
+            },
+            address,
+            pool: self.clone(),
+            reused: false,
+            closing: false,
+        })
+    }
+
+    /// Closes the idle connections to an address.
+    pub fn forget(&self, address: SocketAddr) {
+        self.state.borrow_mut().idle.remove(&address);
+    }
+
+    /// Closes connections that were idle for too long.
+    pub fn prune(&self) {
+        let limit = self.limits.idle_limit;
+        let mut state = self.state.borrow_mut();
+        state.idle.retain(|_, conns| {
+            conns.retain(|conn| !conn.sender.is_closed() && conn.idle_since.elapsed() < limit);
+            !conns.is_empty()
+        });
+    }
+}
+
+impl HeldConn {
+    /// Sends a request and waits for the head of the answer.
+    ///
+    /// # Errors
+    ///
+    /// Tells whether the request was written.
+    pub async fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, SendError> {
+        if let Err(error) = self.conn.sender.ready().await {
+            return Err(SendError::Unsent {
+                reason: error.to_string(),
+            });
+        }
+        self.conn
+            .sender
+            .try_send_request(request)
+            .await
+            .map_err(|mut error| {
+                let unsent = error.take_message().is_some();
+                let error = error.into_error();
+                let reason = error.to_string();
+                if unsent {
+                    SendError::Unsent { reason }
+                } else {
+                    SendError::Lost {
+                        reason,
+                        malformed: error.is_parse(),
+                    }
+                }
+            })
+    }
+
+    /// Notes that the peer closes the connection after this answer.
+    pub fn close_after(&mut self) {
+        self.closing = true;
+    }
+
+    /// Returns the connection to the pool after a whole answer.
+    pub async fn give_back(mut self) {
+        if self.closing {
+            return;
+        }
+        let limit = self.pool.limits.idle_count;
+        // Unread bytes after the answer make the connection fail here instead of at its next use.
+        let ready = timeout(READY_TIMEOUT, self.conn.sender.ready()).await;
+        if !matches!(ready, Ok(Ok(()))) {
+            return;
+        }
+        self.conn.idle_since = Instant::now();
+        let pool = self.pool.clone();
+        let mut state = pool.state.borrow_mut();
+        let idle = state.idle.entry(self.address).or_default();
+        if idle.len() < limit {
+            idle.push(self.conn);
+        }
+    }
+}
+
+/// Reads a body to its end.
+///
+/// # Errors
+///
+/// Fails if it ends early.
+pub async fn read_whole(body: Incoming) -> Result<Bytes, SendError> {
+    let collected = body.collect().await.map_err(|error| SendError::Lost {
+        reason: error.to_string(),
+        malformed: error.is_parse(),
+    })?;
+    Ok(collected.to_bytes())
+}
--- a/crates/logging/src/lib.rs
+++ b/crates/logging/src/lib.rs
@@ -8,11 +8,12 @@
 //! [`RequestFields`]: request::RequestFields
 //! [`LibraryFilter`]: setup::LibraryFilter
 
+pub mod queue;
 pub mod request;
 pub mod setup;
 
 /// The common names of this crate.
 pub mod prelude {
     pub use crate::request::{log_request, RequestFields, RequestStep};
-    pub use crate::setup::{start_logging, LoggingError};
+    pub use crate::setup::{start_logging, start_queued_logging, LoggingError};
 }
--- a/crates/logging/src/setup.rs
+++ b/crates/logging/src/setup.rs
@@ -1,5 +1,6 @@
 //! Set-up of the logger.
 
+use crate::queue::QueueAppender;
 use crocusyard_settings::prelude::{LogLevel, LogSettings};
 use log::{Level, LevelFilter, Record};
 use log4rs::append::console::{ConsoleAppender, Target};
@@ -21,6 +22,12 @@
         /// Cause.
         source: log4rs::config::runtime::ConfigErrors,
     },
+    /// The writer thread cannot be started.
+    #[snafu(display("no thread for the log: {source}"))]
+    NoWriter {
+        /// Cause.
+        source: std::io::Error,
+    },
     /// A logger is already set.
     #[snafu(display("logging is already started: {source}"))]
     AlreadyStarted {
@@ -59,6 +66,19 @@
     Ok(())
 }
 
+/// Starts logging to standard output by a thread of its own.
+///
+/// # Errors
+///
+/// Fails if the thread cannot be started or a logger is already set.
+pub fn start_queued_logging(settings: &LogSettings, lines_per_s: u64) -> Result<(), LoggingError> {
+    let appender =
+        QueueAppender::start(lines_per_s, Box::new(std::io::stdout())).context(NoWriterSnafu)?;
+    let config = logging_config(settings, Box::new(appender))?;
+    log4rs::init_config(config).context(AlreadyStartedSnafu)?;
+    Ok(())
+}
+
 /// Makes the configuration of the logger for a given appender.
 ///
 /// # Errors
--- /dev/null
+++ b/crates/serving/src/adapters.rs
@@ -0,0 +1,102 @@
+//! On which engine an adapter is loaded, and which adapter makes room for it.
+
+use crate::call::CallNeed;
+use crate::copies::EngineView;
+use crate::demand::ModelDemand;
+use crate::orders::OrderAction;
+use crate::rules::EngineRule;
+use crocusyard_base::prelude::*;
+use std::collections::HashMap;
+
+/// What to do for an adapter that is waited for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum AdapterStep {
+    /// An engine holds it.
+    Held(TargetName),
+    /// Give this order first.
+    Order(TargetName, OrderAction),
+    /// No engine that holds the model can be given an order now.
+    Wait,
+}
+
+/// Decides what brings an adapter closer to being held.
+///
+/// `load` gives the requests in progress on an engine.
+pub fn place(
+    rule: &EngineRule,
+    engines: &[EngineView],
+    demand: &[ModelDemand],
+    need: &CallNeed,
+    load: impl Fn(&TargetName) -> u32,
+) -> AdapterStep {
+    let Some(adapter) = &need.adapter else {
+        return AdapterStep::Wait;
+    };
+    let holders: Vec<&EngineView> = engines
+        .iter()
+        .filter(|engine| engine.holdings.models.contains_key(&need.model))
+        .collect();
+    let held = holders
+        .iter()
+        .find(|engine| engine.holdings.models[&need.model].contains(adapter));
+    if let Some(engine) = held {
+        return AdapterStep::Held(engine.name.clone());
+    }
+    let free = holders.iter().filter(|engine| engine.free);
+    let roomy = free
+        .clone()
+        .filter(|engine| adapter_count(engine) < rule.adapter_slots)
+        .min_by_key(|engine| (adapter_count(engine), load(&engine.name)));
+    if let Some(engine) = roomy {
+        let action = OrderAction::LoadAdapter(need.model.clone(), adapter.clone());
+        return AdapterStep::Order(engine.name.clone(), action);
+    }
+    let rates = adapter_rates(demand);
+    free.filter_map(|engine| {
+        let (model, victim, rate) = least_used(engine, &rates)?;
+        Some((engine, model, victim, rate))
+    })
+    .min_by(|a, b| a.3.total_cmp(&b.3))
+    .map_or(AdapterStep::Wait, |(engine, model, victim, _)| {
+        AdapterStep::Order(
+            engine.name.clone(),
+            OrderAction::UnloadAdapter(model, victim),
+        )
+    })
+}
+
+/// Adapters on an engine.
+pub fn adapter_count(engine: &EngineView) -> usize {
+    engine.holdings.models.values().map(|held| held.len()).sum()
+}
+
+fn adapter_rates(demand: &[ModelDemand]) -> HashMap<CallNeed, f64> {
+    demand
+        .iter()
+        .map(|demand| {
+            // A request in progress weighs as much as one that arrives each second.
+            let rate = demand.rate + f64::from(demand.busy);
+            (demand.need.clone(), rate)
+        })
+        .collect()
+}
+
+fn least_used(
+    engine: &EngineView,
+    rates: &HashMap<CallNeed, f64>,
+) -> Option<(ModelName, AdapterName, f64)> {
+    engine
+        .holdings
+        .models
+        .iter()
+        .flat_map(|(model, held)| held.iter().map(move |adapter| (model, adapter)))
+        .map(|(model, adapter)| {
+            let need = CallNeed {
+                model: model.clone(),
+                adapter: Some(adapter.clone()),
+            };
+            let rate = rates.get(&need).copied().unwrap_or(0.0);
+            (model.clone(), adapter.clone(), rate)
+        })
+        .min_by(|a, b| a.2.total_cmp(&b.2))
+}
--- /dev/null
+++ b/crates/serving/src/choose.rs
@@ -0,0 +1,139 @@
+//! The choice of a target for a call.
+//!
+//! Among targets that hold what the call needs, the one with the lowest cost wins: its load per
+//! slot, more for another failure domain, less for the target at which calls with the same prompt
+//! meet. Targets that failed are taken only if no other holds the model.
+
+use crate::call::CallFacts;
+use crate::targets::{TargetState, TargetTable};
+use crocusyard_base::prelude::*;
+use std::collections::hash_map::DefaultHasher;
+use std::hash::{Hash, Hasher};
+
+/// Cost of another failure domain, share of a target's slots; a crossing costs about 3 ms a call.
+const DOMAIN_COST: f64 = 0.15;
+/// Gain of the target that calls with the same prompt prefer, share of a target's slots.
+const AFFINITY_GAIN: f64 = 0.25;
+/// Differences below this are decided by hash, so that hosts do not agree on one target.
+const COST_STEP: f64 = 0.02;
+/// Cost of a target that failed just now, share of a target's slots; any other goes before it.
+const FAILED_COST: f64 = 10.0;
+
+/// Why no target was chosen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NoTarget {
+    /// No target of the service is known.
+    NoneKnown,
+    /// No target holds the model.
+    ModelAbsent,
+    /// Targets hold the model, none holds the adapter.
+    AdapterAbsent,
+    /// All targets that hold it are full.
+    AllFull,
+}
+
+/// Chooses a target that has not been tried.
+///
+/// # Errors
+///
+/// Says why there is none.
+pub fn choose_target(
+    table: &TargetTable,
+    call: &CallFacts,
+    tried: &[TargetName],
+    domain: &DomainName,
+    now: ClockTime,
+) -> Result<TargetName, NoTarget> {
+    let mut best: Option<(f64, &TargetState)> = None;
+    let mut reason = NoTarget::NoneKnown;
+    let preferred = preferred_target(table, call, now);
+    for state in table.of_service(&call.service) {
+        if tried.contains(&state.record.name) {
+            continue;
+        }
+        if let Some(need) = &call.need {
+            if !state.holds(&need.model, None) {
+                reason = reason.max_with(NoTarget::ModelAbsent);
+                continue;
+            }
+            if !state.holds(&need.model, need.adapter.as_ref()) {
+                reason = reason.max_with(NoTarget::AdapterAbsent);
+                continue;
+            }
+        }
+        if state.is_full(now) {
+            reason = reason.max_with(NoTarget::AllFull);
+            continue;
+        }
+        let cost = target_cost(state, call, preferred, domain, now);
+        if best.as_ref().is_none_or(|(lowest, _)| cost < *lowest) {
+            best = Some((cost, state));
+        }
+    }
+    best.map(|(_, state)| state.record.name.clone())
+        .ok_or(reason)
+}
+
+impl NoTarget {
+    fn rank(self) -> u8 {
+        match self {
+            Self::NoneKnown => 0,
+            Self::ModelAbsent => 1,
+            Self::AdapterAbsent => 2,
+            Self::AllFull => 3,
+        }
+    }
+
+    fn max_with(self, other: Self) -> Self {
+        if other.rank() > self.rank() {
+            other
+        } else {
+            self
+        }
+    }
+}
+
+fn target_cost(
+    state: &TargetState,
+    call: &CallFacts,
+    preferred: Option<u64>,
+    domain: &DomainName,
+    now: ClockTime,
+) -> f64 {
+    let load = f64::from(state.load(now)) / f64::from(state.slots());
+    let mut cost = load + tie_break(state, call) * COST_STEP;
+    if state.record.domain != *domain {
+        cost += DOMAIN_COST;
+    }
+    if state.is_avoided(now) {
+        cost += FAILED_COST;
+    }
+    if preferred.is_some_and(|weight| Some(weight) == affinity_weight(state, call)) {
+        cost -= AFFINITY_GAIN;
+    }
+    cost
+}
+
+/// Highest affinity weight among the targets that hold what the call needs.
+fn preferred_target(table: &TargetTable, call: &CallFacts, now: ClockTime) -> Option<u64> {
+    let need = call.need.as_ref()?;
+    table
+        .of_service(&call.service)
+        .filter(|state| state.holds(&need.model, need.adapter.as_ref()) && !state.is_avoided(now))
+        .filter_map(|state| affinity_weight(state, call))
+        .max()
+}
+
+fn affinity_weight(state: &TargetState, call: &CallFacts) -> Option<u64> {
+    let mut hasher = DefaultHasher::new();
+    call.affinity()?.hash(&mut hasher);
+    state.record.name.hash(&mut hasher);
+    Some(hasher.finish())
+}
+
+fn tie_break(state: &TargetState, call: &CallFacts) -> f64 {
+    let mut hasher = DefaultHasher::new();
+    call.id.hash(&mut hasher);
+    state.record.name.hash(&mut hasher);
+    (hasher.finish() % 1_000) as f64 / 1_000.0
+}
--- /dev/null
+++ b/crates/serving/src/demand.rs
@@ -0,0 +1,131 @@
+//! Demand for models and adapters.
+//!
+//! Each host counts its own; the lease holder adds up what the hosts told last.
+
+use crate::call::CallNeed;
+use crocusyard_base::prelude::*;
+use serde::{Deserialize, Serialize};
+use std::collections::HashMap;
+
+/// Age at which what a host told is dropped.
+const TOLD_DEMAND_TIME: ClockTime = ClockTime::from_secs(3);
+/// Span over which arrivals are averaged, ms.
+const RATE_SPAN_MS: f64 = 2_000.0;
+/// Rate below which a need without requests in progress is forgotten, 1/s.
+const RATE_FLOOR: f64 = 0.02;
+
+/// Demand for one need at one host, or at all.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ModelDemand {
+    /// Service.
+    pub service: ServiceName,
+    /// Model and adapter.
+    pub need: CallNeed,
+    /// Requests in progress, including those that wait.
+    pub busy: u32,
+    /// Requests that wait.
+    pub waiting: u32,
+    /// Requests that arrive, 1/s.
+    pub rate: f64,
+}
+
+#[derive(Clone, Debug, Default)]
+struct NeedCount {
+    busy: u32,
+    waiting: u32,
+    rate: f64,
+    rated_at: ClockTime,
+}
+
+impl NeedCount {
+    fn rate_at(&self, now: ClockTime) -> f64 {
+        let age = now.since(self.rated_at).as_ms() as f64;
+        self.rate * (-age / RATE_SPAN_MS).exp()
+    }
+}
+
+/// Counts of one host.
+#[derive(Clone, Debug, Default)]
+pub struct DemandCounter {
+    counts: HashMap<(ServiceName, CallNeed), NeedCount>,
+}
+
+impl DemandCounter {
+    /// Counts a request that arrives.
+    pub fn arrive(&mut self, service: &ServiceName, need: &CallNeed, now: ClockTime) {
+        let key = (service.clone(), need.clone());
+        let count = self.counts.entry(key).or_default();
+        count.rate = count.rate_at(now) + 1_000.0 / RATE_SPAN_MS;
+        count.rated_at = now;
+        count.busy += 1;
+    }
+
+    /// Counts a request that has ended.
+    pub fn end(&mut self, service: &ServiceName, need: &CallNeed) {
+        let key = (service.clone(), need.clone());
+        if let Some(count) = self.counts.get_mut(&key) {
+            count.busy = count.busy.saturating_sub(1);
+        }
+    }
+
+    /// Sets the number of waiting requests, for all needs at once.
+    pub fn set_waiting(&mut self, waiting: &HashMap<(ServiceName, CallNeed), u32>) {
+        for (key, count) in &mut self.counts {
+            count.waiting = waiting.get(key).copied().unwrap_or(0);
+        }
+    }
+
+    /// What the lease holder is told.
+    pub fn report(&mut self, now: ClockTime) -> Vec<ModelDemand> {
+        self.counts
+            .retain(|_, count| count.busy > 0 || count.rate_at(now) > RATE_FLOOR);
+        let mut demands: Vec<ModelDemand> = self
+            .counts
+            .iter()
+            .map(|((service, need), count)| ModelDemand {
+                service: service.clone(),
+                need: need.clone(),
+                busy: count.busy,
+                waiting: count.waiting,
+                rate: count.rate_at(now),
+            })
+            .collect();
+        demands.sort_by(|a, b| (&a.service, &a.need).cmp(&(&b.service, &b.need)));
+        demands
+    }
+}
+
+/// Demand of all hosts, at the lease holder.
+#[derive(Clone, Debug, Default)]
+pub struct DemandBook {
+    told: HashMap<HostName, (ClockTime, Vec<ModelDemand>)>,
+}
+
+impl DemandBook {
+    /// Takes what a host told.
+    pub fn tell(&mut self, host: &HostName, demands: Vec<ModelDemand>, now: ClockTime) {
+        self.told.insert(host.clone(), (now, demands));
+    }
+
+    /// Sums by need over the hosts that told lately.
+    pub fn total(&mut self, now: ClockTime) -> Vec<ModelDemand> {
+        self.told
+            .retain(|_, (at, _)| now.since(*at) < TOLD_DEMAND_TIME);
+        let mut sums: HashMap<(ServiceName, CallNeed), ModelDemand> = HashMap::new();
+        for demand in self.told.values().flat_map(|(_, demands)| demands) {
+            let key = (demand.service.clone(), demand.need.clone());
+            let sum = sums.entry(key).or_insert_with(|| ModelDemand {
+                busy: 0,
+                waiting: 0,
+                rate: 0.0,
+                ..demand.clone()
+            });
+            sum.busy += demand.busy;
+            sum.waiting += demand.waiting;
+            sum.rate += demand.rate;
+        }
+        let mut demands: Vec<ModelDemand> = sums.into_values().collect();
+        demands.sort_by(|a, b| (&a.service, &a.need).cmp(&(&b.service, &b.need)));
+        demands
+    }
+}
--- /dev/null
+++ b/crates/serving/src/event.rs
@@ -0,0 +1,143 @@
+//! Events and effects of the request path.
+
+use crate::blame::CrashReport;
+use crate::call::{AttemptOutcome, CallFacts, CallNeed};
+use crate::rules::RuleSet;
+use crate::targets::{HeldModels, TargetLoad, TargetRecord};
+use crocusyard_base::prelude::*;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+/// Something that happened.
+#[derive(Clone, Debug)]
+pub enum ServingEvent {
+    /// A call arrived.
+    Arrived {
+        /// Key.
+        key: RequestKey,
+        /// Call.
+        call: Rc<CallFacts>,
+    },
+    /// An attempt ended.
+    Ended {
+        /// Key.
+        key: RequestKey,
+        /// How.
+        outcome: AttemptOutcome,
+    },
+    /// The caller left.
+    Left {
+        /// Key.
+        key: RequestKey,
+    },
+    /// A configuration came.
+    Rules(Rc<RuleSet>),
+    /// Targets changed.
+    Targets {
+        /// New or changed ones.
+        upserts: Vec<TargetRecord>,
+        /// Removed ones.
+        removed: Vec<TargetName>,
+    },
+    /// A target told its load.
+    Load {
+        /// Target.
+        target: TargetName,
+        /// Load.
+        load: TargetLoad,
+    },
+    /// The lease holder told what an engine holds.
+    Noticed {
+        /// Target.
+        target: TargetName,
+        /// Start of its incarnation.
+        born: u64,
+        /// Models with their adapters.
+        models: HeldModels,
+    },
+    /// A target is leaving, by a sign that is newer than its record.
+    Leaving {
+        /// Target.
+        target: TargetName,
+        /// Start of its incarnation.
+        born: u64,
+    },
+    /// Another host told of a crash.
+    Crash(CrashReport),
+    /// The number of live hosts changed.
+    Hosts(usize),
+    /// Time passed.
+    Tick,
+}
+
+/// A send that is to be made.
+#[derive(Clone, Debug, PartialEq)]
+pub struct AttemptPlan {
+    /// Request.
+    pub key: RequestKey,
+    /// Target.
+    pub target: TargetName,
+    /// Its address.
+    pub address: SocketAddr,
+    /// Number of this attempt, from 1.
+    pub attempt: u32,
+    /// Age of the load that decided, if known.
+    pub load_age: Option<ClockTime>,
+    /// Load that decided.
+    pub load: u32,
+}
+
+/// Why a request is refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RefusalReason {
+    /// The service has no target.
+    NoTarget,
+    /// No target could take it before its deadline.
+    Overloaded,
+    /// Its model cannot be loaded before its deadline.
+    ModelAbsent,
+    /// It crashed several targets.
+    Crashes,
+    /// The target refused it and no further send is allowed.
+    TargetRefused,
+    /// The budget of repeated sends is spent.
+    NoBudget,
+    /// The deadline came while it waited.
+    Expired,
+}
+
+/// A refusal; the request has not run and will not.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RequestRefusal {
+    /// Request.
+    pub key: RequestKey,
+    /// Reason.
+    pub reason: RefusalReason,
+    /// Wait after which a retry can help.
+    pub retry_after: ClockTime,
+}
+
+/// Something to be done.
+#[derive(Clone, Debug, PartialEq)]
+pub enum ServingEffect {
+    /// Send a request.
+    Send(AttemptPlan),
+    /// Refuse a request that has not run.
+    Refuse(RequestRefusal),
+    /// Answer a request whose fate is unknown.
+    Fail {
+        /// Request.
+        key: RequestKey,
+        /// Whether its time is up.
+        expired: bool,
+    },
+    /// Ask the lease holder for a copy.
+    Want {
+        /// Service.
+        service: ServiceName,
+        /// Model and adapter.
+        need: CallNeed,
+    },
+    /// Tell the other hosts of a crash.
+    TellCrash(CrashReport),
+}
--- /dev/null
+++ b/crates/serving/src/hosts.rs
@@ -0,0 +1,161 @@
+//! Entry hosts: who there is, and who was heard lately.
+
+use crocusyard_base::prelude::*;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+/// Pause between beats.
+pub const BEAT_PAUSE: ClockTime = ClockTime::from_ms(400);
+/// Silence after which a host is left out of address answers; four beats.
+const SILENCE_LIMIT: ClockTime = ClockTime::from_ms(1_700);
+/// Time for which a host that was never heard counts as live; it has just started.
+const START_TIME: ClockTime = ClockTime::from_secs(2);
+/// Silence after which the row of a host is removed.
+const ROW_LIMIT: ClockTime = ClockTime::from_secs(30);
+
+/// What a host says of itself in its row.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HostFacts {
+    /// Name.
+    pub name: HostName,
+    /// Failure domain.
+    pub domain: DomainName,
+    /// Address for callers.
+    pub entry: SocketAddr,
+    /// Address for other hosts.
+    pub peer: SocketAddr,
+}
+
+#[derive(Clone, Debug)]
+struct HostState {
+    facts: HostFacts,
+    known_since: ClockTime,
+    heard: Option<ClockTime>,
+    leaving: bool,
+}
+
+impl HostState {
+    fn is_live(&self, now: ClockTime) -> bool {
+        if self.leaving {
+            return false;
+        }
+        match self.heard {
+            Some(heard) => now.since(heard) < SILENCE_LIMIT,
+            None => now.since(self.known_since) < START_TIME,
+        }
+    }
+}
+
+/// All hosts that one host knows.
+#[derive(Clone, Debug)]
+pub struct HostBook {
+    own: HostFacts,
+    own_leaving: bool,
+    others: BTreeMap<HostName, HostState>,
+}
+
+impl HostBook {
+    /// Makes a book that knows only its own host.
+    pub fn new(own: HostFacts) -> Self {
+        Self {
+            own,
+            own_leaving: false,
+            others: BTreeMap::new(),
+        }
+    }
+
+    /// Own row.
+    pub fn own(&self) -> &HostFacts {
+        &self.own
+    }
+
+    /// Takes a row.
+    pub fn upsert(&mut self, facts: HostFacts, now: ClockTime) {
+        if facts.name == self.own.name {
+            return;
+        }
+        let moved = self
+            .others
+            .get(&facts.name)
+            .is_none_or(|state| state.facts != facts);
+        if moved {
+            let state = HostState {
+                known_since: now,
+                heard: None,
+                leaving: false,
+                facts: facts.clone(),
+            };
+            self.others.insert(facts.name, state);
+        }
+    }
+
+    /// Removes a row.
+    pub fn remove(&mut self, name: &HostName) {
+        self.others.remove(name);
+    }
+
+    /// Notes a beat.
+    pub fn heard(&mut self, facts: &HostFacts, leaving: bool, now: ClockTime) {
+        self.upsert(facts.clone(), now);
+        if let Some(state) = self.others.get_mut(&facts.name) {
+            state.heard = Some(now);
+            state.leaving = leaving;
+        }
+    }
+
+    /// Notes that the own host is leaving.
+    pub fn leave(&mut self) {
+        self.own_leaving = true;
+    }
+
+    /// Addresses of other hosts for beats; hosts that are silent are tried as well.
+    pub fn peers(&self) -> Vec<SocketAddr> {
+        self.others.values().map(|state| state.facts.peer).collect()
+    }
+
+    /// Address of one host.
+    pub fn peer(&self, name: &HostName) -> Option<SocketAddr> {
+        self.others.get(name).map(|state| state.facts.peer)
+    }
+
+    /// Hosts that take work, the own one included.
+    pub fn live_count(&self, now: ClockTime) -> usize {
+        1 + self
+            .others
+            .values()
+            .filter(|state| state.is_live(now))
+            .count()
+    }
+
+    /// Hosts known, the own one included.
+    pub fn known_count(&self) -> usize {
+        1 + self.others.len()
+    }
+
+    /// Addresses for callers.
+    ///
+    /// Never empty: a host that is the only one left names itself.
+    pub fn addresses(&self, limit: usize, now: ClockTime) -> Vec<SocketAddr> {
+        let mut live: Vec<SocketAddr> = self
+            .others
+            .values()
+            .filter(|state| state.is_live(now))
+            .map(|state| state.facts.entry)
+            .collect();
+        if !self.own_leaving || live.is_empty() {
+            live.insert(0, self.own.entry);
+        }
+        live.truncate(limit);
+        live
+    }
+
+    /// Hosts whose rows can be removed.
+    pub fn forgotten(&self, now: ClockTime) -> Vec<HostName> {
+        self.others
+            .values()
+            .filter(|state| now.since(state.heard.unwrap_or(state.known_since)) > ROW_LIMIT)
+            .map(|state| state.facts.name.clone())
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/serving/src/orders.rs
@@ -0,0 +1,317 @@
+//! Orders to engines, and what may be ordered now.
+//!
+//! An engine has one unanswered order at most. An order whose answer was lost is sent again with
+//! the same expected number of accepted orders, so that only one of the two can be carried out. A
+//! new holder of the lease reads an engine's report before its first order to it.
+
+use crate::rules::EngineRule;
+use crate::targets::TargetHoldings;
+use crocusyard_base::prelude::*;
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::net::SocketAddr;
+
+/// Window in which loads from the weight store are counted; the platform counts in the same.
+const LOAD_WINDOW: ClockTime = ClockTime::from_secs(5);
+/// Pause between reports asked of one engine.
+const REPORT_PAUSE: ClockTime = ClockTime::from_ms(250);
+/// Time after which an order that got no answer is sent again.
+const ORDER_RETRY: ClockTime = ClockTime::from_ms(400);
+/// Pause after an engine refused an order.
+const REFUSED_PAUSE: ClockTime = ClockTime::from_ms(300);
+
+/// What an engine is told to do.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum OrderAction {
+    /// Load a model.
+    LoadModel(ModelName),
+    /// Unload a model.
+    UnloadModel(ModelName),
+    /// Load an adapter.
+    LoadAdapter(ModelName, AdapterName),
+    /// Unload an adapter.
+    UnloadAdapter(ModelName, AdapterName),
+}
+
+/// An order.
+#[derive(Clone, Debug, PartialEq)]
+pub struct EngineOrder {
+    /// Engine.
+    pub target: TargetName,
+    /// Its address.
+    pub address: SocketAddr,
+    /// What it is told to do.
+    pub action: OrderAction,
+    /// Orders that the engine must have accepted before.
+    pub expected: u64,
+    /// Fencing number.
+    pub fence: FencingNumber,
+}
+
+/// Answer to an order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OrderAnswer {
+    /// Accepted; an adapter order has been carried out or will be within milliseconds.
+    Accepted,
+    /// It holds already.
+    Holds,
+    /// Another order is in progress, or the number of accepted orders differs.
+    Conflict,
+    /// Refused for another reason.
+    Refused,
+    /// No answer; it may be carried out later.
+    Unknown,
+}
+
+/// Report of an engine.
+#[derive(Clone, Debug, PartialEq)]
+pub struct EngineReport {
+    /// Start of its incarnation, if it tells.
+    pub born: Option<u64>,
+    /// What it holds.
+    pub holdings: TargetHoldings,
+    /// Whether an order is in progress.
+    pub busy: bool,
+    /// Models whose weights are in memory.
+    pub in_memory: BTreeSet<ModelName>,
+    /// Models whose weights are on disk.
+    pub on_disk: BTreeSet<ModelName>,
+}
+
+#[derive(Clone, Debug)]
+struct EngineState {
+    born: u64,
+    holdings: TargetHoldings,
+    /// Whether a report was read under this lease.
+    known: bool,
+    unanswered: Option<OrderAction>,
+    retry_at: ClockTime,
+    in_progress: Option<OrderAction>,
+    done_at: ClockTime,
+    asked_at: Option<ClockTime>,
+}
+
+impl EngineState {
+    fn new(born: u64) -> Self {
+        Self {
+            born,
+            holdings: TargetHoldings::default(),
+            known: false,
+            unanswered: None,
+            retry_at: ClockTime::ZERO,
+            in_progress: None,
+            done_at: ClockTime::ZERO,
+            asked_at: None,
+        }
+    }
+}
+
+/// All engines, at the lease holder.
+#[derive(Clone, Debug, Default)]
+pub struct OrderBook {
+    engines: BTreeMap<TargetName, EngineState>,
+    loads: HashMap<ServiceName, VecDeque<ClockTime>>,
+}
+
+impl OrderBook {
+    /// Forgets everything, when the lease is taken or lost.
+    pub fn clear(&mut self) {
+        self.engines.clear();
+    }
+
+    /// Follows the list of engines.
+    pub fn follow(&mut self, engines: &BTreeMap<TargetName, u64>) {
+        self.engines.retain(|name, _| engines.contains_key(name));
+        for (name, born) in engines {
+            let known = self
+                .engines
+                .get(name)
+                .is_some_and(|state| state.born == *born);
+            if !known {
+                self.engines.insert(name.clone(), EngineState::new(*born));
+            }
+        }
+    }
+
+    /// Engines whose report is due; counts them as asked.
+    pub fn reports_due(&mut self, now: ClockTime) -> Vec<TargetName> {
+        let mut due = Vec::new();
+        for (name, state) in &mut self.engines {
+            let waits = state.in_progress.is_some() && now >= state.done_at;
+            let rested = state
+                .asked_at
+                .is_none_or(|at| now.since(at) >= REPORT_PAUSE);
+            if (!state.known || waits) && rested && now >= state.retry_at {
+                state.asked_at = Some(now);
+                due.push(name.clone());
+            }
+        }
+        due
+    }
+
+    /// Takes a report; returns whether it was new enough.
+    pub fn reported(&mut self, name: &TargetName, report: &EngineReport) -> bool {
+        let Some(state) = self.engines.get_mut(name) else {
+            return false;
+        };
+        if report.born.is_some_and(|born| born != state.born) {
+            return false;
+        }
+        if state.known && report.holdings.orders < state.holdings.orders {
+            return false;
+        }
+        if report.holdings.orders > state.holdings.orders {
+            state.unanswered = None;
+        }
+        state.holdings = report.holdings.clone();
+        state.known = true;
+        if !report.busy {
+            state.in_progress = None;
+        } else if state.in_progress.is_none() {
+            // Given by an earlier holder; the weights are counted once the engine lists them.
+            state.in_progress = Some(OrderAction::UnloadModel(ModelName::new("")));
+        }
+        true
+    }
+
+    /// Returns whether an engine can be given an order.
+    pub fn is_free(&self, name: &TargetName, now: ClockTime) -> bool {
+        self.engines.get(name).is_some_and(|state| {
+            state.known
+                && state.unanswered.is_none()
+                && state.in_progress.is_none()
+                && now >= state.retry_at
+        })
+    }
+
+    /// Returns whether an engine can be given an order about an adapter.
+    pub fn takes_adapters(&self, name: &TargetName, now: ClockTime) -> bool {
+        self.is_free(name, now)
+    }
+
+    /// Holdings as the order book knows them.
+    pub fn holdings(&self, name: &TargetName) -> Option<&TargetHoldings> {
+        self.engines
+            .get(name)
+            .filter(|state| state.known)
+            .map(|state| &state.holdings)
+    }
+
+    /// Model that an engine loads or may be loading.
+    pub fn loading(&self, name: &TargetName) -> Option<&ModelName> {
+        let state = self.engines.get(name)?;
+        let action = state.unanswered.as_ref().or(state.in_progress.as_ref())?;
+        match action {
+            OrderAction::LoadModel(model) => Some(model),
+            _ => None,
+        }
+    }
+
+    /// Loads that may begin now.
+    pub fn loads_left(
+        &mut self,
+        service: &ServiceName,
+        rule: &EngineRule,
+        now: ClockTime,
+    ) -> usize {
+        let loads = self.loads.entry(service.clone()).or_default();
+        while loads.front().is_some_and(|at| now.since(*at) > LOAD_WINDOW) {
+            loads.pop_front();
+        }
+        let limit = rule.loads_per_s * LOAD_WINDOW.as_ms() as f64 / 1_000.0;
+        (limit as usize).saturating_sub(loads.len())
+    }
+
+    /// Notes an order that is sent; returns the expected number of accepted orders.
+    pub fn begin(
+        &mut self,
+        service: &ServiceName,
+        name: &TargetName,
+        action: &OrderAction,
+        now: ClockTime,
+    ) -> Option<u64> {
+        let state = self.engines.get_mut(name)?;
+        state.unanswered = Some(action.clone());
+        state.retry_at = now + ORDER_RETRY;
+        if matches!(action, OrderAction::LoadModel(_)) {
+            self.loads
+                .entry(service.clone())
+                .or_default()
+                .push_back(now);
+        }
+        Some(state.holdings.orders)
+    }
+
+    /// Orders without an answer that are to be sent again.
+    pub fn to_repeat(&mut self, now: ClockTime) -> Vec<(TargetName, OrderAction, u64)> {
+        let mut repeats = Vec::new();
+        for (name, state) in &mut self.engines {
+            if let (Some(action), true) = (&state.unanswered, now >= state.retry_at) {
+                state.retry_at = now + ORDER_RETRY;
+                repeats.push((name.clone(), action.clone(), state.holdings.orders));
+            }
+        }
+        repeats
+    }
+
+    /// Takes the answer to an order; returns the holdings if they changed.
+    pub fn answered(
+        &mut self,
+        name: &TargetName,
+        action: &OrderAction,
+        answer: OrderAnswer,
+        load_time: ClockTime,
+        now: ClockTime,
+    ) -> Option<TargetHoldings> {
+        let state = self.engines.get_mut(name)?;
+        if answer == OrderAnswer::Unknown {
+            return None;
+        }
+        state.unanswered = None;
+        match answer {
+            OrderAnswer::Accepted | OrderAnswer::Holds => {
+                // An adapter that is dropped at once also counts as an accepted order.
+                let counted = answer == OrderAnswer::Accepted
+                    || matches!(action, OrderAction::UnloadAdapter(..));
+                if counted {
+                    state.holdings.orders += 1;
+                }
+                state.retry_at = now;
+                apply(&mut state.holdings, action);
+                let slow = matches!(
+                    action,
+                    OrderAction::LoadModel(_) | OrderAction::UnloadModel(_)
+                );
+                if slow && answer == OrderAnswer::Accepted {
+                    state.in_progress = Some(action.clone());
+                    state.done_at = now + load_time;
+                }
+                Some(state.holdings.clone())
+            }
+            OrderAnswer::Conflict | OrderAnswer::Refused | OrderAnswer::Unknown => {
+                state.known = false;
+                state.retry_at = now + REFUSED_PAUSE;
+                None
+            }
+        }
+    }
+}
+
+/// Applies an accepted order; a model that is loading is not held yet.
+fn apply(holdings: &mut TargetHoldings, action: &OrderAction) {
+    match action {
+        OrderAction::LoadModel(_) => {}
+        OrderAction::UnloadModel(model) => {
+            holdings.models.remove(model);
+        }
+        OrderAction::LoadAdapter(model, adapter) => {
+            if let Some(held) = holdings.models.get_mut(model) {
+                held.insert(adapter.clone());
+            }
+        }
+        OrderAction::UnloadAdapter(model, adapter) => {
+            if let Some(held) = holdings.models.get_mut(model) {
+                held.remove(adapter);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/serving/src/state.rs
@@ -0,0 +1,589 @@
+//! The reducer of the request path.
+
+use crate::blame::{BlameBook, CrashReport};
+use crate::call::{AttemptOutcome, CallFacts, CallNeed};
+use crate::choose::{choose_target, NoTarget};
+use crate::demand::{DemandCounter, ModelDemand};
+use crate::event::{AttemptPlan, RefusalReason, RequestRefusal, ServingEffect, ServingEvent};
+use crate::retries::{RetryBudget, RetryLimits};
+use crate::rules::RuleSet;
+use crate::targets::TargetTable;
+use crate::waiting::{WaitingCall, WaitingCalls};
+use crocusyard_base::prelude::*;
+use std::collections::{HashMap, HashSet};
+use std::rc::Rc;
+
+/// Pause between requests for an absent copy; an order and its answer take less.
+const WANT_PAUSE: ClockTime = ClockTime::from_ms(150);
+/// Shortest time in which an answer can come; less is left to a call that is refused.
+const SHORTEST_ANSWER: ClockTime = ClockTime::from_ms(30);
+/// Time for which targets may be unknown after a start before calls are refused.
+const START_WAIT: ClockTime = ClockTime::from_secs(1);
+/// Time that a load takes besides the load itself: order, notice and first token.
+const LOAD_OVERHEAD: ClockTime = ClockTime::from_ms(400);
+/// Wait told to callers when no target of the service is known; a target list is that old at most.
+const NO_TARGET_RETRY: ClockTime = ClockTime::from_ms(1_000);
+/// Shortest wait told to callers.
+const RETRY_MIN: ClockTime = ClockTime::from_ms(100);
+/// Longest wait told to callers.
+const RETRY_MAX: ClockTime = ClockTime::from_secs(5);
+/// Weight of a new run time in the average.
+const RUN_TIME_WEIGHT: f64 = 0.1;
+/// Run time before any call has ended, ms.
+const RUN_TIME_START_MS: f64 = 500.0;
+
+/// Limits that the platform gives.
+#[derive(Clone, Debug)]
+pub struct ServingLimits {
+    /// Own failure domain.
+    pub domain: DomainName,
+    /// Repeated sends.
+    pub retries: RetryLimits,
+}
+
+#[derive(Clone, Debug)]
+struct RequestState {
+    call: Rc<CallFacts>,
+    arrived: ClockTime,
+    sends: u32,
+    tried: Vec<TargetName>,
+    target: Option<(TargetName, u64)>,
+    sent_at: ClockTime,
+    /// Whether an attempt may have run.
+    maybe_ran: bool,
+}
+
+/// State of the request path of one host.
+#[derive(Clone, Debug)]
+pub struct ServingState {
+    limits: ServingLimits,
+    rules: Option<Rc<RuleSet>>,
+    /// Targets.
+    pub targets: TargetTable,
+    targets_known: bool,
+    requests: HashMap<RequestKey, RequestState>,
+    waiting: WaitingCalls,
+    budget: RetryBudget,
+    blame: BlameBook,
+    demand: DemandCounter,
+    run_times: HashMap<(ServiceName, Option<ModelName>), f64>,
+    hosts: usize,
+    started: ClockTime,
+}
+
+type Effects = Vec<ServingEffect>;
+
+impl ServingState {
+    /// Makes the state of a host that knows nothing.
+    pub fn new(limits: ServingLimits, now: ClockTime) -> Self {
+        Self {
+            budget: RetryBudget::new(limits.retries),
+            limits,
+            rules: None,
+            targets: TargetTable::default(),
+            targets_known: false,
+            requests: HashMap::new(),
+            waiting: WaitingCalls::default(),
+            blame: BlameBook::default(),
+            demand: DemandCounter::default(),
+            run_times: HashMap::new(),
+            hosts: 1,
+            started: now,
+        }
+    }
+
+    /// Configuration in force.
+    pub fn rules(&self) -> Option<&Rc<RuleSet>> {
+        self.rules.as_ref()
+    }
+
+    /// Returns whether configuration and targets are known.
+    pub fn is_ready(&self) -> bool {
+        self.rules.is_some() && self.targets_known
+    }
+
+    /// Requests in progress.
+    pub fn request_count(&self) -> usize {
+        self.requests.len()
+    }
+
+    /// Requests that wait.
+    pub fn waiting_count(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Demand, for the lease holder.
+    pub fn demand_report(&mut self, now: ClockTime) -> Vec<ModelDemand> {
+        let mut waiting: HashMap<(ServiceName, CallNeed), u32> = HashMap::new();
+        for (key, request) in &self.requests {
+            if !self.waiting.contains(*key) {
+                continue;
+            }
+            if let Some(need) = &request.call.need {
+                let place = (request.call.service.clone(), need.clone());
+                *waiting.entry(place).or_default() += 1;
+            }
+        }
+        self.demand.set_waiting(&waiting);
+        self.demand.report(now)
+    }
+
+    /// Handles an event.
+    pub fn reduce(&mut self, event: ServingEvent, now: ClockTime) -> Effects {
+        let mut effects = Vec::new();
+        match event {
+            ServingEvent::Arrived { key, call } => self.arrive(key, call, now, &mut effects),
+            ServingEvent::Ended { key, outcome } => self.end(key, outcome, now, &mut effects),
+            ServingEvent::Left { key } => {
+                self.leave(key, now);
+                self.serve_waiting(now, &mut effects);
+            }
+            ServingEvent::Rules(rules) => self.set_rules(rules),
+            ServingEvent::Targets { upserts, removed } => {
+                self.targets_known = true;
+                for record in upserts {
+                    self.targets.upsert(record, now);
+                }
+                for name in removed {
+                    self.targets.remove(&name);
+                }
+                self.serve_waiting(now, &mut effects);
+            }
+            ServingEvent::Load { target, load } => self.targets.note_load(&target, load, now),
+            ServingEvent::Noticed {
+                target,
+                born,
+                models,
+            } => {
+                self.targets.notice(&target, born, models, now);
+                self.serve_waiting(now, &mut effects);
+            }
+            ServingEvent::Leaving { target, born } => self.targets.leave(&target, born),
+            ServingEvent::Crash(report) => {
+                self.blame.note(&report, now);
+            }
+            ServingEvent::Hosts(count) => self.hosts = count.max(1),
+            ServingEvent::Tick => {
+                self.expire(now, &mut effects);
+                self.serve_waiting(now, &mut effects);
+            }
+        }
+        effects
+    }
+
+    fn set_rules(&mut self, rules: Rc<RuleSet>) {
+        let newer = self
+            .rules
+            .as_ref()
+            .is_none_or(|current| rules.version > current.version);
+        if newer {
+            self.rules = Some(rules);
+        }
+    }
+
+    fn arrive(&mut self, key: RequestKey, call: Rc<CallFacts>, now: ClockTime, out: &mut Effects) {
+        self.budget.count_request(&call.service, now);
+        if let Some(need) = &call.need {
+            self.demand.arrive(&call.service, need, now);
+        }
+        let refused = self.blame.is_refused(call.digest, now);
+        let request = RequestState {
+            call,
+            arrived: now,
+            sends: 0,
+            tried: Vec::new(),
+            target: None,
+            sent_at: now,
+            maybe_ran: false,
+        };
+        self.requests.insert(key, request);
+        if refused {
+            self.refuse(key, RefusalReason::Crashes, RETRY_MAX, now, out);
+            return;
+        }
+        self.place(key, now, out);
+    }
+
+    /// Sends a request, lets it wait, or ends it.
+    fn place(&mut self, key: RequestKey, now: ClockTime, out: &mut Effects) {
+        let Some(request) = self.requests.get(&key) else {
+            return;
+        };
+        let call = request.call.clone();
+        match choose_target(
+            &self.targets,
+            &call,
+            &request.tried,
+            &self.limits.domain,
+            now,
+        ) {
+            Ok(target) => self.send(key, &target, now, out),
+            Err(reason) => self.wait(key, &call, reason, now, out),
+        }
+    }
+
+    fn send(&mut self, key: RequestKey, target: &TargetName, now: ClockTime, out: &mut Effects) {
+        self.waiting.remove(key);
+        let Some(request) = self.requests.get_mut(&key) else {
+            return;
+        };
+        let Some(state) = self.targets.get(target) else {
+            return;
+        };
+        request.sends += 1;
+        request.tried.push(target.clone());
+        request.target = Some((target.clone(), state.record.born));
+        request.sent_at = now;
+        out.push(ServingEffect::Send(AttemptPlan {
+            key,
+            target: target.clone(),
+            address: state.record.address,
+            attempt: request.sends,
+            load_age: state.load_age(now),
+            load: state.load(now),
+        }));
+        let tokens = request.call.total_tokens();
+        self.targets.begin(target, tokens);
+    }
+
+    fn wait(
+        &mut self,
+        key: RequestKey,
+        call: &CallFacts,
+        reason: NoTarget,
+        now: ClockTime,
+        out: &mut Effects,
+    ) {
+        let left = call.deadline.since(now);
+        let estimate = self.wait_estimate(key, call, reason, now);
+        if estimate + SHORTEST_ANSWER > left {
+            let refusal = match reason {
+                NoTarget::NoneKnown => RefusalReason::NoTarget,
+                NoTarget::ModelAbsent | NoTarget::AdapterAbsent => RefusalReason::ModelAbsent,
+                NoTarget::AllFull => RefusalReason::Overloaded,
+            };
+            self.refuse(key, refusal, estimate, now, out);
+            if let (Some(need), true) = (&call.need, refusal == RefusalReason::ModelAbsent) {
+                out.push(want(call, need));
+            }
+            return;
+        }
+        let arrived = self
+            .requests
+            .get(&key)
+            .map_or(now, |request| request.arrived);
+        if !self.waiting.contains(key) {
+            let waiting = WaitingCall {
+                priority: call.route.priority,
+                arrived,
+                aim: arrived + call.route.latency_aim,
+                deadline: call.deadline,
+                asked: ClockTime::ZERO,
+            };
+            self.waiting.insert(key, waiting);
+        }
+        let absent = matches!(reason, NoTarget::ModelAbsent | NoTarget::AdapterAbsent);
+        let Some(waiting) = self.waiting.get_mut(key) else {
+            return;
+        };
+        let due = waiting.asked == ClockTime::ZERO || now.since(waiting.asked) >= WANT_PAUSE;
+        if let (Some(need), true, true) = (&call.need, absent, due) {
+            waiting.asked = now;
+            out.push(want(call, need));
+        }
+    }
+
+    /// Time until a target can take a call that none can take now.
+    fn wait_estimate(
+        &self,
+        key: RequestKey,
+        call: &CallFacts,
+        reason: NoTarget,
+        now: ClockTime,
+    ) -> ClockTime {
+        match reason {
+            NoTarget::NoneKnown => {
+                if self.targets_known && now.since(self.started) > START_WAIT {
+                    ClockTime::NEVER
+                } else {
+                    ClockTime::ZERO
+                }
+            }
+            NoTarget::ModelAbsent => {
+                if self.waiting.contains(key) {
+                    return ClockTime::ZERO;
+                }
+                let rule = self.rules.as_ref().and_then(|rules| {
+                    let need = call.need.as_ref()?;
+                    rules.engine(&call.service)?.models.get(&need.model)
+                });
+                rule.map_or(ClockTime::NEVER, |rule| rule.disk_time + LOAD_OVERHEAD)
+            }
+            NoTarget::AdapterAbsent => ClockTime::ZERO,
+            NoTarget::AllFull => {
+                if self.waiting.contains(key) {
+                    return ClockTime::ZERO;
+                }
+                self.queue_estimate(call)
+            }
+        }
+    }
+
+    /// Time until the calls ahead of a new one have been sent.
+    fn queue_estimate(&self, call: &CallFacts) -> ClockTime {
+        let model = call.need.as_ref().map(|need| &need.model);
+        let mut ahead = 0_u32;
+        let mut running = 0_u32;
+        for (key, request) in &self.requests {
+            let same = request.call.service == call.service
+                && request.call.need.as_ref().map(|need| &need.model) == model;
+            if !same {
+                continue;
+            }
+            if request.target.is_some() {
+                running += 1;
+            } else if self.waiting.contains(*key)
+                && request.call.route.priority <= call.route.priority
+            {
+                ahead += 1;
+            }
+        }
+        let run_time = self.run_time(call);
+        let wait = f64::from(ahead + 1) * run_time / f64::from(running.max(1));
+        ClockTime::from_ms(wait as u64)
+    }
+
+    fn run_time(&self, call: &CallFacts) -> f64 {
+        let model = call.need.as_ref().map(|need| need.model.clone());
+        let key = (call.service.clone(), model);
+        self.run_times
+            .get(&key)
+            .copied()
+            .unwrap_or(RUN_TIME_START_MS)
+    }
+
+    fn refuse(
+        &mut self,
+        key: RequestKey,
+        reason: RefusalReason,
+        wait: ClockTime,
+        now: ClockTime,
+        out: &mut Effects,
+    ) {
+        // A refusal promises that nothing has run.
+        if self
+            .requests
+            .get(&key)
+            .is_some_and(|request| request.maybe_ran)
+        {
+            self.fail(key, false, now, out);
+            return;
+        }
+        let wait = if reason == RefusalReason::NoTarget {
+            NO_TARGET_RETRY
+        } else {
+            wait
+        };
+        out.push(ServingEffect::Refuse(RequestRefusal {
+            key,
+            reason,
+            retry_after: wait.clamp(RETRY_MIN, RETRY_MAX),
+        }));
+        self.leave(key, now);
+    }
+
+    fn leave(&mut self, key: RequestKey, _now: ClockTime) {
+        self.waiting.remove(key);
+        let Some(request) = self.requests.remove(&key) else {
+            return;
+        };
+        if let Some((target, _)) = &request.target {
+            self.targets.end(target, request.call.total_tokens());
+        }
+        if let Some(need) = &request.call.need {
+            self.demand.end(&request.call.service, need);
+        }
+    }
+
+    fn end(&mut self, key: RequestKey, outcome: AttemptOutcome, now: ClockTime, out: &mut Effects) {
+        let Some(request) = self.requests.get_mut(&key) else {
+            return;
+        };
+        let call = request.call.clone();
+        let Some((target, born)) = request.target.take() else {
+            return;
+        };
+        let ran = now.since(request.sent_at);
+        self.targets.end(&target, call.total_tokens());
+        match outcome {
+            AttemptOutcome::Answered { status } => {
+                self.note_run_time(&call, ran);
+                let again = status >= 500 && call.route.kind.may_repeat();
+                if again && self.may_send_again(key, now) {
+                    self.mark_ran(key);
+                    self.place(key, now, out);
+                } else {
+                    self.leave(key, now);
+                }
+            }
+            AttemptOutcome::NotRun { full, misplaced } => {
+                self.note_refused(&target, &call, full, misplaced, now);
+                self.repeat_or_end(key, RefusalReason::TargetRefused, now, out);
+            }
+            AttemptOutcome::Unsent => {
+                self.targets.note_failure(&target, now);
+                self.unsend(key);
+                self.place(key, now, out);
+            }
+            AttemptOutcome::Lost { broken, started } => {
+                self.targets.note_failure(&target, now);
+                if broken {
+                    self.accuse(&call, target, born, now, out);
+                }
+                self.mark_ran(key);
+                let may_go_on = !started || call.route.kind.may_repeat();
+                if may_go_on
+                    && call.route.kind.may_repeat()
+                    && !self.blame.is_refused(call.digest, now)
+                {
+                    self.repeat_or_end(key, RefusalReason::NoBudget, now, out);
+                } else {
+                    self.fail(key, false, now, out);
+                }
+            }
+            AttemptOutcome::Expired => {
+                self.mark_ran(key);
+                self.fail(key, true, now, out);
+            }
+        }
+        self.serve_waiting(now, out);
+    }
+
+    fn note_refused(
+        &mut self,
+        target: &TargetName,
+        call: &CallFacts,
+        full: bool,
+        misplaced: bool,
+        now: ClockTime,
+    ) {
+        if full {
+            self.targets.note_full(target, now);
+        }
+        if let (true, Some(need)) = (misplaced, &call.need) {
+            self.targets
+                .note_missing(target, &need.model, need.adapter.as_ref());
+        }
+    }
+
+    fn note_run_time(&mut self, call: &CallFacts, ran: ClockTime) {
+        let model = call.need.as_ref().map(|need| need.model.clone());
+        let key = (call.service.clone(), model);
+        let average = self.run_times.entry(key).or_insert(RUN_TIME_START_MS);
+        *average += (ran.as_ms() as f64 - *average) * RUN_TIME_WEIGHT;
+    }
+
+    fn mark_ran(&mut self, key: RequestKey) {
+        if let Some(request) = self.requests.get_mut(&key) {
+            request.maybe_ran = true;
+        }
+    }
+
+    fn unsend(&mut self, key: RequestKey) {
+        if let Some(request) = self.requests.get_mut(&key) {
+            request.sends = request.sends.saturating_sub(1);
+        }
+    }
+
+    fn accuse(
+        &mut self,
+        call: &CallFacts,
+        target: TargetName,
+        born: u64,
+        now: ClockTime,
+        out: &mut Effects,
+    ) {
+        let report = CrashReport {
+            digest: call.digest,
+            target,
+            born,
+        };
+        if self.blame.note(&report, now) {
+            out.push(ServingEffect::TellCrash(report));
+        }
+    }
+
+    /// Takes a repeated send from the attempts of the route and the budget.
+    fn may_send_again(&mut self, key: RequestKey, now: ClockTime) -> bool {
+        let Some(request) = self.requests.get(&key) else {
+            return false;
+        };
+        if request.sends >= request.call.route.max_attempts {
+            return false;
+        }
+        let service = request.call.service.clone();
+        self.budget.take(&service, self.hosts, now)
+    }
+
+    fn repeat_or_end(
+        &mut self,
+        key: RequestKey,
+        reason: RefusalReason,
+        now: ClockTime,
+        out: &mut Effects,
+    ) {
+        if self.may_send_again(key, now) {
+            self.place(key, now, out);
+            return;
+        }
+        self.refuse(key, reason, RETRY_MIN, now, out);
+    }
+
+    fn fail(&mut self, key: RequestKey, expired: bool, now: ClockTime, out: &mut Effects) {
+        out.push(ServingEffect::Fail { key, expired });
+        self.leave(key, now);
+    }
+
+    fn expire(&mut self, now: ClockTime, out: &mut Effects) {
+        for key in self.waiting.expired(SHORTEST_ANSWER, now) {
+            let maybe_ran = self
+                .requests
+                .get(&key)
+                .is_some_and(|request| request.maybe_ran);
+            if maybe_ran {
+                self.fail(key, true, now, out);
+            } else {
+                self.refuse(key, RefusalReason::Expired, RETRY_MIN, now, out);
+            }
+        }
+    }
+
+    /// Sends waiting calls for which a target has a place now.
+    fn serve_waiting(&mut self, now: ClockTime, out: &mut Effects) {
+        if self.waiting.is_empty() {
+            return;
+        }
+        let mut blocked: HashSet<(ServiceName, Option<CallNeed>)> = HashSet::new();
+        for key in self.waiting.in_order(now) {
+            let Some(request) = self.requests.get(&key) else {
+                self.waiting.remove(key);
+                continue;
+            };
+            let place = (request.call.service.clone(), request.call.need.clone());
+            if blocked.contains(&place) {
+                continue;
+            }
+            self.place(key, now, out);
+            if self.waiting.contains(key) {
+                blocked.insert(place);
+            }
+        }
+    }
+}
+
+fn want(call: &CallFacts, need: &CallNeed) -> ServingEffect {
+    ServingEffect::Want {
+        service: call.service.clone(),
+        need: need.clone(),
+    }
+}
--- /dev/null
+++ b/crates/serving/src/targets.rs
@@ -0,0 +1,298 @@
+//! Targets: what they told the store, what they hold and how loaded they are.
+
+use crocusyard_base::prelude::*;
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+
+/// Age up to which a told load is used; own requests in progress stand in after it.
+const TOLD_LOAD_TIME: ClockTime = ClockTime::from_secs(3);
+/// First time for which a target that failed is avoided.
+const AVOID_FIRST: ClockTime = ClockTime::from_ms(500);
+/// Longest time for which a target that failed is avoided.
+const AVOID_LONGEST: ClockTime = ClockTime::from_secs(4);
+/// Time without failures after which the first avoid time holds again.
+const AVOID_RESET: ClockTime = ClockTime::from_secs(5);
+/// Time for which a notice of the lease holder goes before the target's record: the pause between
+/// two writes of a target, and the delay until they are read.
+const NOTICE_TIME: ClockTime = ClockTime::from_secs(3);
+/// Time for which a call that a target refused as full keeps others away.
+const FULL_TIME: ClockTime = ClockTime::from_ms(100);
+
+/// Models with their adapters on an engine.
+pub type HeldModels = BTreeMap<ModelName, BTreeSet<AdapterName>>;
+
+/// What an engine holds, as of a number of accepted orders.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TargetHoldings {
+    /// Orders accepted.
+    pub orders: u64,
+    /// Models with their adapters.
+    pub models: HeldModels,
+}
+
+/// What a target says of itself.
+#[derive(Clone, Debug, PartialEq)]
+pub struct TargetRecord {
+    /// Name.
+    pub name: TargetName,
+    /// Service.
+    pub service: ServiceName,
+    /// Address.
+    pub address: SocketAddr,
+    /// Failure domain.
+    pub domain: DomainName,
+    /// Start of the incarnation, Unix ms by the target's own clock.
+    pub born: u64,
+    /// Number of the write; it rises within an incarnation.
+    pub beat: u64,
+    /// Requests that run at once.
+    pub slots: u32,
+    /// Whether it is leaving.
+    pub leaving: bool,
+    /// Models with their adapters.
+    pub models: HeldModels,
+    /// Models whose weights are in the engine's memory.
+    pub in_memory: BTreeSet<ModelName>,
+    /// Models whose weights are on the engine's disk.
+    pub on_disk: BTreeSet<ModelName>,
+}
+
+/// Load that a target told with an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct TargetLoad {
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait.
+    pub waiting: u32,
+    /// Requests that run at once.
+    pub slots: u32,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct ToldLoad {
+    load: TargetLoad,
+    own: u32,
+    at: ClockTime,
+}
+
+/// State of one target in one host.
+#[derive(Clone, Debug)]
+pub struct TargetState {
+    /// What it says of itself.
+    pub record: TargetRecord,
+    /// Models with their adapters, by the newest source.
+    pub models: HeldModels,
+    noticed: Option<ClockTime>,
+    /// Own requests in progress there.
+    pub in_flight: u32,
+    /// Tokens of own requests in progress there.
+    pub tokens: u64,
+    told: Option<ToldLoad>,
+    avoid_until: ClockTime,
+    avoid_time: ClockTime,
+    last_failure: ClockTime,
+    full_until: ClockTime,
+}
+
+impl TargetState {
+    fn new(record: TargetRecord) -> Self {
+        Self {
+            models: record.models.clone(),
+            noticed: None,
+            record,
+            in_flight: 0,
+            tokens: 0,
+            told: None,
+            avoid_until: ClockTime::ZERO,
+            avoid_time: AVOID_FIRST,
+            last_failure: ClockTime::ZERO,
+            full_until: ClockTime::ZERO,
+        }
+    }
+
+    /// Requests in progress there, from all hosts, as far as known.
+    pub fn load(&self, now: ClockTime) -> u32 {
+        match self.told {
+            Some(told) if now.since(told.at) < TOLD_LOAD_TIME => {
+                let all = told.load.running + told.load.waiting;
+                all.saturating_sub(told.own) + self.in_flight
+            }
+            _ => self.in_flight,
+        }
+    }
+
+    /// Age of the load that it told last.
+    pub fn load_age(&self, now: ClockTime) -> Option<ClockTime> {
+        self.told.map(|told| now.since(told.at))
+    }
+
+    /// Requests that run at once.
+    pub fn slots(&self) -> u32 {
+        self.record.slots.max(1)
+    }
+
+    /// Returns whether it is avoided after a failure.
+    pub fn is_avoided(&self, now: ClockTime) -> bool {
+        now < self.avoid_until
+    }
+
+    /// Returns whether it has no place for another request.
+    pub fn is_full(&self, now: ClockTime) -> bool {
+        now < self.full_until || self.load(now) >= self.slots()
+    }
+
+    /// Returns whether it holds a model and, if one is named, an adapter.
+    pub fn holds(&self, model: &ModelName, adapter: Option<&AdapterName>) -> bool {
+        self.models
+            .get(model)
+            .is_some_and(|held| adapter.is_none_or(|adapter| held.contains(adapter)))
+    }
+
+    fn note_failure(&mut self, now: ClockTime) {
+        if now.since(self.last_failure) > AVOID_RESET {
+            self.avoid_time = AVOID_FIRST;
+        }
+        self.last_failure = now;
+        self.avoid_until = now + self.avoid_time;
+        let doubled = self.avoid_time + self.avoid_time;
+        self.avoid_time = doubled.min(AVOID_LONGEST);
+    }
+}
+
+/// All targets of a host.
+#[derive(Clone, Debug, Default)]
+pub struct TargetTable {
+    states: BTreeMap<TargetName, TargetState>,
+}
+
+impl TargetTable {
+    /// Takes what a target says of itself; an older incarnation is ignored.
+    pub fn upsert(&mut self, record: TargetRecord, now: ClockTime) {
+        let Some(state) = self.states.get_mut(&record.name) else {
+            let name = record.name.clone();
+            self.states.insert(name, TargetState::new(record));
+            return;
+        };
+        let older = (record.born, record.beat) < (state.record.born, state.record.beat);
+        if older {
+            return;
+        }
+        if record.born > state.record.born {
+            let in_flight = state.in_flight;
+            *state = TargetState::new(record);
+            state.in_flight = in_flight;
+            return;
+        }
+        if state.noticed.is_none_or(|at| now.since(at) >= NOTICE_TIME) {
+            state.models = record.models.clone();
+        }
+        let leaving = state.record.leaving;
+        state.record = record;
+        state.record.leaving |= leaving;
+    }
+
+    /// Takes newer holdings than the record's, from the lease holder.
+    pub fn notice(&mut self, name: &TargetName, born: u64, models: HeldModels, now: ClockTime) {
+        if let Some(state) = self.states.get_mut(name) {
+            if state.record.born == born {
+                state.models = models;
+                state.noticed = Some(now);
+            }
+        }
+    }
+
+    /// Notes that a target is leaving; it does not come back in the same incarnation.
+    pub fn leave(&mut self, name: &TargetName, born: u64) {
+        if let Some(state) = self.states.get_mut(name) {
+            if state.record.born == born {
+                state.record.leaving = true;
+            }
+        }
+    }
+
+    /// Removes a target.
+    pub fn remove(&mut self, name: &TargetName) -> Option<TargetState> {
+        self.states.remove(name)
+    }
+
+    /// Finds a target.
+    pub fn get(&self, name: &TargetName) -> Option<&TargetState> {
+        self.states.get(name)
+    }
+
+    /// All targets in the order of their names.
+    pub fn iter(&self) -> impl Iterator<Item = &TargetState> {
+        self.states.values()
+    }
+
+    /// Targets of a service that take work.
+    pub fn of_service<'a>(
+        &'a self,
+        service: &'a ServiceName,
+    ) -> impl Iterator<Item = &'a TargetState> {
+        self.states
+            .values()
+            .filter(move |state| state.record.service == *service && !state.record.leaving)
+    }
+
+    /// Counts a request that is sent.
+    pub fn begin(&mut self, name: &TargetName, tokens: u64) {
+        if let Some(state) = self.states.get_mut(name) {
+            state.in_flight += 1;
+            state.tokens += tokens;
+        }
+    }
+
+    /// Counts a request that has ended.
+    pub fn end(&mut self, name: &TargetName, tokens: u64) {
+        if let Some(state) = self.states.get_mut(name) {
+            state.in_flight = state.in_flight.saturating_sub(1);
+            state.tokens = state.tokens.saturating_sub(tokens);
+        }
+    }
+
+    /// Takes the load that a target told.
+    pub fn note_load(&mut self, name: &TargetName, load: TargetLoad, now: ClockTime) {
+        if let Some(state) = self.states.get_mut(name) {
+            let own = state.in_flight;
+            state.told = Some(ToldLoad { load, own, at: now });
+        }
+    }
+
+    /// Notes that a target refused a call because it is full.
+    pub fn note_full(&mut self, name: &TargetName, now: ClockTime) {
+        if let Some(state) = self.states.get_mut(name) {
+            state.full_until = now + FULL_TIME;
+        }
+    }
+
+    /// Notes a failure of a target.
+    pub fn note_failure(&mut self, name: &TargetName, now: ClockTime) {
+        if let Some(state) = self.states.get_mut(name) {
+            state.note_failure(now);
+        }
+    }
+
+    /// Notes that a target does not hold what it was believed to hold.
+    pub fn note_missing(
+        &mut self,
+        name: &TargetName,
+        model: &ModelName,
+        adapter: Option<&AdapterName>,
+    ) {
+        let Some(state) = self.states.get_mut(name) else {
+            return;
+        };
+        match adapter {
+            Some(adapter) => {
+                if let Some(held) = state.models.get_mut(model) {
+                    held.remove(adapter);
+                }
+            }
+            None => {
+                state.models.remove(model);
+            }
+        }
+    }
+}
