serving, edge: wait only as long as callers of streams do; send calls elsewhere at stop

Change: RouteRule::start_patience, CallFacts::start_by; Stop event; STREAM_STOP_TIME. Compact log lines written by a thread.

--- a/crates/edge/src/control.rs
+++ b/crates/edge/src/control.rs
@@ -28,7 +28,7 @@
 }
 
 fn ready_status(shell: &EdgeShell) -> StatusCode {
-    if shell.draining.get() || !shell.serving.borrow().is_ready() {
+    if shell.is_stopping() || !shell.serving.borrow().is_ready() {
         StatusCode::SERVICE_UNAVAILABLE
     } else {
         StatusCode::OK
--- a/crates/edge/src/entry.rs
+++ b/crates/edge/src/entry.rs
@@ -35,6 +35,8 @@
 const HEAD_START_BYTES: usize = 64 * 1_024;
 /// Wait told to callers while no configuration is known, s.
 const START_RETRY_S: &str = "0.5";
+/// Wait told to callers of a host that stops, s; the other hosts take work at once.
+const STOP_RETRY_S: &str = "0.05";
 /// Pause after a failed accept; descriptors may be short.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -113,7 +115,7 @@
         return Ok(answer_call(&shell, &request));
     }
     let mut response = answer_request(&shell, request).await?;
-    if shell.draining.get() {
+    if shell.is_stopping() {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(CONNECTION, close);
     }
@@ -188,6 +190,10 @@
         }
         Err(_) => return Err(AnswerAborted),
     };
+    if shell.refuses_new(&route) {
+        journal::request(&headers.id, "refused", json!({"reason": "Stopping"}));
+        return Ok(refuse_stopping());
+    }
     let call = Rc::new(call_facts(shell, &headers, route, path, &body, arrived));
     let (key, steps) = shell.register();
     let open = OpenRequest {
@@ -227,6 +233,7 @@
         prompt_tokens: headers.prompt_tokens,
         output_tokens: headers.output_tokens,
         deadline: arrived + patience,
+        start_by: arrived + patience.min(route.start_patience),
         digest: CallDigest::of(path, body, &headers.prompt),
         route,
     }
@@ -309,6 +316,14 @@
     Response::from_parts(parts, body)
 }
 
+/// Sends a caller to another host; nothing has run.
+fn refuse_stopping() -> Response<AnswerBody> {
+    let mut response = plain(StatusCode::SERVICE_UNAVAILABLE);
+    let wait = HeaderValue::from_static(STOP_RETRY_S);
+    response.headers_mut().insert(RETRY_AFTER, wait);
+    response
+}
+
 fn refuse(open: &OpenRequest, refusal: &RequestRefusal) -> Response<AnswerBody> {
     let wait = refusal.retry_after.as_ms() as f64 / 1_000.0;
     let call = &open.request.call;
--- a/crates/edge/src/gossip.rs
+++ b/crates/edge/src/gossip.rs
@@ -76,7 +76,7 @@
     let host = shell.hosts.borrow().own().clone();
     shell.tell_all(&HostMessage::Beat {
         host,
-        leaving: shell.draining.get(),
+        leaving: shell.is_stopping(),
         lease,
     });
 }
--- a/crates/edge/src/moves.rs
+++ b/crates/edge/src/moves.rs
@@ -41,7 +41,7 @@
     let own = shell.settings.name.clone();
     loop {
         let was_holder = shell.lease.borrow().is_holder();
-        let step = if shell.draining.get() && !was_holder {
+        let step = if shell.is_stopping() && !was_holder {
             LeaseStep::Wait
         } else {
             shell.lease.borrow_mut().step(clock::now())
--- a/crates/edge/src/run.rs
+++ b/crates/edge/src/run.rs
@@ -127,7 +127,8 @@
 /// Lets requests in progress end, within the time that the platform gives.
 async fn stop_process(shell: &Rc<EdgeShell>, stop: &watch::Sender<bool>) {
     let begun = clock::now();
-    shell.draining.set(true);
+    shell.stopping.set(Some(begun));
+    shell.dispatch(ServingEvent::Stop);
     shell.hosts.borrow_mut().leave();
     journal::belief(
         "process",
--- a/crates/edge/src/shell.rs
+++ b/crates/edge/src/shell.rs
@@ -26,6 +26,11 @@
 /// Idle connections kept for one target.
 const IDLE_COUNT: usize = 32;
 
+/// Time after the signal to stop in which new streams are still taken; the longest take 3 s.
+const STREAM_STOP_TIME: ClockTime = ClockTime::from_ms(2_500);
+/// Time after the signal to stop in which new calls are still taken; they take 0.2 s.
+const CALL_STOP_TIME: ClockTime = ClockTime::from_ms(5_500);
+
 /// What a request is told.
 #[derive(Clone, Debug)]
 pub(crate) enum RequestStep {
@@ -51,7 +56,8 @@
     pub(crate) pool: ConnPool,
     pub(crate) store: StoreClient,
     pub(crate) peers: PeerSocket,
-    pub(crate) draining: Cell<bool>,
+    /// Point at which the process was told to stop.
+    pub(crate) stopping: Cell<Option<ClockTime>>,
     pub(crate) rng: RefCell<SeededRng>,
     /// Copies that hosts wait for, with the time of the last question; only at the lease holder.
     pub(crate) wants: RefCell<BTreeMap<(ServiceName, CallNeed), ClockTime>>,
@@ -86,7 +92,7 @@
             }),
             store: StoreClient::new(settings.store),
             peers,
-            draining: Cell::new(false),
+            stopping: Cell::new(None),
             rng: RefCell::new(seeded_rng(RandomState::new().build_hasher().finish())),
             wants: RefCell::default(),
             own: own_shell.clone(),
@@ -111,6 +117,25 @@
         self.dispatch(ServingEvent::Left { key });
     }
 
+    /// Returns whether the process was told to stop.
+    pub(crate) fn is_stopping(&self) -> bool {
+        self.stopping.get().is_some()
+    }
+
+    /// Returns whether a new request might not end before the process does.
+    pub(crate) fn refuses_new(&self, route: &RouteRule) -> bool {
+        let Some(begun) = self.stopping.get() else {
+            return false;
+        };
+        let is_stream = matches!(route.kind, CallKind::Stream { .. });
+        let limit = if is_stream {
+            STREAM_STOP_TIME
+        } else {
+            CALL_STOP_TIME
+        };
+        clock::now().since(begun) >= limit
+    }
+
     /// Requests in progress.
     pub(crate) fn request_count(&self) -> usize {
         self.requests.borrow().len()
--- a/crates/logging/src/lib.rs
+++ b/crates/logging/src/lib.rs
@@ -14,6 +14,7 @@
 
 /// The common names of this crate.
 pub mod prelude {
+    pub use crate::queue::{QueueAppender, DECISION_TARGET};
     pub use crate::request::{log_request, RequestFields, RequestStep};
     pub use crate::setup::{start_logging, start_queued_logging, LoggingError};
 }
--- a/crates/logging/src/queue.rs
+++ b/crates/logging/src/queue.rs
@@ -5,9 +5,7 @@
 
 use log::Record;
 use log4rs::append::Append;
-use log4rs::encode::json::JsonEncoder;
-use log4rs::encode::writer::simple::SimpleWriter;
-use log4rs::encode::Encode;
+use serde_json::json;
 use std::io::{self, Write};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::{sync_channel, Receiver, SyncSender};
@@ -17,10 +15,14 @@
 /// Lines that wait for the writer; about two seconds of a busy host.
 const QUEUE_LINES: usize = 1_024;
 
+/// Usual length of a line, bytes.
+const LINE_BYTES: usize = 256;
+/// Target of lines about decisions.
+pub const DECISION_TARGET: &str = "crocusyard::decision";
+
 /// Appender that hands lines to a writer thread.
 #[derive(Debug)]
 pub struct QueueAppender {
-    encoder: JsonEncoder,
     sender: SyncSender<Vec<u8>>,
     limit: LineLimit,
     dropped: AtomicU64,
@@ -57,7 +59,6 @@
             .name("log".to_owned())
             .spawn(move || write_lines(&receiver, writer))?;
         Ok(Self {
-            encoder: JsonEncoder::new(),
             sender,
             limit: LineLimit {
                 lines_per_s,
@@ -82,22 +83,35 @@
     }
 }
 
+/// Writes a line; a decision is one JSON object already.
+fn write_record(line: &mut Vec<u8>, record: &Record<'_>) -> io::Result<()> {
+    if record.target() == DECISION_TARGET {
+        return writeln!(line, "{}", record.args());
+    }
+    let other = json!({
+        "level": record.level().as_str(),
+        "module": record.module_path(),
+        "message": record.args().to_string(),
+    });
+    writeln!(line, "{other}")
+}
+
 impl Append for QueueAppender {
     fn append(&self, record: &Record<'_>) -> anyhow::Result<()> {
         if !self.limit.take() {
             self.dropped.fetch_add(1, Ordering::Relaxed);
             return Ok(());
         }
-        let mut line = SimpleWriter(Vec::new());
-        self.encoder.encode(&mut line, record)?;
+        let mut line = Vec::with_capacity(LINE_BYTES);
+        write_record(&mut line, record)?;
         let dropped = self.dropped.swap(0, Ordering::Relaxed);
         if dropped > 0 {
             writeln!(
-                line.0,
+                line,
                 "{{\"message\":\"log lines dropped\",\"count\":{dropped}}}"
             )?;
         }
-        if self.sender.try_send(line.0).is_err() {
+        if self.sender.try_send(line).is_err() {
             self.dropped.fetch_add(dropped + 1, Ordering::Relaxed);
         }
         Ok(())
--- a/crates/serving/src/call.rs
+++ b/crates/serving/src/call.rs
@@ -62,6 +62,8 @@
     pub output_tokens: u32,
     /// Point at which the caller or the route gives up.
     pub deadline: ClockTime,
+    /// Point at which the caller gives up unless the answer has begun.
+    pub start_by: ClockTime,
     /// Digest.
     pub digest: CallDigest,
 }
--- a/crates/serving/src/event.rs
+++ b/crates/serving/src/event.rs
@@ -66,6 +66,8 @@
     Crash(CrashReport),
     /// The number of live hosts changed.
     Hosts(usize),
+    /// The host was told to stop; waiting calls are sent elsewhere.
+    Stop,
     /// Time passed.
     Tick,
 }
@@ -104,6 +106,8 @@
     NoBudget,
     /// The deadline came while it waited.
     Expired,
+    /// The host stops.
+    Stopping,
 }
 
 /// A refusal; the request has not run and will not.
--- a/crates/serving/src/rules.rs
+++ b/crates/serving/src/rules.rs
@@ -39,6 +39,8 @@
     pub timeout: ClockTime,
     /// Time within which an answer, or the first event of a stream, is in time.
     pub latency_aim: ClockTime,
+    /// Longest time that a caller waits for the first event of a stream; the timeout otherwise.
+    pub start_patience: ClockTime,
     /// Rank; 0 is the most urgent.
     pub priority: u8,
     /// Services with their weights.
--- a/crates/serving/src/state.rs
+++ b/crates/serving/src/state.rs
@@ -67,8 +67,11 @@
     blame: BlameBook,
     demand: DemandCounter,
     run_times: HashMap<(ServiceName, Option<ModelName>), f64>,
+    /// Since when models have been missed at all targets.
+    absent: HashMap<(ServiceName, ModelName), ClockTime>,
     hosts: usize,
     started: ClockTime,
+    stopping: bool,
 }
 
 type Effects = Vec<ServingEffect>;
@@ -87,8 +90,10 @@
             blame: BlameBook::default(),
             demand: DemandCounter::default(),
             run_times: HashMap::new(),
+            absent: HashMap::new(),
             hosts: 1,
             started: now,
+            stopping: false,
         }
     }
 
@@ -163,6 +168,10 @@
                 self.blame.note(&report, now);
             }
             ServingEvent::Hosts(count) => self.hosts = count.max(1),
+            ServingEvent::Stop => {
+                self.stopping = true;
+                self.serve_waiting(now, &mut effects);
+            }
             ServingEvent::Tick => {
                 self.expire(now, &mut effects);
                 self.serve_waiting(now, &mut effects);
@@ -217,7 +226,13 @@
             &self.limits.domain,
             now,
         ) {
-            Ok(target) => self.send(key, &target, now, out),
+            Ok(target) => {
+                if let (Some(need), false) = (&call.need, self.absent.is_empty()) {
+                    self.absent
+                        .remove(&(call.service.clone(), need.model.clone()));
+                }
+                self.send(key, &target, now, out);
+            }
             Err(reason) => self.wait(key, &call, reason, now, out),
         }
     }
@@ -254,7 +269,12 @@
         now: ClockTime,
         out: &mut Effects,
     ) {
-        let left = call.deadline.since(now);
+        if self.stopping {
+            self.refuse(key, RefusalReason::Stopping, RETRY_MIN, now, out);
+            return;
+        }
+        self.note_absent(call, reason, now);
+        let left = call.start_by.since(now);
         let estimate = self.wait_estimate(key, call, reason, now);
         if estimate + SHORTEST_ANSWER > left {
             let refusal = match reason {
@@ -277,7 +297,7 @@
                 priority: call.route.priority,
                 arrived,
                 aim: arrived + call.route.latency_aim,
-                deadline: call.deadline,
+                start_by: call.start_by,
                 asked: ClockTime::ZERO,
             };
             self.waiting.insert(key, waiting);
@@ -309,16 +329,7 @@
                     ClockTime::ZERO
                 }
             }
-            NoTarget::ModelAbsent => {
-                if self.waiting.contains(key) {
-                    return ClockTime::ZERO;
-                }
-                let rule = self.rules.as_ref().and_then(|rules| {
-                    let need = call.need.as_ref()?;
-                    rules.engine(&call.service)?.models.get(&need.model)
-                });
-                rule.map_or(ClockTime::NEVER, |rule| rule.disk_time + LOAD_OVERHEAD)
-            }
+            NoTarget::ModelAbsent => self.load_estimate(call, now),
             NoTarget::AdapterAbsent => ClockTime::ZERO,
             NoTarget::AllFull => {
                 if self.waiting.contains(key) {
@@ -329,6 +340,35 @@
         }
     }
 
+    /// Time until a model that no target holds is loaded.
+    fn load_estimate(&self, call: &CallFacts, now: ClockTime) -> ClockTime {
+        let rule = self.rules.as_ref().and_then(|rules| {
+            let need = call.need.as_ref()?;
+            rules.engine(&call.service)?.models.get(&need.model)
+        });
+        let Some(rule) = rule else {
+            return ClockTime::NEVER;
+        };
+        let key = (call.service.clone(), rule.name.clone());
+        let waited = self
+            .absent
+            .get(&key)
+            .map_or(ClockTime::ZERO, |at| now.since(*at));
+        let whole = rule.load_time + LOAD_OVERHEAD;
+        whole.since(waited).max(LOAD_OVERHEAD)
+    }
+
+    /// Notes since when a model has been missed.
+    fn note_absent(&mut self, call: &CallFacts, reason: NoTarget, now: ClockTime) {
+        let Some(need) = &call.need else {
+            return;
+        };
+        let key = (call.service.clone(), need.model.clone());
+        if reason == NoTarget::ModelAbsent {
+            self.absent.entry(key).or_insert(now);
+        }
+    }
+
     /// Time until the calls ahead of a new one have been sent.
     fn queue_estimate(&self, call: &CallFacts) -> ClockTime {
         let model = call.need.as_ref().map(|need| &need.model);
--- a/crates/serving/src/waiting.rs
+++ b/crates/serving/src/waiting.rs
@@ -16,8 +16,8 @@
     pub arrived: ClockTime,
     /// End of the time within which it is in time.
     pub aim: ClockTime,
-    /// Point at which the caller gives up.
-    pub deadline: ClockTime,
+    /// Point at which the caller gives up unless the answer has begun.
+    pub start_by: ClockTime,
     /// Last time at which its model was asked for.
     pub asked: ClockTime,
 }
@@ -70,11 +70,11 @@
         keys.into_iter().map(|(.., key)| key).collect()
     }
 
-    /// Calls whose deadline is less than `margin` away.
+    /// Calls whose caller gives up less than `margin` away.
     pub fn expired(&self, margin: ClockTime, now: ClockTime) -> Vec<RequestKey> {
         self.calls
             .iter()
-            .filter(|(_, call)| now + margin >= call.deadline)
+            .filter(|(_, call)| now + margin >= call.start_by)
             .map(|(key, _)| *key)
             .collect()
     }
