serving: hosts tell each other their requests in progress by target

Ruled out: sends by one host alone; each host had fewer than 48 there. Change: beats every 250 ms carry requests by target; load counts them; told load is used for 300 ms.

--- a/crates/edge/src/gossip.rs
+++ b/crates/edge/src/gossip.rs
@@ -78,6 +78,7 @@
         host,
         leaving: shell.is_stopping(),
         lease,
+        load: shell.serving.borrow().targets.own_load(),
     });
 }
 
@@ -125,8 +126,13 @@
             host,
             leaving,
             lease,
+            load,
         } => {
             shell.hosts.borrow_mut().heard(&host, leaving, now);
+            shell.dispatch(ServingEvent::PeerLoad {
+                host: host.name,
+                load,
+            });
             if let Some(notice) = lease {
                 shell
                     .lease
--- a/crates/edge/src/message.rs
+++ b/crates/edge/src/message.rs
@@ -2,7 +2,7 @@
 
 use crocusyard_base::prelude::*;
 use crocusyard_serving::prelude::*;
-use crocusyard_serving::targets::HeldModels;
+use crocusyard_serving::targets::{HeldModels, HostLoad};
 use serde::{Deserialize, Serialize};
 
 /// What a holder tells of its lease.
@@ -25,6 +25,8 @@
         leaving: bool,
         /// Lease, if the sender holds it.
         lease: Option<LeaseNotice>,
+        /// Requests in progress by target.
+        load: HostLoad,
     },
     /// Demand at the sender, for the lease holder.
     Demand {
--- a/crates/serving/src/event.rs
+++ b/crates/serving/src/event.rs
@@ -3,7 +3,7 @@
 use crate::blame::CrashReport;
 use crate::call::{AttemptOutcome, CallFacts, CallNeed};
 use crate::rules::RuleSet;
-use crate::targets::{HeldModels, TargetLoad, TargetRecord};
+use crate::targets::{HeldModels, HostLoad, TargetLoad, TargetRecord};
 use crocusyard_base::prelude::*;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -64,7 +64,14 @@
     },
     /// Another host told of a crash.
     Crash(CrashReport),
-    /// The number of live hosts changed.
+    /// Another host told of its requests in progress.
+    PeerLoad {
+        /// Host.
+        host: HostName,
+        /// Requests by target.
+        load: HostLoad,
+    },
+    /// The number of live hosts, as of now.
     Hosts(usize),
     /// The host was told to stop; waiting calls are sent elsewhere.
     Stop,
--- a/crates/serving/src/hosts.rs
+++ b/crates/serving/src/hosts.rs
@@ -6,9 +6,9 @@
 use std::net::SocketAddr;
 
 /// Pause between beats.
-pub const BEAT_PAUSE: ClockTime = ClockTime::from_ms(400);
-/// Silence after which a host is left out of address answers; four beats.
-const SILENCE_LIMIT: ClockTime = ClockTime::from_ms(1_700);
+pub const BEAT_PAUSE: ClockTime = ClockTime::from_ms(250);
+/// Silence after which a host is left out of address answers; six beats.
+const SILENCE_LIMIT: ClockTime = ClockTime::from_ms(1_500);
 /// Time for which a host that was never heard counts as live; it has just started.
 const START_TIME: ClockTime = ClockTime::from_secs(2);
 /// Silence after which the row of a host is removed.
--- a/crates/serving/src/state.rs
+++ b/crates/serving/src/state.rs
@@ -167,7 +167,11 @@
             ServingEvent::Crash(report) => {
                 self.blame.note(&report, now);
             }
-            ServingEvent::Hosts(count) => self.hosts = count.max(1),
+            ServingEvent::PeerLoad { host, load } => self.targets.note_peer(&host, load, now),
+            ServingEvent::Hosts(count) => {
+                self.hosts = count.max(1);
+                self.targets.drop_silent(now);
+            }
             ServingEvent::Stop => {
                 self.stopping = true;
                 self.serve_waiting(now, &mut effects);
--- a/crates/serving/src/targets.rs
+++ b/crates/serving/src/targets.rs
@@ -5,8 +5,10 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
-/// Age up to which a told load is used; own requests in progress stand in after it.
-const TOLD_LOAD_TIME: ClockTime = ClockTime::from_secs(3);
+/// Age up to which a told load is used; about one beat of the hosts.
+const TOLD_LOAD_TIME: ClockTime = ClockTime::from_ms(300);
+/// Age at which what a host told of its requests is dropped.
+const PEER_LOAD_TIME: ClockTime = ClockTime::from_secs(2);
 /// First time for which a target that failed is avoided.
 const AVOID_FIRST: ClockTime = ClockTime::from_ms(500);
 /// Longest time for which a target that failed is avoided.
@@ -88,6 +90,8 @@
     pub in_flight: u32,
     /// Tokens of own requests in progress there.
     pub tokens: u64,
+    /// Requests of the other hosts in progress there, as they told last.
+    others: u32,
     told: Option<ToldLoad>,
     avoid_until: ClockTime,
     avoid_time: ClockTime,
@@ -103,6 +107,7 @@
             record,
             in_flight: 0,
             tokens: 0,
+            others: 0,
             told: None,
             avoid_until: ClockTime::ZERO,
             avoid_time: AVOID_FIRST,
@@ -112,13 +117,17 @@
     }
 
     /// Requests in progress there, from all hosts, as far as known.
+    ///
+    /// What the target told counts the requests of all hosts but is only as new as its last
+    /// answer; what the hosts told is only as new as their last beat.
     pub fn load(&self, now: ClockTime) -> u32 {
+        let shared = self.in_flight + self.others;
         match self.told {
             Some(told) if now.since(told.at) < TOLD_LOAD_TIME => {
                 let all = told.load.running + told.load.waiting;
-                all.saturating_sub(told.own) + self.in_flight
+                shared.max(all.saturating_sub(told.own) + self.in_flight)
             }
-            _ => self.in_flight,
+            _ => shared,
         }
     }
 
@@ -160,10 +169,28 @@
     }
 }
 
+/// Short key of a target in messages between hosts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct TargetKey(pub u32);
+
+impl TargetKey {
+    /// Key of a target; two targets with the same key only look more loaded than they are.
+    pub fn of(name: &TargetName) -> Self {
+        let hash = blake3::hash(name.as_str().as_bytes());
+        let bytes = hash.as_bytes();
+        Self(u32::from_le_bytes([bytes[0], bytes[1], bytes[2], bytes[3]]))
+    }
+}
+
+/// Requests of one host in progress, by target.
+pub type HostLoad = BTreeMap<TargetKey, u16>;
+
 /// All targets of a host.
 #[derive(Clone, Debug, Default)]
 pub struct TargetTable {
     states: BTreeMap<TargetName, TargetState>,
+    names: BTreeMap<TargetKey, TargetName>,
+    peers: BTreeMap<HostName, (ClockTime, HostLoad)>,
 }
 
 impl TargetTable {
@@ -171,6 +198,7 @@
     pub fn upsert(&mut self, record: TargetRecord, now: ClockTime) {
         let Some(state) = self.states.get_mut(&record.name) else {
             let name = record.name.clone();
+            self.names.insert(TargetKey::of(&name), name.clone());
             self.states.insert(name, TargetState::new(record));
             return;
         };
@@ -179,9 +207,10 @@
             return;
         }
         if record.born > state.record.born {
-            let in_flight = state.in_flight;
+            let (in_flight, others) = (state.in_flight, state.others);
             *state = TargetState::new(record);
             state.in_flight = in_flight;
+            state.others = others;
             return;
         }
         if state.noticed.is_none_or(|at| now.since(at) >= NOTICE_TIME) {
@@ -213,6 +242,7 @@
 
     /// Removes a target.
     pub fn remove(&mut self, name: &TargetName) -> Option<TargetState> {
+        self.names.remove(&TargetKey::of(name));
         self.states.remove(name)
     }
 
@@ -252,6 +282,60 @@
         }
     }
 
+    /// Own requests in progress, for the other hosts.
+    pub fn own_load(&self) -> HostLoad {
+        self.states
+            .values()
+            .filter(|state| state.in_flight > 0)
+            .map(|state| {
+                let count = u16::try_from(state.in_flight).unwrap_or(u16::MAX);
+                (TargetKey::of(&state.record.name), count)
+            })
+            .collect()
+    }
+
+    /// Takes the requests in progress of another host.
+    pub fn note_peer(&mut self, host: &HostName, load: HostLoad, now: ClockTime) {
+        let old = self.peers.insert(host.clone(), (now, load.clone()));
+        if let Some((_, old)) = old {
+            self.add_others(&old, false);
+        }
+        self.add_others(&load, true);
+    }
+
+    /// Drops what silent hosts told.
+    pub fn drop_silent(&mut self, now: ClockTime) {
+        let silent: Vec<HostName> = self
+            .peers
+            .iter()
+            .filter(|(_, (at, _))| now.since(*at) >= PEER_LOAD_TIME)
+            .map(|(host, _)| host.clone())
+            .collect();
+        for host in silent {
+            if let Some((_, old)) = self.peers.remove(&host) {
+                self.add_others(&old, false);
+            }
+        }
+    }
+
+    fn add_others(&mut self, load: &HostLoad, more: bool) {
+        for (key, count) in load {
+            let state = self
+                .names
+                .get(key)
+                .and_then(|name| self.states.get_mut(name));
+            let Some(state) = state else {
+                continue;
+            };
+            let count = u32::from(*count);
+            state.others = if more {
+                state.others + count
+            } else {
+                state.others.saturating_sub(count)
+            };
+        }
+    }
+
     /// Takes the load that a target told.
     pub fn note_load(&mut self, name: &TargetName, load: TargetLoad, now: ClockTime) {
         if let Some(state) = self.states.get_mut(name) {
