serving: adapters under way count as held, just loaded ones stay, more copies for many adapters

Ruled out: slow orders; each was answered within 10 ms. Change: AdapterStep waits for a load under way; ADAPTER_STAY; copies wanted by adapters in use.

--- a/crates/edge/src/moves.rs
+++ b/crates/edge/src/moves.rs
@@ -236,6 +236,13 @@
                 in_memory: state.record.in_memory.clone(),
                 on_disk: state.record.on_disk.clone(),
                 loading: orders.loading(name).cloned(),
+                loading_adapter: orders
+                    .loading_adapter(name)
+                    .map(|(model, adapter)| CallNeed {
+                        model: model.clone(),
+                        adapter: Some(adapter.clone()),
+                    }),
+                fresh: orders.fresh_adapters(name, now),
                 free: orders.is_free(name, now) && !state.is_avoided(now),
             }
         })
--- a/crates/serving/src/adapters.rs
+++ b/crates/serving/src/adapters.rs
@@ -8,7 +8,7 @@
 use crocusyard_base::prelude::*;
 use std::collections::HashMap;
 
-/// What to do for an adapter that is waited for.
+/// Step for an adapter that is waited for.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum AdapterStep {
     /// An engine holds it.
@@ -42,6 +42,12 @@
     if let Some(engine) = held {
         return AdapterStep::Held(engine.name.clone());
     }
+    if holders
+        .iter()
+        .any(|engine| engine.loading_adapter.as_ref() == Some(need))
+    {
+        return AdapterStep::Wait;
+    }
     let free = holders.iter().filter(|engine| engine.free);
     let roomy = free
         .clone()
@@ -96,7 +102,9 @@
                 adapter: Some(adapter.clone()),
             };
             let rate = rates.get(&need).copied().unwrap_or(0.0);
-            (model.clone(), adapter.clone(), rate)
+            (need, model.clone(), adapter.clone(), rate)
         })
+        .filter(|(need, ..)| !engine.fresh.contains(need))
+        .map(|(_, model, adapter, rate)| (model, adapter, rate))
         .min_by(|a, b| a.2.total_cmp(&b.2))
 }
--- a/crates/serving/src/copies.rs
+++ b/crates/serving/src/copies.rs
@@ -4,6 +4,7 @@
 //! so that a rise finds room while the next load is under way. Copies beyond that stay where they
 //! are until another model needs their memory.
 
+use crate::call::CallNeed;
 use crate::demand::ModelDemand;
 use crate::orders::OrderAction;
 use crate::rules::{EngineRule, ModelRule};
@@ -13,6 +14,8 @@
 
 /// Share of its engines' slots that a model's requests take; the rest is room for a rise.
 const FILL_AIM: f64 = 0.3;
+/// Rate from which an adapter counts as in use, 1/s; rarer ones take turns in one place.
+const ADAPTER_RATE: f64 = 0.3;
 /// Memory kept for adapters on each engine, MB, besides those that are held.
 const ADAPTER_RESERVE_MB: f64 = 600.0;
 /// Cost of unloading another model first, ms; its requests have to end.
@@ -37,6 +40,10 @@
     pub on_disk: BTreeSet<ModelName>,
     /// Model that it loads now, or may be loading.
     pub loading: Option<ModelName>,
+    /// Adapter that it may be loading.
+    pub loading_adapter: Option<CallNeed>,
+    /// Adapters that stay because they have just been loaded.
+    pub fresh: BTreeSet<CallNeed>,
     /// Whether it can be given an order now.
     pub free: bool,
 }
@@ -111,12 +118,23 @@
     }
 }
 
+#[derive(Clone, Copy, Debug, Default)]
+struct DemandSum {
+    busy: f64,
+    rate: f64,
+    /// Adapters in use.
+    adapters: usize,
+}
+
 fn model_needs<'a>(input: &PlanInput<'a>) -> BTreeMap<ModelName, ModelNeed<'a>> {
-    let mut sums: HashMap<&ModelName, (f64, f64)> = HashMap::new();
+    let mut sums: HashMap<&ModelName, DemandSum> = HashMap::new();
     for demand in input.demand {
         let sum = sums.entry(&demand.need.model).or_default();
-        sum.0 += f64::from(demand.busy);
-        sum.1 += demand.rate;
+        sum.busy += f64::from(demand.busy);
+        sum.rate += demand.rate;
+        if demand.need.adapter.is_some() && demand.rate > ADAPTER_RATE {
+            sum.adapters += 1;
+        }
     }
     let slots = f64::from(input.rule.slots.max(1));
     input
@@ -132,12 +150,14 @@
                         || engine.loading.as_ref() == Some(&rule.name)
                 })
                 .count();
-            let (busy, rate) = sums.get(&rule.name).copied().unwrap_or_default();
-            let wanted = (busy / (slots * FILL_AIM)).ceil() as usize;
+            let sum = sums.get(&rule.name).copied().unwrap_or_default();
+            let by_load = (sum.busy / (slots * FILL_AIM)).ceil() as usize;
+            let by_adapters = sum.adapters.div_ceil(input.rule.adapter_slots.max(1));
+            let wanted = by_load.max(by_adapters);
             let need = ModelNeed {
                 rule,
-                busy,
-                rate,
+                busy: sum.busy,
+                rate: sum.rate,
                 copies,
                 wanted: wanted.clamp(1, input.engines.len().max(1)),
             };
--- a/crates/serving/src/orders.rs
+++ b/crates/serving/src/orders.rs
@@ -4,6 +4,7 @@
 //! the same expected number of accepted orders, so that only one of the two can be carried out. A
 //! new holder of the lease reads an engine's report before its first order to it.
 
+use crate::call::CallNeed;
 use crate::rules::EngineRule;
 use crate::targets::TargetHoldings;
 use crocusyard_base::prelude::*;
@@ -16,6 +17,9 @@
 const REPORT_PAUSE: ClockTime = ClockTime::from_ms(250);
 /// Time after which an order that got no answer is sent again.
 const ORDER_RETRY: ClockTime = ClockTime::from_ms(400);
+/// Time for which a loaded adapter is not unloaded: the notice, the sends of the calls that wait for
+/// it, and a short answer.
+const ADAPTER_STAY: ClockTime = ClockTime::from_ms(300);
 /// Pause after an engine refused an order.
 const REFUSED_PAUSE: ClockTime = ClockTime::from_ms(300);
 
@@ -88,6 +92,8 @@
     in_progress: Option<OrderAction>,
     done_at: ClockTime,
     asked_at: Option<ClockTime>,
+    /// When adapters were loaded.
+    loaded: BTreeMap<CallNeed, ClockTime>,
 }
 
 impl EngineState {
@@ -101,6 +107,7 @@
             in_progress: None,
             done_at: ClockTime::ZERO,
             asked_at: None,
+            loaded: BTreeMap::new(),
         }
     }
 }
@@ -206,6 +213,27 @@
         }
     }
 
+    /// Adapter that an engine may be loading.
+    pub fn loading_adapter(&self, name: &TargetName) -> Option<(&ModelName, &AdapterName)> {
+        match self.engines.get(name)?.unanswered.as_ref()? {
+            OrderAction::LoadAdapter(model, adapter) => Some((model, adapter)),
+            _ => None,
+        }
+    }
+
+    /// Adapters that an engine has loaded so lately that they stay.
+    pub fn fresh_adapters(&self, name: &TargetName, now: ClockTime) -> BTreeSet<CallNeed> {
+        let Some(state) = self.engines.get(name) else {
+            return BTreeSet::new();
+        };
+        state
+            .loaded
+            .iter()
+            .filter(|(_, at)| now.since(**at) < ADAPTER_STAY)
+            .map(|(need, _)| need.clone())
+            .collect()
+    }
+
     /// Loads that may begin now.
     pub fn loads_left(
         &mut self,
@@ -277,6 +305,14 @@
                 }
                 state.retry_at = now;
                 apply(&mut state.holdings, action);
+                state.loaded.retain(|_, at| now.since(*at) < ADAPTER_STAY);
+                if let OrderAction::LoadAdapter(model, adapter) = action {
+                    let need = CallNeed {
+                        model: model.clone(),
+                        adapter: Some(adapter.clone()),
+                    };
+                    state.loaded.insert(need, now);
+                }
                 let slow = matches!(
                     action,
                     OrderAction::LoadModel(_) | OrderAction::UnloadModel(_)
