serving, edge: the holder of the lease goes on without the store while every host hears it

Change: hosts say when they heard the holder; it orders while all did within 1.5 s; hosts that hear it do not take over; a stopping holder releases the row.

--- a/crates/edge/src/gossip.rs
+++ b/crates/edge/src/gossip.rs
@@ -1,7 +1,7 @@
 //! Messages between entry hosts.
 
 use crate::clock;
-use crate::message::{HostMessage, LeaseNotice};
+use crate::message::HostMessage;
 use crate::moves;
 use crate::shell::EdgeShell;
 use crocusyard_serving::hosts::BEAT_PAUSE;
@@ -63,16 +63,7 @@
 }
 
 pub(crate) fn beat(shell: &EdgeShell) {
-    let lease = {
-        let lease = shell.lease.borrow();
-        lease
-            .version()
-            .filter(|_| lease.is_holder())
-            .map(|version| LeaseNotice {
-                holder: shell.settings.name.clone(),
-                version,
-            })
-    };
+    let lease = shell.lease_word();
     let host = shell.hosts.borrow().own().clone();
     shell.tell_all(&HostMessage::Beat {
         host,
@@ -129,16 +120,13 @@
             load,
         } => {
             shell.hosts.borrow_mut().heard(&host, leaving, now);
+            if let Some(word) = &lease {
+                shell.lease.borrow_mut().take_word(&host.name, word, now);
+            }
             shell.dispatch(ServingEvent::PeerLoad {
                 host: host.name,
                 load,
             });
-            if let Some(notice) = lease {
-                shell
-                    .lease
-                    .borrow_mut()
-                    .heard(&notice.holder, notice.version, now);
-            }
         }
         HostMessage::Demand { host, demands } => {
             shell.demands.borrow_mut().tell(&host, demands, now);
--- a/crates/edge/src/message.rs
+++ b/crates/edge/src/message.rs
@@ -5,15 +5,6 @@
 use crocusyard_serving::targets::{HeldModels, HostLoad};
 use serde::{Deserialize, Serialize};
 
-/// What a holder tells of its lease.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub(crate) struct LeaseNotice {
-    /// Holder.
-    pub(crate) holder: HostName,
-    /// Version of the lease row.
-    pub(crate) version: u64,
-}
-
 /// A message.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(crate) enum HostMessage {
@@ -23,8 +14,8 @@
         host: HostFacts,
         /// Whether it is leaving.
         leaving: bool,
-        /// Lease, if the sender holds it.
-        lease: Option<LeaseNotice>,
+        /// What it says of the lease.
+        lease: Option<LeaseWord>,
         /// Requests in progress by target.
         load: HostLoad,
     },
--- a/crates/edge/src/moves.rs
+++ b/crates/edge/src/moves.rs
@@ -41,7 +41,7 @@
     let own = shell.settings.name.clone();
     loop {
         let was_holder = shell.lease.borrow().is_holder();
-        let step = if shell.is_stopping() && !was_holder {
+        let step = if shell.is_stopping() {
             LeaseStep::Wait
         } else {
             shell.lease.borrow_mut().step(clock::now())
@@ -87,26 +87,56 @@
     }
 }
 
-async fn write_lease(shell: &EdgeShell, own: &HostName, expected: u64) {
-    let sent = clock::now();
+fn lease_write(own: &HostName, expected: u64, released: bool) -> Option<StoreWrite> {
     let row = LeaseRow {
         holder: own.clone(),
+        released,
     };
-    let value = match serde_json::to_vec(&row) {
-        Ok(value) => value,
+    match serde_json::to_vec(&row) {
+        Ok(value) => Some(StoreWrite {
+            table: StoreTable::Lease,
+            key: LEASE_KEY.to_owned(),
+            value: Some(value),
+            expected: Some(expected),
+        }),
         Err(error) => {
             warn!("lease row cannot be written: {error}");
-            return;
+            None
         }
+    }
+}
+
+/// Gives the lease up when the process stops; without the store it is kept to the end.
+pub(crate) async fn release_lease(shell: &EdgeShell) {
+    let (is_holder, version) = {
+        let lease = shell.lease.borrow();
+        (lease.is_holder(), lease.version())
+    };
+    let (true, Some(expected)) = (is_holder, version) else {
+        return;
     };
-    let write = StoreWrite {
-        table: StoreTable::Lease,
-        key: LEASE_KEY.to_owned(),
-        value: Some(value),
-        expected: Some(expected),
+    let Some(write) = lease_write(&shell.settings.name, expected, true) else {
+        return;
+    };
+    match shell.store.write(&write, LEASE_LIMIT).await {
+        Ok(version) => {
+            shell.lease.borrow_mut().release(version, clock::now());
+            shell.released.set(Some(version));
+            journal::belief("lease", "released", json!({"version": version}));
+            crate::gossip::beat(shell);
+        }
+        Err(error) => warn!("lease is kept to the end: {error}"),
+    }
+}
+
+async fn write_lease(shell: &EdgeShell, own: &HostName, expected: u64) {
+    let sent = clock::now();
+    let Some(write) = lease_write(own, expected, false) else {
+        return;
     };
     let result = shell.store.write(&write, LEASE_LIMIT).await;
     let now = clock::now();
+    let others = shell.hosts.borrow().others();
     let mut lease = shell.lease.borrow_mut();
     match result {
         Ok(version) => lease.written(own, version, sent, now),
@@ -115,7 +145,7 @@
         }
         Err(error) => {
             warn!("lease cannot be written: {error}");
-            lease.write_lost(now);
+            lease.write_lost(&others, now);
         }
     }
 }
@@ -124,7 +154,7 @@
 pub(crate) async fn give_orders(shell: Rc<EdgeShell>) {
     loop {
         actix_rt::time::sleep(PLAN_PAUSE).await;
-        if shell.lease.borrow().order_fence(clock::now()).is_some() {
+        if shell.order_fence().is_some() {
             plan_round(&shell);
             serve_wants(&shell);
         }
@@ -314,7 +344,7 @@
     action: OrderAction,
     expected: u64,
 ) {
-    let Some(fence) = shell.lease.borrow().order_fence(clock::now()) else {
+    let Some(fence) = shell.order_fence() else {
         return;
     };
     let order = EngineOrder {
@@ -463,7 +493,7 @@
 /// Gives orders for the copies that hosts wait for.
 fn serve_wants(shell: &Rc<EdgeShell>) {
     let now = clock::now();
-    if shell.lease.borrow().order_fence(now).is_none() {
+    if shell.order_fence().is_none() {
         return;
     }
     let wants: Vec<(ServiceName, CallNeed)> = {
--- a/crates/edge/src/run.rs
+++ b/crates/edge/src/run.rs
@@ -5,7 +5,7 @@
 use crate::follow::{follow_hosts, follow_rules, follow_targets};
 use crate::gossip::{beat, receive, send_beats, PeerSocket};
 use crate::journal;
-use crate::moves::{give_orders, keep_lease};
+use crate::moves::{give_orders, keep_lease, release_lease};
 use crate::shell::EdgeShell;
 use crocusyard_adapter::prelude::*;
 use crocusyard_base::prelude::*;
@@ -137,9 +137,10 @@
     );
     beat(shell);
     let limit = shell.settings.stop_time.since(STOP_MARGIN);
-    remove_own_row(shell).await;
     // Idle connections close now; callers open new ones elsewhere.
     stop.send_replace(true);
+    release_lease(shell).await;
+    remove_own_row(shell).await;
     loop {
         let spent = clock::now().since(begun);
         let idle = shell.request_count() == 0 && spent >= LINGER_TIME.min(limit);
--- a/crates/edge/src/shell.rs
+++ b/crates/edge/src/shell.rs
@@ -58,6 +58,8 @@
     pub(crate) peers: PeerSocket,
     /// Point at which the process was told to stop.
     pub(crate) stopping: Cell<Option<ClockTime>>,
+    /// Version of the lease row with which this host gave the lease up.
+    pub(crate) released: Cell<Option<u64>>,
     pub(crate) rng: RefCell<SeededRng>,
     /// Copies that hosts wait for, with the time of the last question; only at the lease holder.
     pub(crate) wants: RefCell<BTreeMap<(ServiceName, CallNeed), ClockTime>>,
@@ -93,6 +95,7 @@
             store: StoreClient::new(settings.store),
             peers,
             stopping: Cell::new(None),
+            released: Cell::new(None),
             rng: RefCell::new(seeded_rng(RandomState::new().build_hasher().finish())),
             wants: RefCell::default(),
             own: own_shell.clone(),
@@ -190,6 +193,21 @@
         }
     }
 
+    /// Fencing number, if orders may be given now.
+    pub(crate) fn order_fence(&self) -> Option<FencingNumber> {
+        let others = self.hosts.borrow().others();
+        self.lease.borrow().order_fence(&others, clock::now())
+    }
+
+    /// What this host says of the lease.
+    pub(crate) fn lease_word(&self) -> Option<LeaseWord> {
+        if let Some(version) = self.released.get() {
+            return Some(LeaseWord::Released { version });
+        }
+        let others = self.hosts.borrow().others();
+        self.lease.borrow().word(&others, clock::now())
+    }
+
     /// Sends a message to all other hosts.
     pub(crate) fn tell_all(&self, message: &HostMessage) {
         let peers = self.hosts.borrow().peers();
--- a/crates/serving/src/hosts.rs
+++ b/crates/serving/src/hosts.rs
@@ -114,6 +114,15 @@
         self.others.values().map(|state| state.facts.peer).collect()
     }
 
+    /// Names of the other hosts; one that said that it leaves takes no lease any more.
+    pub fn others(&self) -> Vec<HostName> {
+        self.others
+            .iter()
+            .filter(|(_, state)| !state.leaving)
+            .map(|(name, _)| name.clone())
+            .collect()
+    }
+
     /// Address of one host.
     pub fn peer(&self, name: &HostName) -> Option<SocketAddr> {
         self.others.get(name).map(|state| state.facts.peer)
--- a/crates/serving/src/lease.rs
+++ b/crates/serving/src/lease.rs
@@ -1,12 +1,17 @@
 //! The lease of the moves.
 //!
 //! One row of the store names the holder; its version is the fencing number. The holder renews it
-//! often and gives orders only while its last confirmed renewal is young. A host takes the lease
-//! over after it has seen the same version for so long that the former holder's last order is
-//! older than the lease.
+//! often and gives orders while its last confirmed renewal is young. A host takes the lease over
+//! after it has neither seen a newer version nor heard the holder for so long that the holder's
+//! last order is older than the lease.
+//!
+//! While the holder cannot reach the store, it goes on as long as every other host has heard it
+//! lately: none of them takes the lease over before that is long past. One host that has not heard
+//! it, dead or cut off, ends this.
 
 use crocusyard_base::prelude::*;
 use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
 
 /// Pause between renewals.
 const RENEW_PAUSE: ClockTime = ClockTime::from_ms(700);
@@ -24,6 +29,31 @@
 pub struct LeaseRow {
     /// Holder.
     pub holder: HostName,
+    /// Whether the holder gave it up; it gives no more orders.
+    #[serde(default)]
+    pub released: bool,
+}
+
+/// What a host says of the lease in its beat.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum LeaseWord {
+    /// It holds the lease and gives orders.
+    Holds {
+        /// Version of the row.
+        version: u64,
+    },
+    /// It has given the lease up.
+    Released {
+        /// Version of the row.
+        version: u64,
+    },
+    /// It heard the holder.
+    Heard {
+        /// Version of the row.
+        version: u64,
+        /// Time since then.
+        age: ClockTime,
+    },
 }
 
 /// Next call of a host.
@@ -57,6 +87,9 @@
     sent: Option<ClockTime>,
     read_at: Option<ClockTime>,
     told_at: ClockTime,
+    /// When the other hosts last heard this one as the holder; only at the holder.
+    heard_by: BTreeMap<HostName, ClockTime>,
+    released: bool,
 }
 
 impl LeaseState {
@@ -72,6 +105,8 @@
             sent: None,
             read_at: None,
             told_at: now,
+            heard_by: BTreeMap::new(),
+            released: false,
         }
     }
 
@@ -90,13 +125,63 @@
         self.confirmed.is_some()
     }
 
-    /// Fencing number, if orders may be given now.
-    pub fn order_fence(&self, now: ClockTime) -> Option<FencingNumber> {
+    /// Fencing number, if orders may be given now; `others` are all other hosts that are known.
+    pub fn order_fence(&self, others: &[HostName], now: ClockTime) -> Option<FencingNumber> {
         let confirmed = self.confirmed?;
-        if now.since(confirmed) >= ORDER_TIME {
-            return None;
+        let by_store = now.since(confirmed) < ORDER_TIME;
+        if by_store || self.is_heard_by_all(others, now) {
+            return self.version().map(FencingNumber);
+        }
+        None
+    }
+
+    fn is_heard_by_all(&self, others: &[HostName], now: ClockTime) -> bool {
+        !others.is_empty()
+            && others.iter().all(|host| {
+                let heard = self.heard_by.get(host);
+                heard.is_some_and(|at| now.since(*at) < ORDER_TIME)
+            })
+    }
+
+    /// What this host says of the lease.
+    pub fn word(&self, others: &[HostName], now: ClockTime) -> Option<LeaseWord> {
+        let version = self.version()?;
+        if self.is_holder() {
+            // A holder that may give no orders keeps silent, so that another one takes over.
+            return self
+                .order_fence(others, now)
+                .map(|_| LeaseWord::Holds { version });
+        }
+        let age = now.since(self.told_at);
+        (version > 0).then_some(LeaseWord::Heard { version, age })
+    }
+
+    /// Takes what another host says of the lease.
+    pub fn take_word(&mut self, host: &HostName, word: &LeaseWord, now: ClockTime) {
+        match *word {
+            LeaseWord::Holds { version } => self.heard(host, version, now),
+            LeaseWord::Released { version } => {
+                if self.version().is_none_or(|seen| version >= seen) {
+                    self.see_version(Some(host.clone()), version, now);
+                    self.released = true;
+                }
+            }
+            LeaseWord::Heard { version, age } => {
+                if self.is_holder() && self.version() == Some(version) {
+                    self.heard_by.insert(host.clone(), now - age);
+                }
+            }
         }
-        self.version().map(FencingNumber)
+    }
+
+    /// Gives the lease up after its row was written as released.
+    pub fn release(&mut self, version: u64, now: ClockTime) {
+        self.confirmed = None;
+        self.seen = Some(SeenVersion {
+            version,
+            since: now,
+        });
+        self.released = true;
     }
 
     /// Decides the next call.
@@ -114,7 +199,12 @@
         let Some(seen) = self.seen else {
             return self.step_read(now);
         };
-        if seen.version == 0 || now.since(seen.since) >= self.take_time() {
+        let wait = if self.released {
+            self.lease_time + TAKE_MARGIN
+        } else {
+            self.take_time()
+        };
+        if seen.version == 0 || now.since(seen.since) >= wait {
             self.sent = Some(now);
             return LeaseStep::Write {
                 expected: seen.version,
@@ -141,21 +231,26 @@
 
     /// Takes the row that was read, or that a failed write showed.
     pub fn saw(&mut self, row: Option<(LeaseRow, u64)>, now: ClockTime) {
-        let (holder, version) = match row {
-            Some((row, version)) => (Some(row.holder), version),
-            None => (None, 0),
+        let (holder, version, released) = match row {
+            Some((row, version)) => (Some(row.holder), version, row.released),
+            None => (None, 0, false),
         };
         self.see_version(holder, version, now);
+        self.released = released;
     }
 
-    /// Takes what the holder told in a beat.
-    pub fn heard(&mut self, holder: &HostName, version: u64, now: ClockTime) {
-        if self.version().is_none_or(|seen| version >= seen) {
-            self.told_at = now;
-        }
-        if self.version().is_none_or(|seen| version > seen) {
-            self.see_version(Some(holder.clone()), version, now);
+    /// Takes a beat of the holder; the lease is not taken over for a while.
+    fn heard(&mut self, holder: &HostName, version: u64, now: ClockTime) {
+        if self.version().is_some_and(|seen| version < seen) || self.is_holder() {
+            return;
         }
+        self.told_at = now;
+        self.holder = Some(holder.clone());
+        self.released = false;
+        self.seen = Some(SeenVersion {
+            version,
+            since: now,
+        });
     }
 
     fn see_version(&mut self, holder: Option<HostName>, version: u64, now: ClockTime) {
@@ -179,16 +274,17 @@
         self.holder = Some(own.clone());
         self.confirmed = Some(sent);
         self.told_at = now;
+        self.released = false;
     }
 
-    /// Takes a write whose fate is unknown; the row is read before the next one.
-    pub fn write_lost(&mut self, now: ClockTime) {
+    /// Notes that a write failed or its fate is unknown.
+    ///
+    /// A holder that neither the store nor all others confirm stops being one.
+    pub fn write_lost(&mut self, others: &[HostName], now: ClockTime) {
         self.read_at = None;
-        if self
-            .confirmed
-            .is_some_and(|at| now.since(at) >= self.lease_time)
-        {
+        if self.order_fence(others, now).is_none() {
             self.confirmed = None;
+            self.heard_by.clear();
         }
     }
 }
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -33,7 +33,7 @@
     };
     pub use crate::events::EventSplitter;
     pub use crate::hosts::{HostBook, HostFacts};
-    pub use crate::lease::{LeaseRow, LeaseState, LeaseStep};
+    pub use crate::lease::{LeaseRow, LeaseState, LeaseStep, LeaseWord};
     pub use crate::orders::{EngineOrder, EngineReport, OrderAction, OrderAnswer, OrderBook};
     pub use crate::retries::{RetryBudget, RetryLimits};
     pub use crate::rules::{
