serving: copies planned for the end of a load; unloading models are no longer announced

Copies were evicted one second before demand moved to them. Ruled out: overfilled engines; the load fell while the refusals went on.

--- a/crates/edge/src/moves.rs
+++ b/crates/edge/src/moves.rs
@@ -17,7 +17,7 @@
 use hyper::{HeaderMap, Method, Request};
 use log::warn;
 use serde_json::json;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -186,6 +186,7 @@
         return;
     };
     let demand = shell.demands.borrow_mut().total(now);
+    shell.trend.borrow_mut().update(&demand, now);
     for (service, rule) in &rules.services {
         if let Some(rule) = &rule.engine {
             plan_service(shell, service, rule, &demand, &engines, now);
@@ -237,6 +238,7 @@
         rule,
         engines: engine_views(shell, service, now),
         demand: &demand,
+        expected: expected_busy(shell, service, rule, now),
         loads_left: shell.orders.borrow_mut().loads_left(service, rule, now),
     };
     for (name, action) in plan_orders(&input) {
@@ -247,6 +249,19 @@
     }
 }
 
+fn expected_busy(
+    shell: &EdgeShell,
+    service: &ServiceName,
+    rule: &EngineRule,
+    now: ClockTime,
+) -> HashMap<ModelName, f64> {
+    let trend = shell.trend.borrow();
+    rule.models
+        .keys()
+        .map(|model| (model.clone(), trend.expected(service, model, now)))
+        .collect()
+}
+
 fn engine_views(shell: &EdgeShell, service: &ServiceName, now: ClockTime) -> Vec<EngineView> {
     let serving = shell.serving.borrow();
     let orders = shell.orders.borrow();
@@ -469,9 +484,9 @@
     };
     match read_report(&body) {
         Ok(report) => {
-            let fresh = shell.orders.borrow_mut().reported(&name, &report);
-            if fresh {
-                tell_holdings(&shell, &name, engine.born, &report.holdings.models);
+            let holdings = shell.orders.borrow_mut().reported(&name, &report);
+            if let Some(holdings) = holdings {
+                tell_holdings(&shell, &name, engine.born, &holdings.models);
             }
         }
         Err(error) => warn!("report of {name}: {error}"),
--- a/crates/edge/src/shell.rs
+++ b/crates/edge/src/shell.rs
@@ -53,6 +53,7 @@
     pub(crate) lease: RefCell<LeaseState>,
     pub(crate) orders: RefCell<OrderBook>,
     pub(crate) demands: RefCell<DemandBook>,
+    pub(crate) trend: RefCell<DemandTrend>,
     pub(crate) pool: ConnPool,
     pub(crate) store: StoreClient,
     pub(crate) peers: PeerSocket,
@@ -87,6 +88,7 @@
             lease: RefCell::new(LeaseState::new(settings.lease_time, now)),
             orders: RefCell::default(),
             demands: RefCell::default(),
+            trend: RefCell::default(),
             pool: ConnPool::new(PoolLimits {
                 connect_timeout: CONNECT_TIMEOUT,
                 idle_limit: IDLE_LIMIT,
--- a/crates/serving/src/choose.rs
+++ b/crates/serving/src/choose.rs
@@ -61,7 +61,11 @@
                 continue;
             }
         }
-        if state.is_full(now) {
+        let refusing = call
+            .need
+            .as_ref()
+            .is_some_and(|need| state.is_refusing(&need.model, now));
+        if refusing || state.is_full(now) {
             reason = reason.max_with(NoTarget::AllFull);
             continue;
         }
--- a/crates/serving/src/copies.rs
+++ b/crates/serving/src/copies.rs
@@ -57,6 +57,8 @@
     pub engines: Vec<EngineView>,
     /// Demand of all hosts.
     pub demand: &'a [ModelDemand],
+    /// Requests that models will have in progress when a load that begins now ends.
+    pub expected: HashMap<ModelName, f64>,
     /// Loads that may begin now.
     pub loads_left: usize,
 }
@@ -151,12 +153,13 @@
                 })
                 .count();
             let sum = sums.get(&rule.name).copied().unwrap_or_default();
-            let by_load = (sum.busy / (slots * FILL_AIM)).ceil() as usize;
+            let busy = input.expected.get(&rule.name).copied().unwrap_or(sum.busy);
+            let by_load = (busy / (slots * FILL_AIM)).ceil() as usize;
             let by_adapters = sum.adapters.div_ceil(input.rule.adapter_slots.max(1));
             let wanted = by_load.max(by_adapters);
             let need = ModelNeed {
                 rule,
-                busy: sum.busy,
+                busy,
                 rate: sum.rate,
                 copies,
                 wanted: wanted.clamp(1, input.engines.len().max(1)),
--- a/crates/serving/src/demand.rs
+++ b/crates/serving/src/demand.rs
@@ -10,7 +10,7 @@
 /// Age at which what a host told is dropped.
 const TOLD_DEMAND_TIME: ClockTime = ClockTime::from_secs(3);
 /// Span over which arrivals are averaged, ms.
-const RATE_SPAN_MS: f64 = 2_000.0;
+const RATE_SPAN_MS: f64 = 1_000.0;
 /// Rate below which a need without requests in progress is forgotten, 1/s.
 const RATE_FLOOR: f64 = 0.02;
 
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod rules;
 pub mod state;
 pub mod targets;
+pub mod trend;
 pub mod waiting;
 
 /// The common names of this crate.
@@ -41,4 +42,5 @@
     };
     pub use crate::state::{ServingLimits, ServingState};
     pub use crate::targets::{TargetHoldings, TargetLoad, TargetRecord, TargetTable};
+    pub use crate::trend::DemandTrend;
 }
--- a/crates/serving/src/orders.rs
+++ b/crates/serving/src/orders.rs
@@ -155,16 +155,14 @@
         due
     }
 
-    /// Takes a report; returns whether it was new enough.
-    pub fn reported(&mut self, name: &TargetName, report: &EngineReport) -> bool {
-        let Some(state) = self.engines.get_mut(name) else {
-            return false;
-        };
+    /// Takes a report; returns the holdings if it was new enough.
+    pub fn reported(&mut self, name: &TargetName, report: &EngineReport) -> Option<TargetHoldings> {
+        let state = self.engines.get_mut(name)?;
         if report.born.is_some_and(|born| born != state.born) {
-            return false;
+            return None;
         }
         if state.known && report.holdings.orders < state.holdings.orders {
-            return false;
+            return None;
         }
         if report.holdings.orders > state.holdings.orders {
             state.unanswered = None;
@@ -173,11 +171,16 @@
         state.known = true;
         if !report.busy {
             state.in_progress = None;
-        } else if state.in_progress.is_none() {
+        } else if let Some(action @ OrderAction::UnloadModel(_)) = &state.in_progress {
+            // The engine lists the model until its requests have ended, but starts no new ones.
+            let action = action.clone();
+            apply(&mut state.holdings, &action);
+        }
+        if report.busy && state.in_progress.is_none() {
             // Given by an earlier holder; the weights are counted once the engine lists them.
             state.in_progress = Some(OrderAction::UnloadModel(ModelName::new("")));
         }
-        true
+        Some(state.holdings.clone())
     }
 
     /// Returns whether an engine can be given an order.
--- a/crates/serving/src/state.rs
+++ b/crates/serving/src/state.rs
@@ -512,7 +512,8 @@
         now: ClockTime,
     ) {
         if full {
-            self.targets.note_full(target, now);
+            let model = call.need.as_ref().map(|need| &need.model);
+            self.targets.note_full(target, model, now);
         }
         if let (true, Some(need)) = (misplaced, &call.need) {
             self.targets
--- a/crates/serving/src/targets.rs
+++ b/crates/serving/src/targets.rs
@@ -18,6 +18,9 @@
 /// Time for which a notice of the lease holder goes before the target's record: the pause between
 /// two writes of a target, and the delay until they are read.
 const NOTICE_TIME: ClockTime = ClockTime::from_secs(3);
+/// Time for which calls for a model are kept away from a target that refused one; the notice of
+/// the unload comes within it.
+const REFUSING_TIME: ClockTime = ClockTime::from_ms(500);
 /// Time for which a call that a target refused as full keeps others away.
 const FULL_TIME: ClockTime = ClockTime::from_ms(100);
 
@@ -96,6 +99,8 @@
     avoid_until: ClockTime,
     avoid_time: ClockTime,
     last_failure: ClockTime,
+    /// Models for which it refused calls, until when they are kept away.
+    refusing: BTreeMap<ModelName, ClockTime>,
     full_until: ClockTime,
 }
 
@@ -112,6 +117,7 @@
             avoid_until: ClockTime::ZERO,
             avoid_time: AVOID_FIRST,
             last_failure: ClockTime::ZERO,
+            refusing: BTreeMap::new(),
             full_until: ClockTime::ZERO,
         }
     }
@@ -158,6 +164,11 @@
             .is_some_and(|held| adapter.is_none_or(|adapter| held.contains(adapter)))
     }
 
+    /// Returns whether it refused calls for a model just now.
+    pub fn is_refusing(&self, model: &ModelName, now: ClockTime) -> bool {
+        self.refusing.get(model).is_some_and(|until| now < *until)
+    }
+
     fn note_failure(&mut self, now: ClockTime) {
         if now.since(self.last_failure) > AVOID_RESET {
             self.avoid_time = AVOID_FIRST;
@@ -344,10 +355,17 @@
         }
     }
 
-    /// Notes that a target refused a call because it is full.
-    pub fn note_full(&mut self, name: &TargetName, now: ClockTime) {
-        if let Some(state) = self.states.get_mut(name) {
-            state.full_until = now + FULL_TIME;
+    /// Notes that a target refused a call because it is full, or because it is about to unload the
+    /// model; with places left the latter is likely.
+    pub fn note_full(&mut self, name: &TargetName, model: Option<&ModelName>, now: ClockTime) {
+        let Some(state) = self.states.get_mut(name) else {
+            return;
+        };
+        match model {
+            Some(model) if state.load(now) < state.slots() => {
+                state.refusing.insert(model.clone(), now + REFUSING_TIME);
+            }
+            _ => state.full_until = now + FULL_TIME,
         }
     }
 
