--- /dev/null
+++ b/crates/serving/tests/lease.rs
@@ -0,0 +1,136 @@
+//! The lease of the moves: one host gives orders at a time.
+
+mod common;
+
+use common::ms;
+use crocusyard_base::prelude::*;
+use crocusyard_serving::prelude::*;
+
+const LEASE: ClockTime = ClockTime::from_ms(3_000);
+
+fn host(name: &str) -> HostName {
+    HostName::new(name)
+}
+
+fn holder_at(now: ClockTime) -> LeaseState {
+    let mut lease = LeaseState::new(LEASE, now);
+    lease.saw(None, now);
+    assert_eq!(lease.step(now), LeaseStep::Write { expected: 0 });
+    lease.written(&host("a"), 10, now, now);
+    lease
+}
+
+/// Guards against orders of a holder that was frozen or cut off for longer than its renewals last.
+#[test]
+fn holder_without_confirmation_gives_no_orders() {
+    let lease = holder_at(ms(1_000));
+    assert!(lease.order_fence(&[host("b")], ms(2_000)).is_some());
+    assert!(lease.order_fence(&[host("b")], ms(2_600)).is_none());
+}
+
+/// Guards against two holders within the lease time: the next one waits until the last order of the
+/// former one is older than that.
+#[test]
+fn next_holder_waits_for_the_last_order_of_the_former() {
+    let former = holder_at(ms(1_000));
+    let mut next = LeaseState::new(LEASE, ms(1_000));
+    next.take_word(&host("a"), &LeaseWord::Holds { version: 10 }, ms(1_000));
+    let mut last_order = ms(0);
+    let mut taken = ms(0);
+    for step in 10..200 {
+        let now = ms(step * 100);
+        if former.order_fence(&[host("b")], now).is_some() {
+            last_order = now;
+        }
+        match next.step(now) {
+            LeaseStep::Write { expected } => {
+                assert_eq!(expected, 10);
+                taken = now;
+                break;
+            }
+            LeaseStep::Read => {
+                let row = LeaseRow {
+                    holder: host("a"),
+                    released: false,
+                };
+                next.saw(Some((row, 10)), now);
+            }
+            LeaseStep::Wait => {}
+        }
+    }
+    assert!(taken.since(last_order) >= LEASE, "{last_order} to {taken}");
+    assert!(taken < ms(8_000), "orders pause for seconds only: {taken}");
+}
+
+/// Guards against a pause of all orders while the store is away and every host hears the holder.
+#[test]
+fn holder_goes_on_without_the_store_while_all_hear_it() {
+    let mut lease = holder_at(ms(1_000));
+    let others = [host("b"), host("c")];
+    let heard = |age| LeaseWord::Heard { version: 10, age };
+    lease.take_word(&host("b"), &heard(ms(100)), ms(9_000));
+    lease.take_word(&host("c"), &heard(ms(200)), ms(9_000));
+    assert!(lease.order_fence(&others, ms(9_100)).is_some());
+    lease.write_lost(&others, ms(9_100));
+    assert!(lease.is_holder());
+    // One host that has not heard the holder could take the lease over.
+    assert!(lease.order_fence(&others, ms(10_350)).is_none());
+    lease.take_word(&host("b"), &heard(ms(0)), ms(10_400));
+    assert!(lease.order_fence(&others, ms(10_400)).is_none());
+}
+
+/// Guards against a holder that trusts hosts which heard it long ago or heard another version.
+#[test]
+fn old_words_do_not_confirm_the_holder() {
+    let mut lease = holder_at(ms(1_000));
+    let others = [host("b")];
+    let word = LeaseWord::Heard {
+        version: 10,
+        age: ms(2_000),
+    };
+    lease.take_word(&host("b"), &word, ms(9_000));
+    assert!(lease.order_fence(&others, ms(9_000)).is_none());
+    let word = LeaseWord::Heard {
+        version: 9,
+        age: ms(0),
+    };
+    lease.take_word(&host("b"), &word, ms(9_000));
+    assert!(lease.order_fence(&others, ms(9_000)).is_none());
+}
+
+/// Guards against a take-over while the holder still gives orders without the store.
+#[test]
+fn host_that_hears_the_holder_does_not_take_over() {
+    let mut lease = LeaseState::new(LEASE, ms(0));
+    for step in 0..100 {
+        let now = ms(step * 250);
+        lease.take_word(&host("a"), &LeaseWord::Holds { version: 10 }, now);
+        assert_eq!(lease.step(now), LeaseStep::Wait, "at {now}");
+    }
+}
+
+/// Guards against a long pause of orders when the holder is stopped as planned.
+#[test]
+fn released_lease_is_taken_after_the_lease_time() {
+    let mut lease = LeaseState::new(LEASE, ms(0));
+    lease.take_word(&host("a"), &LeaseWord::Holds { version: 10 }, ms(1_000));
+    lease.take_word(&host("a"), &LeaseWord::Released { version: 11 }, ms(1_100));
+    assert!(matches!(
+        lease.step(ms(3_900)),
+        LeaseStep::Wait | LeaseStep::Read
+    ));
+    assert_eq!(lease.step(ms(4_500)), LeaseStep::Write { expected: 11 });
+}
+
+/// Guards against a holder that does not notice that it was replaced.
+#[test]
+fn conflict_ends_the_lease() {
+    let mut lease = holder_at(ms(1_000));
+    let row = LeaseRow {
+        holder: host("b"),
+        released: false,
+    };
+    lease.saw(Some((row, 12)), ms(1_700));
+    assert!(!lease.is_holder());
+    assert!(lease.order_fence(&[], ms(1_700)).is_none());
+}
--- /dev/null
+++ b/crates/serving/tests/orders.rs
@@ -0,0 +1,152 @@
+//! Orders to engines: lost, late and unloading ones.
+
+mod common;
+
+use common::*;
+use crocusyard_base::prelude::*;
+use crocusyard_serving::prelude::*;
+use std::collections::{BTreeMap, BTreeSet};
+
+fn target() -> TargetName {
+    TargetName::new("t1")
+}
+
+fn report(orders: u64, models: &[(&str, &[&str])], busy: bool) -> EngineReport {
+    EngineReport {
+        born: Some(1),
+        holdings: TargetHoldings {
+            orders,
+            models: held(models),
+        },
+        busy,
+        in_memory: BTreeSet::new(),
+        on_disk: BTreeSet::new(),
+    }
+}
+
+fn book(models: &[(&str, &[&str])]) -> OrderBook {
+    let mut book = OrderBook::default();
+    book.follow(&BTreeMap::from([(target(), 1)]));
+    assert!(
+        !book.is_free(&target(), ms(0)),
+        "its report is not known yet"
+    );
+    assert_eq!(book.reports_due(ms(0)), [target()]);
+    book.reported(&target(), &report(4, models, false));
+    book
+}
+
+/// Guards against a second order whose effect adds to that of a lost one: it must expect the same
+/// number of accepted orders, so that the engine refuses one of the two.
+#[test]
+fn lost_order_is_repeated_with_the_same_expectation() {
+    let mut book = book(&[]);
+    let load = OrderAction::LoadModel(model("m"));
+    let expected = book.begin(&engines(), &target(), &load, ms(0));
+    assert_eq!(expected, Some(4));
+    book.answered(&target(), &load, OrderAnswer::Unknown, LOAD_TIME, ms(300));
+    assert!(!book.is_free(&target(), ms(300)));
+    assert_eq!(book.loading(&target()), Some(&model("m")));
+    assert_eq!(book.to_repeat(ms(500)), [(target(), load, 4)]);
+}
+
+/// Guards against hosts that are sent back to an engine which is unloading their model.
+#[test]
+fn report_during_an_unload_does_not_list_the_model() {
+    let mut book = book(&[("m", &[]), ("n", &[])]);
+    let unload = OrderAction::UnloadModel(model("m"));
+    book.begin(&engines(), &target(), &unload, ms(0));
+    book.answered(&target(), &unload, OrderAnswer::Accepted, ms(0), ms(5));
+    let told = book.reported(&target(), &report(5, &[("m", &[]), ("n", &[])], true));
+    let models = told.expect("the report is new enough").models;
+    assert!(!models.contains_key(&model("m")), "{models:?}");
+    assert!(models.contains_key(&model("n")));
+}
+
+/// Guards against a report from before the last order that undoes what the order book knows.
+#[test]
+fn older_report_is_ignored() {
+    let mut book = book(&[("m", &[])]);
+    let load = OrderAction::LoadAdapter(model("m"), AdapterName::new("a1"));
+    book.begin(&engines(), &target(), &load, ms(0));
+    book.answered(&target(), &load, OrderAnswer::Accepted, ms(0), ms(5));
+    assert!(book
+        .reported(&target(), &report(4, &[("m", &[])], false))
+        .is_none());
+    let held = &book.holdings(&target()).expect("known").models[&model("m")];
+    assert!(held.contains(&AdapterName::new("a1")));
+}
+
+/// Guards against more loads in the window than the weight store allows.
+#[test]
+fn loads_are_counted_in_a_sliding_window() {
+    let mut book = OrderBook::default();
+    let rule = engine_rule(&["m"]);
+    let names: Vec<TargetName> = (0..20).map(|n| TargetName::new(&format!("t{n}"))).collect();
+    book.follow(&names.iter().map(|name| (name.clone(), 1)).collect());
+    let mut begun = Vec::new();
+    for step in 0..200 {
+        let now = ms(step * 50);
+        if book.loads_left(&engines(), &rule, now) > 0 {
+            let name = &names[begun.len() % names.len()];
+            book.begin(&engines(), name, &OrderAction::LoadModel(model("m")), now);
+            begun.push(now);
+        }
+    }
+    for at in &begun {
+        let window = begun
+            .iter()
+            .filter(|other| **other >= *at && other.since(*at) < ms(5_000));
+        // 2 a second over 5 s, and what the platform tolerates beyond.
+        assert!(window.count() as f64 <= 2.0 * 5.0 * 1.1 + 3.0);
+    }
+    assert!(begun.len() >= 18, "{} loads in 10 s", begun.len());
+}
+
+/// Guards against one adapter that is loaded on several engines for one call.
+#[test]
+fn adapter_under_way_is_not_ordered_again() {
+    use crocusyard_serving::adapters::{place, AdapterStep};
+    use crocusyard_serving::copies::EngineView;
+    let need = CallNeed {
+        model: model("m"),
+        adapter: Some(AdapterName::new("a1")),
+    };
+    let mut views: Vec<EngineView> = ["t1", "t2"]
+        .iter()
+        .map(|name| EngineView {
+            name: TargetName::new(name),
+            domain: DomainName::new("a"),
+            holdings: TargetHoldings {
+                orders: 0,
+                models: held(&[("m", &["a8", "a9"])]),
+            },
+            in_memory: BTreeSet::new(),
+            on_disk: BTreeSet::new(),
+            loading: None,
+            loading_adapter: None,
+            fresh: BTreeSet::new(),
+            free: true,
+        })
+        .collect();
+    let rule = engine_rule(&["m"]);
+    let step = place(&rule, &views, &[], &need, |_| 0);
+    assert!(matches!(
+        step,
+        AdapterStep::Order(_, OrderAction::UnloadAdapter(..))
+    ));
+    // Adapters that have just been loaded stay.
+    for view in &mut views {
+        for name in ["a8", "a9"] {
+            view.fresh.insert(CallNeed {
+                model: model("m"),
+                adapter: Some(AdapterName::new(name)),
+            });
+        }
+    }
+    assert_eq!(place(&rule, &views, &[], &need, |_| 0), AdapterStep::Wait);
+    views[0].holdings.models = held(&[("m", &[])]);
+    views[1].loading_adapter = Some(need.clone());
+    views[1].free = false;
+    assert_eq!(place(&rule, &views, &[], &need, |_| 0), AdapterStep::Wait);
+}
