edge: metrics; standin: store and targets; process tests of an entry host; fewer plans at the lease holder

Change: EdgeMetrics; platform/standin; tests/entry_process.rs; wants share one view of the engines, demand is summed at most every 200 ms, beats slow down beyond 24 hosts.

--- a/crates/edge/src/control.rs
+++ b/crates/edge/src/control.rs
@@ -14,6 +14,9 @@
 /// Time for which callers may keep an address answer, s; a host that died is out after it.
 const ADDRESS_TTL_S: f64 = 2.0;
 
+/// Path of the metrics.
+const METRICS_PATH: &str = "/metrics";
+
 /// Answers a call to the host itself.
 pub(crate) fn answer_call(
     shell: &Rc<EdgeShell>,
@@ -23,10 +26,18 @@
     match read_entry_call(uri.path(), uri.query()) {
         Some(EntryCall::Ready) => plain(ready_status(shell)),
         Some(EntryCall::Addresses { .. }) => addresses(shell),
+        None if uri.path() == METRICS_PATH => metrics(shell),
         None => plain(StatusCode::NOT_FOUND),
     }
 }
 
+fn metrics(shell: &EdgeShell) -> Response<AnswerBody> {
+    let waiting = shell.serving.borrow().waiting_count();
+    let opened = shell.pool.opened();
+    let text = shell.metrics.text(shell.request_count(), waiting, opened);
+    Response::new(AnswerBody::whole(text))
+}
+
 fn ready_status(shell: &EdgeShell) -> StatusCode {
     if shell.is_stopping() || !shell.serving.borrow().is_ready() {
         StatusCode::SERVICE_UNAVAILABLE
--- a/crates/edge/src/entry.rs
+++ b/crates/edge/src/entry.rs
@@ -151,6 +151,7 @@
     pub(crate) request: CallerRequest,
     pub(crate) steps: UnboundedReceiver<RequestStep>,
     pub(crate) key: RequestKey,
+    pub(crate) arrived: ClockTime,
     pub(crate) shell: Rc<EdgeShell>,
     pub(crate) _guard: RequestGuard,
 }
@@ -206,6 +207,7 @@
         },
         steps,
         key,
+        arrived,
         shell: shell.clone(),
         _guard: RequestGuard {
             shell: shell.clone(),
@@ -288,6 +290,12 @@
 }
 
 impl OpenRequest {
+    fn count(&self, outcome: &'static str) {
+        let spent = clock::now().since(self.arrived);
+        let metrics = &self.shell.metrics;
+        metrics.count_request(&self.request.call, outcome, spent);
+    }
+
     /// Tells the reducer how an attempt ended.
     pub(crate) fn end_attempt(&self, outcome: AttemptOutcome) {
         let key = self.key;
@@ -306,6 +314,11 @@
     parts.headers.remove(CONTENT_LENGTH);
     parts.version = hyper::Version::HTTP_11;
     let status = parts.status.as_u16();
+    open.count(if status < 400 {
+        "answered"
+    } else {
+        "answered_with_failure"
+    });
     if status >= 400 {
         journal::request(
             &open.request.call.id,
@@ -327,6 +340,7 @@
 fn refuse(open: &OpenRequest, refusal: &RequestRefusal) -> Response<AnswerBody> {
     let wait = refusal.retry_after.as_ms() as f64 / 1_000.0;
     let call = &open.request.call;
+    open.count("refused");
     journal::request(
         &call.id,
         "refused",
@@ -350,6 +364,7 @@
     } else {
         StatusCode::BAD_GATEWAY
     };
+    open.count("failed");
     journal::request(
         &open.request.call.id,
         "failed",
@@ -359,6 +374,7 @@
 }
 
 pub(crate) fn log_send(open: &OpenRequest, plan: &AttemptPlan) {
+    open.shell.metrics.count_attempt();
     let age = plan.load_age.map(ClockTime::as_ms);
     let call = &open.request.call;
     journal::request(
--- /dev/null
+++ b/crates/edge/src/gauges.rs
@@ -0,0 +1,160 @@
+//! Counters and histograms of the process.
+
+use crocusyard_base::prelude::*;
+use crocusyard_serving::prelude::*;
+use log::warn;
+use prometheus_client::encoding::text::encode;
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::registry::Registry;
+
+/// Bounds of the latency histograms, s; the latency aims of the routes lie between them.
+const LATENCY_BOUNDS_S: [f64; 10] = [0.01, 0.025, 0.05, 0.1, 0.3, 0.6, 1.2, 2.5, 5.0, 12.0];
+/// Routes with their own labels; further ones share a label, so that a large configuration does not
+/// take memory without bound.
+const ROUTE_LABELS: usize = 64;
+/// Label of all further routes.
+const OTHER_ROUTES: &str = "other";
+
+/// Labels of a request.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct RequestLabels {
+    route: String,
+    service: String,
+    outcome: &'static str,
+}
+
+/// Labels of a latency.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct LatencyLabels {
+    route: String,
+    service: String,
+}
+
+/// Labels of an order.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct OrderLabels {
+    answer: String,
+}
+
+/// All metrics of the process.
+pub(crate) struct EdgeMetrics {
+    registry: Registry,
+    requests: Family<RequestLabels, Counter>,
+    latency: Family<LatencyLabels, Histogram, fn() -> Histogram>,
+    attempts: Counter,
+    orders: Family<OrderLabels, Counter>,
+    in_progress: Gauge,
+    waiting: Gauge,
+    connections: Gauge,
+    routes: std::cell::RefCell<std::collections::BTreeSet<RouteName>>,
+}
+
+fn latency_histogram() -> Histogram {
+    Histogram::new(LATENCY_BOUNDS_S)
+}
+
+impl EdgeMetrics {
+    pub(crate) fn new() -> Self {
+        let mut registry = Registry::with_prefix("crocusyard_entry");
+        let requests = Family::<RequestLabels, Counter>::default();
+        let latency: Family<LatencyLabels, Histogram, fn() -> Histogram> =
+            Family::new_with_constructor(latency_histogram);
+        let (attempts, orders) = (Counter::default(), Family::default());
+        let (in_progress, waiting, connections) =
+            (Gauge::default(), Gauge::default(), Gauge::default());
+        registry.register("requests", "Requests by outcome", requests.clone());
+        registry.register(
+            "latency_seconds",
+            "Time to the head of the answer",
+            latency.clone(),
+        );
+        registry.register("attempts", "Sends to targets", attempts.clone());
+        registry.register(
+            "orders",
+            "Orders to engines by answer",
+            Family::clone(&orders),
+        );
+        registry.register("in_progress", "Requests in progress", in_progress.clone());
+        registry.register(
+            "waiting",
+            "Requests that wait for a target",
+            waiting.clone(),
+        );
+        registry.register(
+            "connections_opened",
+            "Connections opened",
+            connections.clone(),
+        );
+        Self {
+            registry,
+            requests,
+            latency,
+            attempts,
+            orders,
+            in_progress,
+            waiting,
+            connections,
+            routes: std::cell::RefCell::default(),
+        }
+    }
+
+    /// Counts a request that has got the head of its answer, or none.
+    pub(crate) fn count_request(&self, call: &CallFacts, outcome: &'static str, spent: ClockTime) {
+        let route = self.route_label(&call.route.name);
+        let service = call.service.as_str().to_owned();
+        let labels = LatencyLabels {
+            route: route.clone(),
+            service: service.clone(),
+        };
+        self.latency
+            .get_or_create(&labels)
+            .observe(spent.as_ms() as f64 / 1_000.0);
+        let labels = RequestLabels {
+            route,
+            service,
+            outcome,
+        };
+        self.requests.get_or_create(&labels).inc();
+    }
+
+    pub(crate) fn count_attempt(&self) {
+        self.attempts.inc();
+    }
+
+    pub(crate) fn count_order(&self, answer: OrderAnswer) {
+        let labels = OrderLabels {
+            answer: format!("{answer:?}"),
+        };
+        self.orders.get_or_create(&labels).inc();
+    }
+
+    fn route_label(&self, name: &RouteName) -> String {
+        let mut routes = self.routes.borrow_mut();
+        if routes.len() < ROUTE_LABELS {
+            routes.insert(name.clone());
+        }
+        if routes.contains(name) {
+            name.as_str().to_owned()
+        } else {
+            OTHER_ROUTES.to_owned()
+        }
+    }
+
+    /// Text of all metrics.
+    pub(crate) fn text(&self, in_progress: usize, waiting: usize, opened: u64) -> String {
+        self.in_progress
+            .set(i64::try_from(in_progress).unwrap_or(i64::MAX));
+        self.waiting.set(i64::try_from(waiting).unwrap_or(i64::MAX));
+        self.connections
+            .set(i64::try_from(opened).unwrap_or(i64::MAX));
+        let mut text = String::new();
+        if let Err(error) = encode(&mut text, &self.registry) {
+            warn!("metrics cannot be written: {error}");
+        }
+        text
+    }
+}
--- a/crates/edge/src/gossip.rs
+++ b/crates/edge/src/gossip.rs
@@ -4,7 +4,6 @@
 use crate::message::HostMessage;
 use crate::moves;
 use crate::shell::EdgeShell;
-use crocusyard_serving::hosts::BEAT_PAUSE;
 use crocusyard_serving::prelude::*;
 use log::{debug, warn};
 use std::net::SocketAddr;
@@ -58,7 +57,8 @@
     loop {
         beat(&shell);
         report_demand(&shell);
-        actix_rt::time::sleep(Duration::from_millis(BEAT_PAUSE.as_ms())).await;
+        let pause = shell.hosts.borrow().beat_pause();
+        actix_rt::time::sleep(Duration::from_millis(pause.as_ms())).await;
     }
 }
 
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -9,6 +9,7 @@
 mod entry;
 mod exchange;
 mod follow;
+mod gauges;
 mod gossip;
 mod journal;
 mod message;
--- a/crates/edge/src/moves.rs
+++ b/crates/edge/src/moves.rs
@@ -9,7 +9,7 @@
 use crocusyard_adapter::prelude::*;
 use crocusyard_base::prelude::*;
 use crocusyard_httpconn::prelude::*;
-use crocusyard_serving::adapters::{place, AdapterStep};
+use crocusyard_serving::adapters::{adapter_rates, place, AdapterStep};
 use crocusyard_serving::copies::EngineView;
 use crocusyard_serving::prelude::*;
 use http_body_util::Full;
@@ -185,7 +185,7 @@
     let Some(rules) = rules else {
         return;
     };
-    let demand = shell.demands.borrow_mut().total(now);
+    let demand = shell.demands.borrow_mut().total(now).to_vec();
     shell.trend.borrow_mut().update(&demand, now);
     for (service, rule) in &rules.services {
         if let Some(rule) = &rule.engine {
@@ -390,6 +390,7 @@
     );
     let status = answer.await.map(|(status, _)| status);
     let answer = status.map_or(OrderAnswer::Unknown, read_order_answer);
+    shell.metrics.count_order(answer);
     journal::belief(
         "order",
         "answered",
@@ -519,43 +520,50 @@
     if wants.is_empty() {
         return;
     }
-    let demand = shell.demands.borrow_mut().total(now);
+    let Some(rules) = shell.serving.borrow().rules().cloned() else {
+        return;
+    };
+    let rates = adapter_rates(shell.demands.borrow_mut().total(now));
+    let engines = engine_addresses(shell);
+    let mut views: HashMap<ServiceName, Vec<EngineView>> = HashMap::new();
     for (service, need) in wants {
-        if place_adapter(shell, &service, &need, &demand) {
-            shell.wants.borrow_mut().remove(&(service, need));
+        let Some(rule) = rules.engine(&service) else {
+            continue;
+        };
+        let views = views
+            .entry(service.clone())
+            .or_insert_with(|| engine_views(shell, &service, now));
+        let step = place(rule, views, &rates, &need, |name| {
+            let serving = shell.serving.borrow();
+            serving.targets.get(name).map_or(0, |state| state.load(now))
+        });
+        match step {
+            AdapterStep::Held(name) => {
+                repeat_notice(shell, &name);
+                shell.wants.borrow_mut().remove(&(service, need));
+            }
+            AdapterStep::Order(name, action) => {
+                note_ordered(views, &name, &action);
+                if let Some(engine) = engines.get(&name) {
+                    give_order(shell, &name, engine, action);
+                }
+            }
+            AdapterStep::Wait => {}
         }
     }
 }
 
-/// Gives the next order for an adapter; returns whether an engine holds it.
-fn place_adapter(
-    shell: &Rc<EdgeShell>,
-    service: &ServiceName,
-    need: &CallNeed,
-    demand: &[ModelDemand],
-) -> bool {
-    let now = clock::now();
-    let rules = shell.serving.borrow().rules().cloned();
-    let Some(rule) = rules.as_ref().and_then(|rules| rules.engine(service)) else {
-        return false;
+/// Notes in the views that an engine was given an order, so that it gets no second one.
+fn note_ordered(views: &mut [EngineView], name: &TargetName, action: &OrderAction) {
+    let Some(view) = views.iter_mut().find(|view| view.name == *name) else {
+        return;
     };
-    let views = engine_views(shell, service, now);
-    let step = place(rule, &views, demand, need, |name| {
-        let serving = shell.serving.borrow();
-        serving.targets.get(name).map_or(0, |state| state.load(now))
-    });
-    match step {
-        AdapterStep::Held(name) => {
-            repeat_notice(shell, &name);
-            true
-        }
-        AdapterStep::Order(name, action) => {
-            if let Some(engine) = engine_addresses(shell).get(&name) {
-                give_order(shell, &name, engine, action);
-            }
-            false
-        }
-        AdapterStep::Wait => false,
+    view.free = false;
+    if let OrderAction::LoadAdapter(model, adapter) = action {
+        view.loading_adapter = Some(CallNeed {
+            model: model.clone(),
+            adapter: Some(adapter.clone()),
+        });
     }
 }
 
--- a/crates/edge/src/run.rs
+++ b/crates/edge/src/run.rs
@@ -66,7 +66,11 @@
     journal::belief(
         "process",
         "started",
-        json!({"host": settings.name.as_str(), "domain": settings.domain.as_str()}),
+        json!({
+            "host": settings.name.as_str(),
+            "domain": settings.domain.as_str(),
+            "metrics": settings.metrics.to_string(),
+        }),
     );
     let shell = EdgeShell::new(settings, peers);
     let (stop_sender, stop) = watch::channel(false);
@@ -88,6 +92,7 @@
         (settings.entry, ListenerRole::Requests),
         (settings.ready, ListenerRole::Questions),
         (settings.directory, ListenerRole::Questions),
+        (settings.metrics, ListenerRole::Questions),
     ];
     for (address, role) in addresses {
         let listener = listen_on(address).context(AddressSnafu { address })?;
--- a/crates/edge/src/shell.rs
+++ b/crates/edge/src/shell.rs
@@ -1,6 +1,7 @@
 //! All state of the process, and the carrying out of effects.
 
 use crate::clock;
+use crate::gauges::EdgeMetrics;
 use crate::gossip::PeerSocket;
 use crate::journal;
 use crate::message::HostMessage;
@@ -54,6 +55,7 @@
     pub(crate) orders: RefCell<OrderBook>,
     pub(crate) demands: RefCell<DemandBook>,
     pub(crate) trend: RefCell<DemandTrend>,
+    pub(crate) metrics: EdgeMetrics,
     pub(crate) pool: ConnPool,
     pub(crate) store: StoreClient,
     pub(crate) peers: PeerSocket,
@@ -89,6 +91,7 @@
             orders: RefCell::default(),
             demands: RefCell::default(),
             trend: RefCell::default(),
+            metrics: EdgeMetrics::new(),
             pool: ConnPool::new(PoolLimits {
                 connect_timeout: CONNECT_TIMEOUT,
                 idle_limit: IDLE_LIMIT,
--- a/crates/serving/src/adapters.rs
+++ b/crates/serving/src/adapters.rs
@@ -8,6 +8,9 @@
 use crocusyard_base::prelude::*;
 use std::collections::HashMap;
 
+/// Use of each adapter: arrivals a second and requests in progress.
+pub type AdapterRates = HashMap<CallNeed, f64>;
+
 /// Step for an adapter that is waited for.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum AdapterStep {
@@ -25,7 +28,7 @@
 pub fn place(
     rule: &EngineRule,
     engines: &[EngineView],
-    demand: &[ModelDemand],
+    rates: &AdapterRates,
     need: &CallNeed,
     load: impl Fn(&TargetName) -> u32,
 ) -> AdapterStep {
@@ -57,9 +60,8 @@
         let action = OrderAction::LoadAdapter(need.model.clone(), adapter.clone());
         return AdapterStep::Order(engine.name.clone(), action);
     }
-    let rates = adapter_rates(demand);
     free.filter_map(|engine| {
-        let (model, victim, rate) = least_used(engine, &rates)?;
+        let (model, victim, rate) = least_used(engine, rates)?;
         Some((engine, model, victim, rate))
     })
     .min_by(|a, b| a.3.total_cmp(&b.3))
@@ -76,7 +78,8 @@
     engine.holdings.models.values().map(|held| held.len()).sum()
 }
 
-fn adapter_rates(demand: &[ModelDemand]) -> HashMap<CallNeed, f64> {
+/// Use of each adapter, from the demand of all hosts.
+pub fn adapter_rates(demand: &[ModelDemand]) -> AdapterRates {
     demand
         .iter()
         .map(|demand| {
@@ -87,10 +90,7 @@
         .collect()
 }
 
-fn least_used(
-    engine: &EngineView,
-    rates: &HashMap<CallNeed, f64>,
-) -> Option<(ModelName, AdapterName, f64)> {
+fn least_used(engine: &EngineView, rates: &AdapterRates) -> Option<(ModelName, AdapterName, f64)> {
     engine
         .holdings
         .models
--- a/crates/serving/src/demand.rs
+++ b/crates/serving/src/demand.rs
@@ -9,6 +9,8 @@
 
 /// Age at which what a host told is dropped.
 const TOLD_DEMAND_TIME: ClockTime = ClockTime::from_secs(3);
+/// Pause between sums; hosts tell their demand less often.
+const SUM_PAUSE: ClockTime = ClockTime::from_ms(200);
 /// Span over which arrivals are averaged, ms.
 const RATE_SPAN_MS: f64 = 1_000.0;
 /// Rate below which a need without requests in progress is forgotten, 1/s.
@@ -99,6 +101,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct DemandBook {
     told: HashMap<HostName, (ClockTime, Vec<ModelDemand>)>,
+    sums: Vec<ModelDemand>,
+    summed_at: Option<ClockTime>,
 }
 
 impl DemandBook {
@@ -107,8 +111,17 @@
         self.told.insert(host.clone(), (now, demands));
     }
 
-    /// Sums by need over the hosts that told lately.
-    pub fn total(&mut self, now: ClockTime) -> Vec<ModelDemand> {
+    /// Sums by need over the hosts that told lately; at most one sum pause old.
+    pub fn total(&mut self, now: ClockTime) -> &[ModelDemand] {
+        let due = self.summed_at.is_none_or(|at| now.since(at) >= SUM_PAUSE);
+        if due {
+            self.summed_at = Some(now);
+            self.sums = self.sum(now);
+        }
+        &self.sums
+    }
+
+    fn sum(&mut self, now: ClockTime) -> Vec<ModelDemand> {
         self.told
             .retain(|_, (at, _)| now.since(*at) < TOLD_DEMAND_TIME);
         let mut sums: HashMap<(ServiceName, CallNeed), ModelDemand> = HashMap::new();
--- a/crates/serving/src/hosts.rs
+++ b/crates/serving/src/hosts.rs
@@ -5,10 +5,13 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
-/// Pause between beats.
-pub const BEAT_PAUSE: ClockTime = ClockTime::from_ms(250);
-/// Silence after which a host is left out of address answers; six beats.
-const SILENCE_LIMIT: ClockTime = ClockTime::from_ms(1_500);
+/// Pause between beats of a small system.
+const BEAT_PAUSE: ClockTime = ClockTime::from_ms(250);
+/// Hosts up to which that pause holds; beyond, it grows so that each host receives about as many
+/// beats a second.
+const BEAT_HOSTS: usize = 24;
+/// Beats missed after which a host is left out of address answers; single datagrams get lost.
+const SILENT_BEATS: f64 = 6.0;
 /// Time for which a host that was never heard counts as live; it has just started.
 const START_TIME: ClockTime = ClockTime::from_secs(2);
 /// Silence after which the row of a host is removed.
@@ -36,12 +39,12 @@
 }
 
 impl HostState {
-    fn is_live(&self, now: ClockTime) -> bool {
+    fn is_live(&self, silence: ClockTime, now: ClockTime) -> bool {
         if self.leaving {
             return false;
         }
         match self.heard {
-            Some(heard) => now.since(heard) < SILENCE_LIMIT,
+            Some(heard) => now.since(heard) < silence,
             None => now.since(self.known_since) < START_TIME,
         }
     }
@@ -128,12 +131,23 @@
         self.others.get(name).map(|state| state.facts.peer)
     }
 
+    /// Pause between beats.
+    pub fn beat_pause(&self) -> ClockTime {
+        let factor = self.known_count() as f64 / BEAT_HOSTS as f64;
+        BEAT_PAUSE.scale(factor.max(1.0))
+    }
+
+    fn silence_limit(&self) -> ClockTime {
+        self.beat_pause().scale(SILENT_BEATS)
+    }
+
     /// Hosts that take work, the own one included.
     pub fn live_count(&self, now: ClockTime) -> usize {
+        let silence = self.silence_limit();
         1 + self
             .others
             .values()
-            .filter(|state| state.is_live(now))
+            .filter(|state| state.is_live(silence, now))
             .count()
     }
 
@@ -146,10 +160,11 @@
     ///
     /// Never empty: a host that is the only one left names itself.
     pub fn addresses(&self, limit: usize, now: ClockTime) -> Vec<SocketAddr> {
+        let silence = self.silence_limit();
         let mut live: Vec<SocketAddr> = self
             .others
             .values()
-            .filter(|state| state.is_live(now))
+            .filter(|state| state.is_live(silence, now))
             .map(|state| state.facts.entry)
             .collect();
         if !self.own_leaving || live.is_empty() {
--- a/crates/serving/tests/orders.rs
+++ b/crates/serving/tests/orders.rs
@@ -106,7 +106,7 @@
 /// Guards against one adapter that is loaded on several engines for one call.
 #[test]
 fn adapter_under_way_is_not_ordered_again() {
-    use crocusyard_serving::adapters::{place, AdapterStep};
+    use crocusyard_serving::adapters::{place, AdapterRates, AdapterStep};
     use crocusyard_serving::copies::EngineView;
     let need = CallNeed {
         model: model("m"),
@@ -130,7 +130,7 @@
         })
         .collect();
     let rule = engine_rule(&["m"]);
-    let step = place(&rule, &views, &[], &need, |_| 0);
+    let step = place(&rule, &views, &AdapterRates::new(), &need, |_| 0);
     assert!(matches!(
         step,
         AdapterStep::Order(_, OrderAction::UnloadAdapter(..))
@@ -144,9 +144,15 @@
             });
         }
     }
-    assert_eq!(place(&rule, &views, &[], &need, |_| 0), AdapterStep::Wait);
+    assert_eq!(
+        place(&rule, &views, &AdapterRates::new(), &need, |_| 0),
+        AdapterStep::Wait
+    );
     views[0].holdings.models = held(&[("m", &[])]);
     views[1].loading_adapter = Some(need.clone());
     views[1].free = false;
-    assert_eq!(place(&rule, &views, &[], &need, |_| 0), AdapterStep::Wait);
+    assert_eq!(
+        place(&rule, &views, &AdapterRates::new(), &need, |_| 0),
+        AdapterStep::Wait
+    );
 }
--- /dev/null
+++ b/tests/entry_process.rs
@@ -0,0 +1,312 @@
+//! The process of an entry host against stand-ins of the users' store and targets.
+
+use bytes::Bytes;
+use crocusyard_httpconn::prelude::*;
+use crocusyard_platform_standin::prelude::*;
+use http_body_util::Full;
+use hyper::{Request, StatusCode};
+use serde_json::json;
+use std::io::Write;
+use std::net::{SocketAddr, TcpListener};
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+/// Longest time in which a started or changed host must serve; far above what it takes.
+const SETTLE_LIMIT: Duration = Duration::from_secs(20);
+/// Time within which a new configuration must be in force.
+const APPLY_LIMIT: Duration = Duration::from_millis(2_000);
+const PAUSE: Duration = Duration::from_millis(50);
+
+struct EntryHost {
+    child: Child,
+    entry: SocketAddr,
+    ready: SocketAddr,
+    directory: SocketAddr,
+    metrics: SocketAddr,
+    settings: tempfile::TempPath,
+}
+
+impl Drop for EntryHost {
+    fn drop(&mut self) {
+        // The process may have ended by itself.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// A port and the next one, both free at the moment.
+fn free_ports() -> (u16, u16) {
+    loop {
+        let first = TcpListener::bind("127.0.0.1:0").expect("port");
+        let port = first.local_addr().expect("address").port();
+        if port < u16::MAX && TcpListener::bind(("127.0.0.1", port + 1)).is_ok() {
+            return (port, port + 1);
+        }
+    }
+}
+
+impl EntryHost {
+    fn start(store: SocketAddr) -> Self {
+        let local = |port| SocketAddr::from(([127, 0, 0, 1], port));
+        let (peer, metrics) = free_ports();
+        let ports: Vec<u16> = (0..3).map(|_| free_ports().0).collect();
+        let text = format!(
+            "node_name=edge-1\nzone=a\nlisten_addrs.front=127.0.0.1:{}\nlisten_addrs.ready=127.0.0.1:{}\n\
+             listen_addrs.directory=127.0.0.1:{}\nport_range={peer},{}\nheartbeat_ms=1200\n\
+             bounds.drain_ms=2000\nbounds.grace_s=8\nbounds.retry_budget=0.2\nbounds.retry_window_s=10\n\
+             bounds.retry_slack=58\nbounds.lease_ms=3000\nbounds.ttl_max_s=5\nplatform.address={store}\n",
+            ports[0], ports[1], ports[2], peer + 15
+        );
+        let mut file = tempfile::NamedTempFile::new().expect("file");
+        file.write_all(text.as_bytes()).expect("written");
+        let settings = file.into_temp_path();
+        let child = Command::new(env!("CARGO_BIN_EXE_crocusyard"))
+            .arg("entry")
+            .env("CROCUSYARD_CONFIG", &settings)
+            .stdout(Stdio::null())
+            .spawn()
+            .expect("started");
+        Self {
+            child,
+            entry: local(ports[0]),
+            ready: local(ports[1]),
+            directory: local(ports[2]),
+            metrics: local(metrics),
+            settings,
+        }
+    }
+
+    async fn until_ready(&self) {
+        let begun = Instant::now();
+        while get(self.ready, "/crocusyard/ready").await.0 != StatusCode::OK {
+            assert!(
+                begun.elapsed() < SETTLE_LIMIT,
+                "not ready ({:?})",
+                self.settings
+            );
+            actix_rt::time::sleep(PAUSE).await;
+        }
+    }
+}
+
+fn pool() -> ConnPool {
+    ConnPool::new(PoolLimits {
+        connect_timeout: Duration::from_secs(1),
+        idle_limit: Duration::from_secs(5),
+        idle_count: 4,
+    })
+}
+
+async fn exchange(
+    address: SocketAddr,
+    request: Request<Full<Bytes>>,
+) -> Option<(StatusCode, Bytes)> {
+    let mut conn = pool().open(address).await.ok()?;
+    let answer = conn.send(request).await.ok()?;
+    let status = answer.status();
+    Some((status, read_whole(answer.into_body()).await.ok()?))
+}
+
+async fn get(address: SocketAddr, path: &str) -> (StatusCode, Bytes) {
+    let request = Request::builder()
+        .uri(path)
+        .header("Host", "x")
+        .body(Full::default());
+    let answer = exchange(address, request.expect("request")).await;
+    answer.unwrap_or((StatusCode::BAD_GATEWAY, Bytes::new()))
+}
+
+/// Sends a call of a caller; no answer at all counts as a closed connection.
+async fn call(host: &EntryHost, path: &str, id: &str) -> Option<(StatusCode, Bytes)> {
+    let request = Request::builder()
+        .method("POST")
+        .uri(path)
+        .header("Host", "a.example")
+        .header("Crocusyard-Request-Id", id)
+        .header("Crocusyard-Deadline-Ms", "1500")
+        .body(Full::new(Bytes::from_static(b"body")));
+    exchange(host.entry, request.expect("request")).await
+}
+
+fn configuration(version: u64, prefixes: &[(&str, &str, u32)]) -> serde_json::Value {
+    let routes: Vec<serde_json::Value> = prefixes
+        .iter()
+        .map(|(prefix, kind, attempts)| {
+            json!({"name": prefix, "host": "a.example", "path_prefix": prefix, "kind": kind,
+                "timeout_ms": 1500, "target_latency_ms": 100, "priority": 1, "service": "s",
+                "max_attempts": attempts})
+        })
+        .collect();
+    json!({"version": version, "routes": routes,
+        "services": [{"name": "s", "health_path": "/health", "max_conns": 100}],
+        "limits": {"max_header_bytes": 16384, "max_body_bytes": 65536, "header_timeout_ms": 3000,
+            "idle_timeout_ms": 15000}})
+}
+
+const ROUTES: [(&str, &str, u32); 2] =
+    [("/once/", "non_idempotent", 1), ("/many/", "idempotent", 2)];
+
+async fn deployment(targets: usize) -> (StoreStandin, Vec<TargetStandin>, EntryHost) {
+    let store = StoreStandin::start().await.expect("store");
+    store.put("op", "config", &configuration(1, &ROUTES));
+    let mut standins = Vec::new();
+    for number in 0..targets {
+        let target = TargetStandin::start(&format!("i-{number}"))
+            .await
+            .expect("target");
+        store.put("servers", &target.name, &target.entry("s"));
+        standins.push(target);
+    }
+    let host = EntryHost::start(store.address);
+    host.until_ready().await;
+    (store, standins, host)
+}
+
+/// Guards against a path that is broken anywhere between caller, host, store and target.
+#[actix_rt::test]
+async fn call_is_answered_by_its_target() {
+    let (store, targets, host) = deployment(1).await;
+    let (status, body) = call(&host, "/once/1", "r1").await.expect("answered");
+    assert_eq!(
+        (status, body.as_ref()),
+        (StatusCode::OK, b"answer of i-0".as_ref())
+    );
+    assert_eq!(targets[0].runs("r1"), 1);
+    assert_eq!(
+        call(&host, "/none/1", "r2").await.expect("answered").0,
+        StatusCode::NOT_FOUND
+    );
+    let (_, addresses) = get(host.directory, "/crocusyard/resolve?name=a.example&zone=a").await;
+    assert!(String::from_utf8_lossy(&addresses).contains(&host.entry.to_string()));
+    let (status, metrics) = get(host.metrics, "/metrics").await;
+    assert_eq!(status, StatusCode::OK);
+    assert!(String::from_utf8_lossy(&metrics).contains("crocusyard_entry_requests_total"));
+    assert_eq!(store.keys("hosts"), ["edge-1"]);
+}
+
+/// Guards against work that may run once being sent again after its answer was lost, and against a
+/// status that says it was not run.
+#[actix_rt::test]
+async fn lost_answer_of_work_that_runs_once_is_not_repeated() {
+    let (_store, targets, host) = deployment(2).await;
+    for target in &targets {
+        target.set_fault(TargetFault::LosesAnswer);
+    }
+    let answer = call(&host, "/once/1", "r1").await.expect("answered");
+    assert_eq!(answer.0, StatusCode::BAD_GATEWAY);
+    let runs: u32 = targets.iter().map(|target| target.runs("r1")).sum();
+    assert_eq!(runs, 1);
+}
+
+/// Guards against a failed answer to a call that another target could have answered.
+#[actix_rt::test]
+async fn lost_answer_of_repeatable_work_comes_from_another_target() {
+    for fault in [
+        TargetFault::LosesAnswer,
+        TargetFault::NoSeal,
+        TargetFault::WrongId,
+    ] {
+        let (_store, targets, host) = deployment(2).await;
+        targets[0].set_fault(fault);
+        for number in 0..4 {
+            let answer = call(&host, "/many/1", &format!("r{number}")).await;
+            let (status, body) = answer.expect("answered");
+            assert_eq!(
+                (status, body.as_ref()),
+                (StatusCode::OK, b"answer of i-1".as_ref()),
+                "{fault:?}"
+            );
+        }
+    }
+}
+
+/// Guards against a refusal that a target made and that reaches the caller as an unknown failure.
+#[actix_rt::test]
+async fn refused_work_is_reported_as_not_run() {
+    let (_store, targets, host) = deployment(1).await;
+    targets[0].set_fault(TargetFault::Full);
+    let (status, _) = call(&host, "/once/1", "r1").await.expect("answered");
+    assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE);
+    assert_eq!(targets[0].runs("r1"), 0);
+}
+
+/// Guards against a configuration that is in force late.
+#[actix_rt::test]
+async fn new_configuration_is_in_force_in_time() {
+    let (store, _targets, host) = deployment(1).await;
+    let routes = [ROUTES[0], ("/new/", "idempotent", 1)];
+    store.put("op", "config", &configuration(2, &routes));
+    actix_rt::time::sleep(APPLY_LIMIT).await;
+    assert_eq!(
+        call(&host, "/new/1", "r1").await.expect("answered").0,
+        StatusCode::OK
+    );
+    assert_eq!(
+        call(&host, "/many/1", "r2").await.expect("answered").0,
+        StatusCode::NOT_FOUND
+    );
+    // An older version never comes back.
+    store.put("op", "config", &configuration(1, &ROUTES));
+    actix_rt::time::sleep(APPLY_LIMIT).await;
+    assert_eq!(
+        call(&host, "/many/1", "r3").await.expect("answered").0,
+        StatusCode::NOT_FOUND
+    );
+}
+
+/// Guards against callers that fail because the store is away.
+#[actix_rt::test]
+async fn calls_are_served_while_the_store_is_away() {
+    let (store, _targets, host) = deployment(1).await;
+    store.set_down(true);
+    actix_rt::time::sleep(Duration::from_secs(3)).await;
+    assert_eq!(
+        call(&host, "/once/1", "r1").await.expect("answered").0,
+        StatusCode::OK
+    );
+    store.set_down(false);
+    store.put(
+        "op",
+        "config",
+        &configuration(2, &[("/new/", "idempotent", 1)]),
+    );
+    let begun = Instant::now();
+    while call(&host, "/new/1", "r2").await.expect("answered").0 != StatusCode::OK {
+        assert!(
+            begun.elapsed() < SETTLE_LIMIT,
+            "the store is not followed again"
+        );
+        actix_rt::time::sleep(PAUSE).await;
+    }
+}
+
+/// Guards against a request in progress that a planned stop cuts off.
+#[actix_rt::test]
+async fn planned_stop_cuts_off_no_request() {
+    let (store, targets, mut host) = deployment(1).await;
+    targets[0].set_fault(TargetFault::Slow(1_000));
+    let pid = host.child.id().to_string();
+    let slow = call(&host, "/once/1", "r1");
+    let stop = async {
+        actix_rt::time::sleep(Duration::from_millis(300)).await;
+        let killed = Command::new("kill")
+            .args(["-TERM", &pid])
+            .status()
+            .expect("kill");
+        assert!(killed.success());
+        actix_rt::time::sleep(Duration::from_millis(300)).await;
+        get(host.ready, "/crocusyard/ready").await.0
+    };
+    let (answer, ready) = futures_util::future::join(slow, stop).await;
+    assert_eq!(answer.expect("answered").0, StatusCode::OK);
+    assert_ne!(ready, StatusCode::OK, "a stopping host is not ready");
+    let begun = Instant::now();
+    while host.child.try_wait().expect("status").is_none() {
+        assert!(
+            begun.elapsed() < Duration::from_secs(9),
+            "the process has 8 s"
+        );
+        actix_rt::time::sleep(PAUSE).await;
+    }
+    assert!(store.keys("hosts").is_empty(), "its row is removed");
+}
