serving, edge: one host of a failure domain reads the target list; one fencing number a tenure

Change: ListFollower, HostBook::is_reader, message Targets; LeaseState keeps the version with which it took the lease.

--- a/crates/edge/src/gossip.rs
+++ b/crates/edge/src/gossip.rs
@@ -1,6 +1,7 @@
 //! Messages between entry hosts.
 
 use crate::clock;
+use crate::follow;
 use crate::message::HostMessage;
 use crate::moves;
 use crate::shell::EdgeShell;
@@ -146,6 +147,18 @@
                 });
             }
         }
+        HostMessage::Targets {
+            after,
+            version,
+            upserts,
+            removed,
+        } => {
+            let fresh = shell.list.borrow_mut().take(after, version, now);
+            if fresh {
+                follow::log_targets(shell, &upserts, &removed, version);
+                shell.dispatch(ServingEvent::Targets { upserts, removed });
+            }
+        }
         HostMessage::Crash(report) => shell.dispatch(ServingEvent::Crash(report)),
         HostMessage::Leaving { target, born } => {
             shell.dispatch(ServingEvent::Leaving { target, born });
--- a/crates/edge/src/message.rs
+++ b/crates/edge/src/message.rs
@@ -44,6 +44,17 @@
         /// Models with their adapters.
         models: HeldModels,
     },
+    /// Changes of the target list that the sender has read.
+    Targets {
+        /// Version after which they begin.
+        after: u64,
+        /// Version that they lead to.
+        version: u64,
+        /// New or changed targets.
+        upserts: Vec<TargetRecord>,
+        /// Removed targets.
+        removed: Vec<TargetName>,
+    },
     /// A call broke a target.
     Crash(CrashReport),
     /// A target is leaving.
--- a/crates/edge/src/shell.rs
+++ b/crates/edge/src/shell.rs
@@ -55,6 +55,7 @@
     pub(crate) orders: RefCell<OrderBook>,
     pub(crate) demands: RefCell<DemandBook>,
     pub(crate) trend: RefCell<DemandTrend>,
+    pub(crate) list: RefCell<ListFollower>,
     pub(crate) metrics: EdgeMetrics,
     pub(crate) pool: ConnPool,
     pub(crate) store: StoreClient,
@@ -91,6 +92,7 @@
             orders: RefCell::default(),
             demands: RefCell::default(),
             trend: RefCell::default(),
+            list: RefCell::default(),
             metrics: EdgeMetrics::new(),
             pool: ConnPool::new(PoolLimits {
                 connect_timeout: CONNECT_TIMEOUT,
--- a/crates/serving/src/hosts.rs
+++ b/crates/serving/src/hosts.rs
@@ -156,6 +156,27 @@
         1 + self.others.len()
     }
 
+    /// Addresses of the other hosts in the own failure domain.
+    pub fn domain_peers(&self) -> Vec<SocketAddr> {
+        self.others
+            .values()
+            .filter(|state| state.facts.domain == self.own.domain)
+            .map(|state| state.facts.peer)
+            .collect()
+    }
+
+    /// Returns whether this host reads the target list for its failure domain: the live host with
+    /// the lowest name does.
+    pub fn is_reader(&self, now: ClockTime) -> bool {
+        let silence = self.silence_limit();
+        let lower = self.others.values().any(|state| {
+            state.facts.domain == self.own.domain
+                && state.facts.name < self.own.name
+                && state.is_live(silence, now)
+        });
+        !lower && !self.own_leaving
+    }
+
     /// Addresses for callers.
     ///
     /// Never empty: a host that is the only one left names itself.
--- a/crates/serving/src/lease.rs
+++ b/crates/serving/src/lease.rs
@@ -1,7 +1,8 @@
 //! The lease of the moves.
 //!
-//! One row of the store names the holder; its version is the fencing number. The holder renews it
-//! often and gives orders while its last confirmed renewal is young. A host takes the lease over
+//! One row of the store names the holder. The version with which a holder took the lease is its
+//! fencing number; renewals do not change it, so that orders that overtake each other agree. The
+//! holder renews the row often and gives orders while its last confirmed renewal is young. A host takes the lease over
 //! after it has neither seen a newer version nor heard the holder for so long that the holder's
 //! last order is older than the lease.
 //!
@@ -84,6 +85,8 @@
     seen: Option<SeenVersion>,
     /// Time at which the last confirmed write was sent; only at the holder.
     confirmed: Option<ClockTime>,
+    /// Version with which this host took the lease.
+    taken: Option<u64>,
     sent: Option<ClockTime>,
     read_at: Option<ClockTime>,
     told_at: ClockTime,
@@ -102,6 +105,7 @@
             holder: None,
             seen: None,
             confirmed: None,
+            taken: None,
             sent: None,
             read_at: None,
             told_at: now,
@@ -130,7 +134,7 @@
         let confirmed = self.confirmed?;
         let by_store = now.since(confirmed) < ORDER_TIME;
         if by_store || self.is_heard_by_all(others, now) {
-            return self.version().map(FencingNumber);
+            return self.taken.map(FencingNumber);
         }
         None
     }
@@ -267,6 +271,9 @@
 
     /// Takes the success of a write that was sent at `sent`.
     pub fn written(&mut self, own: &HostName, version: u64, sent: ClockTime, now: ClockTime) {
+        if !self.is_holder() {
+            self.taken = Some(version);
+        }
         self.seen = Some(SeenVersion {
             version,
             since: now,
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod hosts;
 pub mod lease;
 pub mod orders;
+pub mod relay;
 pub mod retries;
 pub mod rules;
 pub mod state;
@@ -36,6 +37,7 @@
     pub use crate::hosts::{HostBook, HostFacts};
     pub use crate::lease::{LeaseRow, LeaseState, LeaseStep, LeaseWord};
     pub use crate::orders::{EngineOrder, EngineReport, OrderAction, OrderAnswer, OrderBook};
+    pub use crate::relay::ListFollower;
     pub use crate::retries::{RetryBudget, RetryLimits};
     pub use crate::rules::{
         CallKind, CallerLimits, EngineRule, ModelRule, RouteMatch, RouteRule, RuleSet, ServiceRule,
--- a/crates/serving/src/targets.rs
+++ b/crates/serving/src/targets.rs
@@ -37,7 +37,7 @@
 }
 
 /// What a target says of itself.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct TargetRecord {
     /// Name.
     pub name: TargetName,
@@ -63,6 +63,15 @@
     pub on_disk: BTreeSet<ModelName>,
 }
 
+impl TargetRecord {
+    /// Returns whether another write of the same target says the same.
+    pub fn says_the_same(&self, other: &Self) -> bool {
+        let mut other = other.clone();
+        other.beat = self.beat;
+        *self == other
+    }
+}
+
 /// Load that a target told with an answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct TargetLoad {
--- a/crates/serving/tests/lease.rs
+++ b/crates/serving/tests/lease.rs
@@ -134,3 +134,22 @@
     assert!(!lease.is_holder());
     assert!(lease.order_fence(&[], ms(1_700)).is_none());
 }
+
+/// Guards against a lower fencing number after a higher one, when orders of one holder overtake each
+/// other on their way.
+#[test]
+fn renewals_keep_the_fencing_number() {
+    let mut lease = holder_at(ms(1_000));
+    let first = lease.order_fence(&[], ms(1_000));
+    lease.written(&host("a"), 25, ms(1_700), ms(1_710));
+    assert_eq!(lease.order_fence(&[], ms(1_710)), first);
+    assert_eq!(first, Some(FencingNumber(10)));
+    // Taken again after another holder, it is higher than that one's.
+    let row = LeaseRow {
+        holder: host("b"),
+        released: false,
+    };
+    lease.saw(Some((row, 30)), ms(2_000));
+    lease.written(&host("a"), 40, ms(9_000), ms(9_010));
+    assert_eq!(lease.order_fence(&[], ms(9_010)), Some(FencingNumber(40)));
+}
--- /dev/null
+++ b/crates/serving/tests/target_list.rs
@@ -0,0 +1,79 @@
+//! The target list as one host of a failure domain passes it on.
+
+mod common;
+
+use common::ms;
+use crocusyard_base::prelude::*;
+use crocusyard_serving::prelude::*;
+use std::net::SocketAddr;
+
+fn follower_at(version: u64, now: ClockTime) -> ListFollower {
+    let mut list = ListFollower::default();
+    list.poll(now);
+    list.read(version, now);
+    list
+}
+
+/// Guards against a host that misses a leaving target because one message was lost.
+#[test]
+fn lost_message_makes_a_host_poll() {
+    let mut list = follower_at(10, ms(0));
+    assert!(list.take(10, 12, ms(600)));
+    assert!(!list.polls(false, ms(700)));
+    assert!(
+        !list.take(14, 16, ms(1_200)),
+        "the changes up to 14 are missing"
+    );
+    assert!(list.polls(false, ms(1_200)));
+    assert_eq!(list.version(), Some(12));
+}
+
+/// Guards against a host that hears nothing of a leaving target for 2 s, since its reader died.
+#[test]
+fn silent_reader_is_replaced_in_time() {
+    let list = follower_at(10, ms(0));
+    let first = (0..2_000).map(ms).find(|now| list.polls(false, *now));
+    let first = first.expect("polls at some time");
+    assert!(
+        first < ms(1_300),
+        "{first} plus looks, a poll and a send must stay below 2 s"
+    );
+}
+
+/// Guards against every host polling the store while one of them reads it.
+#[test]
+fn only_the_reader_polls() {
+    let mut list = follower_at(10, ms(0));
+    for step in 1..20 {
+        let now = ms(step * 600);
+        assert!(list.take(9 + step, 10 + step, now));
+        assert!(!list.polls(false, now + ms(500)));
+        assert!(list.polls(true, now));
+    }
+}
+
+/// Guards against an older message that undoes a newer one.
+#[test]
+fn older_changes_are_ignored() {
+    let mut list = follower_at(10, ms(0));
+    assert!(!list.take(5, 8, ms(100)));
+    assert_eq!(list.version(), Some(10));
+}
+
+/// Guards against a failure domain without a reader after its first host died.
+#[test]
+fn next_live_host_becomes_the_reader() {
+    let facts = |name: &str| HostFacts {
+        name: HostName::new(name),
+        domain: DomainName::new("a"),
+        entry: SocketAddr::from(([10, 0, 0, 1], 1)),
+        peer: SocketAddr::from(([10, 0, 0, 1], 2)),
+    };
+    let mut hosts = HostBook::new(facts("b"));
+    assert!(hosts.is_reader(ms(0)));
+    hosts.heard(&facts("a"), false, ms(100));
+    assert!(!hosts.is_reader(ms(200)));
+    assert!(hosts.is_reader(ms(5_000)), "the first host is silent");
+    hosts.heard(&facts("a"), true, ms(5_100));
+    assert!(hosts.is_reader(ms(5_100)), "the first host is leaving");
+}
