--- a/crates/cli/src/arguments.rs
+++ b/crates/cli/src/arguments.rs
@@ -81,7 +81,7 @@
 #[derive(Clone, Debug, PartialEq, FromArgs)]
 #[argh(subcommand, name = "entry")]
 pub struct EntryCommand {
-    /// settings file of the platform (the path in CROCUSYARD_CONFIG by default)
+    /// settings file of the platform (by default the one that the platform names)
     #[argh(option)]
     pub settings: Option<String>,
     /// log lines a second at most (500 by default)
--- a/crates/edge/src/moves.rs
+++ b/crates/edge/src/moves.rs
@@ -175,7 +175,7 @@
             actix_rt::spawn(ask_report(shell.clone(), name, engine.clone()));
         }
     }
-    let repeats = shell.orders.borrow_mut().to_repeat(now);
+    let repeats = shell.orders.borrow_mut().take_repeats(now);
     for (name, action, expected) in repeats {
         if let Some(engine) = engines.get(&name) {
             send_order(shell, &name, engine, action, expected);
--- a/crates/edge/src/shell.rs
+++ b/crates/edge/src/shell.rs
@@ -1,10 +1,10 @@
 //! All state of the process, and the carrying out of effects.
 
 use crate::clock;
-use crate::gauges::EdgeMetrics;
 use crate::gossip::PeerSocket;
 use crate::journal;
 use crate::message::HostMessage;
+use crate::metrics::EdgeMetrics;
 use crate::moves;
 use crocusyard_adapter::prelude::*;
 use crocusyard_base::prelude::*;
--- a/crates/serving/src/adapters.rs
+++ b/crates/serving/src/adapters.rs
@@ -6,7 +6,7 @@
 use crate::orders::OrderAction;
 use crate::rules::EngineRule;
 use crocusyard_base::prelude::*;
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 
 /// Use of each adapter: arrivals a second and requests in progress.
 pub type AdapterRates = HashMap<CallNeed, f64>;
@@ -75,7 +75,7 @@
 
 /// Adapters on an engine.
 pub fn adapter_count(engine: &EngineView) -> usize {
-    engine.holdings.models.values().map(|held| held.len()).sum()
+    engine.holdings.models.values().map(BTreeSet::len).sum()
 }
 
 /// Use of each adapter, from the demand of all hosts.
--- a/crates/serving/src/copies.rs
+++ b/crates/serving/src/copies.rs
@@ -84,10 +84,7 @@
     let mut used: BTreeSet<TargetName> = BTreeSet::new();
     let mut loads_left = input.loads_left;
     let mut orders = Vec::new();
-    loop {
-        let Some(model) = most_pressing(&needs) else {
-            break;
-        };
+    while let Some(model) = most_pressing(&needs) {
         let choice = best_engine(input, &needs, &model, &used);
         let Some((name, action)) = choice else {
             give_up_on(&mut needs, &model);
--- a/crates/serving/src/orders.rs
+++ b/crates/serving/src/orders.rs
@@ -273,7 +273,7 @@
     }
 
     /// Orders without an answer that are to be sent again.
-    pub fn to_repeat(&mut self, now: ClockTime) -> Vec<(TargetName, OrderAction, u64)> {
+    pub fn take_repeats(&mut self, now: ClockTime) -> Vec<(TargetName, OrderAction, u64)> {
         let mut repeats = Vec::new();
         for (name, state) in &mut self.engines {
             if let (Some(action), true) = (&state.unanswered, now >= state.retry_at) {
--- a/crates/serving/tests/orders.rs
+++ b/crates/serving/tests/orders.rs
@@ -47,7 +47,7 @@
     book.answered(&target(), &load, OrderAnswer::Unknown, LOAD_TIME, ms(300));
     assert!(!book.is_free(&target(), ms(300)));
     assert_eq!(book.loading(&target()), Some(&model("m")));
-    assert_eq!(book.to_repeat(ms(500)), [(target(), load, 4)]);
+    assert_eq!(book.take_repeats(ms(500)), [(target(), load, 4)]);
 }
 
 /// Guards against hosts that are sent back to an engine which is unloading their model.
--- a/tests/entry_process.rs
+++ b/tests/entry_process.rs
@@ -5,7 +5,6 @@
 use crocusyard_platform_standin::prelude::*;
 use http_body_util::Full;
 use hyper::{Request, StatusCode};
-use serde_json::json;
 use std::io::Write;
 use std::net::{SocketAddr, TcpListener};
 use std::process::{Child, Command, Stdio};
@@ -19,9 +18,7 @@
 
 struct EntryHost {
     child: Child,
-    entry: SocketAddr,
-    ready: SocketAddr,
-    directory: SocketAddr,
+    addresses: HostAddresses,
     metrics: SocketAddr,
     settings: tempfile::TempPath,
 }
@@ -48,29 +45,26 @@
 impl EntryHost {
     fn start(store: SocketAddr) -> Self {
         let local = |port| SocketAddr::from(([127, 0, 0, 1], port));
-        let (peer, metrics) = free_ports();
-        let ports: Vec<u16> = (0..3).map(|_| free_ports().0).collect();
-        let text = format!(
-            "node_name=edge-1\nzone=a\nlisten_addrs.front=127.0.0.1:{}\nlisten_addrs.ready=127.0.0.1:{}\n\
-             listen_addrs.directory=127.0.0.1:{}\nport_range={peer},{}\nheartbeat_ms=1200\n\
-             bounds.drain_ms=2000\nbounds.grace_s=8\nbounds.retry_budget=0.2\nbounds.retry_window_s=10\n\
-             bounds.retry_slack=58\nbounds.lease_ms=3000\nbounds.ttl_max_s=5\nplatform.address={store}\n",
-            ports[0], ports[1], ports[2], peer + 15
-        );
+        let (first_port, metrics) = free_ports();
+        let addresses = HostAddresses {
+            entry: local(free_ports().0),
+            ready: local(free_ports().0),
+            directory: local(free_ports().0),
+            first_port,
+        };
+        let text = settings_text(&addresses, store);
         let mut file = tempfile::NamedTempFile::new().expect("file");
         file.write_all(text.as_bytes()).expect("written");
         let settings = file.into_temp_path();
         let child = Command::new(env!("CARGO_BIN_EXE_crocusyard"))
             .arg("entry")
-            .env("CROCUSYARD_CONFIG", &settings)
+            .env(SETTINGS_VARIABLE, &settings)
             .stdout(Stdio::null())
             .spawn()
             .expect("started");
         Self {
             child,
-            entry: local(ports[0]),
-            ready: local(ports[1]),
-            directory: local(ports[2]),
+            addresses,
             metrics: local(metrics),
             settings,
         }
@@ -78,7 +72,7 @@
 
     async fn until_ready(&self) {
         let begun = Instant::now();
-        while get(self.ready, "/crocusyard/ready").await.0 != StatusCode::OK {
+        while get(self.addresses.ready, READY_PATH).await.0 != StatusCode::OK {
             assert!(
                 begun.elapsed() < SETTLE_LIMIT,
                 "not ready ({:?})",
@@ -118,43 +112,21 @@
 
 /// Sends a call of a caller; no answer at all counts as a closed connection.
 async fn call(host: &EntryHost, path: &str, id: &str) -> Option<(StatusCode, Bytes)> {
-    let request = Request::builder()
-        .method("POST")
-        .uri(path)
-        .header("Host", "a.example")
-        .header("Crocusyard-Request-Id", id)
-        .header("Crocusyard-Deadline-Ms", "1500")
-        .body(Full::new(Bytes::from_static(b"body")));
-    exchange(host.entry, request.expect("request")).await
+    let request = caller_request(path, id).expect("request");
+    exchange(host.addresses.entry, request).await
 }
 
-fn configuration(version: u64, prefixes: &[(&str, &str, u32)]) -> serde_json::Value {
-    let routes: Vec<serde_json::Value> = prefixes
-        .iter()
-        .map(|(prefix, kind, attempts)| {
-            json!({"name": prefix, "host": "a.example", "path_prefix": prefix, "kind": kind,
-                "timeout_ms": 1500, "target_latency_ms": 100, "priority": 1, "service": "s",
-                "max_attempts": attempts})
-        })
-        .collect();
-    json!({"version": version, "routes": routes,
-        "services": [{"name": "s", "health_path": "/health", "max_conns": 100}],
-        "limits": {"max_header_bytes": 16384, "max_body_bytes": 65536, "header_timeout_ms": 3000,
-            "idle_timeout_ms": 15000}})
-}
-
-const ROUTES: [(&str, &str, u32); 2] =
-    [("/once/", "non_idempotent", 1), ("/many/", "idempotent", 2)];
+const ROUTES: [TestRoute; 2] = [("/once/", false, 1), ("/many/", true, 2)];
 
 async fn deployment(targets: usize) -> (StoreStandin, Vec<TargetStandin>, EntryHost) {
     let store = StoreStandin::start().await.expect("store");
-    store.put("op", "config", &configuration(1, &ROUTES));
+    store.put_configuration(&configuration(1, &ROUTES));
     let mut standins = Vec::new();
     for number in 0..targets {
         let target = TargetStandin::start(&format!("i-{number}"))
             .await
             .expect("target");
-        store.put("servers", &target.name, &target.entry("s"));
+        store.put_target(&target.name, &target.entry("s"));
         standins.push(target);
     }
     let host = EntryHost::start(store.address);
@@ -176,12 +148,12 @@
         call(&host, "/none/1", "r2").await.expect("answered").0,
         StatusCode::NOT_FOUND
     );
-    let (_, addresses) = get(host.directory, "/crocusyard/resolve?name=a.example&zone=a").await;
-    assert!(String::from_utf8_lossy(&addresses).contains(&host.entry.to_string()));
+    let (_, addresses) = get(host.addresses.directory, ADDRESS_PATH).await;
+    assert!(String::from_utf8_lossy(&addresses).contains(&host.addresses.entry.to_string()));
     let (status, metrics) = get(host.metrics, "/metrics").await;
     assert_eq!(status, StatusCode::OK);
     assert!(String::from_utf8_lossy(&metrics).contains("crocusyard_entry_requests_total"));
-    assert_eq!(store.keys("hosts"), ["edge-1"]);
+    assert_eq!(store.host_names(), ["edge-1"]);
 }
 
 /// Guards against work that may run once being sent again after its answer was lost, and against a
@@ -234,8 +206,8 @@
 #[actix_rt::test]
 async fn new_configuration_is_in_force_in_time() {
     let (store, _targets, host) = deployment(1).await;
-    let routes = [ROUTES[0], ("/new/", "idempotent", 1)];
-    store.put("op", "config", &configuration(2, &routes));
+    let routes = [ROUTES[0], ("/new/", true, 1)];
+    store.put_configuration(&configuration(2, &routes));
     actix_rt::time::sleep(APPLY_LIMIT).await;
     assert_eq!(
         call(&host, "/new/1", "r1").await.expect("answered").0,
@@ -246,7 +218,7 @@
         StatusCode::NOT_FOUND
     );
     // An older version never comes back.
-    store.put("op", "config", &configuration(1, &ROUTES));
+    store.put_configuration(&configuration(1, &ROUTES));
     actix_rt::time::sleep(APPLY_LIMIT).await;
     assert_eq!(
         call(&host, "/many/1", "r3").await.expect("answered").0,
@@ -265,11 +237,7 @@
         StatusCode::OK
     );
     store.set_down(false);
-    store.put(
-        "op",
-        "config",
-        &configuration(2, &[("/new/", "idempotent", 1)]),
-    );
+    store.put_configuration(&configuration(2, &[("/new/", true, 1)]));
     let begun = Instant::now();
     while call(&host, "/new/1", "r2").await.expect("answered").0 != StatusCode::OK {
         assert!(
@@ -295,7 +263,7 @@
             .expect("kill");
         assert!(killed.success());
         actix_rt::time::sleep(Duration::from_millis(300)).await;
-        get(host.ready, "/crocusyard/ready").await.0
+        get(host.addresses.ready, READY_PATH).await.0
     };
     let (answer, ready) = futures_util::future::join(slow, stop).await;
     assert_eq!(answer.expect("answered").0, StatusCode::OK);
@@ -308,5 +276,5 @@
         );
         actix_rt::time::sleep(PAUSE).await;
     }
-    assert!(store.keys("hosts").is_empty(), "its row is removed");
+    assert!(store.host_names().is_empty(), "its row is removed");
 }
