--- a/crates/serving/src/state.rs
+++ b/crates/serving/src/state.rs
@@ -15,6 +15,9 @@
 
 /// Pause between requests for an absent copy; an order and its answer take less.
 const WANT_PAUSE: ClockTime = ClockTime::from_ms(150);
+/// Places of a plain service that all hosts use together, as a share; some queue at the targets, so
+/// that none runs dry while a host's next call is on its way.
+const PLACE_SHARE: f64 = 1.2;
 /// Shortest time in which an answer can come; less is left to a call that is refused.
 const SHORTEST_ANSWER: ClockTime = ClockTime::from_ms(30);
 /// Time for which targets may be unknown after a start before calls are refused.
@@ -223,6 +226,10 @@
             return;
         };
         let call = request.call.clone();
+        if self.spends_share(key, &call) {
+            self.wait(key, &call, NoTarget::AllFull, now, out);
+            return;
+        }
         match choose_target(
             &self.targets,
             &call,
@@ -241,6 +248,37 @@
         }
     }
 
+    /// Returns whether this host has used its share of the places of a plain service.
+    ///
+    /// Plain calls are too short for hosts to tell each other of them in time; targets whose
+    /// queues are full run slower, so that each host keeps to its share.
+    fn spends_share(&self, key: RequestKey, call: &CallFacts) -> bool {
+        if call.need.is_some() {
+            return false;
+        }
+        let (mut places, mut running) = (0, 0);
+        for state in self.targets.of_service(&call.service) {
+            places += state.slots();
+            running += state.in_flight;
+        }
+        if places == 0 {
+            return false;
+        }
+        let share = f64::from(places) * PLACE_SHARE / self.hosts.max(1) as f64;
+        let waits_longer = self.waiting.contains(key) || !self.waits_for(&call.service);
+        f64::from(running) >= share.ceil().max(1.0) || !waits_longer
+    }
+
+    /// Returns whether an earlier plain call of a service waits.
+    fn waits_for(&self, service: &ServiceName) -> bool {
+        !self.waiting.is_empty()
+            && self.requests.iter().any(|(key, request)| {
+                request.call.service == *service
+                    && request.call.need.is_none()
+                    && self.waiting.contains(*key)
+            })
+    }
+
     fn send(&mut self, key: RequestKey, target: &TargetName, now: ClockTime, out: &mut Effects) {
         self.waiting.remove(key);
         let Some(request) = self.requests.get_mut(&key) else {
--- a/crates/serving/tests/common/mod.rs
+++ b/crates/serving/tests/common/mod.rs
@@ -174,6 +174,26 @@
         (key, effects)
     }
 
+    /// A call that needs no model arrives.
+    pub fn plain(&mut self, route: RouteRule, now: ClockTime) -> (RequestKey, Vec<ServingEffect>) {
+        let key = RequestKey(self.next_key);
+        self.next_key += 1;
+        let call = Rc::new(CallFacts {
+            id: format!("request-{}", key.0).into(),
+            service: engines(),
+            need: None,
+            prompt: Vec::new(),
+            prompt_tokens: 0,
+            output_tokens: 0,
+            deadline: now + route.timeout,
+            start_by: now + route.start_patience,
+            digest: CallDigest(key.0),
+            route,
+        });
+        let effects = self.state.reduce(ServingEvent::Arrived { key, call }, now);
+        (key, effects)
+    }
+
     pub fn stream(&mut self, need: &str, now: ClockTime) -> (RequestKey, Vec<ServingEffect>) {
         self.call(route(CallKind::Stream { resumable: false }, 1), need, now)
     }
