--- a/crates/serving/src/state.rs
+++ b/crates/serving/src/state.rs
@@ -338,7 +338,7 @@
             let waiting = WaitingCall {
                 priority: call.route.priority,
                 arrived,
-                aim: arrived + call.route.latency_aim,
+                aim: arrived + call.route.latency_aim.since(self.answer_lead(call)),
                 start_by: call.start_by,
                 asked: ClockTime::ZERO,
             };
@@ -435,6 +435,16 @@
         ClockTime::from_ms(wait as u64)
     }
 
+    /// Time from a send to the point by which an answer is in time or late: the whole run of a
+    /// plain call; a stream only has to begin.
+    fn answer_lead(&self, call: &CallFacts) -> ClockTime {
+        let key = (call.service.clone(), None);
+        match (&call.need, self.run_times.get(&key)) {
+            (None, Some(run_time)) => ClockTime::from_ms(*run_time as u64),
+            _ => ClockTime::ZERO,
+        }
+    }
+
     fn run_time(&self, call: &CallFacts) -> f64 {
         let model = call.need.as_ref().map(|need| need.model.clone());
         let key = (call.service.clone(), model);
--- a/crates/serving/src/waiting.rs
+++ b/crates/serving/src/waiting.rs
@@ -14,7 +14,7 @@
     pub priority: u8,
     /// Arrival.
     pub arrived: ClockTime,
-    /// End of the time within which it is in time.
+    /// Last time to send it so that its answer is in time.
     pub aim: ClockTime,
     /// Point at which the caller gives up unless the answer has begun.
     pub start_by: ClockTime,
--- /dev/null
+++ b/crates/serving/tests/events.rs
@@ -0,0 +1,65 @@
+//! Streams that break off inside an event, and calls that crash targets.
+
+use crocusyard_base::prelude::*;
+use crocusyard_serving::prelude::*;
+
+/// Guards against half an event that is followed by the whole one from another target.
+#[test]
+fn event_that_was_begun_is_not_forwarded() {
+    let mut splitter = EventSplitter::new();
+    assert_eq!(
+        splitter.push(b"id: 1\ndata: a\n\nid: 2\nda"),
+        b"id: 1\ndata: a\n\n"
+    );
+    assert_eq!(splitter.last_id(), Some(1));
+    splitter.drop_rest();
+    assert_eq!(splitter.push(b"id: 2\ndata: b\n\n"), b"id: 2\ndata: b\n\n");
+    assert_eq!((splitter.last_id(), splitter.whole_events()), (Some(2), 2));
+}
+
+/// Guards against bytes that are lost or doubled, however a stream is cut into pieces.
+#[test]
+fn any_cut_gives_the_same_bytes() {
+    bolero::check!()
+        .with_type::<(Vec<u8>, Vec<u8>)>()
+        .for_each(|(cuts, data)| {
+            let mut text = Vec::new();
+            for (number, byte) in data.iter().enumerate() {
+                text.extend_from_slice(format!("id: {number}\ndata: {byte}\n\n").as_bytes());
+            }
+            let mut splitter = EventSplitter::new();
+            let mut whole = Vec::new();
+            let mut rest = &text[..];
+            for cut in cuts {
+                let (piece, after) = rest.split_at(usize::from(*cut).min(rest.len()));
+                whole.extend(splitter.push(piece));
+                rest = after;
+            }
+            whole.extend(splitter.push(rest));
+            whole.extend_from_slice(splitter.rest());
+            assert_eq!(whole, text);
+        });
+}
+
+/// Guards against a call that crashes one target after the other.
+#[test]
+fn call_that_broke_three_incarnations_is_refused() {
+    let now = ClockTime::from_secs(5);
+    let mut book = BlameBook::default();
+    let report = |target: &str, born| CrashReport {
+        digest: CallDigest(7),
+        target: TargetName::new(target),
+        born,
+    };
+    assert!(book.note(&report("t1", 1), now));
+    assert!(
+        !book.note(&report("t1", 1), now),
+        "the same incarnation counts once"
+    );
+    assert!(book.note(&report("t1", 2), now));
+    assert!(!book.is_refused(CallDigest(7), now));
+    assert!(book.note(&report("t2", 1), now));
+    assert!(book.is_refused(CallDigest(7), now));
+    assert!(!book.is_refused(CallDigest(8), now));
+    assert!(!book.is_refused(CallDigest(7), now + ClockTime::from_secs(61)));
+}
--- a/crates/serving/tests/overloaded_service.rs
+++ b/crates/serving/tests/overloaded_service.rs
@@ -53,3 +53,30 @@
     let effects = host.end(first, AttemptOutcome::Answered { status: 200 }, ms(2_060));
     assert!(matches!(&effects[..], [ServingEffect::Send(plan)] if plan.key == second));
 }
+
+/// Guards against serving calls that will be late anyway while others could still be in time.
+#[test]
+fn call_that_can_still_be_in_time_goes_first() {
+    let mut host = TestHost::new(&["m"], desk());
+    host.state.reduce(ServingEvent::Hosts(HOSTS), ms(1_000));
+    let plain = route(CallKind::NonIdempotent, 1);
+    // Runs take 200 ms of the 300 ms in which an answer is in time.
+    let mut now = ms(1_000);
+    for _ in 0..60 {
+        let (key, _) = host.plain(plain.clone(), now);
+        now += ms(200);
+        host.end(key, AttemptOutcome::Answered { status: 200 }, now);
+    }
+    let (running, _) = host.plain(plain.clone(), now);
+    host.plain(plain.clone(), now);
+    let (young, _) = host.plain(plain.clone(), now + ms(150));
+    let effects = host.end(
+        running,
+        AttemptOutcome::Answered { status: 200 },
+        now + ms(200),
+    );
+    assert!(
+        matches!(&effects[..], [ServingEffect::Send(plan)] if plan.key == young),
+        "the older one has 100 ms left of the 200 that it takes: {effects:?}"
+    );
+}
