edge, serving: one job a file; one loop for the followed tables

Reading as a newcomer: moves.rs held the lease and the orders, follow.rs the target list and two copies of one loop, state.rs the estimates. lease_keeper.rs, target_list.rs and state/estimate.rs hold them now; settings that nothing read are gone. No behaviour changes.

--- a/crates/edge/src/gossip.rs
+++ b/crates/edge/src/gossip.rs
@@ -1,10 +1,10 @@
 //! Messages between entry hosts.
 
 use crate::clock;
-use crate::follow;
 use crate::message::HostMessage;
 use crate::moves;
 use crate::shell::EdgeShell;
+use crate::target_list;
 use crocusyard_serving::prelude::*;
 use log::{debug, warn};
 use std::net::SocketAddr;
@@ -155,7 +155,7 @@
         } => {
             let fresh = shell.list.borrow_mut().take(after, version, now);
             if fresh {
-                follow::log_targets(shell, &upserts, &removed, version);
+                target_list::log_targets(shell, &upserts, &removed, version);
                 shell.dispatch(ServingEvent::Targets { upserts, removed });
             }
         }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -11,12 +11,14 @@
 mod follow;
 mod gossip;
 mod journal;
+mod lease_keeper;
 mod message;
 mod metrics;
 mod moves;
 pub mod run;
 mod shell;
 mod stream;
+mod target_list;
 
 /// The common names of this crate.
 pub mod prelude {
--- a/crates/edge/src/run.rs
+++ b/crates/edge/src/run.rs
@@ -2,11 +2,13 @@
 
 use crate::clock;
 use crate::entry::{accept, ListenerRole};
-use crate::follow::{follow_hosts, follow_rules, follow_targets};
+use crate::follow::{follow_hosts, follow_rules};
 use crate::gossip::{beat, receive, send_beats, PeerSocket};
 use crate::journal;
-use crate::moves::{give_orders, keep_lease, release_lease};
+use crate::lease_keeper::{keep_lease, release_lease};
+use crate::moves::give_orders;
 use crate::shell::EdgeShell;
+use crate::target_list::follow_targets;
 use crocusyard_adapter::prelude::*;
 use crocusyard_base::prelude::*;
 use crocusyard_httpconn::prelude::listen_on;
--- /dev/null
+++ b/crates/edge/src/target_list.rs
@@ -0,0 +1,188 @@
+//! Follows the target list, by the store or by the host of the failure domain that reads it.
+
+use crate::clock;
+use crate::follow::{read_table, StoreHealth};
+use crate::journal;
+use crate::message::HostMessage;
+use crate::shell::EdgeShell;
+use crocusyard_adapter::prelude::*;
+use crocusyard_base::prelude::*;
+use crocusyard_serving::prelude::*;
+use log::warn;
+use serde_json::json;
+use std::collections::BTreeSet;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Pause between looks whether to poll the targets.
+const LIST_PAUSE: Duration = Duration::from_millis(200);
+/// Longest time for an answer to such a poll; the next one goes over another connection.
+const POLL_LIMIT: Duration = Duration::from_millis(700);
+
+/// Follows the target list.
+pub(crate) async fn follow_targets(shell: Rc<EdgeShell>) {
+    let mut health = StoreHealth::new("targets");
+    let mut missing: BTreeSet<TargetName> = BTreeSet::new();
+    loop {
+        let sent = clock::now();
+        let page = read_table(&shell, StoreTable::Targets, &mut health).await;
+        take_page(&shell, &page, &health, &mut missing, sent);
+        loop {
+            actix_rt::time::sleep(LIST_PAUSE).await;
+            let now = clock::now();
+            let is_reader = shell.hosts.borrow().is_reader(now);
+            if !shell.list.borrow().polls(is_reader, now) {
+                continue;
+            }
+            shell.list.borrow_mut().poll(now);
+            let after = shell.list.borrow().version().unwrap_or(0);
+            let changes = shell
+                .store
+                .follow(StoreTable::Targets, after, Duration::ZERO, POLL_LIMIT)
+                .await;
+            match changes {
+                Ok(changes) => {
+                    health.answered();
+                    let change = read_changes(&shell, &changes.rows, &health, &mut missing);
+                    let version = changes.version;
+                    apply_change(&shell, change, after, version, now, is_reader);
+                }
+                Err(StoreError::HistoryGone) => break,
+                Err(error) => health.failed(&error),
+            }
+        }
+    }
+}
+
+/// Change of the target list.
+struct ListChange {
+    upserts: Vec<TargetRecord>,
+    removed: Vec<TargetName>,
+}
+
+/// Takes a whole table: targets that are not in it are gone.
+fn take_page(
+    shell: &EdgeShell,
+    page: &StorePage,
+    health: &StoreHealth,
+    missing: &mut BTreeSet<TargetName>,
+    sent: ClockTime,
+) {
+    let listed: BTreeSet<&str> = page.rows.iter().map(|row| row.key.as_str()).collect();
+    let absent: Vec<StoreRow> = shell
+        .serving
+        .borrow()
+        .targets
+        .iter()
+        .map(|state| state.record.name.as_str())
+        .filter(|name| !listed.contains(name))
+        .map(|name| StoreRow {
+            key: name.to_owned(),
+            value: None,
+            version: 0,
+        })
+        .collect();
+    let all: Vec<StoreRow> = page.rows.iter().cloned().chain(absent).collect();
+    let change = read_changes(shell, &all, health, missing);
+    apply_change(shell, change, 0, page.version, sent, false);
+}
+
+fn read_changes(
+    shell: &EdgeShell,
+    rows: &[StoreRow],
+    health: &StoreHealth,
+    missing: &mut BTreeSet<TargetName>,
+) -> ListChange {
+    let mut upserts = Vec::new();
+    for row in rows {
+        let name = TargetName::new(&row.key);
+        match &row.value {
+            None => {
+                missing.insert(name);
+            }
+            Some(value) => match read_record(&row.key, value) {
+                Ok(record) => {
+                    missing.remove(&name);
+                    upserts.push(record);
+                }
+                Err(error) => warn!("entry {}: {error}", row.key),
+            },
+        }
+    }
+    let mut removed = Vec::new();
+    if !health.is_recovering() {
+        let serving = shell.serving.borrow();
+        removed.extend(
+            std::mem::take(missing)
+                .into_iter()
+                .filter(|name| serving.targets.get(name).is_some()),
+        );
+    }
+    ListChange { upserts, removed }
+}
+
+fn apply_change(
+    shell: &EdgeShell,
+    change: ListChange,
+    after: u64,
+    version: u64,
+    sent: ClockTime,
+    pass_on: bool,
+) {
+    shell.list.borrow_mut().read(version, sent);
+    if pass_on {
+        let message = HostMessage::Targets {
+            after,
+            version,
+            upserts: news(shell, &change.upserts),
+            removed: change.removed.clone(),
+        };
+        let peers = shell.hosts.borrow().domain_peers();
+        shell.peers.send_all(&peers, &message);
+    }
+    log_targets(shell, &change.upserts, &change.removed, version);
+    shell.dispatch(ServingEvent::Targets {
+        upserts: change.upserts,
+        removed: change.removed,
+    });
+}
+
+/// Records that say something new; most writes of targets only show that they live.
+fn news(shell: &EdgeShell, upserts: &[TargetRecord]) -> Vec<TargetRecord> {
+    let serving = shell.serving.borrow();
+    let is_news = |record: &&TargetRecord| {
+        let known = serving.targets.get(&record.name);
+        !known.is_some_and(|state| state.record.says_the_same(record))
+    };
+    upserts.iter().filter(is_news).cloned().collect()
+}
+
+/// Logs what changes in the target list.
+pub(crate) fn log_targets(
+    shell: &EdgeShell,
+    upserts: &[TargetRecord],
+    removed: &[TargetName],
+    version: u64,
+) {
+    let serving = shell.serving.borrow();
+    for record in upserts {
+        let change = match serving.targets.get(&record.name) {
+            None => "new",
+            Some(state) if state.record.born != record.born => "restarted",
+            Some(state) if !state.record.leaving && record.leaving => "leaving",
+            Some(_) => continue,
+        };
+        journal::belief(
+            "target",
+            change,
+            json!({"target": record.name.as_str(), "list_version": version, "service": record.service.as_str()}),
+        );
+    }
+    for name in removed {
+        journal::belief(
+            "target",
+            "gone",
+            json!({"target": name.as_str(), "list_version": version}),
+        );
+    }
+}
--- /dev/null
+++ b/crates/serving/src/state/estimate.rs
@@ -0,0 +1,158 @@
+//! How long calls wait and run, and a host's share of a plain service.
+
+use super::ServingState;
+use crate::call::CallFacts;
+use crate::choose::NoTarget;
+use crocusyard_base::prelude::*;
+
+/// Time for which targets may be unknown after a start before calls are refused.
+const START_WAIT: ClockTime = ClockTime::from_secs(1);
+/// Time that a load takes besides the load itself: order, notice and first token.
+const LOAD_OVERHEAD: ClockTime = ClockTime::from_ms(400);
+/// Weight of a new run time in the average.
+const RUN_TIME_WEIGHT: f64 = 0.1;
+/// Run time before any call has ended, ms.
+const RUN_TIME_START_MS: f64 = 500.0;
+/// Places of a plain service that all hosts use together, as a share; some queue at the targets, so
+/// that none runs dry while a host's next call is on its way.
+const PLACE_SHARE: f64 = 1.2;
+
+impl ServingState {
+    /// Time until a target can take a call that none can take now.
+    pub(super) fn wait_estimate(
+        &self,
+        key: RequestKey,
+        call: &CallFacts,
+        reason: NoTarget,
+        now: ClockTime,
+    ) -> ClockTime {
+        match reason {
+            NoTarget::NoneKnown => {
+                if self.targets_known && now.since(self.started) > START_WAIT {
+                    ClockTime::NEVER
+                } else {
+                    ClockTime::ZERO
+                }
+            }
+            NoTarget::ModelAbsent => self.load_estimate(call, now),
+            NoTarget::AdapterAbsent => ClockTime::ZERO,
+            NoTarget::AllFull => {
+                if self.waiting.contains(key) {
+                    return ClockTime::ZERO;
+                }
+                self.queue_estimate(call)
+            }
+        }
+    }
+
+    /// Time until a model that no target holds is loaded.
+    fn load_estimate(&self, call: &CallFacts, now: ClockTime) -> ClockTime {
+        let rule = self.rules.as_ref().and_then(|rules| {
+            let need = call.need.as_ref()?;
+            rules.engine(&call.service)?.models.get(&need.model)
+        });
+        let Some(rule) = rule else {
+            return ClockTime::NEVER;
+        };
+        let key = (call.service.clone(), rule.name.clone());
+        let waited = self
+            .absent
+            .get(&key)
+            .map_or(ClockTime::ZERO, |at| now.since(*at));
+        let whole = rule.load_time + LOAD_OVERHEAD;
+        whole.since(waited).max(LOAD_OVERHEAD)
+    }
+
+    /// Notes since when a model has been missed.
+    pub(super) fn note_absent(&mut self, call: &CallFacts, reason: NoTarget, now: ClockTime) {
+        let Some(need) = &call.need else {
+            return;
+        };
+        let key = (call.service.clone(), need.model.clone());
+        if reason == NoTarget::ModelAbsent {
+            self.absent.entry(key).or_insert(now);
+        }
+    }
+
+    /// Time until the calls ahead of a new one have been sent.
+    fn queue_estimate(&self, call: &CallFacts) -> ClockTime {
+        let model = call.need.as_ref().map(|need| &need.model);
+        let mut ahead = 0_u32;
+        let mut running = 0_u32;
+        for (key, request) in &self.requests {
+            let same = request.call.service == call.service
+                && request.call.need.as_ref().map(|need| &need.model) == model;
+            if !same {
+                continue;
+            }
+            if request.target.is_some() {
+                running += 1;
+            } else if self.waiting.contains(*key)
+                && request.call.route.priority <= call.route.priority
+            {
+                ahead += 1;
+            }
+        }
+        let run_time = self.run_time(call);
+        let wait = f64::from(ahead + 1) * run_time / f64::from(running.max(1));
+        ClockTime::from_ms(wait as u64)
+    }
+
+    /// Time from a send to the point by which an answer is in time or late: the whole run of a
+    /// plain call; a stream only has to begin.
+    pub(super) fn answer_lead(&self, call: &CallFacts) -> ClockTime {
+        let key = (call.service.clone(), None);
+        match (&call.need, self.run_times.get(&key)) {
+            (None, Some(run_time)) => ClockTime::from_ms(*run_time as u64),
+            _ => ClockTime::ZERO,
+        }
+    }
+
+    fn run_time(&self, call: &CallFacts) -> f64 {
+        let model = call.need.as_ref().map(|need| need.model.clone());
+        let key = (call.service.clone(), model);
+        self.run_times
+            .get(&key)
+            .copied()
+            .unwrap_or(RUN_TIME_START_MS)
+    }
+
+    /// Takes the run time of an answered call.
+    pub(super) fn note_run_time(&mut self, call: &CallFacts, ran: ClockTime) {
+        let model = call.need.as_ref().map(|need| need.model.clone());
+        let key = (call.service.clone(), model);
+        let average = self.run_times.entry(key).or_insert(RUN_TIME_START_MS);
+        *average += (ran.as_ms() as f64 - *average) * RUN_TIME_WEIGHT;
+    }
+
+    /// Returns whether this host has used its share of the places of a plain service.
+    ///
+    /// Plain calls are too short for hosts to tell each other of them in time; targets whose
+    /// queues are full run slower, so that each host keeps to its share.
+    pub(super) fn spends_share(&self, key: RequestKey, call: &CallFacts) -> bool {
+        if call.need.is_some() {
+            return false;
+        }
+        let (mut places, mut running) = (0, 0);
+        for state in self.targets.of_service(&call.service) {
+            places += state.slots();
+            running += state.in_flight;
+        }
+        if places == 0 {
+            return false;
+        }
+        let share = f64::from(places) * PLACE_SHARE / self.hosts.max(1) as f64;
+        let waits_longer = self.waiting.contains(key) || !self.waits_for(&call.service);
+        f64::from(running) >= share.ceil().max(1.0) || !waits_longer
+    }
+
+    /// Returns whether an earlier plain call of a service waits.
+    fn waits_for(&self, service: &ServiceName) -> bool {
+        !self.waiting.is_empty()
+            && self.requests.iter().any(|(key, request)| {
+                request.call.service == *service
+                    && request.call.need.is_none()
+                    && self.waiting.contains(*key)
+            })
+    }
+}
--- a/crates/serving/tests/overloaded_service.rs
+++ b/crates/serving/tests/overloaded_service.rs
@@ -3,7 +3,6 @@
 mod common;
 
 use common::*;
-use crocusyard_base::prelude::*;
 use crocusyard_serving::prelude::*;
 
 const HOSTS: usize = 66;
