serving, edge: the lease holder takes the age of words by its own clock

The holder was frozen; when it woke it read beats that had come in early in the freeze and said that everyone had just heard it, and gave an order 3 ms after the next holder's. Ruled out: an order that was on its way before the freeze; the replay shows orders of both holders in turn, and the age in a queued word is as old as its reading. Change: the holder's word carries a stamp of its clock, others return it; an order checks the lease again after its connection is open.

--- a/crates/edge/src/moves.rs
+++ b/crates/edge/src/moves.rs
@@ -260,14 +260,13 @@
             return;
         }
     };
-    let answer = ask_engine(
-        &shell,
-        &order.target,
-        order.address,
-        Method::POST,
-        ORDER_PATH,
+    let question = EngineQuestion {
+        method: Method::POST,
+        path: ORDER_PATH,
         body,
-    );
+        fence: Some(order.fence),
+    };
+    let answer = ask_engine(&shell, &order.target, order.address, question);
     let status = answer.await.map(|(status, _)| status);
     let answer = status.map_or(OrderAnswer::Unknown, read_order_answer);
     shell.metrics.count_order(answer);
@@ -308,20 +307,38 @@
     }
 }
 
+/// A call to an engine itself.
+struct EngineQuestion {
+    method: Method,
+    path: &'static str,
+    body: Vec<u8>,
+    /// Fencing number that must still hold when the call is written.
+    fence: Option<FencingNumber>,
+}
+
 async fn ask_engine(
     shell: &EdgeShell,
     target: &TargetName,
     address: SocketAddr,
-    method: Method,
-    path: &str,
-    body: Vec<u8>,
+    question: EngineQuestion,
 ) -> Option<(u16, bytes::Bytes)> {
+    let EngineQuestion {
+        method,
+        path,
+        body,
+        fence,
+    } = question;
     let mut request = Request::new(Full::new(bytes::Bytes::from(body)));
     *request.method_mut() = method;
     *request.uri_mut() = path.parse().ok()?;
     *request.headers_mut() = engine_headers(target, address);
     let exchange = async {
         let mut conn = shell.pool.take(address).await?;
+        // The lease may have ended while the connection was opened.
+        if fence.is_some() && shell.order_fence() != fence {
+            let reason = "the lease has ended".to_owned();
+            return Err(SendError::Unsent { reason });
+        }
         let answer = conn.send(request).await?;
         let status = answer.status().as_u16();
         let body = read_whole(answer.into_body()).await?;
@@ -352,14 +369,13 @@
 }
 
 async fn ask_report(shell: Rc<EdgeShell>, name: TargetName, engine: EngineAddress) {
-    let answer = ask_engine(
-        &shell,
-        &name,
-        engine.address,
-        Method::GET,
-        REPORT_PATH,
-        Vec::new(),
-    );
+    let question = EngineQuestion {
+        method: Method::GET,
+        path: REPORT_PATH,
+        body: Vec::new(),
+        fence: None,
+    };
+    let answer = ask_engine(&shell, &name, engine.address, question);
     let Some((200, body)) = answer.await else {
         return;
     };
--- a/crates/serving/src/lease.rs
+++ b/crates/serving/src/lease.rs
@@ -42,6 +42,8 @@
     Holds {
         /// Version of the row.
         version: u64,
+        /// The holder's clock; others only return it.
+        stamp: ClockTime,
     },
     /// It has given the lease up.
     Released {
@@ -52,8 +54,9 @@
     Heard {
         /// Version of the row.
         version: u64,
-        /// Time since then.
-        age: ClockTime,
+        /// Stamp of the newest word that it heard. A word that is read late, as after a freeze,
+        /// thus shows its age by the holder's own clock.
+        stamp: ClockTime,
     },
 }
 
@@ -90,6 +93,8 @@
     sent: Option<ClockTime>,
     read_at: Option<ClockTime>,
     told_at: ClockTime,
+    /// Stamp of the newest word of the holder.
+    stamp: ClockTime,
     /// When the other hosts last heard this one as the holder; only at the holder.
     heard_by: BTreeMap<HostName, ClockTime>,
     released: bool,
@@ -109,6 +114,7 @@
             sent: None,
             read_at: None,
             told_at: now,
+            stamp: ClockTime::ZERO,
             heard_by: BTreeMap::new(),
             released: false,
         }
@@ -152,27 +158,29 @@
         let version = self.version()?;
         if self.is_holder() {
             // A holder that may give no orders keeps silent, so that another one takes over.
-            return self
-                .order_fence(others, now)
-                .map(|_| LeaseWord::Holds { version });
+            return self.order_fence(others, now).map(|_| LeaseWord::Holds {
+                version,
+                stamp: now,
+            });
         }
-        let age = now.since(self.told_at);
-        (version > 0).then_some(LeaseWord::Heard { version, age })
+        let stamp = self.stamp;
+        (version > 0).then_some(LeaseWord::Heard { version, stamp })
     }
 
     /// Takes what another host says of the lease.
     pub fn take_word(&mut self, host: &HostName, word: &LeaseWord, now: ClockTime) {
         match *word {
-            LeaseWord::Holds { version } => self.heard(host, version, now),
+            LeaseWord::Holds { version, stamp } => self.heard(host, version, stamp, now),
             LeaseWord::Released { version } => {
                 if self.version().is_none_or(|seen| version >= seen) {
                     self.see_version(Some(host.clone()), version, now);
                     self.released = true;
                 }
             }
-            LeaseWord::Heard { version, age } => {
+            LeaseWord::Heard { version, stamp } => {
                 if self.is_holder() && self.version() == Some(version) {
-                    self.heard_by.insert(host.clone(), now - age);
+                    let newest = self.heard_by.entry(host.clone()).or_default();
+                    *newest = stamp.max(*newest).min(now);
                 }
             }
         }
@@ -244,11 +252,12 @@
     }
 
     /// Takes a beat of the holder; the lease is not taken over for a while.
-    fn heard(&mut self, holder: &HostName, version: u64, now: ClockTime) {
+    fn heard(&mut self, holder: &HostName, version: u64, stamp: ClockTime, now: ClockTime) {
         if self.version().is_some_and(|seen| version < seen) || self.is_holder() {
             return;
         }
         self.told_at = now;
+        self.stamp = stamp;
         self.holder = Some(holder.clone());
         self.released = false;
         self.seen = Some(SeenVersion {
@@ -273,6 +282,7 @@
     pub fn written(&mut self, own: &HostName, version: u64, sent: ClockTime, now: ClockTime) {
         if !self.is_holder() {
             self.taken = Some(version);
+            self.heard_by.clear();
         }
         self.seen = Some(SeenVersion {
             version,
--- a/crates/serving/tests/lease.rs
+++ b/crates/serving/tests/lease.rs
@@ -34,7 +34,14 @@
 fn next_holder_waits_for_the_last_order_of_the_former() {
     let former = holder_at(ms(1_000));
     let mut next = LeaseState::new(LEASE, ms(1_000));
-    next.take_word(&host("a"), &LeaseWord::Holds { version: 10 }, ms(1_000));
+    next.take_word(
+        &host("a"),
+        &LeaseWord::Holds {
+            version: 10,
+            stamp: ms(0),
+        },
+        ms(1_000),
+    );
     let mut last_order = ms(0);
     let mut taken = ms(0);
     for step in 10..200 {
@@ -67,15 +74,15 @@
 fn holder_goes_on_without_the_store_while_all_hear_it() {
     let mut lease = holder_at(ms(1_000));
     let others = [host("b"), host("c")];
-    let heard = |age| LeaseWord::Heard { version: 10, age };
-    lease.take_word(&host("b"), &heard(ms(100)), ms(9_000));
-    lease.take_word(&host("c"), &heard(ms(200)), ms(9_000));
+    let heard = |stamp| LeaseWord::Heard { version: 10, stamp };
+    lease.take_word(&host("b"), &heard(ms(8_900)), ms(9_000));
+    lease.take_word(&host("c"), &heard(ms(8_800)), ms(9_000));
     assert!(lease.order_fence(&others, ms(9_100)).is_some());
     lease.write_lost(&others, ms(9_100));
     assert!(lease.is_holder());
     // One host that has not heard the holder could take the lease over.
     assert!(lease.order_fence(&others, ms(10_350)).is_none());
-    lease.take_word(&host("b"), &heard(ms(0)), ms(10_400));
+    lease.take_word(&host("b"), &heard(ms(10_400)), ms(10_400));
     assert!(lease.order_fence(&others, ms(10_400)).is_none());
 }
 
@@ -86,13 +93,13 @@
     let others = [host("b")];
     let word = LeaseWord::Heard {
         version: 10,
-        age: ms(2_000),
+        stamp: ms(7_000),
     };
     lease.take_word(&host("b"), &word, ms(9_000));
     assert!(lease.order_fence(&others, ms(9_000)).is_none());
     let word = LeaseWord::Heard {
         version: 9,
-        age: ms(0),
+        stamp: ms(9_000),
     };
     lease.take_word(&host("b"), &word, ms(9_000));
     assert!(lease.order_fence(&others, ms(9_000)).is_none());
@@ -104,7 +111,14 @@
     let mut lease = LeaseState::new(LEASE, ms(0));
     for step in 0..100 {
         let now = ms(step * 250);
-        lease.take_word(&host("a"), &LeaseWord::Holds { version: 10 }, now);
+        lease.take_word(
+            &host("a"),
+            &LeaseWord::Holds {
+                version: 10,
+                stamp: ms(0),
+            },
+            now,
+        );
         assert_eq!(lease.step(now), LeaseStep::Wait, "at {now}");
     }
 }
@@ -113,7 +127,14 @@
 #[test]
 fn released_lease_is_taken_after_the_lease_time() {
     let mut lease = LeaseState::new(LEASE, ms(0));
-    lease.take_word(&host("a"), &LeaseWord::Holds { version: 10 }, ms(1_000));
+    lease.take_word(
+        &host("a"),
+        &LeaseWord::Holds {
+            version: 10,
+            stamp: ms(0),
+        },
+        ms(1_000),
+    );
     lease.take_word(&host("a"), &LeaseWord::Released { version: 11 }, ms(1_100));
     assert!(matches!(
         lease.step(ms(3_900)),
@@ -153,3 +174,26 @@
     lease.written(&host("a"), 40, ms(9_000), ms(9_010));
     assert_eq!(lease.order_fence(&[], ms(9_010)), Some(FencingNumber(40)));
 }
+
+/// Guards against a holder that was frozen and then reads beats which came in meanwhile: they were
+/// written early in the freeze and say that everyone has just heard it.
+#[test]
+fn words_read_after_a_freeze_do_not_confirm_the_holder() {
+    let mut holder = holder_at(ms(1_000));
+    let mut other = LeaseState::new(LEASE, ms(1_000));
+    let word = holder
+        .word(&[host("b")], ms(1_000))
+        .expect("it holds the lease");
+    other.take_word(&host("a"), &word, ms(1_001));
+    let answer = other
+        .word(&[host("a")], ms(1_250))
+        .expect("it heard the holder");
+    // The holder is frozen from here on and reads the answer when it wakes.
+    holder.take_word(&host("b"), &answer, ms(8_000));
+    assert!(holder.order_fence(&[host("b")], ms(8_000)).is_none());
+    assert_eq!(
+        holder.word(&[host("b")], ms(8_000)),
+        None,
+        "it keeps silent"
+    );
+}
