serving, edge: remove code that nothing uses; apply orders to holdings in one place

Cause: read again as a whole. tell_unload repeated orders::apply; the event and the message Leaving, and TargetTable::leave, had no sender; takes_adapters repeated is_free and had no caller; refuse, fail and leave were handed a time that they did not use; may_go_on could not change its condition. Ruled out: changes of behaviour. (!started || may_repeat) && may_repeat is may_repeat, and the removed message was the last variant, so the encoding of the others stays. Change: those removed, apply made public and called.

--- a/crates/edge/src/gossip.rs
+++ b/crates/edge/src/gossip.rs
@@ -160,9 +160,6 @@
             }
         }
         HostMessage::Crash(report) => shell.dispatch(ServingEvent::Crash(report)),
-        HostMessage::Leaving { target, born } => {
-            shell.dispatch(ServingEvent::Leaving { target, born });
-        }
     }
 }
 
--- a/crates/edge/src/message.rs
+++ b/crates/edge/src/message.rs
@@ -57,11 +57,4 @@
     },
     /// A call broke a target.
     Crash(CrashReport),
-    /// A target is leaving.
-    Leaving {
-        /// Target.
-        target: TargetName,
-        /// Start of its incarnation.
-        born: u64,
-    },
 }
--- a/crates/edge/src/moves.rs
+++ b/crates/edge/src/moves.rs
@@ -11,6 +11,7 @@
 use crocusyard_httpconn::prelude::*;
 use crocusyard_serving::adapters::{adapter_rates, place, AdapterStep};
 use crocusyard_serving::copies::EngineView;
+use crocusyard_serving::orders::apply;
 use crocusyard_serving::prelude::*;
 use http_body_util::Full;
 use hyper::header::{HeaderValue, CONTENT_TYPE, HOST};
@@ -194,22 +195,17 @@
 
 /// Tells all hosts before a copy goes, so that they send nothing more to it.
 fn tell_unload(shell: &EdgeShell, name: &TargetName, engine: &EngineAddress, action: &OrderAction) {
-    let mut models = match shell.orders.borrow().holdings(name) {
-        Some(holdings) => holdings.models.clone(),
-        None => return,
-    };
-    match action {
-        OrderAction::UnloadModel(model) => {
-            models.remove(model);
-        }
-        OrderAction::UnloadAdapter(model, adapter) => {
-            if let Some(held) = models.get_mut(model) {
-                held.remove(adapter);
-            }
-        }
-        OrderAction::LoadModel(_) | OrderAction::LoadAdapter(..) => return,
+    if matches!(
+        action,
+        OrderAction::LoadModel(_) | OrderAction::LoadAdapter(..)
+    ) {
+        return;
     }
-    tell_holdings(shell, name, engine.born, &models);
+    let Some(mut holdings) = shell.orders.borrow().holdings(name).cloned() else {
+        return;
+    };
+    apply(&mut holdings, action);
+    tell_holdings(shell, name, engine.born, &holdings.models);
 }
 
 fn tell_holdings(
--- a/crates/serving/src/event.rs
+++ b/crates/serving/src/event.rs
@@ -55,13 +55,6 @@
         /// Models with their adapters.
         models: HeldModels,
     },
-    /// A target is leaving, by a sign that is newer than its record.
-    Leaving {
-        /// Target.
-        target: TargetName,
-        /// Start of its incarnation.
-        born: u64,
-    },
     /// Another host told of a crash.
     Crash(CrashReport),
     /// Another host told of its requests in progress.
--- a/crates/serving/src/orders.rs
+++ b/crates/serving/src/orders.rs
@@ -193,11 +193,6 @@
         })
     }
 
-    /// Returns whether an engine can be given an order about an adapter.
-    pub fn takes_adapters(&self, name: &TargetName, now: ClockTime) -> bool {
-        self.is_free(name, now)
-    }
-
     /// Holdings as the order book knows them.
     pub fn holdings(&self, name: &TargetName) -> Option<&TargetHoldings> {
         self.engines
@@ -336,7 +331,7 @@
 }
 
 /// Applies an accepted order; a model that is loading is not held yet.
-fn apply(holdings: &mut TargetHoldings, action: &OrderAction) {
+pub fn apply(holdings: &mut TargetHoldings, action: &OrderAction) {
     match action {
         OrderAction::LoadModel(_) => {}
         OrderAction::UnloadModel(model) => {
--- a/crates/serving/src/state.rs
+++ b/crates/serving/src/state.rs
@@ -137,7 +137,7 @@
             ServingEvent::Arrived { key, call } => self.arrive(key, call, now, &mut effects),
             ServingEvent::Ended { key, outcome } => self.end(key, outcome, now, &mut effects),
             ServingEvent::Left { key } => {
-                self.leave(key, now);
+                self.leave(key);
                 self.serve_waiting(now, &mut effects);
             }
             ServingEvent::Rules(rules) => self.set_rules(rules),
@@ -160,7 +160,6 @@
                 self.targets.notice(&target, born, models, now);
                 self.serve_waiting(now, &mut effects);
             }
-            ServingEvent::Leaving { target, born } => self.targets.leave(&target, born),
             ServingEvent::Crash(report) => {
                 self.blame.note(&report, now);
             }
@@ -208,7 +207,7 @@
         };
         self.requests.insert(key, request);
         if refused {
-            self.refuse(key, RefusalReason::Crashes, RETRY_MAX, now, out);
+            self.refuse(key, RefusalReason::Crashes, RETRY_MAX, out);
             return;
         }
         self.place(key, now, out);
@@ -275,7 +274,7 @@
         out: &mut Effects,
     ) {
         if self.stopping {
-            self.refuse(key, RefusalReason::Stopping, RETRY_MIN, now, out);
+            self.refuse(key, RefusalReason::Stopping, RETRY_MIN, out);
             return;
         }
         self.note_absent(call, reason, now);
@@ -287,7 +286,7 @@
                 NoTarget::ModelAbsent | NoTarget::AdapterAbsent => RefusalReason::ModelAbsent,
                 NoTarget::AllFull => RefusalReason::Overloaded,
             };
-            self.refuse(key, refusal, estimate, now, out);
+            self.refuse(key, refusal, estimate, out);
             if let (Some(need), true) = (&call.need, refusal == RefusalReason::ModelAbsent) {
                 out.push(want(call, need));
             }
@@ -323,7 +322,6 @@
         key: RequestKey,
         reason: RefusalReason,
         wait: ClockTime,
-        now: ClockTime,
         out: &mut Effects,
     ) {
         // A refusal promises that nothing has run.
@@ -332,7 +330,7 @@
             .get(&key)
             .is_some_and(|request| request.maybe_ran)
         {
-            self.fail(key, false, now, out);
+            self.fail(key, false, out);
             return;
         }
         let wait = if reason == RefusalReason::NoTarget {
@@ -345,10 +343,10 @@
             reason,
             retry_after: wait.clamp(RETRY_MIN, RETRY_MAX),
         }));
-        self.leave(key, now);
+        self.leave(key);
     }
 
-    fn leave(&mut self, key: RequestKey, _now: ClockTime) {
+    fn leave(&mut self, key: RequestKey) {
         self.waiting.remove(key);
         let Some(request) = self.requests.remove(&key) else {
             return;
@@ -379,7 +377,7 @@
                     self.mark_ran(key);
                     self.place(key, now, out);
                 } else {
-                    self.leave(key, now);
+                    self.leave(key);
                 }
             }
             AttemptOutcome::NotRun { full, misplaced } => {
@@ -391,25 +389,21 @@
                 self.unsend(key);
                 self.place(key, now, out);
             }
-            AttemptOutcome::Lost { broken, started } => {
+            AttemptOutcome::Lost { broken, .. } => {
                 self.targets.note_failure(&target, now);
                 if broken {
                     self.accuse(&call, target, born, now, out);
                 }
                 self.mark_ran(key);
-                let may_go_on = !started || call.route.kind.may_repeat();
-                if may_go_on
-                    && call.route.kind.may_repeat()
-                    && !self.blame.is_refused(call.digest, now)
-                {
+                if call.route.kind.may_repeat() && !self.blame.is_refused(call.digest, now) {
                     self.repeat_or_end(key, RefusalReason::NoBudget, now, out);
                 } else {
-                    self.fail(key, false, now, out);
+                    self.fail(key, false, out);
                 }
             }
             AttemptOutcome::Expired => {
                 self.mark_ran(key);
-                self.fail(key, true, now, out);
+                self.fail(key, true, out);
             }
         }
         self.serve_waiting(now, out);
@@ -486,12 +480,12 @@
             self.place(key, now, out);
             return;
         }
-        self.refuse(key, reason, RETRY_MIN, now, out);
+        self.refuse(key, reason, RETRY_MIN, out);
     }
 
-    fn fail(&mut self, key: RequestKey, expired: bool, now: ClockTime, out: &mut Effects) {
+    fn fail(&mut self, key: RequestKey, expired: bool, out: &mut Effects) {
         out.push(ServingEffect::Fail { key, expired });
-        self.leave(key, now);
+        self.leave(key);
     }
 
     fn expire(&mut self, now: ClockTime, out: &mut Effects) {
@@ -501,9 +495,9 @@
                 .get(&key)
                 .is_some_and(|request| request.maybe_ran);
             if maybe_ran {
-                self.fail(key, true, now, out);
+                self.fail(key, true, out);
             } else {
-                self.refuse(key, RefusalReason::Expired, RETRY_MIN, now, out);
+                self.refuse(key, RefusalReason::Expired, RETRY_MIN, out);
             }
         }
     }
--- a/crates/serving/src/targets.rs
+++ b/crates/serving/src/targets.rs
@@ -251,15 +251,6 @@
         }
     }
 
-    /// Notes that a target is leaving; it does not come back in the same incarnation.
-    pub fn leave(&mut self, name: &TargetName, born: u64) {
-        if let Some(state) = self.states.get_mut(name) {
-            if state.record.born == born {
-                state.record.leaving = true;
-            }
-        }
-    }
-
     /// Removes a target.
     pub fn remove(&mut self, name: &TargetName) -> Option<TargetState> {
         self.names.remove(&TargetKey::of(name));
