tests: entry processes listen on addresses that no other connection takes

Ruled out: the stop itself; the host ended at its start, before the test began. Change: the ports come from the testbed, which gives each process a loopback address of its own below the range of outgoing ports; a range of consecutive ports can be asked for. Conclusion: the seven tests do not share addresses any more.

--- a/crates/testbed/src/ports.rs
+++ b/crates/testbed/src/ports.rs
@@ -19,11 +19,16 @@
 
 /// Returns a loopback address that no other call in this or another process returned.
 pub fn unused_address() -> SocketAddr {
+    unused_range(1)
+}
+
+/// Returns the first of `count` such addresses with consecutive ports.
+pub fn unused_range(count: u16) -> SocketAddr {
     let id = std::process::id();
     let [_, high, middle, low] = id.to_be_bytes();
     // 127.0.0.x is left to the stand-ins. Process ids have 22 bits, so no two share an address; on
     // loopback, an address that ends in 0 is like any other.
     let address = Ipv4Addr::new(127, 64 | (high & 0x3f), middle, low);
-    let port = FIRST_PORT + NEXT_PORT.fetch_add(1, Ordering::Relaxed) % PORT_COUNT;
+    let port = FIRST_PORT + NEXT_PORT.fetch_add(count, Ordering::Relaxed) % PORT_COUNT;
     SocketAddr::new(IpAddr::V4(address), port)
 }
--- a/tests/entry_process.rs
+++ b/tests/entry_process.rs
@@ -3,10 +3,11 @@
 use bytes::Bytes;
 use crocusyard_httpconn::prelude::*;
 use crocusyard_platform_standin::prelude::*;
+use crocusyard_testbed::ports::{unused_address, unused_range};
 use http_body_util::Full;
 use hyper::{Request, StatusCode};
 use std::io::Write;
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
 
@@ -15,6 +16,8 @@
 /// Time within which a new configuration must be in force.
 const APPLY_LIMIT: Duration = Duration::from_millis(2_000);
 const PAUSE: Duration = Duration::from_millis(50);
+/// Ports that the settings name for the host's own use.
+const PORT_COUNT: u16 = 16;
 
 struct EntryHost {
     child: Child,
@@ -31,27 +34,19 @@
     }
 }
 
-/// A port and the next one, both free at the moment.
-fn free_ports() -> (u16, u16) {
-    loop {
-        let first = TcpListener::bind("127.0.0.1:0").expect("port");
-        let port = first.local_addr().expect("address").port();
-        if port < u16::MAX && TcpListener::bind(("127.0.0.1", port + 1)).is_ok() {
-            return (port, port + 1);
-        }
-    }
-}
-
 impl EntryHost {
     fn start(store: SocketAddr) -> Self {
-        let local = |port| SocketAddr::from(([127, 0, 0, 1], port));
-        let (first_port, metrics) = free_ports();
+        // Addresses that no outgoing connection takes: a port of 127.0.0.1 that was free a moment
+        // ago may be in use when the process binds it.
+        let peer = unused_range(PORT_COUNT);
         let addresses = HostAddresses {
-            entry: local(free_ports().0),
-            ready: local(free_ports().0),
-            directory: local(free_ports().0),
-            first_port,
+            entry: unused_address(),
+            ready: unused_address(),
+            directory: unused_address(),
+            first_port: peer.port(),
         };
+        // The metrics are served on the second port of the range.
+        let metrics = SocketAddr::new(peer.ip(), peer.port() + 1);
         let text = settings_text(&addresses, store);
         let mut file = tempfile::NamedTempFile::new().expect("file");
         file.write_all(text.as_bytes()).expect("written");
@@ -65,7 +60,7 @@
         Self {
             child,
             addresses,
-            metrics: local(metrics),
+            metrics,
             settings,
         }
     }
