serving: keep removed targets out of use when the store returns

Also found while reading: the reader passed the list's version on while it held a removal back, so that the others would not learn of it if the reader ended. Ruled out: hosts that read the store themselves; each reads both rows and removes the target. Change: ListReader in the serving crate turns entries into changes; a removal drops earlier writes in the same answer, and a change is passed on only if no removal is held back.

--- a/crates/edge/src/target_list.rs
+++ b/crates/edge/src/target_list.rs
@@ -22,11 +22,11 @@
 /// Follows the target list.
 pub(crate) async fn follow_targets(shell: Rc<EdgeShell>) {
     let mut health = StoreHealth::new("targets");
-    let mut missing: BTreeSet<TargetName> = BTreeSet::new();
+    let mut reader = ListReader::default();
     loop {
         let sent = clock::now();
         let page = read_table(&shell, StoreTable::Targets, &mut health).await;
-        take_page(&shell, &page, &health, &mut missing, sent);
+        take_page(&shell, &page, &health, &mut reader, sent);
         loop {
             actix_rt::time::sleep(LIST_PAUSE).await;
             let now = clock::now();
@@ -43,9 +43,10 @@
             match changes {
                 Ok(changes) => {
                     health.answered();
-                    let change = read_changes(&shell, &changes.rows, &health, &mut missing);
-                    let version = changes.version;
-                    apply_change(&shell, change, after, version, now, is_reader);
+                    let entries = decode_rows(&changes.rows);
+                    let change = reader.read(entries, health.is_recovering());
+                    let pass_on = is_reader && change.is_complete;
+                    apply_change(&shell, change, after, changes.version, now, pass_on);
                 }
                 Err(StoreError::HistoryGone) => break,
                 Err(error) => health.failed(&error),
@@ -54,71 +55,50 @@
     }
 }
 
-/// Change of the target list.
-struct ListChange {
-    upserts: Vec<TargetRecord>,
-    removed: Vec<TargetName>,
-}
-
 /// Takes a whole table: targets that are not in it are gone.
 fn take_page(
     shell: &EdgeShell,
     page: &StorePage,
     health: &StoreHealth,
-    missing: &mut BTreeSet<TargetName>,
+    reader: &mut ListReader,
     sent: ClockTime,
 ) {
     let listed: BTreeSet<&str> = page.rows.iter().map(|row| row.key.as_str()).collect();
-    let absent: Vec<StoreRow> = shell
-        .serving
-        .borrow()
-        .targets
-        .iter()
-        .map(|state| state.record.name.as_str())
-        .filter(|name| !listed.contains(name))
-        .map(|name| StoreRow {
-            key: name.to_owned(),
-            value: None,
-            version: 0,
-        })
-        .collect();
-    let all: Vec<StoreRow> = page.rows.iter().cloned().chain(absent).collect();
-    let change = read_changes(shell, &all, health, missing);
+    let mut entries = decode_rows(&page.rows);
+    entries.extend(
+        shell
+            .serving
+            .borrow()
+            .targets
+            .iter()
+            .map(|state| &state.record.name)
+            .filter(|name| !listed.contains(name.as_str()))
+            .map(|name| ListEntry {
+                name: name.clone(),
+                record: None,
+            }),
+    );
+    let change = reader.read(entries, health.is_recovering());
     apply_change(shell, change, 0, page.version, sent, false);
 }
 
-fn read_changes(
-    shell: &EdgeShell,
-    rows: &[StoreRow],
-    health: &StoreHealth,
-    missing: &mut BTreeSet<TargetName>,
-) -> ListChange {
-    let mut upserts = Vec::new();
-    for row in rows {
-        let name = TargetName::new(&row.key);
-        match &row.value {
-            None => {
-                missing.insert(name);
-            }
+/// Decodes rows of the target table; one that cannot be read leaves its target as it is.
+fn decode_rows(rows: &[StoreRow]) -> Vec<ListEntry> {
+    let decode = |row: &StoreRow| {
+        let record = match &row.value {
+            None => None,
             Some(value) => match read_record(&row.key, value) {
-                Ok(record) => {
-                    missing.remove(&name);
-                    upserts.push(record);
+                Ok(record) => Some(record),
+                Err(error) => {
+                    warn!("entry {}: {error}", row.key);
+                    return None;
                 }
-                Err(error) => warn!("entry {}: {error}", row.key),
             },
-        }
-    }
-    let mut removed = Vec::new();
-    if !health.is_recovering() {
-        let serving = shell.serving.borrow();
-        removed.extend(
-            std::mem::take(missing)
-                .into_iter()
-                .filter(|name| serving.targets.get(name).is_some()),
-        );
-    }
-    ListChange { upserts, removed }
+        };
+        let name = TargetName::new(&row.key);
+        Some(ListEntry { name, record })
+    };
+    rows.iter().filter_map(decode).collect()
 }
 
 fn apply_change(
@@ -178,7 +158,10 @@
             json!({"target": record.name.as_str(), "list_version": version, "service": record.service.as_str()}),
         );
     }
-    for name in removed {
+    for name in removed
+        .iter()
+        .filter(|name| serving.targets.get(name).is_some())
+    {
         journal::belief(
             "target",
             "gone",
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -37,7 +37,7 @@
     pub use crate::hosts::{HostBook, HostFacts};
     pub use crate::lease::{LeaseRow, LeaseState, LeaseStep, LeaseWord};
     pub use crate::orders::{EngineOrder, EngineReport, OrderAction, OrderAnswer, OrderBook};
-    pub use crate::relay::ListFollower;
+    pub use crate::relay::{ListChange, ListEntry, ListFollower, ListReader};
     pub use crate::retries::{RetryBudget, RetryLimits};
     pub use crate::rules::{
         CallKind, CallerLimits, EngineRule, ModelRule, RouteMatch, RouteRule, RuleSet, ServiceRule,
--- a/crates/serving/src/relay.rs
+++ b/crates/serving/src/relay.rs
@@ -4,7 +4,9 @@
 //! versions that it leads from and to, so that a host that missed one, or hears nothing for a
 //! while, polls the store itself.
 
+use crate::targets::TargetRecord;
 use crocusyard_base::prelude::*;
+use std::collections::BTreeSet;
 
 /// Pause between polls of the reader.
 pub const POLL_PAUSE: ClockTime = ClockTime::from_ms(600);
@@ -65,3 +67,63 @@
         true
     }
 }
+
+/// What the store says of one target.
+#[derive(Clone, Debug)]
+pub struct ListEntry {
+    /// Target.
+    pub name: TargetName,
+    /// What it says of itself; none if its entry was removed.
+    pub record: Option<TargetRecord>,
+}
+
+/// Change of the target list.
+#[derive(Clone, Debug, Default)]
+pub struct ListChange {
+    /// Targets that are new or wrote again.
+    pub upserts: Vec<TargetRecord>,
+    /// Targets that are gone.
+    pub removed: Vec<TargetName>,
+    /// Whether the entries said nothing else. Only such a change is passed on, since a host that
+    /// takes it never reads its entries itself.
+    pub is_complete: bool,
+}
+
+/// Turns entries of the store into changes.
+///
+/// Targets that could not reach the store lose their entries and write them again when it is back.
+/// Removals that are read meanwhile are held back until that time is over.
+#[derive(Clone, Debug, Default)]
+pub struct ListReader {
+    held: BTreeSet<TargetName>,
+}
+
+impl ListReader {
+    /// Reads entries in the order of their writes; `recovering` tells that the store was away a
+    /// moment ago.
+    pub fn read(&mut self, entries: Vec<ListEntry>, recovering: bool) -> ListChange {
+        let mut upserts = Vec::new();
+        for ListEntry { name, record } in entries {
+            match record {
+                Some(record) => {
+                    self.held.remove(&name);
+                    upserts.push(record);
+                }
+                None => {
+                    upserts.retain(|record: &TargetRecord| record.name != name);
+                    self.held.insert(name);
+                }
+            }
+        }
+        let removed = if recovering {
+            Vec::new()
+        } else {
+            std::mem::take(&mut self.held).into_iter().collect()
+        };
+        ListChange {
+            upserts,
+            removed,
+            is_complete: self.held.is_empty(),
+        }
+    }
+}
--- a/crates/serving/tests/target_list.rs
+++ b/crates/serving/tests/target_list.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use common::ms;
+use common::{ms, record};
 use crocusyard_base::prelude::*;
 use crocusyard_serving::prelude::*;
 use std::net::SocketAddr;
@@ -77,3 +77,57 @@
     hosts.heard(&facts("a"), true, ms(5_100));
     assert!(hosts.is_reader(ms(5_100)), "the first host is leaving");
 }
+
+fn written(name: &str) -> ListEntry {
+    ListEntry {
+        name: TargetName::new(name),
+        record: Some(record(name, "a", &[])),
+    }
+}
+
+fn removed(name: &str) -> ListEntry {
+    ListEntry {
+        name: TargetName::new(name),
+        record: None,
+    }
+}
+
+fn names(records: &[TargetRecord]) -> Vec<&str> {
+    records.iter().map(|record| record.name.as_str()).collect()
+}
+
+/// Guards against a target that is taken back after its removal: a reader that was cut off reads an
+/// older write of the target and the removal together, and holds the removal back.
+#[test]
+fn older_write_of_a_removed_target_is_not_used() {
+    let mut reader = ListReader::default();
+    let entries = vec![written("gone"), written("lives"), removed("gone")];
+    let change = reader.read(entries, true);
+    assert_eq!(names(&change.upserts), ["lives"]);
+    assert!(change.removed.is_empty());
+    let change = reader.read(Vec::new(), false);
+    assert_eq!(change.removed, [TargetName::new("gone")]);
+}
+
+/// Guards against a removal that a host never learns: its reader passes the version of the list on,
+/// holds the removal back and ends.
+#[test]
+fn list_is_not_passed_on_without_its_removals() {
+    let mut reader = ListReader::default();
+    let change = reader.read(vec![removed("lapsed")], true);
+    assert!(!change.is_complete);
+    let change = reader.read(vec![written("other")], true);
+    assert!(!change.is_complete, "the removal is still held back");
+    let change = reader.read(vec![written("lapsed")], true);
+    assert!(change.is_complete, "the target wrote again");
+    assert_eq!(names(&change.upserts), ["lapsed"]);
+}
+
+/// Guards against a target that stays in use after it was removed while the store answered.
+#[test]
+fn removal_is_used_at_once_while_the_store_answers() {
+    let mut reader = ListReader::default();
+    let change = reader.read(vec![removed("gone")], false);
+    assert_eq!(change.removed, [TargetName::new("gone")]);
+    assert!(change.is_complete);
+}
