serving: spread the calls of many hosts over targets of similar load

Change: the cost of a target has a random part, larger for plain calls, which run for less time than news takes; whether a target has places for a plain call no longer depends on old news.

--- a/crates/serving/src/choose.rs
+++ b/crates/serving/src/choose.rs
@@ -3,6 +3,9 @@
 //! Among targets that hold what the call needs, the one with the lowest cost wins: its load per
 //! slot, more for another failure domain, less for the target at which calls with the same prompt
 //! meet. Targets that failed are taken only if no other holds the model.
+//!
+//! A random part of the cost spreads the calls of many hosts, which all know the same loads with
+//! the same delay and would otherwise send to the same target until they know better.
 
 use crate::call::CallFacts;
 use crate::targets::{TargetState, TargetTable};
@@ -14,8 +17,11 @@
 const DOMAIN_COST: f64 = 0.15;
 /// Gain of the target that calls with the same prompt prefer, share of a target's slots.
 const AFFINITY_GAIN: f64 = 0.25;
-/// Differences below this are decided by hash, so that hosts do not agree on one target.
-const COST_STEP: f64 = 0.02;
+/// Scale of the random part of the cost of a plain call, share of a target's slots: what is known
+/// of other hosts is older than such a call runs, so that the least loaded target is no longer.
+const PLAIN_SPREAD: f64 = 0.3;
+/// The same for a call that needs a model; it runs for longer than a beat.
+const MODEL_SPREAD: f64 = 0.1;
 /// Cost of a target that failed just now, share of a target's slots; any other goes before it.
 const FAILED_COST: f64 = 10.0;
 
@@ -65,7 +71,11 @@
             .need
             .as_ref()
             .is_some_and(|need| state.is_refusing(&need.model, now));
-        if refusing || state.is_full(now) {
+        let full = match &call.need {
+            Some(_) => state.is_full(now),
+            None => state.refuses_more(now),
+        };
+        if refusing || full {
             reason = reason.max_with(NoTarget::AllFull);
             continue;
         }
@@ -105,7 +115,11 @@
     now: ClockTime,
 ) -> f64 {
     let load = f64::from(state.load(now)) / f64::from(state.slots());
-    let mut cost = load + tie_break(state, call) * COST_STEP;
+    let spread = match &call.need {
+        Some(_) => MODEL_SPREAD,
+        None => PLAIN_SPREAD,
+    };
+    let mut cost = load + random_part(state, call) * spread;
     if state.record.domain != *domain {
         cost += DOMAIN_COST;
     }
@@ -135,9 +149,13 @@
     Some(hasher.finish())
 }
 
-fn tie_break(state: &TargetState, call: &CallFacts) -> f64 {
+/// Random part for a call and a target; the lowest of several costs is then chosen with a
+/// probability that falls exponentially with the cost (the Gumbel-max method).
+fn random_part(state: &TargetState, call: &CallFacts) -> f64 {
     let mut hasher = DefaultHasher::new();
     call.id.hash(&mut hasher);
     state.record.name.hash(&mut hasher);
-    (hasher.finish() % 1_000) as f64 / 1_000.0
+    // Half a step keeps the value inside of (0, 1).
+    let uniform = ((hasher.finish() >> 32) as f64 + 0.5) / f64::from(u32::MAX);
+    (-uniform.min(1.0 - f64::EPSILON).ln()).ln()
 }
--- a/crates/serving/src/state.rs
+++ b/crates/serving/src/state.rs
@@ -219,7 +219,7 @@
             return;
         };
         let call = request.call.clone();
-        if self.spends_share(key, &call) {
+        if self.spends_share(key, &call, now) {
             self.wait(key, &call, NoTarget::AllFull, now, out);
             return;
         }
--- a/crates/serving/src/state/estimate.rs
+++ b/crates/serving/src/state/estimate.rs
@@ -16,6 +16,9 @@
 /// Places of a plain service that all hosts use together, as a share; some queue at the targets, so
 /// that none runs dry while a host's next call is on its way.
 const PLACE_SHARE: f64 = 1.2;
+/// Part of the places that nobody uses that one host takes beyond its share. What others use is
+/// known with a delay, and about one host in four has more calls than its share.
+const SPARE_SHARE: f64 = 0.25;
 
 impl ServingState {
     /// Time until a target can take a call that none can take now.
@@ -128,22 +131,30 @@
     /// Returns whether this host has used its share of the places of a plain service.
     ///
     /// Plain calls are too short for hosts to tell each other of them in time; targets whose
-    /// queues are full run slower, so that each host keeps to its share.
-    pub(super) fn spends_share(&self, key: RequestKey, call: &CallFacts) -> bool {
+    /// queues are full run slower, so that each host keeps to its share. Callers stay with one
+    /// host, so that some hosts get several times the calls of others: while places are unused, a
+    /// host may go beyond its share.
+    pub(super) fn spends_share(&self, key: RequestKey, call: &CallFacts, now: ClockTime) -> bool {
         if call.need.is_some() {
             return false;
         }
-        let (mut places, mut running) = (0, 0);
+        let (mut places, mut running, mut used) = (0, 0, 0);
         for state in self.targets.of_service(&call.service) {
             places += state.slots();
             running += state.in_flight;
+            used += state.load(now);
         }
         if places == 0 {
             return false;
         }
-        let share = f64::from(places) * PLACE_SHARE / self.hosts.max(1) as f64;
+        let hosts = self.hosts.max(1);
+        let share = f64::from(places) * PLACE_SHARE / hosts as f64;
+        // Hosts that were not heard are taken to use their shares.
+        let unheard = (hosts - 1).saturating_sub(self.targets.heard_peers()) as f64;
+        let spare = f64::from(places) - f64::from(used) - unheard * share;
+        let limit = share.ceil().max(1.0) + (spare.max(0.0) * SPARE_SHARE).floor();
         let waits_longer = self.waiting.contains(key) || !self.waits_for(&call.service);
-        f64::from(running) >= share.ceil().max(1.0) || !waits_longer
+        f64::from(running) >= limit || !waits_longer
     }
 
     /// Returns whether an earlier plain call of a service waits.
--- a/crates/serving/src/targets.rs
+++ b/crates/serving/src/targets.rs
@@ -166,6 +166,13 @@
         now < self.full_until || self.load(now) >= self.slots()
     }
 
+    /// Returns whether it refused a call just now or has as many own calls as it runs.
+    ///
+    /// What other hosts told is left out: it is older than a short call runs.
+    pub fn refuses_more(&self, now: ClockTime) -> bool {
+        now < self.full_until || self.in_flight >= self.slots()
+    }
+
     /// Returns whether it holds a model and, if one is named, an adapter.
     pub fn holds(&self, model: &ModelName, adapter: Option<&AdapterName>) -> bool {
         self.models
@@ -314,6 +321,11 @@
         self.add_others(&load, true);
     }
 
+    /// Hosts that told their requests lately.
+    pub fn heard_peers(&self) -> usize {
+        self.peers.len()
+    }
+
     /// Drops what silent hosts told.
     pub fn drop_silent(&mut self, now: ClockTime) {
         let silent: Vec<HostName> = self
--- a/crates/serving/tests/common/mod.rs
+++ b/crates/serving/tests/common/mod.rs
@@ -176,10 +176,20 @@
 
     /// A call that needs no model arrives.
     pub fn plain(&mut self, route: RouteRule, now: ClockTime) -> (RequestKey, Vec<ServingEffect>) {
+        self.plain_named(&format!("request-{}", self.next_key), route, now)
+    }
+
+    /// The same with an identifier of the caller's.
+    pub fn plain_named(
+        &mut self,
+        id: &str,
+        route: RouteRule,
+        now: ClockTime,
+    ) -> (RequestKey, Vec<ServingEffect>) {
         let key = RequestKey(self.next_key);
         self.next_key += 1;
         let call = Rc::new(CallFacts {
-            id: format!("request-{}", key.0).into(),
+            id: id.into(),
             service: engines(),
             need: None,
             prompt: Vec::new(),
--- a/crates/serving/tests/overloaded_service.rs
+++ b/crates/serving/tests/overloaded_service.rs
@@ -3,7 +3,10 @@
 mod common;
 
 use common::*;
+use crocusyard_base::prelude::*;
 use crocusyard_serving::prelude::*;
+use crocusyard_serving::targets::TargetKey;
+use std::collections::HashMap;
 
 const HOSTS: usize = 66;
 
@@ -29,6 +32,59 @@
     assert_eq!(sent_to(&effects).len(), 1, "the waiting call follows");
 }
 
+/// All other hosts tell how many requests they have in progress; the first `busy` have one.
+fn hear_peers(host: &mut TestHost, busy: usize, now: ClockTime) {
+    host.state.reduce(ServingEvent::Hosts(HOSTS), now);
+    for number in 1..HOSTS {
+        let target = TargetName::new(["t1", "t2", "t3"][number % 3]);
+        let count = u16::from(number <= busy);
+        let event = ServingEvent::PeerLoad {
+            host: HostName::new(&format!("peer-{number}")),
+            load: [(TargetKey::of(&target), count)].into(),
+        };
+        host.state.reduce(event, now);
+    }
+}
+
+/// Guards against calls that wait at a host to which many callers keep, while other hosts leave
+/// most places unused.
+#[test]
+fn busy_host_uses_places_that_others_leave() {
+    let mut host = TestHost::new(&["m"], desk());
+    hear_peers(&mut host, 6, ms(2_000));
+    let plain = route(CallKind::NonIdempotent, 1);
+    for number in 0..4 {
+        let (_, effects) = host.plain(plain.clone(), ms(2_000));
+        assert_eq!(sent_to(&effects).len(), 1, "call {number}: 18 of 24 unused");
+    }
+}
+
+/// Guards against filling the last places from many hosts at once, which know of each other late.
+#[test]
+fn busy_host_takes_only_a_part_of_the_unused_places() {
+    let mut host = TestHost::new(&["m"], desk());
+    hear_peers(&mut host, 6, ms(2_000));
+    let plain = route(CallKind::NonIdempotent, 1);
+    let sent = (0..18)
+        .map(|_| host.plain(plain.clone(), ms(2_000)).1)
+        .filter(|effects| !sent_to(effects).is_empty())
+        .count();
+    assert!(sent <= 9, "{sent} sent, half of the unused places");
+}
+
+/// Guards against going beyond the share while the other hosts use all places.
+#[test]
+fn share_holds_while_all_places_are_used() {
+    let mut host = TestHost::new(&["m"], desk());
+    hear_peers(&mut host, 24, ms(2_000));
+    let plain = route(CallKind::NonIdempotent, 1);
+    let sent = (0..4)
+        .map(|_| host.plain(plain.clone(), ms(2_000)).1)
+        .filter(|effects| !sent_to(effects).is_empty())
+        .count();
+    assert!(sent <= 1, "{sent} sent");
+}
+
 /// Guards against waiting calls although the hosts are few and places are free.
 #[test]
 fn few_hosts_use_all_places() {
@@ -79,3 +135,31 @@
         "the older one has 100 ms left of the 200 that it takes: {effects:?}"
     );
 }
+
+/// Guards against many hosts that send to the same target, since all know its load with the same
+/// delay, while the other targets run dry.
+#[test]
+fn hosts_with_the_same_news_spread_their_calls() {
+    let mut counts: HashMap<String, usize> = HashMap::new();
+    for number in 0..HOSTS {
+        let mut host = TestHost::new(&["m"], desk());
+        hear_peers(&mut host, 0, ms(2_000));
+        let event = ServingEvent::PeerLoad {
+            host: HostName::new("peer-1"),
+            load: [
+                (TargetKey::of(&TargetName::new("t2")), 2),
+                (TargetKey::of(&TargetName::new("t3")), 2),
+            ]
+            .into(),
+        };
+        host.state.reduce(event, ms(2_000));
+        let plain = route(CallKind::NonIdempotent, 1);
+        let (_, effects) = host.plain_named(&format!("call-{number}"), plain, ms(2_000));
+        for target in sent_to(&effects) {
+            *counts.entry(target).or_default() += 1;
+        }
+    }
+    let most = counts.values().max().copied().unwrap_or_default();
+    assert_eq!(counts.values().sum::<usize>(), HOSTS);
+    assert!(most <= HOSTS * 3 / 4, "{counts:?}: t1 has two calls less");
+}
