serving: hosts take turns at engines for which calls wait

Ruled out: the spread of calls over targets of similar load; with one or two copies of a model it does not change how many calls are sent. Change: beats carry the waiting calls by model; while calls for a model wait at other hosts, a host takes free places in proportion to its part of them, per period between beats, a part below one as a chance. Three patterns of load as tests, one failed before (198 sends to 8 slots).

--- a/crates/edge/src/gossip.rs
+++ b/crates/edge/src/gossip.rs
@@ -66,11 +66,13 @@
 pub(crate) fn beat(shell: &EdgeShell) {
     let lease = shell.lease_word();
     let host = shell.hosts.borrow().own().clone();
+    let waiting = shell.serving.borrow().waiting_report();
     shell.tell_all(&HostMessage::Beat {
         host,
         leaving: shell.is_stopping(),
         lease,
         load: shell.serving.borrow().targets.own_load(),
+        waiting,
     });
 }
 
@@ -119,11 +121,16 @@
             leaving,
             lease,
             load,
+            waiting,
         } => {
             shell.hosts.borrow_mut().heard(&host, leaving, now);
             if let Some(word) = &lease {
                 shell.lease.borrow_mut().take_word(&host.name, word, now);
             }
+            shell.dispatch(ServingEvent::PeerWaiting {
+                host: host.name.clone(),
+                waiting,
+            });
             shell.dispatch(ServingEvent::PeerLoad {
                 host: host.name,
                 load,
--- a/crates/edge/src/message.rs
+++ b/crates/edge/src/message.rs
@@ -18,6 +18,8 @@
         lease: Option<LeaseWord>,
         /// Requests in progress by target.
         load: HostLoad,
+        /// Waiting calls by model.
+        waiting: HostWaiting,
     },
     /// Demand at the sender, for the lease holder.
     Demand {
--- a/crates/serving/src/event.rs
+++ b/crates/serving/src/event.rs
@@ -4,6 +4,7 @@
 use crate::call::{AttemptOutcome, CallFacts, CallNeed};
 use crate::rules::RuleSet;
 use crate::targets::{HeldModels, HostLoad, TargetLoad, TargetRecord};
+use crate::turns::HostWaiting;
 use crocusyard_base::prelude::*;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -64,6 +65,13 @@
         /// Requests by target.
         load: HostLoad,
     },
+    /// Another host told of its waiting calls.
+    PeerWaiting {
+        /// Host.
+        host: HostName,
+        /// Waiting calls by model.
+        waiting: HostWaiting,
+    },
     /// The number of live hosts, as of now.
     Hosts(usize),
     /// The host was told to stop; waiting calls are sent elsewhere.
--- a/crates/serving/src/hosts.rs
+++ b/crates/serving/src/hosts.rs
@@ -50,6 +50,12 @@
     }
 }
 
+/// Pause between the beats of each of `count` hosts.
+pub(crate) fn beat_pause(count: usize) -> ClockTime {
+    let factor = count as f64 / BEAT_HOSTS as f64;
+    BEAT_PAUSE.scale(factor.max(1.0))
+}
+
 /// All hosts that one host knows.
 #[derive(Clone, Debug)]
 pub struct HostBook {
@@ -133,8 +139,7 @@
 
     /// Pause between beats.
     pub fn beat_pause(&self) -> ClockTime {
-        let factor = self.known_count() as f64 / BEAT_HOSTS as f64;
-        BEAT_PAUSE.scale(factor.max(1.0))
+        beat_pause(self.known_count())
     }
 
     fn silence_limit(&self) -> ClockTime {
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod state;
 pub mod targets;
 pub mod trend;
+pub mod turns;
 pub mod waiting;
 
 /// The common names of this crate.
@@ -45,4 +46,5 @@
     pub use crate::state::{ServingLimits, ServingState};
     pub use crate::targets::{TargetHoldings, TargetLoad, TargetRecord, TargetTable};
     pub use crate::trend::DemandTrend;
+    pub use crate::turns::{HostWaiting, ModelKey, TurnBook, TurnFacts};
 }
--- a/crates/serving/src/state.rs
+++ b/crates/serving/src/state.rs
@@ -13,6 +13,7 @@
 use crate::retries::{RetryBudget, RetryLimits};
 use crate::rules::RuleSet;
 use crate::targets::TargetTable;
+use crate::turns::{HostWaiting, ModelKey, TurnBook};
 use crate::waiting::{WaitingCall, WaitingCalls};
 use crocusyard_base::prelude::*;
 use std::collections::{HashMap, HashSet};
@@ -60,6 +61,7 @@
     targets_known: bool,
     requests: HashMap<RequestKey, RequestState>,
     waiting: WaitingCalls,
+    turns: TurnBook,
     budget: RetryBudget,
     blame: BlameBook,
     demand: DemandCounter,
@@ -84,6 +86,7 @@
             targets_known: false,
             requests: HashMap::new(),
             waiting: WaitingCalls::default(),
+            turns: TurnBook::new(),
             blame: BlameBook::default(),
             demand: DemandCounter::default(),
             run_times: HashMap::new(),
@@ -130,6 +133,22 @@
         self.demand.report(now)
     }
 
+    /// Waiting calls by model, for the other hosts.
+    pub fn waiting_report(&self) -> HostWaiting {
+        let mut report = HostWaiting::new();
+        if self.waiting.is_empty() {
+            return report;
+        }
+        for (key, request) in &self.requests {
+            if let (Some(need), true) = (&request.call.need, self.waiting.contains(*key)) {
+                let model = ModelKey::of(&request.call.service, &need.model);
+                let count: &mut u16 = report.entry(model).or_default();
+                *count = count.saturating_add(1);
+            }
+        }
+        report
+    }
+
     /// Handles an event.
     pub fn reduce(&mut self, event: ServingEvent, now: ClockTime) -> Effects {
         let mut effects = Vec::new();
@@ -164,9 +183,14 @@
                 self.blame.note(&report, now);
             }
             ServingEvent::PeerLoad { host, load } => self.targets.note_peer(&host, load, now),
+            ServingEvent::PeerWaiting { host, waiting } => {
+                self.turns.note_peer(&host, waiting, now);
+            }
             ServingEvent::Hosts(count) => {
                 self.hosts = count.max(1);
                 self.targets.drop_silent(now);
+                self.turns.set_hosts(self.hosts);
+                self.turns.drop_old(now);
             }
             ServingEvent::Stop => {
                 self.stopping = true;
@@ -230,6 +254,9 @@
             &self.limits.domain,
             now,
         ) {
+            Ok(_) if !self.takes_turn(&call, now) => {
+                self.wait(key, &call, NoTarget::AllFull, now, out);
+            }
             Ok(target) => {
                 if let (Some(need), false) = (&call.need, self.absent.is_empty()) {
                     self.absent
--- a/crates/serving/src/state/estimate.rs
+++ b/crates/serving/src/state/estimate.rs
@@ -3,6 +3,7 @@
 use super::ServingState;
 use crate::call::CallFacts;
 use crate::choose::NoTarget;
+use crate::turns::TurnFacts;
 use crocusyard_base::prelude::*;
 
 /// Time for which targets may be unknown after a start before calls are refused.
@@ -157,6 +158,46 @@
         f64::from(running) >= limit || !waits_longer
     }
 
+    /// Returns whether a call may take one of the free places for its model now, while calls for it
+    /// wait at other hosts as well.
+    pub(super) fn takes_turn(&mut self, call: &CallFacts, now: ClockTime) -> bool {
+        let Some(need) = &call.need else {
+            return true;
+        };
+        let others = self.turns.others(&call.service, need);
+        if others == 0 {
+            return true;
+        }
+        let is_same = |other: &CallFacts| {
+            let model = other.need.as_ref().map(|need| &need.model);
+            other.service == call.service && model == Some(&need.model)
+        };
+        let own = self
+            .requests
+            .iter()
+            .filter(|(key, request)| is_same(&request.call) && self.waiting.contains(**key))
+            .count();
+        let (mut free, mut busy) = (0, 0);
+        for state in self.targets.of_service(&call.service) {
+            let usable = state.holds(&need.model, None)
+                && !state.is_refusing(&need.model, now)
+                && !state.is_full(now);
+            if usable {
+                let load = state.load(now);
+                free += state.slots().saturating_sub(load);
+                busy += load;
+            }
+        }
+        let periods = self.turns.period().as_ms() as f64 / self.run_time(call).max(1.0);
+        let facts = TurnFacts {
+            own: u32::try_from(own).unwrap_or(u32::MAX),
+            others,
+            free,
+            coming: f64::from(busy) * periods,
+        };
+        self.turns.take(call, need, facts, now)
+    }
+
     /// Returns whether an earlier plain call of a service waits.
     fn waits_for(&self, service: &ServiceName) -> bool {
         !self.waiting.is_empty()
--- /dev/null
+++ b/crates/serving/src/turns.rs
@@ -0,0 +1,183 @@
+//! How hosts share out the free places of engines for which calls wait.
+//!
+//! Hosts tell each other how many calls wait for each model. When places become free, all hosts
+//! learn of them at about the same time; if each sent what it has, the engines would refuse most of
+//! it. While calls wait at other hosts, a host therefore takes a part of the free places in each
+//! period between two beats: as large as its part of the waiting calls. A part below one place
+//! becomes a chance to take one.
+
+use crate::call::{CallFacts, CallNeed};
+use crate::hosts::beat_pause;
+use crocusyard_base::prelude::*;
+use serde::{Deserialize, Serialize};
+use std::collections::hash_map::DefaultHasher;
+use std::collections::{BTreeMap, HashMap};
+use std::hash::{Hash, Hasher};
+
+/// Age at which what a host told of its waiting calls is dropped.
+const PEER_WAITING_TIME: ClockTime = ClockTime::from_secs(2);
+
+/// Short key of a model of a service in messages between hosts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct ModelKey(u32);
+
+impl ModelKey {
+    /// Key of a model; two models with the same key only share their turns.
+    pub fn of(service: &ServiceName, model: &ModelName) -> Self {
+        let mut hasher = blake3::Hasher::new();
+        hasher.update(service.as_str().as_bytes());
+        hasher.update(&[0]);
+        hasher.update(model.as_str().as_bytes());
+        let hash = hasher.finalize();
+        let bytes = hash.as_bytes();
+        Self(u32::from_le_bytes([bytes[0], bytes[1], bytes[2], bytes[3]]))
+    }
+}
+
+/// Calls of one host that wait, by model.
+pub type HostWaiting = BTreeMap<ModelKey, u16>;
+
+/// What decides whether a host may take a place for a model.
+#[derive(Clone, Copy, Debug)]
+pub struct TurnFacts {
+    /// Calls that wait at this host, the one that asks included.
+    pub own: u32,
+    /// Calls that wait at other hosts.
+    pub others: u32,
+    /// Places that are free now.
+    pub free: u32,
+    /// Places that become free in one period.
+    pub coming: f64,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct ModelTurn {
+    until: ClockTime,
+    taken: u32,
+    /// Chance drawn for the period, 0 to 1.
+    draw: f64,
+}
+
+/// Turns of one host.
+#[derive(Clone, Debug)]
+pub struct TurnBook {
+    period: ClockTime,
+    peers: BTreeMap<HostName, (ClockTime, HostWaiting)>,
+    others: HashMap<ModelKey, u32>,
+    turns: HashMap<ModelKey, ModelTurn>,
+}
+
+impl TurnBook {
+    /// Makes an empty book of a host that is alone.
+    pub fn new() -> Self {
+        Self {
+            period: beat_pause(1),
+            peers: BTreeMap::new(),
+            others: HashMap::new(),
+            turns: HashMap::new(),
+        }
+    }
+
+    /// Sets the number of hosts, and with it the time between two beats.
+    pub fn set_hosts(&mut self, count: usize) {
+        self.period = beat_pause(count);
+    }
+
+    /// Time between two beats of a host.
+    pub fn period(&self) -> ClockTime {
+        self.period
+    }
+
+    /// Takes the waiting calls of another host.
+    pub fn note_peer(&mut self, host: &HostName, waiting: HostWaiting, now: ClockTime) {
+        if let Some((_, old)) = self.peers.remove(host) {
+            self.subtract(&old);
+        }
+        if waiting.is_empty() {
+            return;
+        }
+        for (key, count) in &waiting {
+            *self.others.entry(*key).or_default() += u32::from(*count);
+        }
+        self.peers.insert(host.clone(), (now, waiting));
+    }
+
+    /// Drops what silent hosts told, and turns that are over.
+    pub fn drop_old(&mut self, now: ClockTime) {
+        let silent: Vec<HostName> = self
+            .peers
+            .iter()
+            .filter(|(_, (at, _))| now.since(*at) >= PEER_WAITING_TIME)
+            .map(|(host, _)| host.clone())
+            .collect();
+        for host in silent {
+            if let Some((_, old)) = self.peers.remove(&host) {
+                self.subtract(&old);
+            }
+        }
+        self.turns.retain(|_, turn| now < turn.until);
+    }
+
+    fn subtract(&mut self, old: &HostWaiting) {
+        for (key, count) in old {
+            if let Some(total) = self.others.get_mut(key) {
+                *total = total.saturating_sub(u32::from(*count));
+                if *total == 0 {
+                    self.others.remove(key);
+                }
+            }
+        }
+    }
+
+    /// Calls that wait for a model at the other hosts.
+    pub fn others(&self, service: &ServiceName, need: &CallNeed) -> u32 {
+        if self.others.is_empty() {
+            return 0;
+        }
+        let key = ModelKey::of(service, &need.model);
+        self.others.get(&key).copied().unwrap_or_default()
+    }
+
+    /// Takes a place for a call if it is this host's turn.
+    pub fn take(
+        &mut self,
+        call: &CallFacts,
+        need: &CallNeed,
+        facts: TurnFacts,
+        now: ClockTime,
+    ) -> bool {
+        let key = ModelKey::of(&call.service, &need.model);
+        let period = self.period;
+        let start = || ModelTurn {
+            until: now + period,
+            taken: 0,
+            draw: draw(call, now),
+        };
+        let turn = self.turns.entry(key).or_insert_with(start);
+        if now >= turn.until {
+            *turn = start();
+        }
+        let taken = f64::from(turn.taken);
+        let own = f64::from(facts.own.max(1)) + taken;
+        let part = own / (own + f64::from(facts.others));
+        let share = (f64::from(facts.free) + taken + facts.coming) * part;
+        if taken + 1.0 > share + turn.draw {
+            return false;
+        }
+        turn.taken += 1;
+        true
+    }
+}
+
+impl Default for TurnBook {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+fn draw(call: &CallFacts, now: ClockTime) -> f64 {
+    let mut hasher = DefaultHasher::new();
+    call.id.hash(&mut hasher);
+    now.as_ms().hash(&mut hasher);
+    (hasher.finish() >> 32) as f64 / f64::from(u32::MAX)
+}
--- a/crates/serving/tests/common/mod.rs
+++ b/crates/serving/tests/common/mod.rs
@@ -147,6 +147,17 @@
         route: RouteRule,
         need: &str,
         now: ClockTime,
+    ) -> (RequestKey, Vec<ServingEffect>) {
+        self.call_named(&format!("request-{}", self.next_key), route, need, now)
+    }
+
+    /// The same with an identifier of the caller's.
+    pub fn call_named(
+        &mut self,
+        id: &str,
+        route: RouteRule,
+        need: &str,
+        now: ClockTime,
     ) -> (RequestKey, Vec<ServingEffect>) {
         let key = RequestKey(self.next_key);
         self.next_key += 1;
@@ -155,7 +166,7 @@
             None => (need, None),
         };
         let call = CallFacts {
-            id: format!("request-{}", key.0).into(),
+            id: id.into(),
             service: engines(),
             need: Some(CallNeed {
                 model: model(name),
--- /dev/null
+++ b/crates/serving/tests/waiting_hosts.rs
@@ -0,0 +1,93 @@
+//! Load pattern: calls for one model wait at many hosts until an engine has places.
+
+mod common;
+
+use common::*;
+use crocusyard_base::prelude::*;
+use crocusyard_serving::prelude::*;
+
+const HOSTS: usize = 66;
+
+/// A host of many at which `own` calls for a model wait for its load, and `others` at each of the
+/// other hosts.
+fn waiting_host(number: usize, own: usize, others: u16) -> TestHost {
+    let mut host = TestHost::new(&["m"], vec![record("t1", "a", &[])]);
+    host.state.reduce(ServingEvent::Hosts(HOSTS), ms(2_000));
+    for peer in (0..HOSTS).filter(|peer| *peer != number) {
+        let event = ServingEvent::PeerWaiting {
+            host: HostName::new(&format!("host-{peer}")),
+            waiting: [(ModelKey::of(&engines(), &model("m")), others)].into(),
+        };
+        host.state.reduce(event, ms(2_000));
+    }
+    for call in 0..own {
+        let id = format!("call-{number}-{call}");
+        let mut patient = route(CallKind::Stream { resumable: false }, 1);
+        patient.start_patience = ms(9_000);
+        host.call_named(&id, patient, "m", ms(2_000));
+    }
+    host
+}
+
+/// The engine of the model has just loaded it.
+fn load_model(host: &mut TestHost, now: ClockTime) -> Vec<ServingEffect> {
+    let event = ServingEvent::Noticed {
+        target: TargetName::new("t1"),
+        born: 1,
+        models: held(&[("m", &[])]),
+    };
+    host.state.reduce(event, now)
+}
+
+/// Guards against all hosts sending their waiting calls at once to an engine that has just loaded
+/// their model: it refuses what exceeds its slots.
+#[test]
+fn hosts_take_turns_at_an_engine_for_which_calls_wait() {
+    let sent: usize = (0..HOSTS)
+        .map(|number| {
+            let mut host = waiting_host(number, 3, 3);
+            sent_to(&load_model(&mut host, ms(3_000))).len()
+        })
+        .sum();
+    let slots = SLOTS as usize;
+    assert!(
+        (1..=2 * slots).contains(&sent),
+        "{sent} of 198 waiting calls sent to {slots} slots"
+    );
+}
+
+/// Guards against places that stay unused, since hosts that had no turn never get one.
+#[test]
+fn every_waiting_host_gets_a_turn() {
+    let mut host = waiting_host(0, 1, 1);
+    load_model(&mut host, ms(3_000));
+    let mut sent = 0;
+    for step in 0..600 {
+        let now = ms(3_100 + step * 100);
+        for peer in 1..HOSTS {
+            let event = ServingEvent::PeerWaiting {
+                host: HostName::new(&format!("host-{peer}")),
+                waiting: [(ModelKey::of(&engines(), &model("m")), 1)].into(),
+            };
+            host.state.reduce(event, now);
+        }
+        if step % 90 == 0 {
+            let id = format!("late-{step}");
+            let mut patient = route(CallKind::Stream { resumable: false }, 1);
+            patient.start_patience = ms(9_000);
+            sent += sent_to(&host.call_named(&id, patient, "m", now).1).len();
+        }
+        sent += sent_to(&host.state.reduce(ServingEvent::Tick, now)).len();
+    }
+    assert!(
+        sent >= 4,
+        "{sent} of 8 calls sent, each had 12 periods at 8 free of 66 wanted"
+    );
+}
+
+/// Guards against a call that waits for a turn although no other host wants a place.
+#[test]
+fn host_alone_sends_all_that_fits() {
+    let mut host = waiting_host(0, 3, 0);
+    assert_eq!(sent_to(&load_model(&mut host, ms(3_000))).len(), 3);
+}
