--- a/crates/edge/src/entry.rs
+++ b/crates/edge/src/entry.rs
@@ -377,6 +377,7 @@
     open.shell.metrics.count_attempt();
     let age = plan.load_age.map(ClockTime::as_ms);
     let call = &open.request.call;
+    let waited_for = plan.waited_for.map(|reason| format!("{reason:?}"));
     journal::request(
         &call.id,
         "sent",
@@ -385,6 +386,8 @@
             "attempt": plan.attempt,
             "load": plan.load,
             "load_age_ms": age,
+            "age_ms": clock::now().since(open.arrived).as_ms(),
+            "waited_for": waited_for,
             "left_ms": call.deadline.since(clock::now()).as_ms(),
         }),
     );
--- a/crates/serving/src/event.rs
+++ b/crates/serving/src/event.rs
@@ -2,6 +2,7 @@
 
 use crate::blame::CrashReport;
 use crate::call::{AttemptOutcome, CallFacts, CallNeed};
+use crate::choose::NoTarget;
 use crate::rules::RuleSet;
 use crate::targets::{HeldModels, HostLoad, TargetLoad, TargetRecord};
 use crate::turns::HostWaiting;
@@ -95,6 +96,8 @@
     pub load_age: Option<ClockTime>,
     /// Load that decided.
     pub load: u32,
+    /// What the request waited for last, if it waited.
+    pub waited_for: Option<NoTarget>,
 }
 
 /// Why a request is refused.
--- a/crates/serving/src/state.rs
+++ b/crates/serving/src/state.rs
@@ -47,6 +47,8 @@
     tried: Vec<TargetName>,
     target: Option<(TargetName, u64)>,
     sent_at: ClockTime,
+    /// What it waited for last.
+    waited_for: Option<NoTarget>,
     /// Whether an attempt may have run.
     maybe_ran: bool,
 }
@@ -227,6 +229,7 @@
             tried: Vec::new(),
             target: None,
             sent_at: now,
+            waited_for: None,
             maybe_ran: false,
         };
         self.requests.insert(key, request);
@@ -287,6 +290,7 @@
             attempt: request.sends,
             load_age: state.load_age(now),
             load: state.load(now),
+            waited_for: request.waited_for,
         }));
         let tokens = request.call.total_tokens();
         self.targets.begin(target, tokens);
@@ -333,6 +337,9 @@
             };
             self.waiting.insert(key, waiting);
         }
+        if let Some(request) = self.requests.get_mut(&key) {
+            request.waited_for = Some(reason);
+        }
         let absent = matches!(reason, NoTarget::ModelAbsent | NoTarget::AdapterAbsent);
         let Some(waiting) = self.waiting.get_mut(key) else {
             return;
