serving: one copy of hash draws and short keys; news of hosts lasts three beats

Cause: turns and the choice of a target each had a hash draw, turns and targets each a short key and a time after which news of a host is dropped; 2 s is less than a beat of 360 hosts. Ruled out: a change on up to 64 hosts, where three beats are below 2 s. Change: CallFacts::draw, short_key and news_limit are used by both; the draw lies strictly between 0 and 1.

--- a/crates/serving/src/call.rs
+++ b/crates/serving/src/call.rs
@@ -3,6 +3,8 @@
 use crate::rules::RouteRule;
 use crocusyard_base::prelude::*;
 use serde::{Deserialize, Serialize};
+use std::collections::hash_map::DefaultHasher;
+use std::hash::{Hash, Hasher};
 use std::sync::Arc;
 
 /// Digest of path and body; the same call sent again has the same one.
@@ -74,6 +76,15 @@
         u64::from(self.prompt_tokens) + u64::from(self.output_tokens)
     }
 
+    /// Number between 0 and 1, both excluded, that depends on the call and on `salt`.
+    pub fn draw<S: Hash>(&self, salt: &S) -> f64 {
+        let mut hasher = DefaultHasher::new();
+        self.id.hash(&mut hasher);
+        salt.hash(&mut hasher);
+        let bits = (hasher.finish() >> 32) as u32;
+        (f64::from(bits) + 0.5) / (f64::from(u32::MAX) + 1.0)
+    }
+
     /// Hash under which calls with a common prompt meet at the same target.
     ///
     /// The last shared part decides; its owner's other calls begin with it.
--- a/crates/serving/src/choose.rs
+++ b/crates/serving/src/choose.rs
@@ -152,10 +152,5 @@
 /// Random part for a call and a target; the lowest of several costs is then chosen with a
 /// probability that falls exponentially with the cost (the Gumbel-max method).
 fn random_part(state: &TargetState, call: &CallFacts) -> f64 {
-    let mut hasher = DefaultHasher::new();
-    call.id.hash(&mut hasher);
-    state.record.name.hash(&mut hasher);
-    // Half a step keeps the value inside of (0, 1).
-    let uniform = ((hasher.finish() >> 32) as f64 + 0.5) / f64::from(u32::MAX);
-    (-uniform.min(1.0 - f64::EPSILON).ln()).ln()
+    (-call.draw(&state.record.name).ln()).ln()
 }
--- a/crates/serving/src/hosts.rs
+++ b/crates/serving/src/hosts.rs
@@ -12,6 +12,10 @@
 const BEAT_HOSTS: usize = 24;
 /// Beats missed after which a host is left out of address answers; single datagrams get lost.
 const SILENT_BEATS: f64 = 6.0;
+/// Shortest age at which what a host told of its requests is dropped.
+const NEWS_TIME: ClockTime = ClockTime::from_secs(2);
+/// The same in beats, for many hosts; one or two datagrams may get lost.
+const NEWS_BEATS: f64 = 3.0;
 /// Time for which a host that was never heard counts as live; it has just started.
 const START_TIME: ClockTime = ClockTime::from_secs(2);
 /// Silence after which the row of a host is removed.
@@ -56,6 +60,11 @@
     BEAT_PAUSE.scale(factor.max(1.0))
 }
 
+/// Age at which what each of `count` hosts told of its requests is dropped.
+pub(crate) fn news_limit(count: usize) -> ClockTime {
+    beat_pause(count).scale(NEWS_BEATS).max(NEWS_TIME)
+}
+
 /// All hosts that one host knows.
 #[derive(Clone, Debug)]
 pub struct HostBook {
--- a/crates/serving/src/state.rs
+++ b/crates/serving/src/state.rs
@@ -10,6 +10,7 @@
 use crate::choose::{choose_target, NoTarget};
 use crate::demand::{DemandCounter, ModelDemand};
 use crate::event::{AttemptPlan, RefusalReason, RequestRefusal, ServingEffect, ServingEvent};
+use crate::hosts::news_limit;
 use crate::retries::{RetryBudget, RetryLimits};
 use crate::rules::RuleSet;
 use crate::targets::TargetTable;
@@ -88,7 +89,7 @@
             targets_known: false,
             requests: HashMap::new(),
             waiting: WaitingCalls::default(),
-            turns: TurnBook::new(),
+            turns: TurnBook::for_hosts(1),
             blame: BlameBook::default(),
             demand: DemandCounter::default(),
             run_times: HashMap::new(),
@@ -190,7 +191,7 @@
             }
             ServingEvent::Hosts(count) => {
                 self.hosts = count.max(1);
-                self.targets.drop_silent(now);
+                self.targets.drop_silent(news_limit(self.hosts), now);
                 self.turns.set_hosts(self.hosts);
                 self.turns.drop_old(now);
             }
--- a/crates/serving/src/targets.rs
+++ b/crates/serving/src/targets.rs
@@ -7,8 +7,6 @@
 
 /// Age up to which a told load is used; about one beat of the hosts.
 const TOLD_LOAD_TIME: ClockTime = ClockTime::from_ms(300);
-/// Age at which what a host told of its requests is dropped.
-const PEER_LOAD_TIME: ClockTime = ClockTime::from_secs(2);
 /// First time for which a target that failed is avoided.
 const AVOID_FIRST: ClockTime = ClockTime::from_ms(500);
 /// Longest time for which a target that failed is avoided.
@@ -203,12 +201,17 @@
 impl TargetKey {
     /// Key of a target; two targets with the same key only look more loaded than they are.
     pub fn of(name: &TargetName) -> Self {
-        let hash = blake3::hash(name.as_str().as_bytes());
-        let bytes = hash.as_bytes();
-        Self(u32::from_le_bytes([bytes[0], bytes[1], bytes[2], bytes[3]]))
+        Self(short_key(&[name.as_str()]))
     }
 }
 
+/// First bytes of a hash of names, for messages between hosts.
+pub(crate) fn short_key(names: &[&str]) -> u32 {
+    let hash = blake3::hash(names.join("\0").as_bytes());
+    let bytes = hash.as_bytes();
+    u32::from_le_bytes([bytes[0], bytes[1], bytes[2], bytes[3]])
+}
+
 /// Requests of one host in progress, by target.
 pub type HostLoad = BTreeMap<TargetKey, u16>;
 
@@ -326,12 +329,12 @@
         self.peers.len()
     }
 
-    /// Drops what silent hosts told.
-    pub fn drop_silent(&mut self, now: ClockTime) {
+    /// Drops what hosts told that have been silent for `limit`.
+    pub fn drop_silent(&mut self, limit: ClockTime, now: ClockTime) {
         let silent: Vec<HostName> = self
             .peers
             .iter()
-            .filter(|(_, (at, _))| now.since(*at) >= PEER_LOAD_TIME)
+            .filter(|(_, (at, _))| now.since(*at) >= limit)
             .map(|(host, _)| host.clone())
             .collect();
         for host in silent {
--- a/crates/serving/src/turns.rs
+++ b/crates/serving/src/turns.rs
@@ -7,15 +7,11 @@
 //! becomes a chance to take one.
 
 use crate::call::{CallFacts, CallNeed};
-use crate::hosts::beat_pause;
+use crate::hosts::{beat_pause, news_limit};
+use crate::targets::short_key;
 use crocusyard_base::prelude::*;
 use serde::{Deserialize, Serialize};
-use std::collections::hash_map::DefaultHasher;
 use std::collections::{BTreeMap, HashMap};
-use std::hash::{Hash, Hasher};
-
-/// Age at which what a host told of its waiting calls is dropped.
-const PEER_WAITING_TIME: ClockTime = ClockTime::from_secs(2);
 
 /// Short key of a model of a service in messages between hosts.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -24,13 +20,7 @@
 impl ModelKey {
     /// Key of a model; two models with the same key only share their turns.
     pub fn of(service: &ServiceName, model: &ModelName) -> Self {
-        let mut hasher = blake3::Hasher::new();
-        hasher.update(service.as_str().as_bytes());
-        hasher.update(&[0]);
-        hasher.update(model.as_str().as_bytes());
-        let hash = hasher.finalize();
-        let bytes = hash.as_bytes();
-        Self(u32::from_le_bytes([bytes[0], bytes[1], bytes[2], bytes[3]]))
+        Self(short_key(&[service.as_str(), model.as_str()]))
     }
 }
 
@@ -40,7 +30,7 @@
 /// What decides whether a host may take a place for a model.
 #[derive(Clone, Copy, Debug)]
 pub struct TurnFacts {
-    /// Calls that wait at this host, the one that asks included.
+    /// Calls that wait at this host; the one that asks may be missing.
     pub own: u32,
     /// Calls that wait at other hosts.
     pub others: u32,
@@ -61,17 +51,17 @@
 /// Turns of one host.
 #[derive(Clone, Debug)]
 pub struct TurnBook {
-    period: ClockTime,
+    hosts: usize,
     peers: BTreeMap<HostName, (ClockTime, HostWaiting)>,
     others: HashMap<ModelKey, u32>,
     turns: HashMap<ModelKey, ModelTurn>,
 }
 
 impl TurnBook {
-    /// Makes an empty book of a host that is alone.
-    pub fn new() -> Self {
+    /// Makes an empty book of one of `hosts` hosts.
+    pub fn for_hosts(hosts: usize) -> Self {
         Self {
-            period: beat_pause(1),
+            hosts,
             peers: BTreeMap::new(),
             others: HashMap::new(),
             turns: HashMap::new(),
@@ -79,13 +69,13 @@
     }
 
     /// Sets the number of hosts, and with it the time between two beats.
-    pub fn set_hosts(&mut self, count: usize) {
-        self.period = beat_pause(count);
+    pub fn set_hosts(&mut self, hosts: usize) {
+        self.hosts = hosts;
     }
 
     /// Time between two beats of a host.
     pub fn period(&self) -> ClockTime {
-        self.period
+        beat_pause(self.hosts)
     }
 
     /// Takes the waiting calls of another host.
@@ -104,10 +94,11 @@
 
     /// Drops what silent hosts told, and turns that are over.
     pub fn drop_old(&mut self, now: ClockTime) {
+        let limit = news_limit(self.hosts);
         let silent: Vec<HostName> = self
             .peers
             .iter()
-            .filter(|(_, (at, _))| now.since(*at) >= PEER_WAITING_TIME)
+            .filter(|(_, (at, _))| now.since(*at) >= limit)
             .map(|(host, _)| host.clone())
             .collect();
         for host in silent {
@@ -147,11 +138,11 @@
         now: ClockTime,
     ) -> bool {
         let key = ModelKey::of(&call.service, &need.model);
-        let period = self.period;
+        let period = self.period();
         let start = || ModelTurn {
             until: now + period,
             taken: 0,
-            draw: draw(call, now),
+            draw: call.draw(&now.as_ms()),
         };
         let turn = self.turns.entry(key).or_insert_with(start);
         if now >= turn.until {
@@ -168,16 +159,3 @@
         true
     }
 }
-
-impl Default for TurnBook {
-    fn default() -> Self {
-        Self::new()
-    }
-}
-
-fn draw(call: &CallFacts, now: ClockTime) -> f64 {
-    let mut hasher = DefaultHasher::new();
-    call.id.hash(&mut hasher);
-    now.as_ms().hash(&mut hasher);
-    (hasher.finish() >> 32) as f64 / f64::from(u32::MAX)
-}
