serving: plain calls of many hosts follow old loads hardly at all

Cause: with 66 or 71 hosts the plain service still was served by one target at a time: the random part of the cost was 0.3 of a target's slots, the loads it knew differed by more. Change: the random part grows with the number of hosts: 0.04 of the slots each, 0.36 for 9 hosts, 2.8 for 71. Two patterns of load as tests; one failed with 0.3: more than half of the calls of 66 hosts to one of three targets.

--- a/crates/serving/src/choose.rs
+++ b/crates/serving/src/choose.rs
@@ -17,10 +17,12 @@
 const DOMAIN_COST: f64 = 0.15;
 /// Gain of the target that calls with the same prompt prefer, share of a target's slots.
 const AFFINITY_GAIN: f64 = 0.25;
-/// Scale of the random part of the cost of a plain call, share of a target's slots: what is known
-/// of other hosts is older than such a call runs, so that the least loaded target is no longer.
-const PLAIN_SPREAD: f64 = 0.3;
-/// The same for a call that needs a model; it runs for longer than a beat.
+/// Scale of the random part of the cost of a plain call, share of a target's slots for each host.
+/// What is known of other hosts is older than such a call runs, and they send more in that time
+/// the more they are: with 70 hosts the choice is almost even.
+const PLAIN_SPREAD: f64 = 0.04;
+/// Scale of the random part for a call that needs a model, share of a target's slots; such a call
+/// runs for longer than the pause between beats.
 const MODEL_SPREAD: f64 = 0.1;
 /// Cost of a target that failed just now, share of a target's slots; any other goes before it.
 const FAILED_COST: f64 = 10.0;
@@ -38,6 +40,15 @@
     AllFull,
 }
 
+/// Where the host that chooses stands.
+#[derive(Clone, Copy, Debug)]
+pub struct OwnPlace<'a> {
+    /// Its failure domain.
+    pub domain: &'a DomainName,
+    /// Live hosts, itself included.
+    pub hosts: usize,
+}
+
 /// Chooses a target that has not been tried.
 ///
 /// # Errors
@@ -47,7 +58,7 @@
     table: &TargetTable,
     call: &CallFacts,
     tried: &[TargetName],
-    domain: &DomainName,
+    own: OwnPlace<'_>,
     now: ClockTime,
 ) -> Result<TargetName, NoTarget> {
     let mut best: Option<(f64, &TargetState)> = None;
@@ -79,7 +90,7 @@
             reason = reason.max_with(NoTarget::AllFull);
             continue;
         }
-        let cost = target_cost(state, call, preferred, domain, now);
+        let cost = target_cost(state, call, preferred, own, now);
         if best.as_ref().is_none_or(|(lowest, _)| cost < *lowest) {
             best = Some((cost, state));
         }
@@ -111,16 +122,16 @@
     state: &TargetState,
     call: &CallFacts,
     preferred: Option<u64>,
-    domain: &DomainName,
+    own: OwnPlace<'_>,
     now: ClockTime,
 ) -> f64 {
     let load = f64::from(state.load(now)) / f64::from(state.slots());
     let spread = match &call.need {
         Some(_) => MODEL_SPREAD,
-        None => PLAIN_SPREAD,
+        None => PLAIN_SPREAD * own.hosts as f64,
     };
     let mut cost = load + random_part(state, call) * spread;
-    if state.record.domain != *domain {
+    if state.record.domain != *own.domain {
         cost += DOMAIN_COST;
     }
     if state.is_avoided(now) {
--- a/crates/serving/src/state.rs
+++ b/crates/serving/src/state.rs
@@ -7,7 +7,7 @@
 
 use crate::blame::{BlameBook, CrashReport};
 use crate::call::{AttemptOutcome, CallFacts, CallNeed};
-use crate::choose::{choose_target, NoTarget};
+use crate::choose::{choose_target, NoTarget, OwnPlace};
 use crate::demand::{DemandCounter, ModelDemand};
 use crate::event::{AttemptPlan, RefusalReason, RequestRefusal, ServingEffect, ServingEvent};
 use crate::hosts::news_limit;
@@ -251,13 +251,11 @@
             self.wait(key, &call, NoTarget::AllFull, now, out);
             return;
         }
-        match choose_target(
-            &self.targets,
-            &call,
-            &request.tried,
-            &self.limits.domain,
-            now,
-        ) {
+        let own = OwnPlace {
+            domain: &self.limits.domain,
+            hosts: self.hosts,
+        };
+        match choose_target(&self.targets, &call, &request.tried, own, now) {
             Ok(_) if !self.takes_turn(&call, now) => {
                 self.wait(key, &call, NoTarget::AllFull, now, out);
             }
--- a/crates/serving/tests/overloaded_service.rs
+++ b/crates/serving/tests/overloaded_service.rs
@@ -163,3 +163,57 @@
     assert_eq!(counts.values().sum::<usize>(), HOSTS);
     assert!(most <= HOSTS * 3 / 4, "{counts:?}: t1 has two calls less");
 }
+
+/// Guards against ignoring loads in a small system, where news is fresh.
+#[test]
+fn few_hosts_prefer_targets_with_fewer_calls() {
+    const CALLS: usize = 100;
+    let first = (0..CALLS)
+        .filter(|number| {
+            let mut host = TestHost::new(&["m"], desk());
+            host.state.reduce(ServingEvent::Hosts(9), ms(2_000));
+            let event = ServingEvent::PeerLoad {
+                host: HostName::new("peer-1"),
+                load: [
+                    (TargetKey::of(&TargetName::new("t2")), 7),
+                    (TargetKey::of(&TargetName::new("t3")), 7),
+                ]
+                .into(),
+            };
+            host.state.reduce(event, ms(2_000));
+            let plain = route(CallKind::NonIdempotent, 1);
+            let (_, effects) = host.plain_named(&format!("call-{number}"), plain, ms(2_000));
+            sent_to(&effects) == ["t1"]
+        })
+        .count();
+    assert!(
+        first >= CALLS * 3 / 4,
+        "{first} of {CALLS} to the idle target"
+    );
+}
+
+/// Guards against a target that takes most calls of many hosts because old news shows it as idle.
+#[test]
+fn many_hosts_hardly_follow_old_loads() {
+    let mut first = 0;
+    for number in 0..HOSTS {
+        let mut host = TestHost::new(&["m"], desk());
+        hear_peers(&mut host, 0, ms(2_000));
+        let event = ServingEvent::PeerLoad {
+            host: HostName::new("peer-1"),
+            load: [
+                (TargetKey::of(&TargetName::new("t2")), 7),
+                (TargetKey::of(&TargetName::new("t3")), 7),
+            ]
+            .into(),
+        };
+        host.state.reduce(event, ms(2_000));
+        let plain = route(CallKind::NonIdempotent, 1);
+        let (_, effects) = host.plain_named(&format!("call-{number}"), plain, ms(2_000));
+        first += usize::from(sent_to(&effects) == ["t1"]);
+    }
+    assert!(
+        first <= HOSTS / 2,
+        "{first} of {HOSTS} calls to one of three targets"
+    );
+}
