serving: one book of peers' news, one test of a place, one list of waiting calls

Cause: read again. Targets, turns and demand each kept what hosts told with its age and dropped silent hosts; five places walked all requests for those that wait; the choice and the turns each tested refusing and full; the choice hashed the affinity of every target twice; the book of turns kept the number of hosts that the state has, and a key was hashed twice for a turn. Ruled out: adding news before taking the old off, which differs for a target that was removed and came back; the order stays. Change: PeerNews, ServingState::waiting_calls, CallFacts::model and is_like, TargetState::has_place, a preferred target by name, the period as a fact of a turn. Conclusion: behaviour as before.

--- a/crates/serving/src/call.rs
+++ b/crates/serving/src/call.rs
@@ -76,6 +76,16 @@
         u64::from(self.prompt_tokens) + u64::from(self.output_tokens)
     }
 
+    /// Model that the call needs, if it runs on engines.
+    pub fn model(&self) -> Option<&ModelName> {
+        self.need.as_ref().map(|need| &need.model)
+    }
+
+    /// Returns whether another call goes to the same service and needs the same model, or none.
+    pub fn is_like(&self, other: &Self) -> bool {
+        self.service == other.service && self.model() == other.model()
+    }
+
     /// Number between 0 and 1, both excluded, that depends on the call and on `salt`.
     pub fn draw<S: Hash>(&self, salt: &S) -> f64 {
         let mut hasher = DefaultHasher::new();
--- a/crates/serving/src/choose.rs
+++ b/crates/serving/src/choose.rs
@@ -78,15 +78,7 @@
                 continue;
             }
         }
-        let refusing = call
-            .need
-            .as_ref()
-            .is_some_and(|need| state.is_refusing(&need.model, now));
-        let full = match &call.need {
-            Some(_) => state.is_full(now),
-            None => state.refuses_more(now),
-        };
-        if refusing || full {
+        if !state.has_place(call.model(), now) {
             reason = reason.max_with(NoTarget::AllFull);
             continue;
         }
@@ -121,7 +113,7 @@
 fn target_cost(
     state: &TargetState,
     call: &CallFacts,
-    preferred: Option<u64>,
+    preferred: Option<&TargetName>,
     own: OwnPlace<'_>,
     now: ClockTime,
 ) -> f64 {
@@ -137,20 +129,25 @@
     if state.is_avoided(now) {
         cost += FAILED_COST;
     }
-    if preferred.is_some_and(|weight| Some(weight) == affinity_weight(state, call)) {
+    if preferred == Some(&state.record.name) {
         cost -= AFFINITY_GAIN;
     }
     cost
 }
 
-/// Highest affinity weight among the targets that hold what the call needs.
-fn preferred_target(table: &TargetTable, call: &CallFacts, now: ClockTime) -> Option<u64> {
+/// Target with the highest affinity weight among those that hold what the call needs.
+fn preferred_target<'a>(
+    table: &'a TargetTable,
+    call: &'a CallFacts,
+    now: ClockTime,
+) -> Option<&'a TargetName> {
     let need = call.need.as_ref()?;
     table
         .of_service(&call.service)
         .filter(|state| state.holds(&need.model, need.adapter.as_ref()) && !state.is_avoided(now))
-        .filter_map(|state| affinity_weight(state, call))
+        .filter_map(|state| Some((affinity_weight(state, call)?, &state.record.name)))
         .max()
+        .map(|(_, name)| name)
 }
 
 fn affinity_weight(state: &TargetState, call: &CallFacts) -> Option<u64> {
--- a/crates/serving/src/demand.rs
+++ b/crates/serving/src/demand.rs
@@ -3,6 +3,7 @@
 //! Each host counts its own; the lease holder adds up what the hosts told last.
 
 use crate::call::CallNeed;
+use crate::news::PeerNews;
 use crocusyard_base::prelude::*;
 use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
@@ -100,7 +101,7 @@
 /// Demand of all hosts, at the lease holder.
 #[derive(Clone, Debug, Default)]
 pub struct DemandBook {
-    told: HashMap<HostName, (ClockTime, Vec<ModelDemand>)>,
+    told: PeerNews<Vec<ModelDemand>>,
     sums: Vec<ModelDemand>,
     summed_at: Option<ClockTime>,
 }
@@ -108,7 +109,7 @@
 impl DemandBook {
     /// Takes what a host told.
     pub fn tell(&mut self, host: &HostName, demands: Vec<ModelDemand>, now: ClockTime) {
-        self.told.insert(host.clone(), (now, demands));
+        self.told.tell(host, demands, now);
     }
 
     /// Sums by need over the hosts that told lately; at most one sum pause old.
@@ -122,10 +123,9 @@
     }
 
     fn sum(&mut self, now: ClockTime) -> Vec<ModelDemand> {
-        self.told
-            .retain(|_, (at, _)| now.since(*at) < TOLD_DEMAND_TIME);
+        self.told.drop_silent(TOLD_DEMAND_TIME, now);
         let mut sums: HashMap<(ServiceName, CallNeed), ModelDemand> = HashMap::new();
-        for demand in self.told.values().flat_map(|(_, demands)| demands) {
+        for demand in self.told.iter().flatten() {
             let key = (demand.service.clone(), demand.need.clone());
             let sum = sums.entry(key).or_insert_with(|| ModelDemand {
                 busy: 0,
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod events;
 pub mod hosts;
 pub mod lease;
+pub mod news;
 pub mod orders;
 pub mod relay;
 pub mod retries;
--- a/crates/serving/src/state.rs
+++ b/crates/serving/src/state.rs
@@ -89,7 +89,7 @@
             targets_known: false,
             requests: HashMap::new(),
             waiting: WaitingCalls::default(),
-            turns: TurnBook::for_hosts(1),
+            turns: TurnBook::default(),
             blame: BlameBook::default(),
             demand: DemandCounter::default(),
             run_times: HashMap::new(),
@@ -123,12 +123,9 @@
     /// Demand, for the lease holder.
     pub fn demand_report(&mut self, now: ClockTime) -> Vec<ModelDemand> {
         let mut waiting: HashMap<(ServiceName, CallNeed), u32> = HashMap::new();
-        for (key, request) in &self.requests {
-            if !self.waiting.contains(*key) {
-                continue;
-            }
-            if let Some(need) = &request.call.need {
-                let place = (request.call.service.clone(), need.clone());
+        for call in self.waiting_calls() {
+            if let Some(need) = &call.need {
+                let place = (call.service.clone(), need.clone());
                 *waiting.entry(place).or_default() += 1;
             }
         }
@@ -139,19 +136,23 @@
     /// Waiting calls by model, for the other hosts.
     pub fn waiting_report(&self) -> HostWaiting {
         let mut report = HostWaiting::new();
-        if self.waiting.is_empty() {
-            return report;
-        }
-        for (key, request) in &self.requests {
-            if let (Some(need), true) = (&request.call.need, self.waiting.contains(*key)) {
-                let model = ModelKey::of(&request.call.service, &need.model);
-                let count: &mut u16 = report.entry(model).or_default();
+        for call in self.waiting_calls() {
+            if let Some(model) = call.model() {
+                let key = ModelKey::of(&call.service, model);
+                let count: &mut u16 = report.entry(key).or_default();
                 *count = count.saturating_add(1);
             }
         }
         report
     }
 
+    fn waiting_calls(&self) -> impl Iterator<Item = &CallFacts> {
+        self.waiting
+            .keys()
+            .filter_map(|key| self.requests.get(&key))
+            .map(|request| &*request.call)
+    }
+
     /// Handles an event.
     pub fn reduce(&mut self, event: ServingEvent, now: ClockTime) -> Effects {
         let mut effects = Vec::new();
@@ -191,9 +192,9 @@
             }
             ServingEvent::Hosts(count) => {
                 self.hosts = count.max(1);
-                self.targets.drop_silent(news_limit(self.hosts), now);
-                self.turns.set_hosts(self.hosts);
-                self.turns.drop_old(now);
+                let limit = news_limit(self.hosts);
+                self.targets.drop_silent(limit, now);
+                self.turns.drop_old(limit, now);
             }
             ServingEvent::Stop => {
                 self.stopping = true;
@@ -451,8 +452,7 @@
         now: ClockTime,
     ) {
         if full {
-            let model = call.need.as_ref().map(|need| &need.model);
-            self.targets.note_full(target, model, now);
+            self.targets.note_full(target, call.model(), now);
         }
         if let (true, Some(need)) = (misplaced, &call.need) {
             self.targets
--- a/crates/serving/src/state/estimate.rs
+++ b/crates/serving/src/state/estimate.rs
@@ -3,6 +3,7 @@
 use super::ServingState;
 use crate::call::CallFacts;
 use crate::choose::NoTarget;
+use crate::hosts::beat_pause;
 use crate::turns::TurnFacts;
 use crocusyard_base::prelude::*;
 
@@ -80,52 +81,41 @@
 
     /// Time until the calls ahead of a new one have been sent.
     fn queue_estimate(&self, call: &CallFacts) -> ClockTime {
-        let model = call.need.as_ref().map(|need| &need.model);
-        let mut ahead = 0_u32;
-        let mut running = 0_u32;
-        for (key, request) in &self.requests {
-            let same = request.call.service == call.service
-                && request.call.need.as_ref().map(|need| &need.model) == model;
-            if !same {
-                continue;
-            }
-            if request.target.is_some() {
-                running += 1;
-            } else if self.waiting.contains(*key)
-                && request.call.route.priority <= call.route.priority
-            {
-                ahead += 1;
-            }
-        }
-        let run_time = self.run_time(call);
-        let wait = f64::from(ahead + 1) * run_time / f64::from(running.max(1));
+        let ahead = self
+            .waiting_calls()
+            .filter(|other| other.is_like(call) && other.route.priority <= call.route.priority)
+            .count();
+        let running = self
+            .requests
+            .values()
+            .filter(|request| request.target.is_some() && request.call.is_like(call))
+            .count();
+        let wait = (ahead + 1) as f64 * self.run_time(call) / running.max(1) as f64;
         ClockTime::from_ms(wait as u64)
     }
 
     /// Time from a send to the point by which an answer is in time or late: the whole run of a
     /// plain call; a stream only has to begin.
     pub(super) fn answer_lead(&self, call: &CallFacts) -> ClockTime {
-        let key = (call.service.clone(), None);
-        match (&call.need, self.run_times.get(&key)) {
+        match (&call.need, self.run_times.get(&run_key(call))) {
             (None, Some(run_time)) => ClockTime::from_ms(*run_time as u64),
             _ => ClockTime::ZERO,
         }
     }
 
     fn run_time(&self, call: &CallFacts) -> f64 {
-        let model = call.need.as_ref().map(|need| need.model.clone());
-        let key = (call.service.clone(), model);
         self.run_times
-            .get(&key)
+            .get(&run_key(call))
             .copied()
             .unwrap_or(RUN_TIME_START_MS)
     }
 
     /// Takes the run time of an answered call.
     pub(super) fn note_run_time(&mut self, call: &CallFacts, ran: ClockTime) {
-        let model = call.need.as_ref().map(|need| need.model.clone());
-        let key = (call.service.clone(), model);
-        let average = self.run_times.entry(key).or_insert(RUN_TIME_START_MS);
+        let average = self
+            .run_times
+            .entry(run_key(call))
+            .or_insert(RUN_TIME_START_MS);
         *average += (ran.as_ms() as f64 - *average) * RUN_TIME_WEIGHT;
     }
 
@@ -154,57 +144,43 @@
         let unheard = (hosts - 1).saturating_sub(self.targets.heard_peers()) as f64;
         let spare = f64::from(places) - f64::from(used) - unheard * share;
         let limit = share.ceil().max(1.0) + (spare.max(0.0) * SPARE_SHARE).floor();
-        let waits_longer = self.waiting.contains(key) || !self.waits_for(&call.service);
+        let waits_longer =
+            self.waiting.contains(key) || !self.waiting_calls().any(|other| other.is_like(call));
         f64::from(running) >= limit || !waits_longer
     }
 
     /// Returns whether a call may take one of the free places for its model now, while calls for it
     /// wait at other hosts as well.
     pub(super) fn takes_turn(&mut self, call: &CallFacts, now: ClockTime) -> bool {
-        let Some(need) = &call.need else {
-            return true;
-        };
-        let others = self.turns.others(&call.service, need);
-        if others == 0 {
+        let (Some(model), Some((key, others))) = (call.model(), self.turns.others(call)) else {
             return true;
-        }
-        let is_same = |other: &CallFacts| {
-            let model = other.need.as_ref().map(|need| &need.model);
-            other.service == call.service && model == Some(&need.model)
         };
         let own = self
-            .requests
-            .iter()
-            .filter(|(key, request)| is_same(&request.call) && self.waiting.contains(**key))
+            .waiting_calls()
+            .filter(|other| other.is_like(call))
             .count();
         let (mut free, mut busy) = (0, 0);
         for state in self.targets.of_service(&call.service) {
-            let usable = state.holds(&need.model, None)
-                && !state.is_refusing(&need.model, now)
-                && !state.is_full(now);
-            if usable {
+            if state.holds(model, None) && state.has_place(Some(model), now) {
                 let load = state.load(now);
                 free += state.slots().saturating_sub(load);
                 busy += load;
             }
         }
-        let periods = self.turns.period().as_ms() as f64 / self.run_time(call).max(1.0);
+        let period = beat_pause(self.hosts);
+        let periods = period.as_ms() as f64 / self.run_time(call).max(1.0);
         let facts = TurnFacts {
             own: u32::try_from(own).unwrap_or(u32::MAX),
             others,
             free,
+            period,
             coming: f64::from(busy) * periods,
         };
-        self.turns.take(call, need, facts, now)
+        self.turns.take(key, call, facts, now)
     }
+}
 
-    /// Returns whether an earlier plain call of a service waits.
-    fn waits_for(&self, service: &ServiceName) -> bool {
-        !self.waiting.is_empty()
-            && self.requests.iter().any(|(key, request)| {
-                request.call.service == *service
-                    && request.call.need.is_none()
-                    && self.waiting.contains(*key)
-            })
-    }
+/// Calls with the same key run for about the same time.
+fn run_key(call: &CallFacts) -> (ServiceName, Option<ModelName>) {
+    (call.service.clone(), call.model().cloned())
 }
--- a/crates/serving/src/targets.rs
+++ b/crates/serving/src/targets.rs
@@ -1,5 +1,6 @@
 //! Targets: what they told the store, what they hold and how loaded they are.
 
+use crate::news::PeerNews;
 use crocusyard_base::prelude::*;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
@@ -159,16 +160,16 @@
         now < self.avoid_until
     }
 
-    /// Returns whether it has no place for another request.
-    pub fn is_full(&self, now: ClockTime) -> bool {
-        now < self.full_until || self.load(now) >= self.slots()
-    }
-
-    /// Returns whether it refused a call just now or has as many own calls as it runs.
+    /// Returns whether it has a place for a call that needs a model, or none.
     ///
-    /// What other hosts told is left out: it is older than a short call runs.
-    pub fn refuses_more(&self, now: ClockTime) -> bool {
-        now < self.full_until || self.in_flight >= self.slots()
+    /// For a plain call, what other hosts told is left out: it is older than such a call runs.
+    pub fn has_place(&self, model: Option<&ModelName>, now: ClockTime) -> bool {
+        let used = match model {
+            Some(_) => self.load(now),
+            None => self.in_flight,
+        };
+        let refusing = model.is_some_and(|model| self.is_refusing(model, now));
+        !refusing && now >= self.full_until && used < self.slots()
     }
 
     /// Returns whether it holds a model and, if one is named, an adapter.
@@ -179,7 +180,7 @@
     }
 
     /// Returns whether it refused calls for a model just now.
-    pub fn is_refusing(&self, model: &ModelName, now: ClockTime) -> bool {
+    fn is_refusing(&self, model: &ModelName, now: ClockTime) -> bool {
         self.refusing.get(model).is_some_and(|until| now < *until)
     }
 
@@ -220,7 +221,7 @@
 pub struct TargetTable {
     states: BTreeMap<TargetName, TargetState>,
     names: BTreeMap<TargetKey, TargetName>,
-    peers: BTreeMap<HostName, (ClockTime, HostLoad)>,
+    peers: PeerNews<HostLoad>,
 }
 
 impl TargetTable {
@@ -317,8 +318,7 @@
 
     /// Takes the requests in progress of another host.
     pub fn note_peer(&mut self, host: &HostName, load: HostLoad, now: ClockTime) {
-        let old = self.peers.insert(host.clone(), (now, load.clone()));
-        if let Some((_, old)) = old {
+        if let Some(old) = self.peers.tell(host, load.clone(), now) {
             self.add_others(&old, false);
         }
         self.add_others(&load, true);
@@ -326,21 +326,13 @@
 
     /// Hosts that told their requests lately.
     pub fn heard_peers(&self) -> usize {
-        self.peers.len()
+        self.peers.host_count()
     }
 
     /// Drops what hosts told that have been silent for `limit`.
     pub fn drop_silent(&mut self, limit: ClockTime, now: ClockTime) {
-        let silent: Vec<HostName> = self
-            .peers
-            .iter()
-            .filter(|(_, (at, _))| now.since(*at) >= limit)
-            .map(|(host, _)| host.clone())
-            .collect();
-        for host in silent {
-            if let Some((_, old)) = self.peers.remove(&host) {
-                self.add_others(&old, false);
-            }
+        for old in self.peers.drop_silent(limit, now) {
+            self.add_others(&old, false);
         }
     }
 
--- a/crates/serving/src/turns.rs
+++ b/crates/serving/src/turns.rs
@@ -6,8 +6,8 @@
 //! period between two beats: as large as its part of the waiting calls. A part below one place
 //! becomes a chance to take one.
 
-use crate::call::{CallFacts, CallNeed};
-use crate::hosts::{beat_pause, news_limit};
+use crate::call::CallFacts;
+use crate::news::PeerNews;
 use crate::targets::short_key;
 use crocusyard_base::prelude::*;
 use serde::{Deserialize, Serialize};
@@ -36,6 +36,8 @@
     pub others: u32,
     /// Places that are free now.
     pub free: u32,
+    /// Time between two beats of a host.
+    pub period: ClockTime,
     /// Places that become free in one period.
     pub coming: f64,
 }
@@ -49,62 +51,28 @@
 }
 
 /// Turns of one host.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct TurnBook {
-    hosts: usize,
-    peers: BTreeMap<HostName, (ClockTime, HostWaiting)>,
+    peers: PeerNews<HostWaiting>,
     others: HashMap<ModelKey, u32>,
     turns: HashMap<ModelKey, ModelTurn>,
 }
 
 impl TurnBook {
-    /// Makes an empty book of one of `hosts` hosts.
-    pub fn for_hosts(hosts: usize) -> Self {
-        Self {
-            hosts,
-            peers: BTreeMap::new(),
-            others: HashMap::new(),
-            turns: HashMap::new(),
-        }
-    }
-
-    /// Sets the number of hosts, and with it the time between two beats.
-    pub fn set_hosts(&mut self, hosts: usize) {
-        self.hosts = hosts;
-    }
-
-    /// Time between two beats of a host.
-    pub fn period(&self) -> ClockTime {
-        beat_pause(self.hosts)
-    }
-
     /// Takes the waiting calls of another host.
     pub fn note_peer(&mut self, host: &HostName, waiting: HostWaiting, now: ClockTime) {
-        if let Some((_, old)) = self.peers.remove(host) {
-            self.subtract(&old);
-        }
-        if waiting.is_empty() {
-            return;
-        }
         for (key, count) in &waiting {
             *self.others.entry(*key).or_default() += u32::from(*count);
         }
-        self.peers.insert(host.clone(), (now, waiting));
+        if let Some(old) = self.peers.tell(host, waiting, now) {
+            self.subtract(&old);
+        }
     }
 
-    /// Drops what silent hosts told, and turns that are over.
-    pub fn drop_old(&mut self, now: ClockTime) {
-        let limit = news_limit(self.hosts);
-        let silent: Vec<HostName> = self
-            .peers
-            .iter()
-            .filter(|(_, (at, _))| now.since(*at) >= limit)
-            .map(|(host, _)| host.clone())
-            .collect();
-        for host in silent {
-            if let Some((_, old)) = self.peers.remove(&host) {
-                self.subtract(&old);
-            }
+    /// Drops what hosts told that have been silent for `limit`, and turns that are over.
+    pub fn drop_old(&mut self, limit: ClockTime, now: ClockTime) {
+        for old in self.peers.drop_silent(limit, now) {
+            self.subtract(&old);
         }
         self.turns.retain(|_, turn| now < turn.until);
     }
@@ -120,27 +88,26 @@
         }
     }
 
-    /// Calls that wait for a model at the other hosts.
-    pub fn others(&self, service: &ServiceName, need: &CallNeed) -> u32 {
+    /// Key of a call's model and the calls that wait for it at other hosts, if any does.
+    pub fn others(&self, call: &CallFacts) -> Option<(ModelKey, u32)> {
         if self.others.is_empty() {
-            return 0;
+            return None;
         }
-        let key = ModelKey::of(service, &need.model);
-        self.others.get(&key).copied().unwrap_or_default()
+        let key = ModelKey::of(&call.service, call.model()?);
+        let count = self.others.get(&key).copied()?;
+        (count > 0).then_some((key, count))
     }
 
     /// Takes a place for a call if it is this host's turn.
     pub fn take(
         &mut self,
+        key: ModelKey,
         call: &CallFacts,
-        need: &CallNeed,
         facts: TurnFacts,
         now: ClockTime,
     ) -> bool {
-        let key = ModelKey::of(&call.service, &need.model);
-        let period = self.period();
         let start = || ModelTurn {
-            until: now + period,
+            until: now + facts.period,
             taken: 0,
             draw: call.draw(&now.as_ms()),
         };
--- a/crates/serving/src/waiting.rs
+++ b/crates/serving/src/waiting.rs
@@ -49,6 +49,11 @@
         self.calls.contains_key(&key)
     }
 
+    /// Keys of all calls, in no order.
+    pub fn keys(&self) -> impl Iterator<Item = RequestKey> + '_ {
+        self.calls.keys().copied()
+    }
+
     /// Calls that wait.
     pub fn len(&self) -> usize {
         self.calls.len()
