edge, httpconn, serving: call the shared piece instead of writing it again; remove dead code

Cause: read again. RouteMatch, ConnPool::forget and the tokens of requests in progress had no reader. Ruled out: planning from the demand book without a copy; an order may bring demand into it. Change: HeldConn::exchange, StreamSource::open, unavailable, note_version, CallNeed::adapter; the limit of the last write has a name. Conclusion: behaviour as before.

--- a/crates/edge/src/entry.rs
+++ b/crates/edge/src/entry.rs
@@ -163,10 +163,7 @@
     let arrived = clock::now();
     let rules = shell.serving.borrow().rules().cloned();
     let Some(rules) = rules else {
-        let mut response = plain(StatusCode::SERVICE_UNAVAILABLE);
-        let wait = HeaderValue::from_static(START_RETRY_S);
-        response.headers_mut().insert(RETRY_AFTER, wait);
-        return Ok(response);
+        return Ok(unavailable(HeaderValue::from_static(START_RETRY_S)));
     };
     let (parts, body) = request.into_parts();
     let host = parts
@@ -193,7 +190,8 @@
     };
     if shell.refuses_new(&route) {
         journal::request(&headers.id, "refused", json!({"reason": "Stopping"}));
-        return Ok(refuse_stopping());
+        // The other hosts take work at once.
+        return Ok(unavailable(HeaderValue::from_static(STOP_RETRY_S)));
     }
     let call = Rc::new(call_facts(shell, &headers, route, path, &body, arrived));
     let (key, steps) = shell.register();
@@ -329,11 +327,10 @@
     Response::from_parts(parts, body)
 }
 
-/// Sends a caller to another host; nothing has run.
-fn refuse_stopping() -> Response<AnswerBody> {
+/// Sends a caller away for a while; nothing has run.
+fn unavailable(wait_s: HeaderValue) -> Response<AnswerBody> {
     let mut response = plain(StatusCode::SERVICE_UNAVAILABLE);
-    let wait = HeaderValue::from_static(STOP_RETRY_S);
-    response.headers_mut().insert(RETRY_AFTER, wait);
+    response.headers_mut().insert(RETRY_AFTER, wait_s);
     response
 }
 
--- a/crates/edge/src/moves.rs
+++ b/crates/edge/src/moves.rs
@@ -66,11 +66,13 @@
     let Some(rules) = rules else {
         return;
     };
-    let demand = shell.demands.borrow_mut().total(now).to_vec();
-    shell.trend.borrow_mut().update(&demand, now);
+    {
+        let mut demands = shell.demands.borrow_mut();
+        shell.trend.borrow_mut().update(demands.total(now), now);
+    }
     for (service, rule) in &rules.services {
         if let Some(rule) = &rule.engine {
-            plan_service(shell, service, rule, &demand, &engines, now);
+            plan_service(shell, service, rule, &engines, now);
         }
     }
 }
@@ -106,11 +108,14 @@
     shell: &Rc<EdgeShell>,
     service: &ServiceName,
     rule: &EngineRule,
-    demand: &[ModelDemand],
     engines: &BTreeMap<TargetName, EngineAddress>,
     now: ClockTime,
 ) {
-    let demand: Vec<ModelDemand> = demand
+    // Copied, since orders may bring further demand into the book.
+    let demand: Vec<ModelDemand> = shell
+        .demands
+        .borrow_mut()
+        .total(now)
         .iter()
         .filter(|demand| demand.service == *service)
         .cloned()
@@ -162,12 +167,7 @@
                 in_memory: state.record.in_memory.clone(),
                 on_disk: state.record.on_disk.clone(),
                 loading: orders.loading(name).cloned(),
-                loading_adapter: orders
-                    .loading_adapter(name)
-                    .map(|(model, adapter)| CallNeed {
-                        model: model.clone(),
-                        adapter: Some(adapter.clone()),
-                    }),
+                loading_adapter: orders.loading_adapter(name),
                 fresh: orders.fresh_adapters(name, now),
                 free: orders.is_free(name, now) && !state.is_avoided(now),
             }
@@ -329,20 +329,16 @@
     *request.uri_mut() = path.parse().ok()?;
     *request.headers_mut() = engine_headers(target, address);
     let exchange = async {
-        let mut conn = shell.pool.take(address).await?;
+        let conn = shell.pool.take(address).await?;
         // The lease may have ended while the connection was opened.
         if fence.is_some() && shell.order_fence() != fence {
             let reason = "the lease has ended".to_owned();
             return Err(SendError::Unsent { reason });
         }
-        let answer = conn.send(request).await?;
-        let status = answer.status().as_u16();
-        let body = read_whole(answer.into_body()).await?;
-        conn.give_back().await;
-        Ok::<_, SendError>((status, body))
+        conn.exchange(request).await
     };
     match actix_rt::time::timeout(ENGINE_LIMIT, exchange).await {
-        Ok(Ok(answer)) => Some(answer),
+        Ok(Ok((status, body))) => Some((status.as_u16(), body)),
         Ok(Err(error)) => {
             warn!("engine {target}: {error}");
             None
@@ -452,10 +448,7 @@
     };
     view.free = false;
     if let OrderAction::LoadAdapter(model, adapter) = action {
-        view.loading_adapter = Some(CallNeed {
-            model: model.clone(),
-            adapter: Some(adapter.clone()),
-        });
+        view.loading_adapter = Some(CallNeed::adapter(model, adapter));
     }
 }
 
--- a/crates/edge/src/run.rs
+++ b/crates/edge/src/run.rs
@@ -31,6 +31,8 @@
 /// Time for which a host that is told to stop still takes connections: callers keep an address
 /// answer for its lifetime, some for three times as long.
 const LINGER_TIME: ClockTime = ClockTime::from_ms(6_000);
+/// Longest time for the removal of the own row; a row that stays is removed by the other hosts.
+const LAST_WRITE_LIMIT: Duration = Duration::from_millis(300);
 /// Pause between looks at the requests in progress while stopping.
 const STOP_PAUSE: Duration = Duration::from_millis(50);
 
@@ -170,8 +172,7 @@
         value: None,
         expected: None,
     };
-    let limit = Duration::from_millis(300);
-    if let Err(error) = shell.store.write(&write, limit).await {
+    if let Err(error) = shell.store.write(&write, LAST_WRITE_LIMIT).await {
         warn!("own row stays: {error}");
     }
 }
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -10,7 +10,7 @@
 use crocusyard_httpconn::prelude::HeldConn;
 use crocusyard_serving::prelude::*;
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::header::TRANSFER_ENCODING;
 use hyper::{Response, StatusCode};
 use serde_json::json;
@@ -25,6 +25,16 @@
     framed: bool,
 }
 
+impl StreamSource {
+    /// Takes an answer apart into its head and its body with the connection.
+    fn open(answer: Response<Incoming>, conn: HeldConn) -> (Response<()>, Self) {
+        let (parts, body) = answer.into_parts();
+        let framed =
+            parts.headers.contains_key(TRANSFER_ENCODING) || body.size_hint().exact().is_some();
+        (Response::from_parts(parts, ()), Self { body, conn, framed })
+    }
+}
+
 /// How reading a stream ended.
 enum SourceEnd {
     Complete,
@@ -39,21 +49,13 @@
     answer: Response<Incoming>,
     conn: HeldConn,
 ) -> Result<Response<AnswerBody>, AnswerAborted> {
-    let (parts, body) = answer.into_parts();
-    let framed = is_framed(&parts.headers, &body);
-    let head = Response::from_parts(parts, ());
+    let (head, source) = StreamSource::open(answer, conn);
     let (sender, answer_body) = AnswerBody::stream();
     let response = deliver(&open, head, answer_body);
-    let source = StreamSource { body, conn, framed };
     actix_rt::spawn(forward(open, source, sender));
     Ok(response)
 }
 
-fn is_framed(headers: &hyper::HeaderMap, body: &Incoming) -> bool {
-    use hyper::body::Body;
-    headers.contains_key(TRANSFER_ENCODING) || body.size_hint().exact().is_some()
-}
-
 async fn forward(mut open: OpenRequest, mut source: StreamSource, sender: StreamSender) {
     let mut splitter = EventSplitter::new();
     loop {
@@ -160,9 +162,7 @@
         let result = attempt(&open.shell, &open.request, &plan, splitter.last_id()).await;
         let outcome = match result {
             AttemptResult::Stream { answer, conn } if answer.status() == StatusCode::OK => {
-                let (parts, body) = answer.into_parts();
-                let framed = is_framed(&parts.headers, &body);
-                return Some(StreamSource { body, conn, framed });
+                return Some(StreamSource::open(answer, conn).1);
             }
             AttemptResult::Stream { .. } | AttemptResult::Whole { .. } => AttemptOutcome::Lost {
                 broken: false,
--- a/crates/httpconn/src/pool.rs
+++ b/crates/httpconn/src/pool.rs
@@ -5,7 +5,7 @@
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
-use hyper::{Request, Response};
+use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use snafu::Snafu;
 use std::cell::RefCell;
@@ -175,11 +175,6 @@
         })
     }
 
-    /// Closes the idle connections to an address.
-    pub fn forget(&self, address: SocketAddr) {
-        self.state.borrow_mut().idle.remove(&address);
-    }
-
     /// Closes connections that were idle for too long.
     pub fn prune(&self) {
         let limit = self.limits.idle_limit;
@@ -225,6 +220,22 @@
             })
     }
 
+    /// Sends a request, reads the whole answer and returns the connection to its pool.
+    ///
+    /// # Errors
+    ///
+    /// Tells whether the request was written.
+    pub async fn exchange(
+        mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<(StatusCode, Bytes), SendError> {
+        let answer = self.send(request).await?;
+        let status = answer.status();
+        let body = read_whole(answer.into_body()).await?;
+        self.give_back().await;
+        Ok((status, body))
+    }
+
     /// Notes that the peer closes the connection after this answer.
     pub fn close_after(&mut self) {
         self.closing = true;
--- a/crates/serving/src/adapters.rs
+++ b/crates/serving/src/adapters.rs
@@ -97,10 +97,7 @@
         .iter()
         .flat_map(|(model, held)| held.iter().map(move |adapter| (model, adapter)))
         .map(|(model, adapter)| {
-            let need = CallNeed {
-                model: model.clone(),
-                adapter: Some(adapter.clone()),
-            };
+            let need = CallNeed::adapter(model, adapter);
             let rate = rates.get(&need).copied().unwrap_or(0.0);
             (need, model.clone(), adapter.clone(), rate)
         })
--- a/crates/serving/src/call.rs
+++ b/crates/serving/src/call.rs
@@ -45,6 +45,16 @@
     pub adapter: Option<AdapterName>,
 }
 
+impl CallNeed {
+    /// Need for an adapter of a model.
+    pub fn adapter(model: &ModelName, adapter: &AdapterName) -> Self {
+        Self {
+            model: model.clone(),
+            adapter: Some(adapter.clone()),
+        }
+    }
+}
+
 /// What is known of a call when it arrives.
 #[derive(Clone, Debug)]
 pub struct CallFacts {
@@ -71,11 +81,6 @@
 }
 
 impl CallFacts {
-    /// Memory that the call takes at its end, tokens.
-    pub fn total_tokens(&self) -> u64 {
-        u64::from(self.prompt_tokens) + u64::from(self.output_tokens)
-    }
-
     /// Model that the call needs, if it runs on engines.
     pub fn model(&self) -> Option<&ModelName> {
         self.need.as_ref().map(|need| &need.model)
--- a/crates/serving/src/lease.rs
+++ b/crates/serving/src/lease.rs
@@ -189,10 +189,7 @@
     /// Gives the lease up after its row was written as released.
     pub fn release(&mut self, version: u64, now: ClockTime) {
         self.confirmed = None;
-        self.seen = Some(SeenVersion {
-            version,
-            since: now,
-        });
+        self.note_version(version, now);
         self.released = true;
     }
 
@@ -260,20 +257,19 @@
         self.stamp = stamp;
         self.holder = Some(holder.clone());
         self.released = false;
-        self.seen = Some(SeenVersion {
-            version,
-            since: now,
-        });
+        self.note_version(version, now);
+    }
+
+    fn note_version(&mut self, version: u64, now: ClockTime) {
+        let since = now;
+        self.seen = Some(SeenVersion { version, since });
     }
 
     fn see_version(&mut self, holder: Option<HostName>, version: u64, now: ClockTime) {
         if self.seen.is_some_and(|seen| seen.version == version) {
             return;
         }
-        self.seen = Some(SeenVersion {
-            version,
-            since: now,
-        });
+        self.note_version(version, now);
         self.holder = holder;
         self.confirmed = None;
     }
@@ -284,10 +280,7 @@
             self.taken = Some(version);
             self.heard_by.clear();
         }
-        self.seen = Some(SeenVersion {
-            version,
-            since: now,
-        });
+        self.note_version(version, now);
         self.holder = Some(own.clone());
         self.confirmed = Some(sent);
         self.told_at = now;
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -42,7 +42,7 @@
     pub use crate::relay::{ListChange, ListEntry, ListFollower, ListReader};
     pub use crate::retries::{RetryBudget, RetryLimits};
     pub use crate::rules::{
-        CallKind, CallerLimits, EngineRule, ModelRule, RouteMatch, RouteRule, RuleSet, ServiceRule,
+        CallKind, CallerLimits, EngineRule, ModelRule, RouteRule, RuleSet, ServiceRule,
     };
     pub use crate::state::{ServingLimits, ServingState};
     pub use crate::targets::{TargetHoldings, TargetLoad, TargetRecord, TargetTable};
--- a/crates/serving/src/orders.rs
+++ b/crates/serving/src/orders.rs
@@ -212,9 +212,9 @@
     }
 
     /// Adapter that an engine may be loading.
-    pub fn loading_adapter(&self, name: &TargetName) -> Option<(&ModelName, &AdapterName)> {
+    pub fn loading_adapter(&self, name: &TargetName) -> Option<CallNeed> {
         match self.engines.get(name)?.unanswered.as_ref()? {
-            OrderAction::LoadAdapter(model, adapter) => Some((model, adapter)),
+            OrderAction::LoadAdapter(model, adapter) => Some(CallNeed::adapter(model, adapter)),
             _ => None,
         }
     }
@@ -305,11 +305,7 @@
                 apply(&mut state.holdings, action);
                 state.loaded.retain(|_, at| now.since(*at) < ADAPTER_STAY);
                 if let OrderAction::LoadAdapter(model, adapter) = action {
-                    let need = CallNeed {
-                        model: model.clone(),
-                        adapter: Some(adapter.clone()),
-                    };
-                    state.loaded.insert(need, now);
+                    state.loaded.insert(CallNeed::adapter(model, adapter), now);
                 }
                 let slow = matches!(
                     action,
--- a/crates/serving/src/rules.rs
+++ b/crates/serving/src/rules.rs
@@ -120,17 +120,6 @@
     pub limits: CallerLimits,
 }
 
-/// Result of matching a call against the routes.
-#[derive(Clone, Debug, PartialEq)]
-pub enum RouteMatch {
-    /// No configuration is known yet.
-    NoRules,
-    /// No route matches.
-    NoRoute,
-    /// The route that matches.
-    Route(RouteRule),
-}
-
 impl RuleSet {
     /// Makes a configuration.
     pub fn new(
--- a/crates/serving/src/state.rs
+++ b/crates/serving/src/state.rs
@@ -292,8 +292,7 @@
             load: state.load(now),
             waited_for: request.waited_for,
         }));
-        let tokens = request.call.total_tokens();
-        self.targets.begin(target, tokens);
+        self.targets.begin(target);
     }
 
     fn wait(
@@ -386,7 +385,7 @@
             return;
         };
         if let Some((target, _)) = &request.target {
-            self.targets.end(target, request.call.total_tokens());
+            self.targets.end(target);
         }
         if let Some(need) = &request.call.need {
             self.demand.end(&request.call.service, need);
@@ -402,7 +401,7 @@
             return;
         };
         let ran = now.since(request.sent_at);
-        self.targets.end(&target, call.total_tokens());
+        self.targets.end(&target);
         match outcome {
             AttemptOutcome::Answered { status } => {
                 self.note_run_time(&call, ran);
--- a/crates/serving/src/targets.rs
+++ b/crates/serving/src/targets.rs
@@ -99,8 +99,6 @@
     noticed: Option<ClockTime>,
     /// Own requests in progress there.
     pub in_flight: u32,
-    /// Tokens of own requests in progress there.
-    pub tokens: u64,
     /// Requests of the other hosts in progress there, as they told last.
     others: u32,
     told: Option<ToldLoad>,
@@ -119,7 +117,6 @@
             noticed: None,
             record,
             in_flight: 0,
-            tokens: 0,
             others: 0,
             told: None,
             avoid_until: ClockTime::ZERO,
@@ -289,18 +286,16 @@
     }
 
     /// Counts a request that is sent.
-    pub fn begin(&mut self, name: &TargetName, tokens: u64) {
+    pub fn begin(&mut self, name: &TargetName) {
         if let Some(state) = self.states.get_mut(name) {
             state.in_flight += 1;
-            state.tokens += tokens;
         }
     }
 
     /// Counts a request that has ended.
-    pub fn end(&mut self, name: &TargetName, tokens: u64) {
+    pub fn end(&mut self, name: &TargetName) {
         if let Some(state) = self.states.get_mut(name) {
             state.in_flight = state.in_flight.saturating_sub(1);
-            state.tokens = state.tokens.saturating_sub(tokens);
         }
     }
 
