--- a/crates/edge/src/control.rs
+++ b/crates/edge/src/control.rs
@@ -22,11 +22,11 @@
     shell: &Rc<EdgeShell>,
     request: &Request<Incoming>,
 ) -> Response<AnswerBody> {
-    let uri = request.uri();
-    match read_entry_call(uri.path(), uri.query()) {
+    let path = request.uri().path();
+    match read_entry_call(path) {
         Some(EntryCall::Ready) => plain(ready_status(shell)),
-        Some(EntryCall::Addresses { .. }) => addresses(shell),
-        None if uri.path() == METRICS_PATH => metrics(shell),
+        Some(EntryCall::Addresses) => addresses(shell),
+        None if path == METRICS_PATH => metrics(shell),
         None => plain(StatusCode::NOT_FOUND),
     }
 }
--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -58,10 +58,7 @@
     let limit = Duration::from_millis(silence.as_ms());
     match actix_rt::time::timeout(limit, exchange).await {
         Ok(result) => result,
-        Err(_) if silence < left => AttemptResult::Ended(AttemptOutcome::Lost {
-            broken: false,
-            started: false,
-        }),
+        Err(_) if silence < left => AttemptResult::Ended(lost(false)),
         Err(_) => AttemptResult::Ended(AttemptOutcome::Expired),
     }
 }
--- a/crates/httpconn/tests/ends.rs
+++ b/crates/httpconn/tests/ends.rs
@@ -42,10 +42,8 @@
 }
 
 async fn exchange(pool: &ConnPool, address: SocketAddr) -> Result<Bytes, SendError> {
-    let mut conn = pool.take(address).await?;
-    let answer = conn.send(request()).await?;
-    let body = read_whole(answer.into_body()).await?;
-    conn.give_back().await;
+    let conn = pool.take(address).await?;
+    let (_, body) = conn.exchange(request()).await?;
     Ok(body)
 }
 
--- a/crates/logging/src/queue.rs
+++ b/crates/logging/src/queue.rs
@@ -69,11 +69,6 @@
             dropped: AtomicU64::new(0),
         })
     }
-
-    /// Lines dropped since the last line that was written.
-    pub fn dropped(&self) -> u64 {
-        self.dropped.load(Ordering::Relaxed)
-    }
 }
 
 fn write_lines(receiver: &Receiver<Vec<u8>>, mut writer: Box<dyn Write + Send>) {
--- a/crates/serving/src/orders.rs
+++ b/crates/serving/src/orders.rs
@@ -75,10 +75,6 @@
     pub holdings: TargetHoldings,
     /// Whether an order is in progress.
     pub busy: bool,
-    /// Models whose weights are in memory.
-    pub in_memory: BTreeSet<ModelName>,
-    /// Models whose weights are on disk.
-    pub on_disk: BTreeSet<ModelName>,
 }
 
 #[derive(Clone, Debug)]
--- a/crates/serving/tests/common/mod.rs
+++ b/crates/serving/tests/common/mod.rs
@@ -3,8 +3,9 @@
 #![allow(dead_code)]
 
 use crocusyard_base::prelude::*;
+use crocusyard_serving::copies::EngineView;
 use crocusyard_serving::prelude::*;
-use crocusyard_serving::targets::HeldModels;
+use crocusyard_serving::targets::{HeldModels, TargetKey};
 use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -111,6 +112,24 @@
     }
 }
 
+/// An engine as the planner sees it: nothing under way.
+pub fn view(name: &str, models: &[(&str, &[&str])]) -> EngineView {
+    EngineView {
+        name: TargetName::new(name),
+        domain: DomainName::new("a"),
+        holdings: TargetHoldings {
+            orders: 0,
+            models: held(models),
+        },
+        in_memory: BTreeSet::new(),
+        on_disk: BTreeSet::new(),
+        loading: None,
+        loading_adapter: None,
+        fresh: BTreeSet::new(),
+        free: true,
+    }
+}
+
 /// A host that knows a configuration and targets.
 pub struct TestHost {
     pub state: ServingState,
@@ -159,30 +178,15 @@
         need: &str,
         now: ClockTime,
     ) -> (RequestKey, Vec<ServingEffect>) {
-        let key = RequestKey(self.next_key);
-        self.next_key += 1;
         let (name, adapter) = match need.split_once('/') {
             Some((name, adapter)) => (name, Some(AdapterName::new(adapter))),
             None => (need, None),
         };
-        let call = CallFacts {
-            id: id.into(),
-            service: engines(),
-            need: Some(CallNeed {
-                model: model(name),
-                adapter,
-            }),
-            prompt: Vec::new(),
-            prompt_tokens: 700,
-            output_tokens: 300,
-            deadline: now + route.timeout,
-            start_by: now + route.start_patience,
-            digest: CallDigest(key.0),
-            route,
+        let need = CallNeed {
+            model: model(name),
+            adapter,
         };
-        let call = Rc::new(call);
-        let effects = self.state.reduce(ServingEvent::Arrived { key, call }, now);
-        (key, effects)
+        self.arrive(id, route, Some(need), now)
     }
 
     /// A call that needs no model arrives.
@@ -196,16 +200,27 @@
         id: &str,
         route: RouteRule,
         now: ClockTime,
+    ) -> (RequestKey, Vec<ServingEffect>) {
+        self.arrive(id, route, None, now)
+    }
+
+    fn arrive(
+        &mut self,
+        id: &str,
+        route: RouteRule,
+        need: Option<CallNeed>,
+        now: ClockTime,
     ) -> (RequestKey, Vec<ServingEffect>) {
         let key = RequestKey(self.next_key);
         self.next_key += 1;
+        let (prompt_tokens, output_tokens) = if need.is_some() { (700, 300) } else { (0, 0) };
         let call = Rc::new(CallFacts {
             id: id.into(),
             service: engines(),
-            need: None,
+            need,
             prompt: Vec::new(),
-            prompt_tokens: 0,
-            output_tokens: 0,
+            prompt_tokens,
+            output_tokens,
             deadline: now + route.timeout,
             start_by: now + route.start_patience,
             digest: CallDigest(key.0),
@@ -215,6 +230,28 @@
         (key, effects)
     }
 
+    /// Another host tells its requests in progress.
+    pub fn hear_load(&mut self, host: &str, load: &[(&str, u16)], now: ClockTime) {
+        let key = |name: &str| TargetKey::of(&TargetName::new(name));
+        let event = ServingEvent::PeerLoad {
+            host: HostName::new(host),
+            load: load
+                .iter()
+                .map(|(name, count)| (key(name), *count))
+                .collect(),
+        };
+        self.state.reduce(event, now);
+    }
+
+    /// Another host tells its waiting calls for a model.
+    pub fn hear_waiting(&mut self, host: &str, name: &str, count: u16, now: ClockTime) {
+        let event = ServingEvent::PeerWaiting {
+            host: HostName::new(host),
+            waiting: [(ModelKey::of(&engines(), &model(name)), count)].into(),
+        };
+        self.state.reduce(event, now);
+    }
+
     pub fn stream(&mut self, need: &str, now: ClockTime) -> (RequestKey, Vec<ServingEffect>) {
         self.call(route(CallKind::Stream { resumable: false }, 1), need, now)
     }
--- a/crates/serving/tests/demand_shift.rs
+++ b/crates/serving/tests/demand_shift.rs
@@ -6,25 +6,7 @@
 use crocusyard_base::prelude::*;
 use crocusyard_serving::copies::EngineView;
 use crocusyard_serving::prelude::*;
-use crocusyard_serving::targets::TargetKey;
-use std::collections::{BTreeMap, BTreeSet, HashMap};
-
-fn view(name: &str, models: &[(&str, &[&str])]) -> EngineView {
-    EngineView {
-        name: TargetName::new(name),
-        domain: DomainName::new("a"),
-        holdings: TargetHoldings {
-            orders: 0,
-            models: held(models),
-        },
-        in_memory: BTreeSet::new(),
-        on_disk: BTreeSet::new(),
-        loading: None,
-        loading_adapter: None,
-        fresh: BTreeSet::new(),
-        free: true,
-    }
-}
+use std::collections::HashMap;
 
 fn demand(name: &str, busy: u32, rate: f64) -> ModelDemand {
     ModelDemand {
@@ -44,12 +26,7 @@
 #[test]
 fn requests_of_other_hosts_keep_a_rising_model_waiting() {
     let mut host = TestHost::new(&["m"], vec![record("t1", "a", &[("m", &[])])]);
-    let load = BTreeMap::from([(TargetKey::of(&TargetName::new("t1")), SLOTS as u16)]);
-    let event = ServingEvent::PeerLoad {
-        host: HostName::new("other"),
-        load,
-    };
-    host.state.reduce(event, ms(1_900));
+    host.hear_load("other", &[("t1", SLOTS as u16)], ms(1_900));
     let (_, effects) = host.stream("m", ms(2_000));
     assert!(
         sent_to(&effects).is_empty(),
@@ -62,12 +39,7 @@
 #[test]
 fn requests_of_a_silent_host_are_dropped() {
     let mut host = TestHost::new(&["m"], vec![record("t1", "a", &[("m", &[])])]);
-    let load = BTreeMap::from([(TargetKey::of(&TargetName::new("t1")), SLOTS as u16)]);
-    let event = ServingEvent::PeerLoad {
-        host: HostName::new("other"),
-        load,
-    };
-    host.state.reduce(event, ms(1_000));
+    host.hear_load("other", &[("t1", SLOTS as u16)], ms(1_000));
     host.state.reduce(ServingEvent::Hosts(1), ms(3_100));
     let (_, effects) = host.stream("m", ms(3_100));
     assert_eq!(sent_to(&effects), ["t1"]);
--- a/crates/serving/tests/orders.rs
+++ b/crates/serving/tests/orders.rs
@@ -5,7 +5,7 @@
 use common::*;
 use crocusyard_base::prelude::*;
 use crocusyard_serving::prelude::*;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 fn target() -> TargetName {
     TargetName::new("t1")
@@ -19,8 +19,6 @@
             models: held(models),
         },
         busy,
-        in_memory: BTreeSet::new(),
-        on_disk: BTreeSet::new(),
     }
 }
 
@@ -114,20 +112,7 @@
     };
     let mut views: Vec<EngineView> = ["t1", "t2"]
         .iter()
-        .map(|name| EngineView {
-            name: TargetName::new(name),
-            domain: DomainName::new("a"),
-            holdings: TargetHoldings {
-                orders: 0,
-                models: held(&[("m", &["a8", "a9"])]),
-            },
-            in_memory: BTreeSet::new(),
-            on_disk: BTreeSet::new(),
-            loading: None,
-            loading_adapter: None,
-            fresh: BTreeSet::new(),
-            free: true,
-        })
+        .map(|name| view(name, &[("m", &["a8", "a9"])]))
         .collect();
     let rule = engine_rule(&["m"]);
     let step = place(&rule, &views, &AdapterRates::new(), &need, |_| 0);
--- a/crates/serving/tests/overloaded_service.rs
+++ b/crates/serving/tests/overloaded_service.rs
@@ -5,8 +5,6 @@
 use common::*;
 use crocusyard_base::prelude::*;
 use crocusyard_serving::prelude::*;
-use crocusyard_serving::targets::TargetKey;
-use std::collections::HashMap;
 
 const HOSTS: usize = 66;
 
@@ -36,16 +34,42 @@
 fn hear_peers(host: &mut TestHost, busy: usize, now: ClockTime) {
     host.state.reduce(ServingEvent::Hosts(HOSTS), now);
     for number in 1..HOSTS {
-        let target = TargetName::new(["t1", "t2", "t3"][number % 3]);
         let count = u16::from(number <= busy);
-        let event = ServingEvent::PeerLoad {
-            host: HostName::new(&format!("peer-{number}")),
-            load: [(TargetKey::of(&target), count)].into(),
-        };
-        host.state.reduce(event, now);
+        let target = ["t1", "t2", "t3"][number % 3];
+        host.hear_load(&format!("peer-{number}"), &[(target, count)], now);
     }
 }
 
+/// Sends `count` calls to a host; returns how many it sends on at once.
+fn sent_at_once(host: &mut TestHost, count: usize) -> usize {
+    let plain = route(CallKind::NonIdempotent, 1);
+    (0..count)
+        .map(|_| host.plain(plain.clone(), ms(2_000)).1)
+        .filter(|effects| !sent_to(effects).is_empty())
+        .count()
+}
+
+/// Targets of the first call of each host, which know of `others` more calls at t2 and t3.
+fn first_choices(hosts: usize, count: usize, others: u16) -> Vec<String> {
+    let choice = |number: usize| {
+        let mut host = TestHost::new(&["m"], desk());
+        if hosts == HOSTS {
+            hear_peers(&mut host, 0, ms(2_000));
+        } else {
+            host.state.reduce(ServingEvent::Hosts(hosts), ms(2_000));
+        }
+        host.hear_load("peer-1", &[("t2", others), ("t3", others)], ms(2_000));
+        let plain = route(CallKind::NonIdempotent, 1);
+        let (_, effects) = host.plain_named(&format!("call-{number}"), plain, ms(2_000));
+        sent_to(&effects)
+    };
+    (0..count).flat_map(choice).collect()
+}
+
+fn count_of(choices: &[String], target: &str) -> usize {
+    choices.iter().filter(|choice| *choice == target).count()
+}
+
 /// Guards against calls that wait at a host to which many callers keep, while other hosts leave
 /// most places unused.
 #[test]
@@ -64,11 +88,7 @@
 fn busy_host_takes_only_a_part_of_the_unused_places() {
     let mut host = TestHost::new(&["m"], desk());
     hear_peers(&mut host, 6, ms(2_000));
-    let plain = route(CallKind::NonIdempotent, 1);
-    let sent = (0..18)
-        .map(|_| host.plain(plain.clone(), ms(2_000)).1)
-        .filter(|effects| !sent_to(effects).is_empty())
-        .count();
+    let sent = sent_at_once(&mut host, 18);
     assert!(sent <= 9, "{sent} sent, half of the unused places");
 }
 
@@ -77,11 +97,7 @@
 fn share_holds_while_all_places_are_used() {
     let mut host = TestHost::new(&["m"], desk());
     hear_peers(&mut host, 24, ms(2_000));
-    let plain = route(CallKind::NonIdempotent, 1);
-    let sent = (0..4)
-        .map(|_| host.plain(plain.clone(), ms(2_000)).1)
-        .filter(|effects| !sent_to(effects).is_empty())
-        .count();
+    let sent = sent_at_once(&mut host, 4);
     assert!(sent <= 1, "{sent} sent");
 }
 
@@ -140,27 +156,10 @@
 /// delay, while the other targets run dry.
 #[test]
 fn hosts_with_the_same_news_spread_their_calls() {
-    let mut counts: HashMap<String, usize> = HashMap::new();
-    for number in 0..HOSTS {
-        let mut host = TestHost::new(&["m"], desk());
-        hear_peers(&mut host, 0, ms(2_000));
-        let event = ServingEvent::PeerLoad {
-            host: HostName::new("peer-1"),
-            load: [
-                (TargetKey::of(&TargetName::new("t2")), 2),
-                (TargetKey::of(&TargetName::new("t3")), 2),
-            ]
-            .into(),
-        };
-        host.state.reduce(event, ms(2_000));
-        let plain = route(CallKind::NonIdempotent, 1);
-        let (_, effects) = host.plain_named(&format!("call-{number}"), plain, ms(2_000));
-        for target in sent_to(&effects) {
-            *counts.entry(target).or_default() += 1;
-        }
-    }
-    let most = counts.values().max().copied().unwrap_or_default();
-    assert_eq!(counts.values().sum::<usize>(), HOSTS);
+    let choices = first_choices(HOSTS, HOSTS, 2);
+    assert_eq!(choices.len(), HOSTS);
+    let counts = ["t1", "t2", "t3"].map(|target| count_of(&choices, target));
+    let most = counts.into_iter().max().unwrap_or_default();
     assert!(most <= HOSTS * 3 / 4, "{counts:?}: t1 has two calls less");
 }
 
@@ -168,24 +167,7 @@
 #[test]
 fn few_hosts_prefer_targets_with_fewer_calls() {
     const CALLS: usize = 100;
-    let first = (0..CALLS)
-        .filter(|number| {
-            let mut host = TestHost::new(&["m"], desk());
-            host.state.reduce(ServingEvent::Hosts(9), ms(2_000));
-            let event = ServingEvent::PeerLoad {
-                host: HostName::new("peer-1"),
-                load: [
-                    (TargetKey::of(&TargetName::new("t2")), 7),
-                    (TargetKey::of(&TargetName::new("t3")), 7),
-                ]
-                .into(),
-            };
-            host.state.reduce(event, ms(2_000));
-            let plain = route(CallKind::NonIdempotent, 1);
-            let (_, effects) = host.plain_named(&format!("call-{number}"), plain, ms(2_000));
-            sent_to(&effects) == ["t1"]
-        })
-        .count();
+    let first = count_of(&first_choices(9, CALLS, 7), "t1");
     assert!(
         first >= CALLS * 3 / 4,
         "{first} of {CALLS} to the idle target"
@@ -195,23 +177,7 @@
 /// Guards against a target that takes most calls of many hosts because old news shows it as idle.
 #[test]
 fn many_hosts_hardly_follow_old_loads() {
-    let mut first = 0;
-    for number in 0..HOSTS {
-        let mut host = TestHost::new(&["m"], desk());
-        hear_peers(&mut host, 0, ms(2_000));
-        let event = ServingEvent::PeerLoad {
-            host: HostName::new("peer-1"),
-            load: [
-                (TargetKey::of(&TargetName::new("t2")), 7),
-                (TargetKey::of(&TargetName::new("t3")), 7),
-            ]
-            .into(),
-        };
-        host.state.reduce(event, ms(2_000));
-        let plain = route(CallKind::NonIdempotent, 1);
-        let (_, effects) = host.plain_named(&format!("call-{number}"), plain, ms(2_000));
-        first += usize::from(sent_to(&effects) == ["t1"]);
-    }
+    let first = count_of(&first_choices(HOSTS, HOSTS, 7), "t1");
     assert!(
         first <= HOSTS / 2,
         "{first} of {HOSTS} calls to one of three targets"
--- a/crates/serving/tests/waiting_hosts.rs
+++ b/crates/serving/tests/waiting_hosts.rs
@@ -14,21 +14,21 @@
     let mut host = TestHost::new(&["m"], vec![record("t1", "a", &[])]);
     host.state.reduce(ServingEvent::Hosts(HOSTS), ms(2_000));
     for peer in (0..HOSTS).filter(|peer| *peer != number) {
-        let event = ServingEvent::PeerWaiting {
-            host: HostName::new(&format!("host-{peer}")),
-            waiting: [(ModelKey::of(&engines(), &model("m")), others)].into(),
-        };
-        host.state.reduce(event, ms(2_000));
+        host.hear_waiting(&format!("host-{peer}"), "m", others, ms(2_000));
     }
     for call in 0..own {
-        let id = format!("call-{number}-{call}");
-        let mut patient = route(CallKind::Stream { resumable: false }, 1);
-        patient.start_patience = ms(9_000);
-        host.call_named(&id, patient, "m", ms(2_000));
+        patient_call(&mut host, &format!("call-{number}-{call}"), ms(2_000));
     }
     host
 }
 
+/// A call arrives whose caller waits for 9 s.
+fn patient_call(host: &mut TestHost, id: &str, now: ClockTime) -> Vec<ServingEffect> {
+    let mut patient = route(CallKind::Stream { resumable: false }, 1);
+    patient.start_patience = ms(9_000);
+    host.call_named(id, patient, "m", now).1
+}
+
 /// The engine of the model has just loaded it.
 fn load_model(host: &mut TestHost, now: ClockTime) -> Vec<ServingEffect> {
     let event = ServingEvent::Noticed {
@@ -65,17 +65,10 @@
     for step in 0..600 {
         let now = ms(3_100 + step * 100);
         for peer in 1..HOSTS {
-            let event = ServingEvent::PeerWaiting {
-                host: HostName::new(&format!("host-{peer}")),
-                waiting: [(ModelKey::of(&engines(), &model("m")), 1)].into(),
-            };
-            host.state.reduce(event, now);
+            host.hear_waiting(&format!("host-{peer}"), "m", 1, now);
         }
         if step % 90 == 0 {
-            let id = format!("late-{step}");
-            let mut patient = route(CallKind::Stream { resumable: false }, 1);
-            patient.start_patience = ms(9_000);
-            sent += sent_to(&host.call_named(&id, patient, "m", now).1).len();
+            sent += sent_to(&patient_call(&mut host, &format!("late-{step}"), now)).len();
         }
         sent += sent_to(&host.state.reduce(ServingEvent::Tick, now)).len();
     }
--- a/tests/entry_process.rs
+++ b/tests/entry_process.rs
@@ -90,10 +90,8 @@
     address: SocketAddr,
     request: Request<Full<Bytes>>,
 ) -> Option<(StatusCode, Bytes)> {
-    let mut conn = pool().open(address).await.ok()?;
-    let answer = conn.send(request).await.ok()?;
-    let status = answer.status();
-    Some((status, read_whole(answer.into_body()).await.ok()?))
+    let conn = pool().open(address).await.ok()?;
+    conn.exchange(request).await.ok()
 }
 
 async fn get(address: SocketAddr, path: &str) -> (StatusCode, Bytes) {
