soak: random faults against real entry hosts, with checks of the promises

Change: crates/soak plays a seed: entry hosts as processes, store, targets and callers as stand-ins, a loopback proxy between them that delays, resets, cuts one way and silences; SIGSTOP, SIGKILL, SIGTERM and SIGHUP; store that is down, slow, loses answers or its history; targets that crash, leave, lose or forge answers and whose addresses pass to another service; routes that move. The judge checks 15 promises; each check has a test with evidence that breaks it. The stand-ins record arrivals with their end, stream events, and know more faults; ProcessHandle::poll tells a signalled end from none. A short run of two seeds is part of the tests. Ruled out: proxies for the packets between hosts, as their addresses follow from the settings; paused and killed hosts silence them.

--- /dev/null
+++ b/crates/soak/src/callers.rs
@@ -0,0 +1,219 @@
+//! Callers that ask for addresses, keep connections and record what they get.
+
+use crate::evidence::{CallRecord, CallShape, OutcomeKind};
+use crate::run::SoakWorld;
+use bytes::{Bytes, BytesMut};
+use crocusyard_base::prelude::*;
+use crocusyard_httpconn::prelude::*;
+use crocusyard_platform_standin::prelude::{
+    caller_request, read_addresses, read_answer, ADDRESS_PATH, STREAM_PATH,
+};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::{Request, Response};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::{timeout, Instant};
+
+/// Begin of the paths of work that may run once.
+pub const ONCE_PATH: &str = "/once/";
+/// Begin of the paths of work that may be repeated.
+pub const REPEATABLE_PATH: &str = "/many/";
+/// Time that callers of plain calls wait, ms; longer than the time-out of the routes, so that the
+/// answer at the time-out is seen.
+const CALL_PATIENCE_MS: u64 = 2_500;
+/// Time that callers of streams wait, ms.
+const STREAM_PATIENCE_MS: u64 = 6_000;
+/// Shortest time after which some callers leave, ms.
+const LEAVE_FROM_MS: u64 = 60;
+/// Longest such time, ms.
+const LEAVE_TO_MS: u64 = 900;
+/// One call in this many is left early.
+const LEAVE_SHARE: u32 = 12;
+/// One call in this many uses a new connection.
+const NEW_CONN_SHARE: u32 = 4;
+/// Longest pause between the calls of a caller, ms.
+const CALL_PAUSE_MS: u64 = 120;
+/// Time for which callers keep an answer to their address question; `ttl_max_s` is 5 s.
+const ADDRESS_LIFE: Duration = Duration::from_secs(1);
+/// Time in which a host must accept a connection and answer an address question; stated by the
+/// protocol.
+const CONNECT_LIMIT: Duration = Duration::from_secs(1);
+/// Time for which callers keep idle connections; below the hosts' limit of 15 s.
+const IDLE_LIMIT: Duration = Duration::from_secs(12);
+
+/// A caller.
+pub struct SoakCaller {
+    number: usize,
+    rng: StdRng,
+    pool: ConnPool,
+    addresses: Vec<SocketAddr>,
+    asked: Option<Instant>,
+}
+
+impl SoakCaller {
+    /// Makes a caller with choices of its own.
+    pub fn new(seed: u64, number: usize) -> Self {
+        Self {
+            number,
+            rng: StdRng::seed_from_u64(seed ^ (number as u64 + 1) << 32),
+            pool: ConnPool::new(PoolLimits {
+                connect_timeout: CONNECT_LIMIT,
+                idle_limit: IDLE_LIMIT,
+                idle_count: 1,
+            }),
+            addresses: Vec::new(),
+            asked: None,
+        }
+    }
+
+    /// Calls until the run ends.
+    pub async fn run(mut self, world: Rc<SoakWorld>) {
+        let mut number = 0;
+        while world.calling.get() {
+            self.ask_addresses(&world).await;
+            let id = format!("c{}-{number}", self.number);
+            number += 1;
+            if let Some(record) = self.call(&world, id).await {
+                world.evidence.borrow_mut().calls.push(record);
+            }
+            let pause = self.rng.random_range(1..CALL_PAUSE_MS);
+            actix_rt::time::sleep(Duration::from_millis(pause)).await;
+        }
+    }
+
+    /// Asks a host for addresses; an older answer holds if there is none.
+    async fn ask_addresses(&mut self, world: &SoakWorld) {
+        if self
+            .asked
+            .is_some_and(|asked| asked.elapsed() < ADDRESS_LIFE)
+        {
+            return;
+        }
+        let host = &world.hosts[self.rng.random_range(0..world.hosts.len())];
+        let request = Request::builder().uri(ADDRESS_PATH).header("Host", "x");
+        let Ok(request) = request.body(Full::default()) else {
+            return;
+        };
+        let conn = self.pool.open(host.addresses.directory);
+        let answer = async { conn.await?.exchange(request).await };
+        let answer = timeout(CONNECT_LIMIT, answer).await;
+        let Ok(Ok((status, body))) = answer else {
+            return;
+        };
+        if let Some(addresses) = read_addresses(&body).filter(|_| status.is_success()) {
+            self.addresses = addresses;
+            self.asked = Some(Instant::now());
+        }
+    }
+
+    async fn call(&mut self, world: &SoakWorld, id: String) -> Option<CallRecord> {
+        let entry = match self.addresses.len() {
+            0 => return None,
+            count => self.addresses[self.rng.random_range(0..count)],
+        };
+        let mut hosts = world.hosts.iter();
+        let host = hosts.position(|host| host.addresses.entry == entry)?;
+        let address = world.hosts[host].caller_proxy.address;
+        let (shape, prefix, patience_ms) = match self.rng.random_range(0..3) {
+            0 => (CallShape::Once, ONCE_PATH, CALL_PATIENCE_MS),
+            1 => (CallShape::Repeatable, REPEATABLE_PATH, CALL_PATIENCE_MS),
+            _ => (CallShape::Stream, STREAM_PATH, STREAM_PATIENCE_MS),
+        };
+        let path = format!("{prefix}{id}?part={}", self.number);
+        let request = caller_request(&path, &id, patience_ms).ok()?;
+        let leaves = self.rng.random_ratio(1, LEAVE_SHARE);
+        let stays_ms = if leaves {
+            self.rng.random_range(LEAVE_FROM_MS..LEAVE_TO_MS)
+        } else {
+            patience_ms
+        };
+        let new_conn = self.rng.random_ratio(1, NEW_CONN_SHARE);
+        let at = world.now();
+        let mut reused = false;
+        let exchange = self.exchange(address, new_conn, request, &mut reused);
+        let outcome = timeout(Duration::from_millis(stays_ms), exchange).await;
+        let gone = if leaves {
+            OutcomeKind::Left
+        } else {
+            OutcomeKind::Unanswered
+        };
+        Some(CallRecord {
+            id,
+            shape,
+            path,
+            host,
+            reused,
+            patience_ms,
+            at,
+            ended: world.now(),
+            outcome: outcome.unwrap_or(gone),
+        })
+    }
+
+    async fn exchange(
+        &self,
+        address: SocketAddr,
+        new_conn: bool,
+        request: Request<Full<Bytes>>,
+        reused: &mut bool,
+    ) -> OutcomeKind {
+        let conn = if new_conn {
+            self.pool.open(address).await
+        } else {
+            self.pool.take(address).await
+        };
+        let Ok(mut conn) = conn else {
+            return OutcomeKind::Unsent;
+        };
+        *reused = conn.reused;
+        match conn.send(request).await {
+            Ok(answer) => read_outcome(conn, answer).await,
+            Err(error) if error.is_unsent() => OutcomeKind::Unsent,
+            Err(_) => OutcomeKind::Lost,
+        }
+    }
+}
+
+async fn read_outcome(conn: HeldConn, answer: Response<Incoming>) -> OutcomeKind {
+    let (head, mut body) = answer.into_parts();
+    let facts = read_answer(&head);
+    let mut bytes = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let Ok(frame) = frame else {
+            return OutcomeKind::Broken(facts, bytes.freeze());
+        };
+        if let Some(data) = frame.data_ref() {
+            bytes.extend_from_slice(data);
+        }
+    }
+    conn.give_back().await;
+    OutcomeKind::Answered(facts, bytes.freeze())
+}
+
+/// Whether a host says that it is ready.
+pub async fn is_ready(address: SocketAddr, path: &str) -> bool {
+    let pool = ConnPool::new(PoolLimits {
+        connect_timeout: CONNECT_LIMIT,
+        idle_limit: IDLE_LIMIT,
+        idle_count: 0,
+    });
+    let Ok(request) = Request::builder()
+        .uri(path)
+        .header("Host", "x")
+        .body(Full::default())
+    else {
+        return false;
+    };
+    let answer = async { pool.open(address).await?.exchange(request).await };
+    let answer = timeout(CONNECT_LIMIT, answer).await;
+    matches!(answer, Ok(Ok((status, _))) if status.is_success())
+}
+
+/// Time since `begun`.
+pub fn elapsed(begun: Instant) -> ClockTime {
+    ClockTime::from_ms(u64::try_from(begun.elapsed().as_millis()).unwrap_or(u64::MAX))
+}
--- /dev/null
+++ b/crates/soak/src/plan.rs
@@ -0,0 +1,217 @@
+//! Draws the faults of a run from its seed.
+
+use crocusyard_base::prelude::*;
+use crocusyard_platform_standin::prelude::{StoreFault, TargetFault};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use std::path::PathBuf;
+
+/// Mean time between faults, ms; with the durations below, two or three overlap.
+const FAULT_GAP_MS: u64 = 700;
+/// Shortest duration of a fault, ms.
+const SHORTEST_MS: u64 = 150;
+/// Longest duration of a fault, ms; longer than the life of a lease and than a pause of beats.
+const LONGEST_MS: u64 = 4_500;
+/// One fault in this many begins a series of the same kind.
+const SERIES_SHARE: u32 = 4;
+/// Most further faults of a series.
+const SERIES_LENGTH: u32 = 3;
+/// Pause within a series, ms.
+const SERIES_GAP_MS: u64 = 300;
+
+/// Settings of one run.
+#[derive(Clone, Debug)]
+pub struct SoakSettings {
+    /// Seed of the faults and of the callers' choices.
+    pub seed: u64,
+    /// Entry hosts.
+    pub hosts: usize,
+    /// Targets.
+    pub targets: usize,
+    /// Callers.
+    pub callers: usize,
+    /// Time with faults.
+    pub fault_time: ClockTime,
+    /// The crocusyard binary.
+    pub program: PathBuf,
+    /// Folder for the output of the hosts.
+    pub logs: PathBuf,
+}
+
+/// What a proxy does to its connections.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LinkFault {
+    /// It passes bytes on after this time, ms.
+    Delayed(u64),
+    /// It resets them, and new ones at once.
+    Reset,
+    /// It holds back the bytes of the side that connected.
+    CutForward,
+    /// It holds back the bytes of the side that listens.
+    CutBackward,
+    /// It holds back all bytes.
+    Silent,
+}
+
+/// A fault; the numbers are those of hosts and targets.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SoakFault {
+    /// A host is paused.
+    HostPaused(usize),
+    /// A host is killed, and started again at the end.
+    HostKilled(usize),
+    /// A host is asked to stop, and started again after it has ended.
+    HostStopped(usize),
+    /// A host is told to read its settings again.
+    HostReloaded(usize),
+    /// The store misbehaves.
+    StoreFails(StoreFault),
+    /// The connections of a host to the store.
+    StoreLink(usize, LinkFault),
+    /// The connections of all hosts to a target.
+    TargetLink(usize, LinkFault),
+    /// The connections of callers to a host.
+    CallerLink(usize, LinkFault),
+    /// A target misbehaves.
+    TargetFails(usize, TargetFault),
+    /// A target ends without notice; another starts at its address at the end.
+    TargetCrashed(usize),
+    /// A target leaves as announced; another starts at its address at the end.
+    TargetLeaves(usize),
+    /// Operators move a route to the other service.
+    RouteMoved,
+}
+
+impl SoakFault {
+    /// Name of the kind, for counts.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Self::HostPaused(_) => "host_paused",
+            Self::HostKilled(_) => "host_killed",
+            Self::HostStopped(_) => "host_stopped",
+            Self::HostReloaded(_) => "host_reloaded",
+            Self::StoreFails(_) => "store_fails",
+            Self::StoreLink(..) => "store_link",
+            Self::TargetLink(..) => "target_link",
+            Self::CallerLink(..) => "caller_link",
+            Self::TargetFails(..) => "target_fails",
+            Self::TargetCrashed(_) => "target_crashed",
+            Self::TargetLeaves(_) => "target_leaves",
+            Self::RouteMoved => "route_moved",
+        }
+    }
+}
+
+/// A fault and its time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PlannedFault {
+    /// Begin.
+    pub at: ClockTime,
+    /// Duration.
+    pub lasts: ClockTime,
+    /// What happens.
+    pub fault: SoakFault,
+}
+
+/// Draws the faults of a run, in order of time.
+pub fn plan_faults(settings: &SoakSettings) -> Vec<PlannedFault> {
+    let mut rng = StdRng::seed_from_u64(settings.seed);
+    let mut faults = Vec::new();
+    let mut at = 0;
+    loop {
+        at += rng.random_range(1..2 * FAULT_GAP_MS);
+        if at >= settings.fault_time.as_ms() {
+            break;
+        }
+        let mut fault = draw_fault(&mut rng, settings);
+        let further = if rng.random_ratio(1, SERIES_SHARE) {
+            rng.random_range(1..=SERIES_LENGTH)
+        } else {
+            0
+        };
+        for number in 0..=u64::from(further) {
+            let begin = at + number * SERIES_GAP_MS;
+            let longest = settings.fault_time.as_ms().saturating_sub(begin);
+            if longest <= SHORTEST_MS {
+                break;
+            }
+            let lasts = rng.random_range(SHORTEST_MS..=LONGEST_MS).min(longest);
+            faults.push(PlannedFault {
+                at: ClockTime::from_ms(begin),
+                lasts: ClockTime::from_ms(lasts),
+                fault,
+            });
+            fault = same_kind(&mut rng, settings, fault);
+        }
+    }
+    faults.sort_by_key(|fault| fault.at);
+    faults
+}
+
+/// Another fault of the same kind, elsewhere.
+fn same_kind(rng: &mut StdRng, settings: &SoakSettings, fault: SoakFault) -> SoakFault {
+    let host = rng.random_range(0..settings.hosts);
+    let target = rng.random_range(0..settings.targets);
+    match fault {
+        SoakFault::HostPaused(_) => SoakFault::HostPaused(host),
+        SoakFault::HostKilled(_) => SoakFault::HostKilled(host),
+        SoakFault::HostStopped(_) => SoakFault::HostStopped(host),
+        SoakFault::HostReloaded(_) => SoakFault::HostReloaded(host),
+        SoakFault::StoreLink(_, link) => SoakFault::StoreLink(host, link),
+        SoakFault::TargetLink(_, link) => SoakFault::TargetLink(target, link),
+        SoakFault::CallerLink(_, link) => SoakFault::CallerLink(host, link),
+        SoakFault::TargetFails(_, fault) => SoakFault::TargetFails(target, fault),
+        SoakFault::TargetCrashed(_) => SoakFault::TargetCrashed(target),
+        SoakFault::TargetLeaves(_) => SoakFault::TargetLeaves(target),
+        SoakFault::StoreFails(_) | SoakFault::RouteMoved => fault,
+    }
+}
+
+fn draw_fault(rng: &mut StdRng, settings: &SoakSettings) -> SoakFault {
+    let host = rng.random_range(0..settings.hosts);
+    let target = rng.random_range(0..settings.targets);
+    match rng.random_range(0..12) {
+        0 => SoakFault::HostPaused(host),
+        1 => SoakFault::HostKilled(host),
+        2 => SoakFault::HostStopped(host),
+        3 => SoakFault::HostReloaded(host),
+        4 => SoakFault::StoreFails(draw_store_fault(rng)),
+        5 => SoakFault::StoreLink(host, draw_link_fault(rng)),
+        6 => SoakFault::TargetLink(target, draw_link_fault(rng)),
+        7 => SoakFault::CallerLink(host, draw_link_fault(rng)),
+        8 => SoakFault::TargetFails(target, draw_target_fault(rng)),
+        9 => SoakFault::TargetCrashed(target),
+        10 => SoakFault::TargetLeaves(target),
+        _ => SoakFault::RouteMoved,
+    }
+}
+
+fn draw_link_fault(rng: &mut StdRng) -> LinkFault {
+    match rng.random_range(0..5) {
+        0 => LinkFault::Delayed(rng.random_range(20..600)),
+        1 => LinkFault::Reset,
+        2 => LinkFault::CutForward,
+        3 => LinkFault::CutBackward,
+        _ => LinkFault::Silent,
+    }
+}
+
+fn draw_store_fault(rng: &mut StdRng) -> StoreFault {
+    match rng.random_range(0..4) {
+        0 => StoreFault::Down,
+        1 => StoreFault::Slow(rng.random_range(100..2_000)),
+        2 => StoreFault::LosesAnswers,
+        _ => StoreFault::ForgetsHistory,
+    }
+}
+
+fn draw_target_fault(rng: &mut StdRng) -> TargetFault {
+    match rng.random_range(0..6) {
+        0 => TargetFault::LosesAnswer,
+        1 => TargetFault::Full,
+        2 => TargetFault::NoSeal,
+        3 => TargetFault::WrongId,
+        // Half of the targets' faults are slow ones, as callers leave only calls that last.
+        _ => TargetFault::Slow(rng.random_range(100..2_500)),
+    }
+}
--- a/crates/testbed/src/process.rs
+++ b/crates/testbed/src/process.rs
@@ -12,7 +12,7 @@
 use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::{Arc, Mutex};
 
 /// A process that is killed when it is dropped.
@@ -21,8 +21,8 @@
 }
 
 impl ProcessHandle {
-    /// Starts a program; its standard output is returned as a pipe inside the child.
-    fn spawn(command: &mut Command) -> std::io::Result<Self> {
+    /// Starts a program.
+    pub fn spawn(command: &mut Command) -> std::io::Result<Self> {
         Ok(Self {
             child: command.spawn()?,
         })
@@ -47,9 +47,9 @@
         self.child.wait().map(|status| status.code())
     }
 
-    /// Returns the exit code if the process has ended.
-    pub fn poll(&mut self) -> std::io::Result<Option<i32>> {
-        Ok(self.child.try_wait()?.and_then(|status| status.code()))
+    /// Returns how the process ended, if it has ended.
+    pub fn poll(&mut self) -> std::io::Result<Option<ExitStatus>> {
+        self.child.try_wait()
     }
 }
 
--- a/tests/entry_process.rs
+++ b/tests/entry_process.rs
@@ -16,6 +16,8 @@
 /// Time within which a new configuration must be in force.
 const APPLY_LIMIT: Duration = Duration::from_millis(2_000);
 const PAUSE: Duration = Duration::from_millis(50);
+/// Time that callers wait, ms.
+const PATIENCE_MS: u64 = 1_500;
 /// Ports that the settings name for the host's own use.
 const PORT_COUNT: u16 = 16;
 
@@ -47,7 +49,7 @@
         };
         // The metrics are served on the second port of the range.
         let metrics = SocketAddr::new(peer.ip(), peer.port() + 1);
-        let text = settings_text(&addresses, store);
+        let text = settings_text("edge-1", &addresses, store);
         let mut file = tempfile::NamedTempFile::new().expect("file");
         file.write_all(text.as_bytes()).expect("written");
         let settings = file.into_temp_path();
@@ -105,11 +107,24 @@
 
 /// Sends a call of a caller; no answer at all counts as a closed connection.
 async fn call(host: &EntryHost, path: &str, id: &str) -> Option<(StatusCode, Bytes)> {
-    let request = caller_request(path, id).expect("request");
+    let request = caller_request(path, id, PATIENCE_MS).expect("request");
     exchange(host.addresses.entry, request).await
 }
 
-const ROUTES: [TestRoute; 2] = [("/once/", false, 1), ("/many/", true, 2)];
+const fn route(prefix: &'static str, kind: RouteKind, attempts: u32) -> TestRoute {
+    TestRoute {
+        prefix,
+        kind,
+        attempts,
+        service: "s",
+    }
+}
+
+const ROUTES: [TestRoute; 2] = [
+    route("/once/", RouteKind::Once, 1),
+    route("/many/", RouteKind::Repeatable, 2),
+];
+const NEW_ROUTE: TestRoute = route("/new/", RouteKind::Repeatable, 1);
 
 async fn deployment(targets: usize) -> (StoreStandin, Vec<TargetStandin>, EntryHost) {
     let store = StoreStandin::start().await.expect("store");
@@ -119,7 +134,7 @@
         let target = TargetStandin::start(&format!("i-{number}"))
             .await
             .expect("target");
-        store.put_target(&target.name, &target.entry("s"));
+        store.put_target(&target.name(), &target.entry("s"));
         standins.push(target);
     }
     let host = EntryHost::start(store.address);
@@ -134,7 +149,7 @@
     let (status, body) = call(&host, "/once/1", "r1").await.expect("answered");
     assert_eq!(
         (status, body.as_ref()),
-        (StatusCode::OK, b"answer of i-0".as_ref())
+        (StatusCode::OK, b"answer of i-0 to r1".as_ref())
     );
     assert_eq!(targets[0].runs("r1"), 1);
     assert_eq!(
@@ -159,7 +174,7 @@
     }
     let answer = call(&host, "/once/1", "r1").await.expect("answered");
     assert_eq!(answer.0, StatusCode::BAD_GATEWAY);
-    let runs: u32 = targets.iter().map(|target| target.runs("r1")).sum();
+    let runs: usize = targets.iter().map(|target| target.runs("r1")).sum();
     assert_eq!(runs, 1);
 }
 
@@ -174,11 +189,12 @@
         let (_store, targets, host) = deployment(2).await;
         targets[0].set_fault(fault);
         for number in 0..4 {
-            let answer = call(&host, "/many/1", &format!("r{number}")).await;
+            let id = format!("r{number}");
+            let answer = call(&host, "/many/1", &id).await;
             let (status, body) = answer.expect("answered");
             assert_eq!(
                 (status, body.as_ref()),
-                (StatusCode::OK, b"answer of i-1".as_ref()),
+                (StatusCode::OK, answer_text("i-1", &id).as_bytes()),
                 "{fault:?}"
             );
         }
@@ -199,7 +215,7 @@
 #[actix_rt::test]
 async fn new_configuration_is_in_force_in_time() {
     let (store, _targets, host) = deployment(1).await;
-    let routes = [ROUTES[0], ("/new/", true, 1)];
+    let routes = [ROUTES[0], NEW_ROUTE];
     store.put_configuration(&configuration(2, &routes));
     actix_rt::time::sleep(APPLY_LIMIT).await;
     assert_eq!(
@@ -223,14 +239,14 @@
 #[actix_rt::test]
 async fn calls_are_served_while_the_store_is_away() {
     let (store, _targets, host) = deployment(1).await;
-    store.set_down(true);
+    store.set_fault(StoreFault::Down);
     actix_rt::time::sleep(Duration::from_secs(3)).await;
     assert_eq!(
         call(&host, "/once/1", "r1").await.expect("answered").0,
         StatusCode::OK
     );
-    store.set_down(false);
-    store.put_configuration(&configuration(2, &[("/new/", true, 1)]));
+    store.set_fault(StoreFault::None);
+    store.put_configuration(&configuration(2, &[NEW_ROUTE]));
     let begun = Instant::now();
     while call(&host, "/new/1", "r2").await.expect("answered").0 != StatusCode::OK {
         assert!(
