serving: a host that holds removals back polls until it has used them

A host read the removal of i-0-1 just after the store had been away, and held it back for the 2 s in which lapsed targets write again. It is not the reader of its failure domain, the reader's messages kept it from polling, and so the removal was never used: 15 s later it still sent calls to the old name, whose address another target had. Ruled out: the store (rows were removed at 525 s), the other hosts (they had been restarted and read the whole table). Change: ListFollower knows that removals are held back; the host polls itself and takes no messages until they are used, since messages leave out targets that write again unchanged. Conclusion: any outage of the store beside a crash could leave a dead target in use at the hosts that read nothing; sends to it were refused as 421.

--- a/crates/edge/src/target_list.rs
+++ b/crates/edge/src/target_list.rs
@@ -109,7 +109,10 @@
     sent: ClockTime,
     pass_on: bool,
 ) {
-    shell.list.borrow_mut().read(version, sent);
+    shell
+        .list
+        .borrow_mut()
+        .read(version, sent, change.is_complete);
     if pass_on {
         let message = HostMessage::Targets {
             after,
--- a/crates/serving/src/relay.rs
+++ b/crates/serving/src/relay.rs
@@ -2,7 +2,8 @@
 //!
 //! One host of each failure domain polls the store and passes the changes on. A message names the
 //! versions that it leads from and to, so that a host that missed one, or hears nothing for a
-//! while, polls the store itself.
+//! while, polls the store itself. So does a host that holds removals back, since only its own polls
+//! tell whether the targets have written again.
 
 use crate::targets::TargetRecord;
 use crocusyard_base::prelude::*;
@@ -20,6 +21,7 @@
     version: Option<u64>,
     heard: Option<ClockTime>,
     polled: Option<ClockTime>,
+    holds_removals: bool,
 }
 
 impl ListFollower {
@@ -35,7 +37,7 @@
             return false;
         }
         let heard = self.heard.is_some_and(|at| now.since(at) < SILENCE_LIMIT);
-        is_reader || !heard
+        is_reader || self.holds_removals || !heard
     }
 
     /// Notes that a poll begins.
@@ -43,15 +45,16 @@
         self.polled = Some(now);
     }
 
-    /// Notes the version that a poll of this host reached.
-    pub fn read(&mut self, version: u64, sent: ClockTime) {
+    /// Notes the version that a poll of this host reached, and whether its change was complete.
+    pub fn read(&mut self, version: u64, sent: ClockTime, is_complete: bool) {
+        self.holds_removals = !is_complete;
         self.version = Some(self.version.unwrap_or(0).max(version));
         self.heard = Some(self.heard.unwrap_or(sent).max(sent));
     }
 
     /// Takes changes that another host read; returns whether they are to be applied.
     pub fn take(&mut self, after: u64, version: u64, now: ClockTime) -> bool {
-        let Some(known) = self.version else {
+        let Some(known) = self.version.filter(|_| !self.holds_removals) else {
             return false;
         };
         if after > known {
--- a/crates/serving/tests/target_list.rs
+++ b/crates/serving/tests/target_list.rs
@@ -10,7 +10,7 @@
 fn follower_at(version: u64, now: ClockTime) -> ListFollower {
     let mut list = ListFollower::default();
     list.poll(now);
-    list.read(version, now);
+    list.read(version, now, true);
     list
 }
 
@@ -123,6 +123,22 @@
     assert_eq!(names(&change.upserts), ["lapsed"]);
 }
 
+/// Guards against a removal that is held back and then forgotten: the reader's messages keep the
+/// host from polling, so that a target that is gone stays in use for ever.
+#[test]
+fn host_that_holds_removals_back_reads_on_itself() {
+    let mut list = follower_at(10, ms(0));
+    list.poll(ms(600));
+    list.read(12, ms(600), false);
+    assert!(!list.take(12, 14, ms(1_000)), "its own polls must see 13");
+    assert_eq!(list.version(), Some(12));
+    assert!(list.polls(false, ms(1_200)));
+    list.poll(ms(1_200));
+    list.read(14, ms(1_200), true);
+    assert!(list.take(14, 15, ms(1_500)));
+    assert!(!list.polls(false, ms(1_800)));
+}
+
 /// Guards against a target that stays in use after it was removed while the store answered.
 #[test]
 fn removal_is_used_at_once_while_the_store_answers() {
