logging: write the last lines before the process ends

The process ended while the line was still in the queue of the writer. The entry command flushes when the host has ended. Conclusion: the line at the stop is there unless nobody reads the output.

--- a/crates/cli/src/entry.rs
+++ b/crates/cli/src/entry.rs
@@ -21,6 +21,8 @@
         return Ok(CommandOutput::default());
     }
     start_queued_logging(&LogSettings::default(), command.log_lines).context(LoggingSnafu)?;
-    run_edge(settings).await.context(EntrySnafu)?;
+    let ended = run_edge(settings).await;
+    log::logger().flush();
+    ended.context(EntrySnafu)?;
     Ok(CommandOutput::default())
 }
