edge: read the rows of the other hosts from time to time instead of following them

Cause: every host followed the table of entry hosts with a feed that answers at each change, so each start and each planned stop of one host made all others read. Ruled out: dropping the rows (a host that starts learns the others from them). Change: a host reads the table at its start and every 15 s; those that start or leave say so in their beats, as before. Figures: a test of the process: 20 rows of other hosts caused 20 reads before, at most one now. Conclusion: the calls grow with the hosts, no longer with their square.

--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -16,6 +16,9 @@
 const ANSWER_LIMIT: Duration = Duration::from_millis(1_500);
 /// Wait of a feed for the first change.
 const FEED_WAIT: Duration = Duration::from_secs(25);
+/// Pause between reads of the rows of the entry hosts. It bounds how long the row of a host that
+/// left, or one that could not be reached by beats, stays unknown.
+const HOSTS_PAUSE: Duration = Duration::from_secs(15);
 /// Pause after a failed call.
 const FAILED_PAUSE: Duration = Duration::from_millis(250);
 /// Time for which removed targets stay after the store was away: they write again within it.
@@ -84,26 +87,22 @@
     }
 }
 
-/// Follows a table and hands its rows on; reads it again when its history is gone.
-async fn follow_table(
-    shell: &EdgeShell,
-    table: StoreTable,
-    health: &mut StoreHealth,
-    take: fn(&EdgeShell, &[StoreRow]),
-) {
+/// Follows the operators' configuration; reads it again when its history is gone.
+pub(crate) async fn follow_rules(shell: Rc<EdgeShell>) {
+    let mut health = StoreHealth::new("configuration");
     loop {
-        let page = read_table(shell, table, health).await;
-        take(shell, &page.rows);
+        let page = read_table(&shell, StoreTable::Operator, &mut health).await;
+        take_rules(&shell, &page.rows);
         let mut version = page.version;
         loop {
             let changes = shell
                 .store
-                .follow(table, version, FEED_WAIT, ANSWER_LIMIT)
+                .follow(StoreTable::Operator, version, FEED_WAIT, ANSWER_LIMIT)
                 .await;
             match changes {
                 Ok(changes) => {
                     health.answered();
-                    take(shell, &changes.rows);
+                    take_rules(&shell, &changes.rows);
                     version = changes.version;
                 }
                 Err(StoreError::HistoryGone) => break,
@@ -116,12 +115,6 @@
     }
 }
 
-/// Follows the operators' configuration.
-pub(crate) async fn follow_rules(shell: Rc<EdgeShell>) {
-    let mut health = StoreHealth::new("configuration");
-    follow_table(&shell, StoreTable::Operator, &mut health, take_rules).await;
-}
-
 fn take_rules(shell: &EdgeShell, rows: &[StoreRow]) {
     for row in rows.iter().filter(|row| row.key == CONFIGURATION_KEY) {
         let Some(value) = &row.value else {
@@ -141,11 +134,34 @@
     }
 }
 
-/// Writes the own row and follows the entry hosts.
+/// Writes the own row and reads those of the other entry hosts from time to time.
+///
+/// A host that starts reads the table and sends beats to the others, so that they know it before
+/// they read its row.
 pub(crate) async fn follow_hosts(shell: Rc<EdgeShell>) {
     let mut health = StoreHealth::new("hosts");
     write_own_row(&shell, &mut health).await;
-    follow_table(&shell, StoreTable::Hosts, &mut health, take_hosts).await;
+    loop {
+        let page = read_table(&shell, StoreTable::Hosts, &mut health).await;
+        take_hosts(&shell, &page.rows);
+        let mut version = page.version;
+        loop {
+            actix_rt::time::sleep(HOSTS_PAUSE).await;
+            let changes = shell
+                .store
+                .follow(StoreTable::Hosts, version, Duration::ZERO, ANSWER_LIMIT)
+                .await;
+            match changes {
+                Ok(changes) => {
+                    health.answered();
+                    take_hosts(&shell, &changes.rows);
+                    version = changes.version;
+                }
+                Err(StoreError::HistoryGone) => break,
+                Err(error) => health.failed(&error),
+            }
+        }
+    }
 }
 
 async fn write_own_row(shell: &EdgeShell, health: &mut StoreHealth) {
--- a/tests/entry_process.rs
+++ b/tests/entry_process.rs
@@ -257,6 +257,20 @@
     }
 }
 
+/// Guards against a deployment that restarts host by host and makes every host read the store at
+/// each of these starts: the calls would grow with the square of the hosts.
+#[actix_rt::test]
+async fn starts_of_other_hosts_cause_no_reads() {
+    let (store, _targets, _host) = deployment(1).await;
+    let before = store.host_reads();
+    for number in 0..20 {
+        store.put_host(&format!("edge-{}", number + 2));
+        actix_rt::time::sleep(PAUSE).await;
+    }
+    let reads = store.host_reads() - before;
+    assert!(reads <= 1, "{reads} reads");
+}
+
 /// Guards against a request in progress that a planned stop cuts off.
 #[actix_rt::test]
 async fn planned_stop_cuts_off_no_request() {
