edge: pause longer between calls while the store fails; log the model of a send

Ruled out: one host that asks for all, as the store may turn some hosts away. Sends log their model, so that copies a model can be followed.

--- a/crates/edge/src/entry.rs
+++ b/crates/edge/src/entry.rs
@@ -345,7 +345,7 @@
             "reason": format!("{:?}", refusal.reason),
             "retry_after_s": wait,
             "route": call.route.name.as_str(),
-            "model": call.need.as_ref().map(|need| need.model.as_str()),
+            "model": call.model().map(ModelName::as_str),
         }),
     );
     let mut response = plain(StatusCode::SERVICE_UNAVAILABLE);
@@ -380,6 +380,7 @@
         "sent",
         json!({
             "target": plan.target.as_str(),
+            "model": call.model().map(ModelName::as_str),
             "attempt": plan.attempt,
             "load": plan.load,
             "load_age_ms": age,
--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -19,8 +19,6 @@
 /// Pause between reads of the rows of the entry hosts. It bounds how long the row of a host that
 /// left, or one that could not be reached by beats, stays unknown.
 const HOSTS_PAUSE: Duration = Duration::from_secs(15);
-/// Pause after a failed call.
-const FAILED_PAUSE: Duration = Duration::from_millis(250);
 /// Time for which removed targets stay after the store was away: they write again within it.
 const LAPSE_TIME: ClockTime = ClockTime::from_ms(2_500);
 
@@ -29,6 +27,7 @@
     table: &'static str,
     failing: bool,
     back_at: Option<ClockTime>,
+    backoff: CallBackoff,
 }
 
 impl StoreHealth {
@@ -37,10 +36,12 @@
             table,
             failing: false,
             back_at: None,
+            backoff: CallBackoff::default(),
         }
     }
 
-    pub(crate) fn failed(&mut self, error: &StoreError) {
+    /// Notes a failed call and waits before the next one.
+    pub(crate) async fn failed(&mut self, error: &StoreError) {
         if !self.failing {
             self.failing = true;
             let cause = error.to_string();
@@ -50,9 +51,12 @@
                 json!({"table": self.table, "cause": cause}),
             );
         }
+        let pause = self.backoff.failed();
+        actix_rt::time::sleep(Duration::from_millis(pause.as_ms())).await;
     }
 
     pub(crate) fn answered(&mut self) {
+        self.backoff.answered();
         if self.failing {
             self.failing = false;
             self.back_at = Some(clock::now());
@@ -79,10 +83,7 @@
                 health.answered();
                 return page;
             }
-            Err(error) => {
-                health.failed(&error);
-                actix_rt::time::sleep(FAILED_PAUSE).await;
-            }
+            Err(error) => health.failed(&error).await,
         }
     }
 }
@@ -106,10 +107,7 @@
                     version = changes.version;
                 }
                 Err(StoreError::HistoryGone) => break,
-                Err(error) => {
-                    health.failed(&error);
-                    actix_rt::time::sleep(FAILED_PAUSE).await;
-                }
+                Err(error) => health.failed(&error).await,
             }
         }
     }
@@ -158,7 +156,7 @@
                     version = changes.version;
                 }
                 Err(StoreError::HistoryGone) => break,
-                Err(error) => health.failed(&error),
+                Err(error) => health.failed(&error).await,
             }
         }
     }
@@ -185,10 +183,7 @@
                 health.answered();
                 return;
             }
-            Err(error) => {
-                health.failed(&error);
-                actix_rt::time::sleep(FAILED_PAUSE).await;
-            }
+            Err(error) => health.failed(&error).await,
         }
     }
 }
--- a/crates/edge/src/target_list.rs
+++ b/crates/edge/src/target_list.rs
@@ -49,7 +49,7 @@
                     apply_change(&shell, change, after, changes.version, now, pass_on);
                 }
                 Err(StoreError::HistoryGone) => break,
-                Err(error) => health.failed(&error),
+                Err(error) => health.failed(&error).await,
             }
         }
     }
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -6,6 +6,7 @@
 //! in [`copies`] (what should be where), [`orders`] (what may be ordered now) and [`lease`].
 
 pub mod adapters;
+pub mod backoff;
 pub mod blame;
 pub mod call;
 pub mod choose;
@@ -28,6 +29,7 @@
 
 /// The common names of this crate.
 pub mod prelude {
+    pub use crate::backoff::CallBackoff;
     pub use crate::blame::{BlameBook, CrashReport};
     pub use crate::call::{AttemptOutcome, CallDigest, CallFacts, CallNeed, PromptPart};
     pub use crate::copies::{plan_orders, EngineView, PlanInput};
