edge: log the adapter of a send

Cause: a call for an adapter may only go where the adapter is held, and the line of its send did not tell. Ruled out: nothing; an addition to a line. Change: field adapter beside model. Conclusion: needed to see which calls wait for which copies.

--- a/crates/edge/src/entry.rs
+++ b/crates/edge/src/entry.rs
@@ -381,6 +381,7 @@
         json!({
             "target": plan.target.as_str(),
             "model": call.model().map(ModelName::as_str),
+            "adapter": call.adapter().map(AdapterName::as_str),
             "attempt": plan.attempt,
             "load": plan.load,
             "load_age_ms": age,
--- a/crates/serving/src/call.rs
+++ b/crates/serving/src/call.rs
@@ -86,6 +86,11 @@
         self.need.as_ref().map(|need| &need.model)
     }
 
+    /// Adapter that the call needs.
+    pub fn adapter(&self) -> Option<&AdapterName> {
+        self.need.as_ref()?.adapter.as_ref()
+    }
+
     /// Returns whether another call goes to the same service and needs the same model, or none.
     pub fn is_like(&self, other: &Self) -> bool {
         self.service == other.service && self.model() == other.model()
