serving: the lease and more callers go to hosts with more processor time

The lease went to a host with 0.12 cores when its holder was replaced. It answered callers, planned for 60 engines and gave 40 orders at once: its log lines stand in steps of 0.1 to 0.2 s, answers to orders came later than it waited for them, its call to the store timed out and it lost the lease 3 s later. No orders were given for 5 s; one model in demand was refused 5,021 times in 20 s with four copies. Ruled out: the engines (their answers came, too late for this host), the store (up at that time). Hosts that know a stronger one let it take the lease first; the first row of a new system is written after 1 s, so that hosts that start together know each other; the strongest host of a failure domain reads the target list; a host is in as large a part of the address answers as its processor time is of the strongest's. With more than 64 hosts the last names were in no answer; now all are.

--- a/crates/edge/src/control.rs
+++ b/crates/edge/src/control.rs
@@ -9,6 +9,7 @@
 use hyper::header::CONTENT_TYPE;
 use hyper::{Request, Response, StatusCode};
 use log::warn;
+use rand::Rng;
 use std::rc::Rc;
 
 /// Time for which callers may keep an address answer, s; a host that died is out after it.
@@ -47,7 +48,9 @@
 }
 
 fn addresses(shell: &EdgeShell) -> Response<AnswerBody> {
-    let hosts = shell.hosts.borrow().addresses(ADDRESS_LIMIT, clock::now());
+    let salt = shell.rng.borrow_mut().random::<u64>();
+    let hosts = shell.hosts.borrow();
+    let hosts = hosts.addresses(ADDRESS_LIMIT, salt, clock::now());
     let ttl_s = ADDRESS_TTL_S.min(shell.settings.address_ttl_s);
     match write_addresses(hosts, ttl_s) {
         Ok(body) => {
--- a/crates/edge/src/lease_keeper.rs
+++ b/crates/edge/src/lease_keeper.rs
@@ -27,7 +27,11 @@
         let step = if shell.is_stopping() {
             LeaseStep::Wait
         } else {
-            shell.lease.borrow_mut().step(clock::now())
+            let now = clock::now();
+            let stronger = shell.hosts.borrow().has_stronger(now);
+            let mut lease = shell.lease.borrow_mut();
+            lease.yield_to_stronger(stronger);
+            lease.step(now)
         };
         match step {
             LeaseStep::Wait => {}
--- a/crates/edge/src/shell.rs
+++ b/crates/edge/src/shell.rs
@@ -80,6 +80,7 @@
             retries: settings.retries,
         };
         let own = HostFacts {
+            millicores: settings.millicores,
             name: settings.name.clone(),
             domain: settings.domain.clone(),
             entry: settings.entry,
--- a/crates/serving/src/call.rs
+++ b/crates/serving/src/call.rs
@@ -1,10 +1,10 @@
 //! What is known of a call, and how an attempt to run it ended.
 
+use crate::draw::unit_draw;
 use crate::rules::RouteRule;
 use crocusyard_base::prelude::*;
 use serde::{Deserialize, Serialize};
-use std::collections::hash_map::DefaultHasher;
-use std::hash::{Hash, Hasher};
+use std::hash::Hash;
 use std::sync::Arc;
 
 /// Digest of path and body; the same call sent again has the same one.
@@ -98,11 +98,7 @@
 
     /// Number between 0 and 1, both excluded, that depends on the call and on `salt`.
     pub fn draw<S: Hash>(&self, salt: &S) -> f64 {
-        let mut hasher = DefaultHasher::new();
-        self.id.hash(&mut hasher);
-        salt.hash(&mut hasher);
-        let bits = (hasher.finish() >> 32) as u32;
-        (f64::from(bits) + 0.5) / (f64::from(u32::MAX) + 1.0)
+        unit_draw(&(&self.id, salt))
     }
 
     /// Hash under which calls with a common prompt meet at the same target.
--- a/crates/serving/src/hosts.rs
+++ b/crates/serving/src/hosts.rs
@@ -1,7 +1,9 @@
 //! Entry hosts: who there is, and who was heard lately.
 
+use crate::draw::unit_draw;
 use crocusyard_base::prelude::*;
 use serde::{Deserialize, Serialize};
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
@@ -18,6 +20,8 @@
 const NEWS_BEATS: f64 = 3.0;
 /// Time for which a host that was never heard counts as live; it has just started.
 const START_TIME: ClockTime = ClockTime::from_secs(2);
+/// Fewest addresses in an answer, as far as there are live hosts: callers need others to turn to.
+const ADDRESS_MIN: usize = 8;
 /// Silence after which the row of a host is removed.
 const ROW_LIMIT: ClockTime = ClockTime::from_secs(30);
 
@@ -32,6 +36,8 @@
     pub entry: SocketAddr,
     /// Address for other hosts.
     pub peer: SocketAddr,
+    /// Processor time that it may use, thousandths of a core.
+    pub millicores: u32,
 }
 
 #[derive(Clone, Debug)]
@@ -179,34 +185,59 @@
             .collect()
     }
 
-    /// Returns whether this host reads the target list for its failure domain: the live host with
-    /// the lowest name does.
+    /// Returns whether this host reads the target list for its failure domain: the strongest live
+    /// host does, and of several the one with the lowest name.
     pub fn is_reader(&self, now: ClockTime) -> bool {
         let silence = self.silence_limit();
-        let lower = self.others.values().any(|state| {
+        let rank = |facts: &HostFacts| (Reverse(facts.millicores), facts.name.clone());
+        let own = rank(&self.own);
+        let before = self.others.values().any(|state| {
             state.facts.domain == self.own.domain
-                && state.facts.name < self.own.name
+                && rank(&state.facts) < own
                 && state.is_live(silence, now)
         });
-        !lower && !self.own_leaving
+        !before && !self.own_leaving
+    }
+
+    /// Returns whether a live host may use more processor time than this one.
+    pub fn has_stronger(&self, now: ClockTime) -> bool {
+        let silence = self.silence_limit();
+        self.others.values().any(|state| {
+            state.facts.millicores > self.own.millicores && state.is_live(silence, now)
+        })
     }
 
     /// Addresses for callers.
     ///
+    /// Callers choose among them evenly. A host is therefore in as large a part of the answers as
+    /// its processor time is of the strongest host's; `salt` is another number for each answer.
     /// Never empty: a host that is the only one left names itself.
-    pub fn addresses(&self, limit: usize, now: ClockTime) -> Vec<SocketAddr> {
+    pub fn addresses(&self, limit: usize, salt: u64, now: ClockTime) -> Vec<SocketAddr> {
         let silence = self.silence_limit();
-        let mut live: Vec<SocketAddr> = self
+        let mut live: Vec<&HostFacts> = self
             .others
             .values()
             .filter(|state| state.is_live(silence, now))
-            .map(|state| state.facts.entry)
+            .map(|state| &state.facts)
             .collect();
         if !self.own_leaving || live.is_empty() {
-            live.insert(0, self.own.entry);
+            live.push(&self.own);
         }
-        live.truncate(limit);
-        live
+        let strongest = live.iter().map(|facts| facts.millicores).max();
+        let strongest = f64::from(strongest.unwrap_or(0).max(1));
+        // The draw over the strength: those below 1 are in, and of too few the lowest.
+        let mut drawn: Vec<(f64, SocketAddr)> = live
+            .into_iter()
+            .map(|facts| {
+                let part = f64::from(facts.millicores.max(1)) / strongest;
+                (unit_draw(&(&facts.name, salt)) / part, facts.entry)
+            })
+            .collect();
+        drawn.sort_by(|a, b| a.0.total_cmp(&b.0));
+        let count = drawn.iter().filter(|(draw, _)| *draw < 1.0).count();
+        let count = count.max(ADDRESS_MIN).min(limit);
+        drawn.truncate(count);
+        drawn.into_iter().map(|(_, entry)| entry).collect()
     }
 
     /// Hosts whose rows can be removed.
--- a/crates/serving/src/lease.rs
+++ b/crates/serving/src/lease.rs
@@ -6,6 +6,9 @@
 //! after it has neither seen a newer version nor heard the holder for so long that the holder's
 //! last order is older than the lease.
 //!
+//! The holder plans for all engines and talks to all of them. A host that knows a stronger one
+//! therefore waits a little longer before it takes the lease.
+//!
 //! While the holder cannot reach the store, it goes on as long as every other host has heard it
 //! lately: none of them takes the lease over before that is long past. One host that has not heard
 //! it, dead or cut off, ends this.
@@ -22,6 +25,10 @@
 const HOLDER_SILENCE: ClockTime = ClockTime::from_ms(1_500);
 /// Pause between reads of the row while the holder is silent.
 const READ_PAUSE: ClockTime = ClockTime::from_ms(700);
+/// Age of an absent row before it is written, so that hosts that start together know each other.
+const FIRST_WAIT: ClockTime = ClockTime::from_ms(1_000);
+/// Time by which a host lets stronger ones take the lease first; they try again once in it.
+const STRONGER_FIRST: ClockTime = ClockTime::from_ms(800);
 /// Part of the take-over time that covers answers on their way, ms.
 const TAKE_MARGIN: ClockTime = ClockTime::from_ms(300);
 
@@ -98,6 +105,8 @@
     /// When the other hosts last heard this one as the holder; only at the holder.
     heard_by: BTreeMap<HostName, ClockTime>,
     released: bool,
+    /// Whether a stronger host may take the lease.
+    yields: bool,
 }
 
 impl LeaseState {
@@ -117,9 +126,15 @@
             stamp: ClockTime::ZERO,
             heard_by: BTreeMap::new(),
             released: false,
+            yields: false,
         }
     }
 
+    /// Notes whether a stronger host is live.
+    pub fn yield_to_stronger(&mut self, is_live: bool) {
+        self.yields = is_live;
+    }
+
     /// Holder, as far as known.
     pub fn holder(&self) -> Option<&HostName> {
         self.holder.as_ref()
@@ -208,12 +223,17 @@
         let Some(seen) = self.seen else {
             return self.step_read(now);
         };
-        let wait = if self.released {
+        let mut wait = if seen.version == 0 {
+            FIRST_WAIT
+        } else if self.released {
             self.lease_time + TAKE_MARGIN
         } else {
             self.take_time()
         };
-        if seen.version == 0 || now.since(seen.since) >= wait {
+        if self.yields {
+            wait += STRONGER_FIRST;
+        }
+        if now.since(seen.since) >= wait {
             self.sent = Some(now);
             return LeaseStep::Write {
                 expected: seen.version,
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod choose;
 pub mod copies;
 pub mod demand;
+mod draw;
 pub mod event;
 pub mod events;
 pub mod hosts;
--- /dev/null
+++ b/crates/serving/tests/mixed_hosts.rs
@@ -0,0 +1,101 @@
+//! Hosts of different size in one system: who gets callers, and who does the work for all.
+
+mod common;
+
+use common::ms;
+use crocusyard_base::prelude::*;
+use crocusyard_serving::prelude::*;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+
+/// Most addresses of an answer; the protocol's limit.
+const LIMIT: usize = 64;
+/// Answers of a sample.
+const ANSWERS: u64 = 2_000;
+
+fn facts(number: u16, millicores: u32) -> HostFacts {
+    HostFacts {
+        name: HostName::new(&format!("h{number:03}")),
+        domain: DomainName::new("a"),
+        entry: SocketAddr::from(([10, 0, 0, 1], number)),
+        peer: SocketAddr::from(([10, 0, 0, 2], number)),
+        millicores,
+    }
+}
+
+/// Book of the first of hosts with these sizes.
+fn book(sizes: &[u32]) -> HostBook {
+    let mut facts = (1..).zip(sizes).map(|(number, size)| facts(number, *size));
+    let mut book = HostBook::new(facts.next().expect("a host"));
+    for other in facts {
+        book.heard(&other, false, ms(0));
+    }
+    book
+}
+
+/// Chance of each port to be chosen by a caller that takes an address of an answer at random.
+fn chances(book: &HostBook) -> HashMap<u16, f64> {
+    let mut chances: HashMap<u16, f64> = HashMap::new();
+    for salt in 0..ANSWERS {
+        let answer = book.addresses(LIMIT, salt, ms(100));
+        for address in &answer {
+            *chances.entry(address.port()).or_default() += 1.0 / answer.len() as f64;
+        }
+    }
+    for chance in chances.values_mut() {
+        *chance /= ANSWERS as f64;
+    }
+    chances
+}
+
+/// Guards against small hosts that get as many callers as large ones: their processor time is used
+/// up while that of the others is idle.
+#[test]
+fn callers_go_where_processor_time_is() {
+    let mut sizes = vec![500; 8];
+    sizes.extend([120; 63]);
+    let chances = chances(&book(&sizes));
+    let large: f64 = (1..=8).map(|port| chances[&port]).sum();
+    let expected = 8.0 * 500.0 / (8.0 * 500.0 + 63.0 * 120.0);
+    assert!((large - expected).abs() < 0.03, "{large} of {expected}");
+    let small: Vec<f64> = (9..=71).map(|port| chances[&port]).collect();
+    let even = (1.0 - large) / 63.0;
+    assert!(small.iter().all(|chance| (chance / even - 1.0).abs() < 0.3));
+}
+
+/// Guards against hosts that never get a caller, since an answer has room for 64 addresses.
+#[test]
+fn all_of_many_equal_hosts_get_callers() {
+    let chances = chances(&book(&[250; 71]));
+    assert_eq!(chances.len(), 71);
+    assert!(chances
+        .values()
+        .all(|chance| (chance * 71.0 - 1.0).abs() < 0.1));
+}
+
+/// Guards against callers that know one address only, and have none to turn to when it fails.
+#[test]
+fn answers_have_several_addresses() {
+    let mut sizes = vec![4_000];
+    sizes.extend([40; 20]);
+    let book = book(&sizes);
+    for salt in 0..ANSWERS {
+        assert!(book.addresses(LIMIT, salt, ms(100)).len() >= 8);
+    }
+    let two = self::book(&[4_000, 40]);
+    assert!((0..ANSWERS).all(|salt| two.addresses(LIMIT, salt, ms(100)).len() == 2));
+}
+
+/// Guards against a small host that does the work for its failure domain beside a larger one.
+#[test]
+fn strongest_host_reads_for_its_domain() {
+    let mut small = book(&[120, 500]);
+    assert!(!small.is_reader(ms(100)));
+    assert!(small.has_stronger(ms(100)));
+    small.heard(&facts(2, 500), true, ms(200));
+    assert!(small.is_reader(ms(300)), "the larger one is leaving");
+    assert!(!small.has_stronger(ms(300)));
+    let large = book(&[500, 120]);
+    assert!(large.is_reader(ms(100)));
+    assert!(!large.has_stronger(ms(100)));
+}
--- a/crates/serving/tests/target_list.rs
+++ b/crates/serving/tests/target_list.rs
@@ -68,6 +68,7 @@
         domain: DomainName::new("a"),
         entry: SocketAddr::from(([10, 0, 0, 1], 1)),
         peer: SocketAddr::from(([10, 0, 0, 1], 2)),
+        millicores: 250,
     };
     let mut hosts = HostBook::new(facts("b"));
     assert!(hosts.is_reader(ms(0)));
