serving: places of plain services and repeats follow the part of the callers

Cause: callers go to hosts by processor time now, but each host still kept to an equal share of the places of a plain service and of the repeated sends. Ruled out: the targets (fewer of their places were used than before). Change: HostShare tells a host the live hosts and its part of the callers; places, repeats and the random part of the choice go by that part. Figures: three new tests (places_of_a_plain_service_follow_the_callers, repeats_follow_the_callers, parts_of_all_hosts_add_up_to_one); with an equal part the former figures hold.

--- a/crates/edge/src/gossip.rs
+++ b/crates/edge/src/gossip.rs
@@ -78,8 +78,8 @@
 
 fn report_demand(shell: &EdgeShell) {
     let now = clock::now();
-    let live = shell.hosts.borrow().live_count(now);
-    shell.dispatch(ServingEvent::Hosts(live));
+    let share = shell.hosts.borrow().share(now);
+    shell.dispatch(ServingEvent::Hosts(share));
     let demands = shell.serving.borrow_mut().demand_report(now);
     let own = shell.settings.name.clone();
     if shell.lease.borrow().is_holder() {
--- a/crates/serving/src/choose.rs
+++ b/crates/serving/src/choose.rs
@@ -17,9 +17,10 @@
 const DOMAIN_COST: f64 = 0.15;
 /// Gain of the target that calls with the same prompt prefer, share of a target's slots.
 const AFFINITY_GAIN: f64 = 0.25;
-/// Scale of the random part of the cost of a plain call, share of a target's slots for each host.
-/// What is known of other hosts is older than such a call runs, and they send more in that time
-/// the more they are: with 70 hosts the choice is almost even.
+/// Scale of the random part of the cost of a plain call, share of a target's slots, at a host that
+/// gets all callers; it grows as the host's part of them falls. What is known of other hosts is
+/// older than such a call runs, and they send more in that time the more they are: with 70 equal
+/// hosts the choice is almost even.
 const PLAIN_SPREAD: f64 = 0.04;
 /// Scale of the random part for a call that needs a model, share of a target's slots; such a call
 /// runs for longer than the pause between beats.
@@ -45,8 +46,8 @@
 pub struct OwnPlace<'a> {
     /// Its failure domain.
     pub domain: &'a DomainName,
-    /// Live hosts, itself included.
-    pub hosts: usize,
+    /// Its part of the callers.
+    pub part: f64,
 }
 
 /// Chooses a target that has not been tried.
@@ -120,7 +121,7 @@
     let load = f64::from(state.load(now)) / f64::from(state.slots());
     let spread = match &call.need {
         Some(_) => MODEL_SPREAD,
-        None => PLAIN_SPREAD * own.hosts as f64,
+        None => PLAIN_SPREAD / own.part,
     };
     let mut cost = load + random_part(state, call) * spread;
     if state.record.domain != *own.domain {
--- a/crates/serving/src/event.rs
+++ b/crates/serving/src/event.rs
@@ -3,6 +3,7 @@
 use crate::blame::CrashReport;
 use crate::call::{AttemptOutcome, CallFacts, CallNeed};
 use crate::choose::NoTarget;
+use crate::hosts::HostShare;
 use crate::rules::RuleSet;
 use crate::targets::{HeldModels, HostLoad, TargetLoad, TargetRecord};
 use crate::turns::HostWaiting;
@@ -73,8 +74,8 @@
         /// Waiting calls by model.
         waiting: HostWaiting,
     },
-    /// The number of live hosts, as of now.
-    Hosts(usize),
+    /// Live hosts and the own share of the work, as of now.
+    Hosts(HostShare),
     /// The host was told to stop; waiting calls are sent elsewhere.
     Stop,
     /// Time passed.
--- a/crates/serving/src/hosts.rs
+++ b/crates/serving/src/hosts.rs
@@ -40,6 +40,33 @@
     pub millicores: u32,
 }
 
+impl HostFacts {
+    /// Processor time as a weight; never zero.
+    fn strength(&self) -> f64 {
+        f64::from(self.millicores.max(1))
+    }
+}
+
+/// What a host carries of the whole system.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct HostShare {
+    /// Hosts that take work, itself included.
+    pub hosts: usize,
+    /// Part of the callers that the address answers send to it, by processor time.
+    pub part: f64,
+}
+
+impl HostShare {
+    /// Share of each of `hosts` equal hosts.
+    pub fn equal(hosts: usize) -> Self {
+        let hosts = hosts.max(1);
+        Self {
+            hosts,
+            part: 1.0 / hosts as f64,
+        }
+    }
+}
+
 #[derive(Clone, Debug)]
 struct HostState {
     facts: HostFacts,
@@ -161,14 +188,18 @@
         self.beat_pause().scale(SILENT_BEATS)
     }
 
-    /// Hosts that take work, the own one included.
-    pub fn live_count(&self, now: ClockTime) -> usize {
+    /// Hosts that take work, the own one included, and its part of the callers.
+    pub fn share(&self, now: ClockTime) -> HostShare {
         let silence = self.silence_limit();
-        1 + self
-            .others
-            .values()
-            .filter(|state| state.is_live(silence, now))
-            .count()
+        let (mut hosts, mut millicores) = (1, self.own.strength());
+        for state in self.others.values() {
+            if state.is_live(silence, now) {
+                hosts += 1;
+                millicores += state.facts.strength();
+            }
+        }
+        let part = self.own.strength() / millicores;
+        HostShare { hosts, part }
     }
 
     /// Hosts known, the own one included.
@@ -223,13 +254,13 @@
         if !self.own_leaving || live.is_empty() {
             live.push(&self.own);
         }
-        let strongest = live.iter().map(|facts| facts.millicores).max();
-        let strongest = f64::from(strongest.unwrap_or(0).max(1));
+        let strengths = live.iter().map(|facts| facts.strength());
+        let strongest = strengths.fold(1.0, f64::max);
         // The draw over the strength: those below 1 are in, and of too few the lowest.
         let mut drawn: Vec<(f64, SocketAddr)> = live
             .into_iter()
             .map(|facts| {
-                let part = f64::from(facts.millicores.max(1)) / strongest;
+                let part = facts.strength() / strongest;
                 (unit_draw(&(&facts.name, salt)) / part, facts.entry)
             })
             .collect();
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -39,7 +39,7 @@
         AttemptPlan, RefusalReason, RequestRefusal, ServingEffect, ServingEvent,
     };
     pub use crate::events::EventSplitter;
-    pub use crate::hosts::{HostBook, HostFacts};
+    pub use crate::hosts::{HostBook, HostFacts, HostShare};
     pub use crate::lease::{LeaseRow, LeaseState, LeaseStep, LeaseWord};
     pub use crate::orders::{EngineOrder, EngineReport, OrderAction, OrderAnswer, OrderBook};
     pub use crate::relay::{ListChange, ListEntry, ListFollower, ListReader};
--- a/crates/serving/src/state.rs
+++ b/crates/serving/src/state.rs
@@ -10,7 +10,7 @@
 use crate::choose::{choose_target, NoTarget, OwnPlace};
 use crate::demand::{DemandCounter, ModelDemand};
 use crate::event::{AttemptPlan, RefusalReason, RequestRefusal, ServingEffect, ServingEvent};
-use crate::hosts::news_limit;
+use crate::hosts::{news_limit, HostShare};
 use crate::retries::{RetryBudget, RetryLimits};
 use crate::rules::RuleSet;
 use crate::targets::TargetTable;
@@ -71,7 +71,7 @@
     run_times: HashMap<(ServiceName, Option<ModelName>), f64>,
     /// Since when models have been missed at all targets.
     absent: HashMap<(ServiceName, ModelName), ClockTime>,
-    hosts: usize,
+    share: HostShare,
     started: ClockTime,
     stopping: bool,
 }
@@ -94,7 +94,7 @@
             demand: DemandCounter::default(),
             run_times: HashMap::new(),
             absent: HashMap::new(),
-            hosts: 1,
+            share: HostShare::equal(1),
             started: now,
             stopping: false,
         }
@@ -190,9 +190,9 @@
             ServingEvent::PeerWaiting { host, waiting } => {
                 self.turns.note_peer(&host, waiting, now);
             }
-            ServingEvent::Hosts(count) => {
-                self.hosts = count.max(1);
-                let limit = news_limit(self.hosts);
+            ServingEvent::Hosts(share) => {
+                self.share = share;
+                let limit = news_limit(share.hosts);
                 self.targets.drop_silent(limit, now);
                 self.turns.drop_old(limit, now);
             }
@@ -254,7 +254,7 @@
         }
         let own = OwnPlace {
             domain: &self.limits.domain,
-            hosts: self.hosts,
+            part: self.share.part,
         };
         match choose_target(&self.targets, &call, &request.tried, own, now) {
             Ok(_) if !self.takes_turn(&call, now) => {
@@ -498,7 +498,7 @@
             return false;
         }
         let service = request.call.service.clone();
-        self.budget.take(&service, self.hosts, now)
+        self.budget.take(&service, self.share.part, now)
     }
 
     fn repeat_or_end(
--- a/crates/serving/src/state/estimate.rs
+++ b/crates/serving/src/state/estimate.rs
@@ -3,7 +3,7 @@
 use super::ServingState;
 use crate::call::CallFacts;
 use crate::choose::NoTarget;
-use crate::hosts::beat_pause;
+use crate::hosts::{beat_pause, HostShare};
 use crate::turns::TurnFacts;
 use crocusyard_base::prelude::*;
 
@@ -138,11 +138,13 @@
         if places == 0 {
             return false;
         }
-        let hosts = self.hosts.max(1);
-        let share = f64::from(places) * PLACE_SHARE / hosts as f64;
+        let HostShare { hosts, part } = self.share;
+        let all = f64::from(places) * PLACE_SHARE;
+        let share = all * part;
         // Hosts that were not heard are taken to use their shares.
         let unheard = (hosts - 1).saturating_sub(self.targets.heard_peers()) as f64;
-        let spare = f64::from(places) - f64::from(used) - unheard * share;
+        let unheard_part = (1.0 - part) * unheard / (hosts - 1).max(1) as f64;
+        let spare = f64::from(places) - f64::from(used) - all * unheard_part;
         let limit = share.ceil().max(1.0) + (spare.max(0.0) * SPARE_SHARE).floor();
         let waits_longer =
             self.waiting.contains(key) || !self.waiting_calls().any(|other| other.is_like(call));
@@ -167,7 +169,7 @@
                 busy += load;
             }
         }
-        let period = beat_pause(self.hosts);
+        let period = beat_pause(self.share.hosts);
         let periods = period.as_ms() as f64 / self.run_time(call).max(1.0);
         let facts = TurnFacts {
             own: u32::try_from(own).unwrap_or(u32::MAX),
--- a/crates/serving/tests/caller_patience.rs
+++ b/crates/serving/tests/caller_patience.rs
@@ -141,15 +141,15 @@
         window: ms(10_000),
     };
     let mut budget = RetryBudget::new(limits);
-    let hosts = 9;
+    let part = 1.0 / 9.0;
     for _ in 0..100 {
         budget.count_request(&engines(), ms(1_000));
     }
     let mut taken = 0;
-    while budget.take(&engines(), hosts, ms(1_000)) {
+    while budget.take(&engines(), part, ms(1_000)) {
         taken += 1;
     }
-    let allowed = 0.2 * 100.0 + 58.0 / hosts as f64;
+    let allowed = 0.2 * 100.0 + 58.0 * part;
     assert!(f64::from(taken) <= allowed, "{taken} of {allowed}");
     assert!(taken > 0);
 }
--- a/crates/serving/tests/demand_shift.rs
+++ b/crates/serving/tests/demand_shift.rs
@@ -40,7 +40,8 @@
 fn requests_of_a_silent_host_are_dropped() {
     let mut host = TestHost::new(&["m"], vec![record("t1", "a", &[("m", &[])])]);
     host.hear_load("other", &[("t1", SLOTS as u16)], ms(1_000));
-    host.state.reduce(ServingEvent::Hosts(1), ms(3_100));
+    host.state
+        .reduce(ServingEvent::Hosts(HostShare::equal(1)), ms(3_100));
     let (_, effects) = host.stream("m", ms(3_100));
     assert_eq!(sent_to(&effects), ["t1"]);
 }
--- a/crates/serving/tests/mixed_hosts.rs
+++ b/crates/serving/tests/mixed_hosts.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use common::ms;
+use common::*;
 use crocusyard_base::prelude::*;
 use crocusyard_serving::prelude::*;
 use std::collections::HashMap;
@@ -86,6 +86,68 @@
     assert!((0..ANSWERS).all(|salt| two.addresses(LIMIT, salt, ms(100)).len() == 2));
 }
 
+/// A host with this part of the callers, among 71 that have all told what they have in progress.
+fn host_with(part: f64) -> TestHost {
+    let names = ["t1", "t2", "t3"];
+    let desk = names.iter().map(|name| record(name, "a", &[])).collect();
+    let mut host = TestHost::new(&["m"], desk);
+    let share = HostShare { hosts: 71, part };
+    host.state.reduce(ServingEvent::Hosts(share), ms(2_000));
+    for number in 1..71 {
+        // The other hosts use all places of the plain service.
+        let target = ["t1", "t2", "t3"][number % 3];
+        host.hear_load(&format!("peer-{number}"), &[(target, 1)], ms(2_000));
+    }
+    host
+}
+
+/// Guards against a large host whose calls to a plain service wait, because it keeps to the places
+/// of a host of average size while it gets several times the callers.
+#[test]
+fn places_of_a_plain_service_follow_the_callers() {
+    let sent = |part| {
+        let mut host = host_with(part);
+        let plain = route(CallKind::NonIdempotent, 1);
+        let calls = (0..20).map(|_| host.plain(plain.clone(), ms(2_000)).1);
+        calls.filter(|effects| !sent_to(effects).is_empty()).count()
+    };
+    // A quarter of 24 places, and of the queues that the targets keep.
+    assert!((6..=8).contains(&sent(0.25)), "{}", sent(0.25));
+    assert_eq!(sent(0.01), 1);
+}
+
+/// Guards against repeated sends that are refused at a large host while small ones leave theirs.
+#[test]
+fn repeats_follow_the_callers() {
+    let limits = RetryLimits {
+        ratio: 0.0,
+        slack: 100.0,
+        window: ms(10_000),
+    };
+    let taken = |part| {
+        let mut budget = RetryBudget::new(limits);
+        let service = ServiceName::new("s");
+        (0..100)
+            .filter(|_| budget.take(&service, part, ms(1_000)))
+            .count()
+    };
+    assert_eq!(taken(0.25), 20);
+    assert_eq!(taken(0.05), 4);
+}
+
+/// Guards against parts of hosts that add up to more than all.
+#[test]
+fn parts_of_all_hosts_add_up_to_one() {
+    let sizes = [500, 500, 120, 120, 120];
+    let parts = (0..sizes.len()).map(|own| {
+        let mut sizes = sizes;
+        sizes.swap(0, own);
+        book(&sizes).share(ms(100)).part
+    });
+    let sum: f64 = parts.sum();
+    assert!((sum - 1.0).abs() < 1e-9, "{sum}");
+}
+
 /// Guards against a small host that does the work for its failure domain beside a larger one.
 #[test]
 fn strongest_host_reads_for_its_domain() {
--- a/crates/serving/tests/overloaded_service.rs
+++ b/crates/serving/tests/overloaded_service.rs
@@ -17,7 +17,8 @@
 #[test]
 fn host_keeps_to_its_share_of_the_places() {
     let mut host = TestHost::new(&["m"], desk());
-    host.state.reduce(ServingEvent::Hosts(HOSTS), ms(2_000));
+    host.state
+        .reduce(ServingEvent::Hosts(HostShare::equal(HOSTS)), ms(2_000));
     let plain = route(CallKind::NonIdempotent, 1);
     let (first, effects) = host.plain(plain.clone(), ms(2_000));
     assert_eq!(sent_to(&effects).len(), 1);
@@ -32,7 +33,8 @@
 
 /// All other hosts tell how many requests they have in progress; the first `busy` have one.
 fn hear_peers(host: &mut TestHost, busy: usize, now: ClockTime) {
-    host.state.reduce(ServingEvent::Hosts(HOSTS), now);
+    host.state
+        .reduce(ServingEvent::Hosts(HostShare::equal(HOSTS)), now);
     for number in 1..HOSTS {
         let count = u16::from(number <= busy);
         let target = ["t1", "t2", "t3"][number % 3];
@@ -56,7 +58,8 @@
         if hosts == HOSTS {
             hear_peers(&mut host, 0, ms(2_000));
         } else {
-            host.state.reduce(ServingEvent::Hosts(hosts), ms(2_000));
+            host.state
+                .reduce(ServingEvent::Hosts(HostShare::equal(hosts)), ms(2_000));
         }
         host.hear_load("peer-1", &[("t2", others), ("t3", others)], ms(2_000));
         let plain = route(CallKind::NonIdempotent, 1);
@@ -105,7 +108,8 @@
 #[test]
 fn few_hosts_use_all_places() {
     let mut host = TestHost::new(&["m"], desk());
-    host.state.reduce(ServingEvent::Hosts(2), ms(2_000));
+    host.state
+        .reduce(ServingEvent::Hosts(HostShare::equal(2)), ms(2_000));
     let plain = route(CallKind::NonIdempotent, 1);
     for _ in 0..12 {
         let (_, effects) = host.plain(plain.clone(), ms(2_000));
@@ -117,7 +121,8 @@
 #[test]
 fn waiting_calls_go_before_new_ones() {
     let mut host = TestHost::new(&["m"], desk());
-    host.state.reduce(ServingEvent::Hosts(HOSTS), ms(2_000));
+    host.state
+        .reduce(ServingEvent::Hosts(HostShare::equal(HOSTS)), ms(2_000));
     let plain = route(CallKind::NonIdempotent, 1);
     let (first, _) = host.plain(plain.clone(), ms(2_000));
     let (second, _) = host.plain(plain.clone(), ms(2_001));
@@ -129,7 +134,8 @@
 #[test]
 fn call_that_can_still_be_in_time_goes_first() {
     let mut host = TestHost::new(&["m"], desk());
-    host.state.reduce(ServingEvent::Hosts(HOSTS), ms(1_000));
+    host.state
+        .reduce(ServingEvent::Hosts(HostShare::equal(HOSTS)), ms(1_000));
     let plain = route(CallKind::NonIdempotent, 1);
     // Runs take 200 ms of the 300 ms in which an answer is in time.
     let mut now = ms(1_000);
--- a/crates/serving/tests/waiting_hosts.rs
+++ b/crates/serving/tests/waiting_hosts.rs
@@ -12,7 +12,8 @@
 /// other hosts.
 fn waiting_host(number: usize, own: usize, others: u16) -> TestHost {
     let mut host = TestHost::new(&["m"], vec![record("t1", "a", &[])]);
-    host.state.reduce(ServingEvent::Hosts(HOSTS), ms(2_000));
+    host.state
+        .reduce(ServingEvent::Hosts(HostShare::equal(HOSTS)), ms(2_000));
     for peer in (0..HOSTS).filter(|peer| *peer != number) {
         host.hear_waiting(&format!("host-{peer}"), "m", others, ms(2_000));
     }
