serving: copies are planned by the run time of each model

Cause: the plan took the requests that a model will have in progress as its rate times one run time for the whole service. Ruled out: the requests in progress that hosts report, which were right; the rate exceeds them for any model that is faster than the mean. Change: hosts tell the mean run time of each model with their demand; the holder weighs them by rate. Figures: two new tests; without the change the fast model of the first is expected to have 100 requests in progress instead of 20.

--- a/crates/serving/src/demand.rs
+++ b/crates/serving/src/demand.rs
@@ -30,6 +30,8 @@
     pub waiting: u32,
     /// Requests that arrive, 1/s.
     pub rate: f64,
+    /// Mean time from a send to its end, ms, if one has ended.
+    pub run_ms: Option<u32>,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -91,6 +93,7 @@
                 busy: count.busy,
                 waiting: count.waiting,
                 rate: count.rate_at(now),
+                run_ms: None,
             })
             .collect();
         demands.sort_by(|a, b| (&a.service, &a.need).cmp(&(&b.service, &b.need)));
@@ -98,6 +101,16 @@
     }
 }
 
+/// Mean run time of two parts of a demand, by their rates; a part without one says nothing.
+fn mean_run(sum: &ModelDemand, part: &ModelDemand) -> Option<u32> {
+    let (Some(first), Some(second)) = (sum.run_ms, part.run_ms) else {
+        return sum.run_ms.or(part.run_ms);
+    };
+    let rates = (sum.rate + part.rate).max(f64::MIN_POSITIVE);
+    let mean = (f64::from(first) * sum.rate + f64::from(second) * part.rate) / rates;
+    Some(mean as u32)
+}
+
 /// Demand of all hosts, at the lease holder.
 #[derive(Clone, Debug, Default)]
 pub struct DemandBook {
@@ -131,8 +144,10 @@
                 busy: 0,
                 waiting: 0,
                 rate: 0.0,
+                run_ms: None,
                 ..demand.clone()
             });
+            sum.run_ms = mean_run(sum, demand);
             sum.busy += demand.busy;
             sum.waiting += demand.waiting;
             sum.rate += demand.rate;
--- a/crates/serving/src/state.rs
+++ b/crates/serving/src/state.rs
@@ -130,7 +130,12 @@
             }
         }
         self.demand.set_waiting(&waiting);
-        self.demand.report(now)
+        let mut demands = self.demand.report(now);
+        for demand in &mut demands {
+            let key = (demand.service.clone(), Some(demand.need.model.clone()));
+            demand.run_ms = self.run_times.get(&key).map(|ms| *ms as u32);
+        }
+        demands
     }
 
     /// Waiting calls by model, for the other hosts.
--- a/crates/serving/src/trend.rs
+++ b/crates/serving/src/trend.rs
@@ -24,6 +24,8 @@
 
 #[derive(Clone, Debug, Default)]
 struct ModelTrend {
+    /// Mean run time of its requests, s, as far as hosts told it.
+    run_time: Option<f64>,
     samples: VecDeque<(ClockTime, f64)>,
     busy: f64,
     peak: f64,
@@ -56,6 +58,13 @@
     }
 }
 
+/// Run times of the adapters of a model, weighted by their rates.
+#[derive(Clone, Copy, Debug, Default)]
+struct RunSum {
+    weight: f64,
+    weighted_ms: f64,
+}
+
 /// Trends of all models.
 #[derive(Clone, Debug, Default)]
 pub struct DemandTrend {
@@ -67,9 +76,15 @@
     /// Takes the demand of all hosts.
     pub fn update(&mut self, demands: &[ModelDemand], now: ClockTime) {
         let mut sums: HashMap<(ServiceName, ModelName), (f64, f64)> = HashMap::new();
+        let mut runs: HashMap<(ServiceName, ModelName), RunSum> = HashMap::new();
         let mut services: HashMap<ServiceName, (f64, f64)> = HashMap::new();
         for demand in demands {
             let key = (demand.service.clone(), demand.need.model.clone());
+            if let Some(run_ms) = demand.run_ms {
+                let run = runs.entry(key.clone()).or_default();
+                run.weight += demand.rate;
+                run.weighted_ms += demand.rate * f64::from(run_ms);
+            }
             let sum = sums.entry(key).or_default();
             sum.0 += f64::from(demand.busy);
             sum.1 += demand.rate;
@@ -91,6 +106,10 @@
         }
         for (key, trend) in &mut self.models {
             let (busy, rate) = sums.get(key).copied().unwrap_or_default();
+            if let Some(run) = runs.get(key).filter(|run| run.weight > 0.0) {
+                let run_time = run.weighted_ms / run.weight / 1_000.0;
+                trend.run_time = Some(run_time.min(RUN_TIME_LIMIT_S));
+            }
             trend.busy = busy;
             trend.samples.push_back((now, rate));
             while trend
@@ -115,7 +134,10 @@
         let Some(trend) = self.models.get(&key) else {
             return 0.0;
         };
-        let run_time = self.run_times.get(service).copied().unwrap_or(RUN_TIME_S);
+        // Models differ in speed by a factor of ten; the service's mean is for those that have not
+        // answered yet.
+        let mean = self.run_times.get(service).copied();
+        let run_time = trend.run_time.or(mean).unwrap_or(RUN_TIME_S);
         let coming = trend.coming_rate() * run_time;
         coming.max(trend.busy).max(trend.kept_peak(now))
     }
--- a/crates/serving/tests/demand_shift.rs
+++ b/crates/serving/tests/demand_shift.rs
@@ -18,6 +18,7 @@
         busy,
         waiting: 0,
         rate,
+        run_ms: None,
     }
 }
 
@@ -78,6 +79,55 @@
     assert!(expected > 20.0, "expected {expected}, now 13");
 }
 
+/// Guards against copies for the rate of a model alone: a small model answers ten times as fast as a
+/// large one, and took most of the memory of the engines although it needed little of their time.
+#[test]
+fn fast_model_is_expected_to_need_few_places() {
+    let mut trend = DemandTrend::default();
+    let with_run = |name, busy, run_ms| ModelDemand {
+        run_ms: Some(run_ms),
+        ..demand(name, busy, 100.0)
+    };
+    let demands = [with_run("fast", 20, 200), with_run("slow", 180, 1_800)];
+    for step in 0..10 {
+        trend.update(&demands, ms(step * 100));
+    }
+    let expected = |name| trend.expected(&engines(), &model(name), ms(900));
+    assert!(
+        (expected("fast") - 20.0).abs() < 1.0,
+        "{}",
+        expected("fast")
+    );
+    assert!(
+        (expected("slow") - 180.0).abs() < 1.0,
+        "{}",
+        expected("slow")
+    );
+}
+
+/// Guards against run times that are lost between the hosts and the plan.
+#[test]
+fn run_times_reach_the_plan() {
+    let mut host = TestHost::new(&["m"], vec![record("t1", "a", &[("m", &[])])]);
+    for number in 0..50 {
+        let now = ms(2_000 + number * 200);
+        let (key, _) = host.stream("m", now);
+        host.end(key, AttemptOutcome::Answered { status: 200 }, now + ms(150));
+    }
+    let own = host.state.demand_report(ms(12_000));
+    assert!(own[0].run_ms.is_some_and(|run| (140..170).contains(&run)));
+    let mut book = DemandBook::default();
+    let other = ModelDemand {
+        run_ms: Some(450),
+        rate: own[0].rate,
+        ..own[0].clone()
+    };
+    book.tell(&HostName::new("a"), own, ms(12_000));
+    book.tell(&HostName::new("b"), vec![other], ms(12_000));
+    let sum = book.total(ms(12_000))[0].run_ms;
+    assert!(sum.is_some_and(|run| (290..320).contains(&run)), "{sum:?}");
+}
+
 /// Guards against unloading copies of a model between two moments of its demand.
 #[test]
 fn model_that_was_busy_keeps_its_copies_for_a_while() {
