serving: places of plain services leave room for the usual variation

Cause: a host's share of the places of a plain service was rounded up. Ruled out: the targets; small hosts left their places unused. Change: the root of the share is added before rounding down.

--- a/crates/serving/src/state/estimate.rs
+++ b/crates/serving/src/state/estimate.rs
@@ -145,7 +145,9 @@
         let unheard = (hosts - 1).saturating_sub(self.targets.heard_peers()) as f64;
         let unheard_part = (1.0 - part) * unheard / (hosts - 1).max(1) as f64;
         let spare = f64::from(places) - f64::from(used) - all * unheard_part;
-        let limit = share.ceil().max(1.0) + (spare.max(0.0) * SPARE_SHARE).floor();
+        // Calls arrive at random: their number in progress varies by the root of its mean.
+        let own = (share + share.sqrt()).floor().max(1.0);
+        let limit = own + (spare.max(0.0) * SPARE_SHARE).floor();
         let waits_longer =
             self.waiting.contains(key) || !self.waiting_calls().any(|other| other.is_like(call));
         f64::from(running) >= limit || !waits_longer
