--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -40,8 +40,8 @@
         }
     }
 
-    /// Notes a failed call and waits before the next one.
-    pub(crate) async fn failed(&mut self, error: &StoreError) {
+    /// Notes a failed call.
+    pub(crate) fn failed(&mut self, error: &StoreError) {
         if !self.failing {
             self.failing = true;
             let cause = error.to_string();
@@ -51,6 +51,10 @@
                 json!({"table": self.table, "cause": cause}),
             );
         }
+    }
+
+    /// Waits before the next call after a failed one.
+    pub(crate) async fn rest(&mut self) {
         let pause = self.backoff.failed();
         actix_rt::time::sleep(Duration::from_millis(pause.as_ms())).await;
     }
@@ -83,7 +87,10 @@
                 health.answered();
                 return page;
             }
-            Err(error) => health.failed(&error).await,
+            Err(error) => {
+                health.failed(&error);
+                health.rest().await;
+            }
         }
     }
 }
@@ -107,7 +114,10 @@
                     version = changes.version;
                 }
                 Err(StoreError::HistoryGone) => break,
-                Err(error) => health.failed(&error).await,
+                Err(error) => {
+                    health.failed(&error);
+                    health.rest().await;
+                }
             }
         }
     }
@@ -156,7 +166,10 @@
                     version = changes.version;
                 }
                 Err(StoreError::HistoryGone) => break,
-                Err(error) => health.failed(&error).await,
+                Err(error) => {
+                    health.failed(&error);
+                    health.rest().await;
+                }
             }
         }
     }
@@ -183,7 +196,10 @@
                 health.answered();
                 return;
             }
-            Err(error) => health.failed(&error).await,
+            Err(error) => {
+                health.failed(&error);
+                health.rest().await;
+            }
         }
     }
 }
