serving: the lease holder of many hosts goes on without the store

It may go on while every host has heard it within 1.5 s; but with 66 hosts beats are 0.69 s apart, so that the stamp it gets back is up to 1.4 s old when it comes. At the return of the store everyone's wait was long over, and a small host took the lease. Ruled out: hosts that did not hear it (roll_term began 1 s after the outage and says so in beats). Change: a holder whose renewal is 0.8 s old asks all hosts every 250 ms and they answer at once, with the words of the beats. A host that yields to stronger ones counts from its first read of a row that may be taken over.

--- a/crates/edge/src/gossip.rs
+++ b/crates/edge/src/gossip.rs
@@ -5,6 +5,7 @@
 use crate::moves;
 use crate::shell::EdgeShell;
 use crate::target_list;
+use crocusyard_base::prelude::*;
 use crocusyard_serving::prelude::*;
 use log::{debug, warn};
 use std::net::SocketAddr;
@@ -15,6 +16,10 @@
 /// Longest message, bytes; fits into one datagram of any link.
 const MESSAGE_BYTES: usize = 60_000;
 
+/// Pause between two rounds of questions of the lease holder; a lost one is repeated several times
+/// while the last answer holds.
+const ASK_PAUSE: Duration = Duration::from_millis(250);
+
 /// Socket for messages to other hosts.
 #[derive(Clone)]
 pub(crate) struct PeerSocket {
@@ -136,6 +141,12 @@
                 load,
             });
         }
+        HostMessage::Lease { host, word } => {
+            shell.lease.borrow_mut().take_word(&host, &word, now);
+            if matches!(word, LeaseWord::Holds { .. }) {
+                answer_holder(shell, &host);
+            }
+        }
         HostMessage::Demand { host, demands } => {
             shell.demands.borrow_mut().tell(&host, demands, now);
         }
@@ -170,6 +181,30 @@
     }
 }
 
+/// Asks all hosts whether they hear this one, while the store confirms it late.
+pub(crate) async fn ask_hosts(shell: Rc<EdgeShell>) {
+    loop {
+        actix_rt::time::sleep(ASK_PAUSE).await;
+        let others = shell.hosts.borrow().others();
+        let word = shell.lease.borrow().asks(&others, clock::now());
+        if let Some(word) = word {
+            let host = shell.settings.name.clone();
+            shell.tell_all(&HostMessage::Lease { host, word });
+        }
+    }
+}
+
+/// Tells the holder that this host has heard it.
+fn answer_holder(shell: &EdgeShell, holder: &HostName) {
+    let word = shell.lease_word();
+    let address = shell.hosts.borrow().peer(holder);
+    if let (Some(word @ LeaseWord::Heard { .. }), Some(address)) = (word, address) {
+        let host = shell.settings.name.clone();
+        let message = HostMessage::Lease { host, word };
+        shell.peers.send(address, &message);
+    }
+}
+
 /// Returns whether a notice is not from an earlier holder.
 fn is_current(shell: &EdgeShell, version: u64) -> bool {
     shell
--- a/crates/edge/src/message.rs
+++ b/crates/edge/src/message.rs
@@ -21,6 +21,13 @@
         /// Waiting calls by model.
         waiting: HostWaiting,
     },
+    /// The lease holder asks for a word of each host, or a host answers.
+    Lease {
+        /// Sender.
+        host: HostName,
+        /// What it says.
+        word: LeaseWord,
+    },
     /// Demand at the sender, for the lease holder.
     Demand {
         /// Sender.
--- a/crates/edge/src/run.rs
+++ b/crates/edge/src/run.rs
@@ -3,7 +3,7 @@
 use crate::clock;
 use crate::entry::{accept, ListenerRole};
 use crate::follow::{follow_hosts, follow_rules};
-use crate::gossip::{beat, receive, send_beats, PeerSocket};
+use crate::gossip::{ask_hosts, beat, receive, send_beats, PeerSocket};
 use crate::journal;
 use crate::lease_keeper::{keep_lease, release_lease};
 use crate::moves::give_orders;
@@ -111,6 +111,7 @@
     actix_rt::spawn(follow_hosts(shell.clone()));
     actix_rt::spawn(receive(shell.clone()));
     actix_rt::spawn(send_beats(shell.clone()));
+    actix_rt::spawn(ask_hosts(shell.clone()));
     actix_rt::spawn(keep_lease(shell.clone()));
     actix_rt::spawn(give_orders(shell.clone()));
     actix_rt::spawn(tick(shell.clone()));
--- a/crates/serving/src/lease.rs
+++ b/crates/serving/src/lease.rs
@@ -11,7 +11,8 @@
 //!
 //! While the holder cannot reach the store, it goes on as long as every other host has heard it
 //! lately: none of them takes the lease over before that is long past. One host that has not heard
-//! it, dead or cut off, ends this.
+//! it, dead or cut off, ends this. With many hosts, beats are too far apart for this: a holder whose
+//! renewal is late asks all hosts for their word, and they answer at once.
 
 use crocusyard_base::prelude::*;
 use serde::{Deserialize, Serialize};
@@ -21,14 +22,19 @@
 const RENEW_PAUSE: ClockTime = ClockTime::from_ms(700);
 /// Age of the last confirmed renewal up to which the holder gives orders; two renewals.
 const ORDER_TIME: ClockTime = ClockTime::from_ms(1_500);
+/// Age of the last confirmed renewal from which the holder asks the other hosts; a renewal and its
+/// answer take less. With the pause between two rounds of beats of any number of hosts it leaves
+/// time for two rounds more.
+const ASK_AGE: ClockTime = ClockTime::from_ms(800);
 /// Silence of the holder after which others read the row.
 const HOLDER_SILENCE: ClockTime = ClockTime::from_ms(1_500);
 /// Pause between reads of the row while the holder is silent.
 const READ_PAUSE: ClockTime = ClockTime::from_ms(700);
 /// Age of an absent row before it is written, so that hosts that start together know each other.
 const FIRST_WAIT: ClockTime = ClockTime::from_ms(1_000);
-/// Time by which a host lets stronger ones take the lease first; they try again once in it.
-const STRONGER_FIRST: ClockTime = ClockTime::from_ms(800);
+/// Time by which a host lets stronger ones take the lease first: they may just have sent a write
+/// that is lost, and send another one.
+const STRONGER_FIRST: ClockTime = ClockTime::from_ms(1_600);
 /// Part of the take-over time that covers answers on their way, ms.
 const TAKE_MARGIN: ClockTime = ClockTime::from_ms(300);
 
@@ -107,6 +113,8 @@
     released: bool,
     /// Whether a stronger host may take the lease.
     yields: bool,
+    /// When the row was first read that may be taken over.
+    free_since: Option<ClockTime>,
 }
 
 impl LeaseState {
@@ -127,6 +135,7 @@
             heard_by: BTreeMap::new(),
             released: false,
             yields: false,
+            free_since: None,
         }
     }
 
@@ -182,6 +191,15 @@
         (version > 0).then_some(LeaseWord::Heard { version, stamp })
     }
 
+    /// Word with which the holder asks the other hosts, if the store confirms it late.
+    pub fn asks(&self, others: &[HostName], now: ClockTime) -> Option<LeaseWord> {
+        let confirmed = self.confirmed?;
+        if now.since(confirmed) < ASK_AGE {
+            return None;
+        }
+        self.word(others, now)
+    }
+
     /// Takes what another host says of the lease.
     pub fn take_word(&mut self, host: &HostName, word: &LeaseWord, now: ClockTime) {
         match *word {
@@ -223,17 +241,16 @@
         let Some(seen) = self.seen else {
             return self.step_read(now);
         };
-        let mut wait = if seen.version == 0 {
-            FIRST_WAIT
-        } else if self.released {
-            self.lease_time + TAKE_MARGIN
-        } else {
-            self.take_time()
-        };
-        if self.yields {
-            wait += STRONGER_FIRST;
-        }
-        if now.since(seen.since) >= wait {
+        if self.is_free(seen, now) {
+            if self.yields {
+                // While the store is away, everyone waits; its return is noticed by a read.
+                let Some(free_since) = self.free_since else {
+                    return self.step_read(now);
+                };
+                if now.since(free_since) < STRONGER_FIRST {
+                    return LeaseStep::Wait;
+                }
+            }
             self.sent = Some(now);
             return LeaseStep::Write {
                 expected: seen.version,
@@ -253,9 +270,16 @@
         LeaseStep::Read
     }
 
-    /// Time for which the same version is seen before the lease is taken over.
-    fn take_time(&self) -> ClockTime {
-        self.lease_time + ORDER_TIME + TAKE_MARGIN
+    /// Whether the same version has been seen for so long that the lease may be taken over.
+    fn is_free(&self, seen: SeenVersion, now: ClockTime) -> bool {
+        let wait = if seen.version == 0 {
+            FIRST_WAIT
+        } else if self.released {
+            self.lease_time + TAKE_MARGIN
+        } else {
+            self.lease_time + ORDER_TIME + TAKE_MARGIN
+        };
+        now.since(seen.since) >= wait
     }
 
     /// Takes the row that was read, or that a failed write showed.
@@ -264,6 +288,11 @@
             Some((row, version)) => (Some(row.holder), version, row.released),
             None => (None, 0, false),
         };
+        if let Some(seen) = self.seen {
+            if seen.version == version && self.is_free(seen, now) {
+                self.free_since.get_or_insert(now);
+            }
+        }
         self.see_version(holder, version, now);
         self.released = released;
     }
@@ -282,6 +311,7 @@
 
     fn note_version(&mut self, version: u64, now: ClockTime) {
         let since = now;
+        self.free_since = None;
         self.seen = Some(SeenVersion { version, since });
     }
 
