Revert "serving: memory of the engines that is short is shared out by demand"

Change: the plan, its two tests and the text as before. Conclusion: memory that is short needs fewer moves, not more.

--- a/crates/serving/src/copies.rs
+++ b/crates/serving/src/copies.rs
@@ -3,10 +3,6 @@
 //! Every model keeps one copy. A model in demand gets as many as keep its engines partly filled,
 //! so that a rise finds room while the next load is under way. Copies beyond that stay where they
 //! are until another model needs their memory.
-//!
-//! When the copies that models want do not fit into the engines, all engines are to be filled
-//! further, until they do: the memory is then shared out by demand, and a model that has more than
-//! its part gives copies up to one that has less.
 
 use crate::call::CallNeed;
 use crate::demand::ModelDemand;
@@ -18,13 +14,6 @@
 
 /// Share of its engines' slots that a model's requests take; the rest is room for a rise.
 const FILL_AIM: f64 = 0.3;
-/// Most that engines are filled in the plan; beyond 1.0 requests wait, and copies follow demand all
-/// the same.
-const FILL_LIMIT: f64 = 4.0;
-/// Factor between two fills that are tried.
-const FILL_STEP: f64 = 1.1;
-/// Part of the engines' memory that models fill, as they do not fit into it without gaps.
-const PACKED_PART: f64 = 0.9;
 /// Rate from which an adapter counts as in use, 1/s; rarer ones take turns in one place.
 const ADAPTER_RATE: f64 = 0.3;
 /// Memory kept for adapters on each engine, MB, besides those that are held.
@@ -80,8 +69,6 @@
     busy: f64,
     rate: f64,
     copies: usize,
-    /// Copies whose places for adapters hold those in use.
-    for_adapters: usize,
     wanted: usize,
 }
 
@@ -148,7 +135,8 @@
             sum.adapters += 1;
         }
     }
-    let mut needs: BTreeMap<ModelName, ModelNeed<'a>> = input
+    let slots = f64::from(input.rule.slots.max(1));
+    input
         .rule
         .models
         .values()
@@ -162,41 +150,20 @@
                 })
                 .count();
             let sum = sums.get(&rule.name).copied().unwrap_or_default();
+            let busy = input.expected.get(&rule.name).copied().unwrap_or(sum.busy);
+            let by_load = (busy / (slots * FILL_AIM)).ceil() as usize;
+            let by_adapters = sum.adapters.div_ceil(input.rule.adapter_slots.max(1));
+            let wanted = by_load.max(by_adapters);
             let need = ModelNeed {
                 rule,
-                busy: input.expected.get(&rule.name).copied().unwrap_or(sum.busy),
+                busy,
                 rate: sum.rate,
                 copies,
-                for_adapters: sum.adapters.div_ceil(input.rule.adapter_slots.max(1)),
-                wanted: 1,
+                wanted: wanted.clamp(1, input.engines.len().max(1)),
             };
             (rule.name.clone(), need)
         })
-        .collect();
-    let engine_mb = (input.rule.weights_mb - ADAPTER_RESERVE_MB) * PACKED_PART;
-    let room_mb = engine_mb * input.engines.len() as f64;
-    let mut fill = FILL_AIM;
-    while want_copies(&mut needs, input, fill) > room_mb && fill < FILL_LIMIT {
-        fill *= FILL_STEP;
-    }
-    needs
-}
-
-/// Sets the copies that keep engines filled to `fill`; returns their memory, MB.
-fn want_copies(
-    needs: &mut BTreeMap<ModelName, ModelNeed<'_>>,
-    input: &PlanInput<'_>,
-    fill: f64,
-) -> f64 {
-    let slots = f64::from(input.rule.slots.max(1));
-    let most = input.engines.len().max(1);
-    let mut wanted_mb = 0.0;
-    for need in needs.values_mut() {
-        let by_load = (need.busy / (slots * fill)).ceil() as usize;
-        need.wanted = by_load.max(need.for_adapters).clamp(1, most);
-        wanted_mb += need.wanted as f64 * need.rule.weights_mb;
-    }
-    wanted_mb
+        .collect()
 }
 
 /// Model that lacks copies most.
--- a/crates/serving/tests/demand_shift.rs
+++ b/crates/serving/tests/demand_shift.rs
@@ -177,48 +177,6 @@
     assert_eq!(loads, 2, "{orders:?}");
 }
 
-/// Guards against a model that is refused for seconds on one copy, since the copies of the others
-/// are all wanted as well and fill the engines: memory that is short is shared out by demand.
-#[test]
-fn short_memory_is_shared_out_by_demand() {
-    let names = ["m", "n", "a", "b", "c", "d", "e"];
-    let mut rule = engine_rule(&names);
-    // Room for two models on each of six engines; n holds all that the others leave.
-    rule.weights_mb = 140_000.0;
-    let views = vec![
-        view("t1", &[("m", &[]), ("n", &[])]),
-        view("t2", &[("a", &[]), ("n", &[])]),
-        view("t3", &[("b", &[]), ("n", &[])]),
-        view("t4", &[("c", &[]), ("n", &[])]),
-        view("t5", &[("d", &[]), ("n", &[])]),
-        view("t6", &[("n", &[]), ("e", &[])]),
-    ];
-    let expected = [("m", 120.0), ("n", 60.0)];
-    let orders = plan(views, &rule, &expected, 10);
-    let given_up = orders
-        .iter()
-        .filter(|(_, action)| *action == OrderAction::UnloadModel(model("n")))
-        .count();
-    assert!(given_up >= 2, "{orders:?}");
-}
-
-/// Guards against copies that are given up while all of them fit.
-#[test]
-fn memory_that_suffices_is_not_shared_out() {
-    let rule = engine_rule(&["m", "n"]);
-    let views = vec![
-        view("t1", &[("m", &[]), ("n", &[])]),
-        view("t2", &[("n", &[])]),
-        view("t3", &[]),
-    ];
-    let orders = plan(views, &rule, &[("m", 6.0), ("n", 6.0)], 10);
-    let unloads = orders
-        .iter()
-        .filter(|(_, action)| matches!(action, OrderAction::UnloadModel(_)))
-        .count();
-    assert_eq!(unloads, 0, "{orders:?}");
-}
-
 /// Guards against more loads than the weight store allows.
 #[test]
 fn plan_keeps_to_the_loads_that_are_left() {
