--- a/crates/serving/src/orders.rs
+++ b/crates/serving/src/orders.rs
@@ -243,7 +243,8 @@
         (limit as usize).saturating_sub(loads.len())
     }
 
-    /// Notes an order that is sent; returns the expected number of accepted orders.
+    /// Notes an order that is sent; returns the expected number of accepted orders, or none if the
+    /// engine cannot be given an order now.
     pub fn begin(
         &mut self,
         service: &ServiceName,
@@ -251,6 +252,10 @@
         action: &OrderAction,
         now: ClockTime,
     ) -> Option<u64> {
+        // Another order may have been given since the engine was seen to be free.
+        if !self.is_free(name, now) {
+            return None;
+        }
         let state = self.engines.get_mut(name)?;
         state.unanswered = Some(action.clone());
         state.retry_at = now + ORDER_RETRY;
@@ -285,7 +290,9 @@
         now: ClockTime,
     ) -> Option<TargetHoldings> {
         let state = self.engines.get_mut(name)?;
-        if answer == OrderAnswer::Unknown {
+        // A report that counts the order may have come before its answer.
+        let is_awaited = state.unanswered.as_ref() == Some(action);
+        if answer == OrderAnswer::Unknown || !is_awaited {
             return None;
         }
         state.unanswered = None;
--- a/crates/serving/tests/orders.rs
+++ b/crates/serving/tests/orders.rs
@@ -48,6 +48,25 @@
     assert_eq!(book.take_repeats(ms(500)), [(target(), load, 4)]);
 }
 
+/// Guards against a second order to an engine before the first is answered: both expect the same
+/// number, the engine accepts a repeated load twice, and the count of its adapters is wrong from
+/// then on, until one too many crashes it.
+#[test]
+fn engine_with_an_unanswered_order_gets_no_second_one() {
+    let mut book = book(&[("m", &[])]);
+    let load = |adapter| OrderAction::LoadAdapter(model("m"), AdapterName::new(adapter));
+    let begin =
+        |book: &mut OrderBook, adapter, now| book.begin(&engines(), &target(), &load(adapter), now);
+    assert_eq!(begin(&mut book, "a1", ms(0)), Some(4));
+    assert_eq!(begin(&mut book, "a1", ms(1)), None);
+    assert_eq!(begin(&mut book, "a2", ms(1)), None);
+    let answer = OrderAnswer::Accepted;
+    book.answered(&target(), &load("a1"), answer, ms(0), ms(5));
+    // An answer that is not waited for any more counts nothing.
+    book.answered(&target(), &load("a1"), answer, ms(0), ms(6));
+    assert_eq!(begin(&mut book, "a2", ms(10)), Some(5));
+}
+
 /// Guards against hosts that are sent back to an engine which is unloading their model.
 #[test]
 fn report_during_an_unload_does_not_list_the_model() {
@@ -80,14 +99,18 @@
 fn loads_are_counted_in_a_sliding_window() {
     let mut book = OrderBook::default();
     let rule = engine_rule(&["m"]);
-    let names: Vec<TargetName> = (0..20).map(|n| TargetName::new(&format!("t{n}"))).collect();
+    let names: Vec<TargetName> = (0..60).map(|n| TargetName::new(&format!("t{n}"))).collect();
     book.follow(&names.iter().map(|name| (name.clone(), 1)).collect());
+    for name in &names {
+        book.reported(name, &report(0, &[], false));
+    }
     let mut begun = Vec::new();
     for step in 0..200 {
         let now = ms(step * 50);
         if book.loads_left(&engines(), &rule, now) > 0 {
-            let name = &names[begun.len() % names.len()];
-            book.begin(&engines(), name, &OrderAction::LoadModel(model("m")), now);
+            let load = OrderAction::LoadModel(model("m"));
+            let expected = book.begin(&engines(), &names[begun.len()], &load, now);
+            assert_eq!(expected, Some(0), "each engine gets one order");
             begun.push(now);
         }
     }
