serving: rows of hosts without processor time are read

Cause: a host of an older version leaves a row without the new field; it could not be read and the host was unknown until it sent a beat. Ruled out: messages, which only hosts of the same version exchange. Change: a missing value counts as the weakest host. Figures: row_without_processor_time_is_read failed before (missing field). Conclusion: none besides.

--- a/crates/serving/src/hosts.rs
+++ b/crates/serving/src/hosts.rs
@@ -36,7 +36,8 @@
     pub entry: SocketAddr,
     /// Address for other hosts.
     pub peer: SocketAddr,
-    /// Processor time that it may use, thousandths of a core.
+    /// Processor time that it may use, thousandths of a core; rows of older versions lack it.
+    #[serde(default)]
     pub millicores: u32,
 }
 
--- a/crates/serving/tests/mixed_hosts.rs
+++ b/crates/serving/tests/mixed_hosts.rs
@@ -73,6 +73,14 @@
         .all(|chance| (chance * 71.0 - 1.0).abs() < 0.1));
 }
 
+/// Guards against a host that is not known because an older version wrote its row.
+#[test]
+fn row_without_processor_time_is_read() {
+    let row = r#"{"name":"h","domain":"a","entry":"10.0.0.1:1","peer":"10.0.0.1:2"}"#;
+    let facts: HostFacts = serde_json::from_str(row).expect("readable");
+    assert_eq!(facts.millicores, 0);
+}
+
 /// Guards against callers that know one address only, and have none to turn to when it fails.
 #[test]
 fn answers_have_several_addresses() {
