edge, serving: one follower of tables; clearer comments

Cause: the last read: the loops that follow configuration and hosts were the same but for two times; three comments said how a value came about instead of what it is for. Ruled out: behaviour changes; a pause of zero yields once. Change: follow_table takes the rhythm of its calls.

--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -95,22 +95,48 @@
     }
 }
 
-/// Follows the operators' configuration; reads it again when its history is gone.
-pub(crate) async fn follow_rules(shell: Rc<EdgeShell>) {
-    let mut health = StoreHealth::new("configuration");
+/// How often changes of a table are asked for.
+#[derive(Clone, Copy)]
+struct FeedRhythm {
+    /// Pause before each call.
+    pause: Duration,
+    /// Wait of the store for the first change.
+    wait: Duration,
+}
+
+/// Hears of each change at once.
+const AT_ONCE: FeedRhythm = FeedRhythm {
+    pause: Duration::ZERO,
+    wait: FEED_WAIT,
+};
+/// Hears of all changes since the last call from time to time.
+const FROM_TIME_TO_TIME: FeedRhythm = FeedRhythm {
+    pause: HOSTS_PAUSE,
+    wait: Duration::ZERO,
+};
+
+/// Follows a table and hands its rows on; reads it again when its history is gone.
+async fn follow_table(
+    shell: &EdgeShell,
+    table: StoreTable,
+    rhythm: FeedRhythm,
+    health: &mut StoreHealth,
+    take: fn(&EdgeShell, &[StoreRow]),
+) {
     loop {
-        let page = read_table(&shell, StoreTable::Operator, &mut health).await;
-        take_rules(&shell, &page.rows);
+        let page = read_table(shell, table, health).await;
+        take(shell, &page.rows);
         let mut version = page.version;
         loop {
+            actix_rt::time::sleep(rhythm.pause).await;
             let changes = shell
                 .store
-                .follow(StoreTable::Operator, version, FEED_WAIT, ANSWER_LIMIT)
+                .follow(table, version, rhythm.wait, ANSWER_LIMIT)
                 .await;
             match changes {
                 Ok(changes) => {
                     health.answered();
-                    take_rules(&shell, &changes.rows);
+                    take(shell, &changes.rows);
                     version = changes.version;
                 }
                 Err(StoreError::HistoryGone) => break,
@@ -123,6 +149,13 @@
     }
 }
 
+/// Follows the operators' configuration.
+pub(crate) async fn follow_rules(shell: Rc<EdgeShell>) {
+    let mut health = StoreHealth::new("configuration");
+    let table = StoreTable::Operator;
+    follow_table(&shell, table, AT_ONCE, &mut health, take_rules).await;
+}
+
 fn take_rules(shell: &EdgeShell, rows: &[StoreRow]) {
     for row in rows.iter().filter(|row| row.key == CONFIGURATION_KEY) {
         let Some(value) = &row.value else {
@@ -149,30 +182,8 @@
 pub(crate) async fn follow_hosts(shell: Rc<EdgeShell>) {
     let mut health = StoreHealth::new("hosts");
     write_own_row(&shell, &mut health).await;
-    loop {
-        let page = read_table(&shell, StoreTable::Hosts, &mut health).await;
-        take_hosts(&shell, &page.rows);
-        let mut version = page.version;
-        loop {
-            actix_rt::time::sleep(HOSTS_PAUSE).await;
-            let changes = shell
-                .store
-                .follow(StoreTable::Hosts, version, Duration::ZERO, ANSWER_LIMIT)
-                .await;
-            match changes {
-                Ok(changes) => {
-                    health.answered();
-                    take_hosts(&shell, &changes.rows);
-                    version = changes.version;
-                }
-                Err(StoreError::HistoryGone) => break,
-                Err(error) => {
-                    health.failed(&error);
-                    health.rest().await;
-                }
-            }
-        }
-    }
+    let table = StoreTable::Hosts;
+    follow_table(&shell, table, FROM_TIME_TO_TIME, &mut health, take_hosts).await;
 }
 
 async fn write_own_row(shell: &EdgeShell, health: &mut StoreHealth) {
--- a/crates/edge/src/target_list.rs
+++ b/crates/edge/src/target_list.rs
@@ -49,7 +49,8 @@
                     apply_change(&shell, change, after, changes.version, now, pass_on);
                 }
                 Err(StoreError::HistoryGone) => break,
-                // The poll pause is enough: other hosts poll in place of a reader that rests longer.
+                // No longer pause than between polls: the other hosts poll in place of a reader
+                // that is silent for longer.
                 Err(error) => health.failed(&error),
             }
         }
--- a/crates/serving/src/lease.rs
+++ b/crates/serving/src/lease.rs
@@ -22,15 +22,15 @@
 const RENEW_PAUSE: ClockTime = ClockTime::from_ms(700);
 /// Age of the last confirmed renewal up to which the holder gives orders; two renewals.
 const ORDER_TIME: ClockTime = ClockTime::from_ms(1_500);
-/// Age of the last confirmed renewal from which the holder asks the other hosts; a renewal and its
-/// answer take less. With the pause between two rounds of beats of any number of hosts it leaves
-/// time for two rounds more.
+/// Age of the last confirmed renewal from which the holder asks the other hosts. A renewal that is
+/// answered is younger; two rounds of questions fit in before the age at which orders end.
 const ASK_AGE: ClockTime = ClockTime::from_ms(800);
 /// Silence of the holder after which others read the row.
 const HOLDER_SILENCE: ClockTime = ClockTime::from_ms(1_500);
 /// Pause between reads of the row while the holder is silent.
 const READ_PAUSE: ClockTime = ClockTime::from_ms(700);
-/// Age of an absent row before it is written, so that hosts that start together know each other.
+/// Time for which a host sees no row before it writes the first one, so that hosts that start
+/// together know each other by then.
 const FIRST_WAIT: ClockTime = ClockTime::from_ms(1_000);
 /// Time by which a host lets stronger ones take the lease first: they may just have sent a write
 /// that is lost, and send another one.
@@ -113,7 +113,8 @@
     released: bool,
     /// Whether a stronger host may take the lease.
     yields: bool,
-    /// When the row was first read that may be taken over.
+    /// When the row was first read after the lease had become free to take; a host that yields to
+    /// stronger ones counts from then.
     free_since: Option<ClockTime>,
 }
 
