serving, edge, soak: one look at the live hosts, one sum a model; a field nobody read

Four places filtered the other hosts by the same test; the reader's rank copied a name a host, five times a second; the trend summed each model in two maps with the same keys; every host copied the names of all others four times a second to ask a question that only the lease holder asks; the soak recorded after_event, which no check reads, and turned spans into clock times in two places. Ruled out: changes of behaviour. Not joined: the weighted run time in demand (parts of hosts) and trend (adapters of a model), which round differently. Conclusion: shorter, same behaviour.

--- a/crates/edge/src/gossip.rs
+++ b/crates/edge/src/gossip.rs
@@ -185,6 +185,9 @@
 pub(crate) async fn ask_hosts(shell: Rc<EdgeShell>) {
     loop {
         actix_rt::time::sleep(ASK_PAUSE).await;
+        if !shell.lease.borrow().is_holder() {
+            continue;
+        }
         let others = shell.hosts.borrow().others();
         let word = shell.lease.borrow().asks(&others, clock::now());
         if let Some(word) = word {
--- a/crates/serving/src/hosts.rs
+++ b/crates/serving/src/hosts.rs
@@ -46,6 +46,11 @@
     fn strength(&self) -> f64 {
         f64::from(self.millicores.max(1))
     }
+
+    /// Order in which hosts take on work for their failure domain.
+    fn rank(&self) -> (Reverse<u32>, &HostName) {
+        (Reverse(self.millicores), &self.name)
+    }
 }
 
 /// What a host carries of the whole system.
@@ -189,15 +194,21 @@
         self.beat_pause().scale(SILENT_BEATS)
     }
 
+    /// Other hosts that take work.
+    fn live(&self, now: ClockTime) -> impl Iterator<Item = &HostFacts> {
+        let silence = self.silence_limit();
+        self.others
+            .values()
+            .filter(move |state| state.is_live(silence, now))
+            .map(|state| &state.facts)
+    }
+
     /// Hosts that take work, the own one included, and its part of the callers.
     pub fn share(&self, now: ClockTime) -> HostShare {
-        let silence = self.silence_limit();
         let (mut hosts, mut millicores) = (1, self.own.strength());
-        for state in self.others.values() {
-            if state.is_live(silence, now) {
-                hosts += 1;
-                millicores += state.facts.strength();
-            }
+        for facts in self.live(now) {
+            hosts += 1;
+            millicores += facts.strength();
         }
         let part = self.own.strength() / millicores;
         HostShare { hosts, part }
@@ -220,23 +231,17 @@
     /// Returns whether this host reads the target list for its failure domain: the strongest live
     /// host does, and of several the one with the lowest name.
     pub fn is_reader(&self, now: ClockTime) -> bool {
-        let silence = self.silence_limit();
-        let rank = |facts: &HostFacts| (Reverse(facts.millicores), facts.name.clone());
-        let own = rank(&self.own);
-        let before = self.others.values().any(|state| {
-            state.facts.domain == self.own.domain
-                && rank(&state.facts) < own
-                && state.is_live(silence, now)
-        });
+        let own = self.own.rank();
+        let before = self
+            .live(now)
+            .any(|facts| facts.domain == self.own.domain && facts.rank() < own);
         !before && !self.own_leaving
     }
 
     /// Returns whether a live host may use more processor time than this one.
     pub fn has_stronger(&self, now: ClockTime) -> bool {
-        let silence = self.silence_limit();
-        self.others.values().any(|state| {
-            state.facts.millicores > self.own.millicores && state.is_live(silence, now)
-        })
+        self.live(now)
+            .any(|facts| facts.millicores > self.own.millicores)
     }
 
     /// Addresses for callers.
@@ -245,13 +250,7 @@
     /// its processor time is of the strongest host's; `salt` is another number for each answer.
     /// Never empty: a host that is the only one left names itself.
     pub fn addresses(&self, limit: usize, salt: u64, now: ClockTime) -> Vec<SocketAddr> {
-        let silence = self.silence_limit();
-        let mut live: Vec<&HostFacts> = self
-            .others
-            .values()
-            .filter(|state| state.is_live(silence, now))
-            .map(|state| &state.facts)
-            .collect();
+        let mut live: Vec<&HostFacts> = self.live(now).collect();
         if !self.own_leaving || live.is_empty() {
             live.push(&self.own);
         }
--- a/crates/serving/src/trend.rs
+++ b/crates/serving/src/trend.rs
@@ -58,11 +58,15 @@
     }
 }
 
-/// Run times of the adapters of a model, weighted by their rates.
+/// Demand for a model with all its adapters.
 #[derive(Clone, Copy, Debug, Default)]
-struct RunSum {
-    weight: f64,
-    weighted_ms: f64,
+struct ModelSum {
+    busy: f64,
+    rate: f64,
+    /// Rate of those whose run time is known.
+    timed_rate: f64,
+    /// Sum of run times, each times its rate.
+    rated_ms: f64,
 }
 
 /// Trends of all models.
@@ -75,19 +79,17 @@
 impl DemandTrend {
     /// Takes the demand of all hosts.
     pub fn update(&mut self, demands: &[ModelDemand], now: ClockTime) {
-        let mut sums: HashMap<(ServiceName, ModelName), (f64, f64)> = HashMap::new();
-        let mut runs: HashMap<(ServiceName, ModelName), RunSum> = HashMap::new();
+        let mut sums: HashMap<(ServiceName, ModelName), ModelSum> = HashMap::new();
         let mut services: HashMap<ServiceName, (f64, f64)> = HashMap::new();
         for demand in demands {
             let key = (demand.service.clone(), demand.need.model.clone());
+            let sum = sums.entry(key).or_default();
+            sum.busy += f64::from(demand.busy);
+            sum.rate += demand.rate;
             if let Some(run_ms) = demand.run_ms {
-                let run = runs.entry(key.clone()).or_default();
-                run.weight += demand.rate;
-                run.weighted_ms += demand.rate * f64::from(run_ms);
+                sum.timed_rate += demand.rate;
+                sum.rated_ms += demand.rate * f64::from(run_ms);
             }
-            let sum = sums.entry(key).or_default();
-            sum.0 += f64::from(demand.busy);
-            sum.1 += demand.rate;
             let service = services.entry(demand.service.clone()).or_default();
             service.0 += f64::from(demand.busy.saturating_sub(demand.waiting));
             service.1 += demand.rate;
@@ -105,13 +107,13 @@
             self.models.entry(key.clone()).or_default();
         }
         for (key, trend) in &mut self.models {
-            let (busy, rate) = sums.get(key).copied().unwrap_or_default();
-            if let Some(run) = runs.get(key).filter(|run| run.weight > 0.0) {
-                let run_time = run.weighted_ms / run.weight / 1_000.0;
+            let sum = sums.get(key).copied().unwrap_or_default();
+            if sum.timed_rate > 0.0 {
+                let run_time = sum.rated_ms / sum.timed_rate / 1_000.0;
                 trend.run_time = Some(run_time.min(RUN_TIME_LIMIT_S));
             }
-            trend.busy = busy;
-            trend.samples.push_back((now, rate));
+            trend.busy = sum.busy;
+            trend.samples.push_back((now, sum.rate));
             while trend
                 .samples
                 .front()
@@ -119,8 +121,8 @@
             {
                 trend.samples.pop_front();
             }
-            if busy >= trend.kept_peak(now) {
-                trend.peak = busy;
+            if sum.busy >= trend.kept_peak(now) {
+                trend.peak = sum.busy;
                 trend.peak_at = now;
             }
         }
--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -3,7 +3,6 @@
 use crate::evidence::{CallRecord, CallShape, OutcomeKind};
 use crate::run::SoakWorld;
 use bytes::{Bytes, BytesMut};
-use crocusyard_base::prelude::*;
 use crocusyard_httpconn::prelude::*;
 use crocusyard_platform_standin::prelude::{
     caller_request, read_addresses, read_answer, ADDRESS_PATH, STREAM_PATH,
@@ -212,8 +211,3 @@
     let answer = timeout(CONNECT_LIMIT, answer).await;
     matches!(answer, Ok(Ok((status, _))) if status.is_success())
 }
-
-/// Time since `begun`.
-pub fn elapsed(begun: Instant) -> ClockTime {
-    ClockTime::from_ms(u64::try_from(begun.elapsed().as_millis()).unwrap_or(u64::MAX))
-}
--- a/crates/soak/src/evidence.rs
+++ b/crates/soak/src/evidence.rs
@@ -68,8 +68,6 @@
     pub body_kept: bool,
     /// Time that the target was given, ms.
     pub patience_ms: Option<u64>,
-    /// Event after which a stream goes on.
-    pub after_event: Option<u64>,
     /// Whether the target began to work on it.
     pub run: bool,
     /// When.
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -1,6 +1,6 @@
 //! Plays one seed: starts everything, injects the faults, collects the evidence.
 
-use crate::callers::{elapsed, is_ready, SoakCaller, ONCE_PATH, REPEATABLE_PATH};
+use crate::callers::{is_ready, SoakCaller, ONCE_PATH, REPEATABLE_PATH};
 use crate::evidence::{
     Disruption, HostEnd, RunEvidence, SoakArrival, SoakPart, TargetLife, VersionRecord,
 };
@@ -68,7 +68,7 @@
 impl SoakWorld {
     /// Time since the begin.
     pub fn now(&self) -> ClockTime {
-        elapsed(self.begun)
+        clock_time(self.begun.elapsed())
     }
 
     /// Notes that a part is disturbed; returns the number of the note.
@@ -267,13 +267,17 @@
         if begun.elapsed() > START_LIMIT {
             snafu::whatever!("the host at {address} is not ready");
         }
-        sleep(Duration::from_millis(LOOK_PAUSE.as_ms())).await;
+        sleep(duration(LOOK_PAUSE)).await;
     }
     Ok(())
 }
 
 async fn sleep_to(world: &SoakWorld, time: ClockTime) {
-    sleep(Duration::from_millis(time.since(world.now()).as_ms())).await;
+    sleep(duration(time.since(world.now()))).await;
+}
+
+fn clock_time(span: Duration) -> ClockTime {
+    ClockTime::from_ms(u64::try_from(span.as_millis()).unwrap_or(u64::MAX))
 }
 
 fn duration(time: ClockTime) -> Duration {
@@ -496,10 +500,7 @@
         return;
     };
     let begun = world.begun.into_std();
-    let since = |at: std::time::Instant| {
-        let span = at.saturating_duration_since(begun).as_millis();
-        ClockTime::from_ms(u64::try_from(span).unwrap_or(u64::MAX))
-    };
+    let since = |at: std::time::Instant| clock_time(at.saturating_duration_since(begun));
     let arrivals = target.standin.arrivals();
     let arrivals = arrivals.borrow();
     world.evidence.borrow_mut().arrivals = arrivals
@@ -510,7 +511,6 @@
             path: arrival.path.clone(),
             body_kept: arrival.body.as_ref() == BODY,
             patience_ms: arrival.patience_ms,
-            after_event: arrival.after_event,
             run: arrival.run,
             at: since(arrival.at),
             ended: arrival.ended.map(since),
--- a/crates/soak/tests/judge.rs
+++ b/crates/soak/tests/judge.rs
@@ -49,7 +49,6 @@
         path: "/p".to_owned(),
         body_kept: true,
         patience_ms: Some(1_500),
-        after_event: None,
         run: true,
         at: ms(at),
         ended: Some(ms(at + 10)),
