edge: log removals that are held back, and the source and age of list changes

Change: a line `target held_back`; `source` (poll or relay) and `age_ms` (time since the store was asked) in the lines new, restarted, leaving, gone and held_back. A relayed message carries the age of its poll. Ruled out: nothing yet; behaviour is unchanged.

--- a/crates/edge/src/gossip.rs
+++ b/crates/edge/src/gossip.rs
@@ -4,7 +4,7 @@
 use crate::message::HostMessage;
 use crate::moves;
 use crate::shell::EdgeShell;
-use crate::target_list;
+use crate::target_list::{self, ListSource};
 use crocusyard_base::prelude::*;
 use crocusyard_serving::prelude::*;
 use log::{debug, warn};
@@ -184,6 +184,7 @@
         HostMessage::Targets {
             after,
             version,
+            age,
             upserts,
             removed,
         } => {
@@ -192,7 +193,8 @@
                 .borrow_mut()
                 .accept_relayed(after, version, now);
             if accepted {
-                target_list::log_target_changes(shell, &upserts, &removed, version);
+                let source = ListSource::Relay { age };
+                target_list::log_target_changes(shell, &upserts, &removed, version, source);
                 shell.dispatch(ServingEvent::Targets { upserts, removed });
             }
         }
--- a/crates/edge/src/message.rs
+++ b/crates/edge/src/message.rs
@@ -62,6 +62,8 @@
         after: u64,
         /// Version of the list that the changes lead to.
         version: u64,
+        /// Time since the sender asked the store for the changes.
+        age: ClockTime,
         /// Records of new or changed targets.
         upserts: Vec<TargetRecord>,
         /// Names of removed targets.
--- a/crates/edge/src/target_list.rs
+++ b/crates/edge/src/target_list.rs
@@ -121,17 +121,27 @@
         .target_list
         .borrow_mut()
         .finish_poll(version, sent_at, change.is_complete);
+    let age = clock::now().since(sent_at);
     if relay {
         let message = HostMessage::Targets {
             after,
             version,
+            age,
             upserts: changed_records(shell, &change.upserts),
             removed: change.removed.clone(),
         };
         let peers = shell.hosts.borrow().domain_peer_addresses();
         shell.peers.send_all(&peers, &message);
     }
-    log_target_changes(shell, &change.upserts, &change.removed, version);
+    let source = ListSource::Poll { age };
+    log_target_changes(shell, &change.upserts, &change.removed, version, source);
+    for name in &change.held_back {
+        decision_log::log_change(
+            "target",
+            "held_back",
+            json!({"target": name.as_str(), "list_version": version, "source": source.name(), "age_ms": age.as_ms()}),
+        );
+    }
     shell.dispatch(ServingEvent::Targets {
         upserts: change.upserts,
         removed: change.removed,
@@ -149,13 +159,40 @@
     upserts.iter().filter(is_changed).cloned().collect()
 }
 
+/// Where a host has read a change of the target list.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum ListSource {
+    /// The store, which was asked this long ago.
+    Poll { age: ClockTime },
+    /// The reader of the failure domain, which asked the store this long before its message.
+    Relay { age: ClockTime },
+}
+
+impl ListSource {
+    /// Name in the decision log.
+    fn name(self) -> &'static str {
+        match self {
+            Self::Poll { .. } => "poll",
+            Self::Relay { .. } => "relay",
+        }
+    }
+
+    fn age(self) -> ClockTime {
+        match self {
+            Self::Poll { age } | Self::Relay { age } => age,
+        }
+    }
+}
+
 /// Logs which targets are new, restarted, leaving or gone.
 pub(crate) fn log_target_changes(
     shell: &EdgeShell,
     upserts: &[TargetRecord],
     removed: &[TargetName],
     version: u64,
+    source: ListSource,
 ) {
+    let (source, age_ms) = (source.name(), source.age().as_ms());
     let serving = shell.serving.borrow();
     for record in upserts {
         let change = match serving.targets.get(&record.name) {
@@ -167,7 +204,7 @@
         decision_log::log_change(
             "target",
             change,
-            json!({"target": record.name.as_str(), "list_version": version, "service": record.service.as_str()}),
+            json!({"target": record.name.as_str(), "list_version": version, "service": record.service.as_str(), "source": source, "age_ms": age_ms}),
         );
     }
     for name in removed
@@ -177,7 +214,7 @@
         decision_log::log_change(
             "target",
             "gone",
-            json!({"target": name.as_str(), "list_version": version}),
+            json!({"target": name.as_str(), "list_version": version, "source": source, "age_ms": age_ms}),
         );
     }
 }
--- a/crates/serving/src/relay.rs
+++ b/crates/serving/src/relay.rs
@@ -100,6 +100,8 @@
     pub upserts: Vec<TargetRecord>,
     /// Names of targets that are gone.
     pub removed: Vec<TargetName>,
+    /// Names of targets whose removal was read and is held back.
+    pub held_back: Vec<TargetName>,
     /// Whether the change includes all entries, with no removal held back. Only such a change is
     /// relayed, since the hosts that receive it never read its entries themselves.
     pub is_complete: bool,
@@ -121,6 +123,7 @@
     /// `recovering` is whether the store was unavailable until recently.
     pub fn read(&mut self, entries: Vec<ListEntry>, recovering: bool) -> ListChange {
         let mut upserts = Vec::new();
+        let mut held_back = Vec::new();
         for ListEntry { name, record } in entries {
             match record {
                 Some(record) => {
@@ -129,7 +132,9 @@
                 }
                 None => {
                     upserts.retain(|record: &TargetRecord| record.name != name);
-                    self.held_back.insert(name);
+                    if self.held_back.insert(name.clone()) && recovering {
+                        held_back.push(name);
+                    }
                 }
             }
         }
@@ -141,6 +146,7 @@
         ListChange {
             upserts,
             removed,
+            held_back,
             is_complete: self.held_back.is_empty(),
         }
     }
