--- a/tests/target_removal.rs
+++ b/tests/target_removal.rs
@@ -162,7 +162,9 @@
 async fn targets_whose_rows_lapse_in_an_outage_stay_in_use() {
     let deployment = Deployment::start().await;
     let stores = [&deployment.first_store, &deployment.second_store];
-    stores.map(|store| store.set_fault(StoreFault::Down));
+    for store in stores {
+        store.set_fault(StoreFault::Down);
+    }
     for writing in &deployment.writes {
         writing.set(false);
     }
@@ -171,7 +173,9 @@
         deployment.first_store.remove_target(&target.name());
     }
     actix_rt::time::sleep(HEARTBEAT).await;
-    stores.map(|store| store.set_fault(StoreFault::None));
+    for store in stores {
+        store.set_fault(StoreFault::None);
+    }
     let returned = Instant::now();
     let (sent, answered) = deployment
         .send_calls("a", returned + Duration::from_millis(700))
