serving: removals are held back only after outages that no host saw writes in

What callers saw: a host sent requests to a target up to 3.7 s after the target had left, when the store had shortly failed for that host alone. Cause: removals are held back for 2.5 s after an outage of the store, since targets that could not write lose their rows and write them again. Each host took its own failed calls for such an outage, and dated its end by its own next successful poll; a host that lives on relayed changes makes that poll at any later time. Class of fault: one host's own trouble passes for trouble of the store, and is dated by when it was noticed. Change: StoreAvailability keeps the time span in which targets wrote, from the answers to a host's polls and from the heartbeats of the other hosts, which carry it. A gap counts as an outage only if it is two heartbeats of a target long (an entry lapses after three) and no host has seen a write in it. Removals that are held back are used as soon as another host's report shows that there was no outage, at the latest 2.5 s after they were read, without waiting for the next poll. The new parameter of ListReader::read changes no assertion of its tests. Open: a host without others cannot tell its own trouble from the store's and still waits, at most 2.5 s from the time it reads the removal.

--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -20,9 +20,6 @@
 /// does not know that another host has left, or that a host exists with which it exchanges no
 /// heartbeats.
 const HOSTS_POLL_INTERVAL: Duration = Duration::from_secs(15);
-/// Time for which removed targets are kept after the store was unavailable; targets write their
-/// rows again within it.
-const RECOVERY_TIME: ClockTime = ClockTime::from_ms(2_500);
 
 /// Tracks whether the calls for one table of the store succeed.
 pub(crate) struct StoreHealth {
@@ -30,8 +27,6 @@
     table: &'static str,
     /// Whether the last call failed.
     failing: bool,
-    /// When the store last answered again after a failure.
-    regained_at: Option<ClockTime>,
     backoff: CallBackoff,
 }
 
@@ -40,7 +35,6 @@
         Self {
             table,
             failing: false,
-            regained_at: None,
             backoff: CallBackoff::default(),
         }
     }
@@ -69,16 +63,9 @@
         self.backoff.reset();
         if self.failing {
             self.failing = false;
-            self.regained_at = Some(clock::now());
             decision_log::log_change("store", "regained", json!({"table": self.table}));
         }
     }
-
-    /// Returns whether rows may be missing because their writers could not reach the store.
-    pub(crate) fn is_recovering(&self) -> bool {
-        self.regained_at
-            .is_some_and(|at| clock::now().since(at) < RECOVERY_TIME)
-    }
 }
 
 /// Reads a whole table, repeating the call until the store answers.
--- a/crates/edge/src/gossip.rs
+++ b/crates/edge/src/gossip.rs
@@ -86,6 +86,7 @@
         lease,
         load: shell.serving.borrow().targets.own_load(),
         waiting,
+        availability: shell.availability.borrow().report(clock::now()),
     });
 }
 
@@ -137,6 +138,7 @@
             lease,
             load,
             waiting,
+            availability,
         } => {
             shell
                 .hosts
@@ -148,6 +150,9 @@
                     .borrow_mut()
                     .receive_report(&host.name, report, now);
             }
+            if let Some(report) = &availability {
+                shell.availability.borrow_mut().receive_report(report, now);
+            }
             shell.dispatch(ServingEvent::PeerWaiting {
                 host: host.name.clone(),
                 waiting,
--- a/crates/edge/src/shell.rs
+++ b/crates/edge/src/shell.rs
@@ -56,6 +56,7 @@
     pub(crate) demands: RefCell<DemandTotals>,
     pub(crate) trend: RefCell<DemandTrend>,
     pub(crate) target_list: RefCell<ListFollower>,
+    pub(crate) availability: RefCell<StoreAvailability>,
     pub(crate) metrics: EdgeMetrics,
     pub(crate) pool: ConnPool,
     pub(crate) store: StoreClient,
@@ -97,6 +98,7 @@
             demands: RefCell::default(),
             trend: RefCell::default(),
             target_list: RefCell::default(),
+            availability: RefCell::new(StoreAvailability::new(settings.target_heartbeat)),
             metrics: EdgeMetrics::new(),
             pool: ConnPool::new(PoolLimits {
                 connect_timeout: CONNECT_TIMEOUT,
--- a/crates/edge/src/target_list.rs
+++ b/crates/edge/src/target_list.rs
@@ -12,7 +12,7 @@
 use crocusyard_base::prelude::*;
 use crocusyard_serving::prelude::*;
 use log::warn;
-use serde_json::json;
+use serde_json::{json, Value};
 use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
@@ -29,9 +29,10 @@
     loop {
         let sent_at = clock::now();
         let page = read_table(&shell, StoreTable::Targets, &mut health).await;
-        apply_page(&shell, &page, &health, &mut reader, sent_at);
+        apply_page(&shell, &page, &mut reader, sent_at);
         loop {
             actix_rt::time::sleep(POLL_CHECK_INTERVAL).await;
+            release_removals(&shell, &mut reader);
             let now = clock::now();
             let is_reader = shell.hosts.borrow().is_list_reader(now);
             if !shell.target_list.borrow().should_poll(is_reader, now) {
@@ -47,7 +48,7 @@
                 Ok(changes) => {
                     health.record_answer();
                     let entries = decode_rows(&changes.rows);
-                    let change = reader.read(entries, health.is_recovering());
+                    let change = read_entries(&shell, &mut reader, entries, now);
                     let relay = is_reader && change.is_complete;
                     apply_change(&shell, change, after, changes.version, now, relay);
                 }
@@ -61,13 +62,7 @@
 }
 
 /// Applies the whole table: known targets that it does not contain are removed.
-fn apply_page(
-    shell: &EdgeShell,
-    page: &StorePage,
-    health: &StoreHealth,
-    reader: &mut ListReader,
-    sent_at: ClockTime,
-) {
+fn apply_page(shell: &EdgeShell, page: &StorePage, reader: &mut ListReader, sent_at: ClockTime) {
     let listed: BTreeSet<&str> = page.rows.iter().map(|row| row.key.as_str()).collect();
     let mut entries = decode_rows(&page.rows);
     entries.extend(
@@ -83,10 +78,48 @@
                 record: None,
             }),
     );
-    let change = reader.read(entries, health.is_recovering());
+    let change = read_entries(shell, reader, entries, sent_at);
     apply_change(shell, change, 0, page.version, sent_at, false);
 }
 
+/// Turns entries that the store returned to a call sent at `sent_at` into a change. The writes among
+/// them show that targets could write.
+fn read_entries(
+    shell: &EdgeShell,
+    reader: &mut ListReader,
+    entries: Vec<ListEntry>,
+    sent_at: ClockTime,
+) -> ListChange {
+    let now = clock::now();
+    let mut availability = shell.availability.borrow_mut();
+    if entries.iter().any(|entry| entry.record.is_some()) {
+        availability.record_writes(sent_at, now);
+    }
+    reader.read(entries, availability.is_recovering(now), now)
+}
+
+/// Uses removals that no longer have to be held back.
+fn release_removals(shell: &EdgeShell, reader: &mut ListReader) {
+    let now = clock::now();
+    if reader.is_complete() {
+        return;
+    }
+    let recovering = shell.availability.borrow().is_recovering(now);
+    let removed = reader.release(recovering, now);
+    if reader.is_complete() {
+        shell.target_list.borrow_mut().finish_release();
+    }
+    if removed.is_empty() {
+        return;
+    }
+    let version = shell.target_list.borrow().version().unwrap_or(0);
+    log_target_changes(shell, &[], &removed, version, ListSource::HeldBack);
+    shell.dispatch(ServingEvent::Targets {
+        upserts: Vec::new(),
+        removed,
+    });
+}
+
 /// Decodes rows of the target table. A row that cannot be read is skipped, so that its target stays
 /// as it is.
 fn decode_rows(rows: &[StoreRow]) -> Vec<ListEntry> {
@@ -139,7 +172,7 @@
         decision_log::log_change(
             "target",
             "held_back",
-            json!({"target": name.as_str(), "list_version": version, "source": source.name(), "age_ms": age.as_ms()}),
+            json!({"target": name.as_str(), "list_version": version, "age_ms": age.as_ms(), "writes": log_availability(shell)}),
         );
     }
     shell.dispatch(ServingEvent::Targets {
@@ -159,6 +192,17 @@
     upserts.iter().filter(is_changed).cloned().collect()
 }
 
+/// Ages of the first and last write of targets since the last outage, for the decision log.
+fn log_availability(shell: &EdgeShell) -> Value {
+    match shell.availability.borrow().report(clock::now()) {
+        None => Value::Null,
+        Some(report) => json!({
+            "since_age_ms": report.since_age.as_ms(),
+            "until_age_ms": report.until_age.as_ms(),
+        }),
+    }
+}
+
 /// Where a host has read a change of the target list.
 #[derive(Clone, Copy, Debug)]
 pub(crate) enum ListSource {
@@ -166,20 +210,17 @@
     Poll { age: ClockTime },
     /// The reader of the failure domain, which asked the store this long before its message.
     Relay { age: ClockTime },
+    /// An earlier call to the store, whose removals were held back.
+    HeldBack,
 }
 
 impl ListSource {
-    /// Name in the decision log.
-    fn name(self) -> &'static str {
-        match self {
-            Self::Poll { .. } => "poll",
-            Self::Relay { .. } => "relay",
-        }
-    }
-
-    fn age(self) -> ClockTime {
+    /// Returns the name in the decision log, and the time since the store was asked, ms.
+    fn log_values(self) -> (&'static str, Option<u64>) {
         match self {
-            Self::Poll { age } | Self::Relay { age } => age,
+            Self::Poll { age } => ("poll", Some(age.as_ms())),
+            Self::Relay { age } => ("relay", Some(age.as_ms())),
+            Self::HeldBack => ("held_back", None),
         }
     }
 }
@@ -192,7 +233,7 @@
     version: u64,
     source: ListSource,
 ) {
-    let (source, age_ms) = (source.name(), source.age().as_ms());
+    let (source, age_ms) = source.log_values();
     let serving = shell.serving.borrow();
     for record in upserts {
         let change = match serving.targets.get(&record.name) {
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -11,6 +11,7 @@
 //! and [`lease`] (which host may give them).
 
 pub mod adapters;
+pub mod availability;
 pub mod backoff;
 pub mod call;
 pub mod choose;
@@ -35,6 +36,7 @@
 
 /// The types and functions that other crates use most.
 pub mod prelude {
+    pub use crate::availability::{AvailabilityReport, StoreAvailability};
     pub use crate::backoff::CallBackoff;
     pub use crate::call::{AttemptOutcome, CallDigest, CallInfo, CallNeed, PromptPart};
     pub use crate::copies::{plan_orders, EngineView, PlanInput};
--- a/crates/serving/src/relay.rs
+++ b/crates/serving/src/relay.rs
@@ -6,9 +6,10 @@
 //! host that holds removals back, since only its own polls show whether the targets have written
 //! again.
 
+use crate::availability::RECOVERY_TIME;
 use crate::targets::TargetRecord;
 use crocusyard_base::prelude::*;
-use std::collections::BTreeSet;
+use std::collections::BTreeMap;
 
 /// Interval between two polls of the store by one host.
 pub const POLL_INTERVAL: ClockTime = ClockTime::from_ms(600);
@@ -64,6 +65,11 @@
         self.updated_at = Some(self.updated_at.unwrap_or(sent).max(sent));
     }
 
+    /// Records that removals which were held back have been used.
+    pub fn finish_release(&mut self) {
+        self.holds_removals = false;
+    }
+
     /// Records changes relayed by the reader, which lead from the version `after` to `version`;
     /// returns whether they are to be applied.
     pub fn accept_relayed(&mut self, after: u64, version: u64, now: ClockTime) -> bool {
@@ -109,45 +115,70 @@
 
 /// Turns entries of the store into changes of the target list.
 ///
-/// Targets that could not reach the store lose their entries and write them again when the store is
-/// back. Removals that are read in this time are held back until it is over.
+/// Targets that could not write to the store lose their entries and write them again when the store
+/// is back. Removals that are read in this time are held back until it is over.
 #[derive(Clone, Debug, Default)]
 pub struct ListReader {
-    /// Targets whose removal is held back.
-    held_back: BTreeSet<TargetName>,
+    /// Targets whose removal is held back, with the time at which it was read.
+    held_back: BTreeMap<TargetName, ClockTime>,
 }
 
 impl ListReader {
     /// Reads entries in the order of their writes.
     ///
-    /// `recovering` is whether the store was unavailable until recently.
-    pub fn read(&mut self, entries: Vec<ListEntry>, recovering: bool) -> ListChange {
+    /// `recovering` is whether entries of targets that are alive may be missing.
+    pub fn read(
+        &mut self,
+        entries: Vec<ListEntry>,
+        recovering: bool,
+        now: ClockTime,
+    ) -> ListChange {
         let mut upserts = Vec::new();
-        let mut held_back = Vec::new();
+        let mut read = BTreeMap::new();
         for ListEntry { name, record } in entries {
             match record {
                 Some(record) => {
                     self.held_back.remove(&name);
+                    read.remove(&name);
                     upserts.push(record);
                 }
                 None => {
                     upserts.retain(|record: &TargetRecord| record.name != name);
-                    if self.held_back.insert(name.clone()) && recovering {
-                        held_back.push(name);
-                    }
+                    read.insert(name, now);
                 }
             }
         }
-        let removed = if recovering {
-            Vec::new()
-        } else {
-            std::mem::take(&mut self.held_back).into_iter().collect()
-        };
+        let mut held_back: Vec<TargetName> = Vec::new();
+        for (name, read_at) in read {
+            if recovering && !self.held_back.contains_key(&name) {
+                held_back.push(name.clone());
+            }
+            self.held_back.entry(name).or_insert(read_at);
+        }
         ListChange {
             upserts,
-            removed,
+            removed: self.release(recovering, now),
             held_back,
-            is_complete: self.held_back.is_empty(),
+            is_complete: self.is_complete(),
         }
     }
+
+    /// Returns the targets whose removals are no longer held back. An entry that is still missing
+    /// after the recovery time is gone, even if no target has written since.
+    pub fn release(&mut self, recovering: bool, now: ClockTime) -> Vec<TargetName> {
+        let mut removed = Vec::new();
+        self.held_back.retain(|name, read_at| {
+            let is_held = recovering && now.since(*read_at) < RECOVERY_TIME;
+            if !is_held {
+                removed.push(name.clone());
+            }
+            is_held
+        });
+        removed
+    }
+
+    /// Returns whether no removal is held back.
+    pub fn is_complete(&self) -> bool {
+        self.held_back.is_empty()
+    }
 }
--- /dev/null
+++ b/crates/serving/tests/availability.rs
@@ -0,0 +1,138 @@
+//! Outages of the store for all targets, told apart from the trouble of a single host.
+
+mod common;
+
+use common::{ms, record};
+use crocusyard_base::prelude::*;
+use crocusyard_serving::prelude::*;
+
+/// Interval between two writes of each target.
+const HEARTBEAT: ClockTime = ClockTime::from_ms(1_200);
+/// Interval between two polls of a host.
+const POLL: u64 = 600;
+/// Time after the end of an outage within which targets have written their entries again.
+const REWRITE_TIME: u64 = 2_000;
+
+/// A host that has polled the store, with writes of targets in each answer, at `times`.
+fn host_that_polled(times: impl Iterator<Item = u64>) -> StoreAvailability {
+    let mut availability = StoreAvailability::new(HEARTBEAT);
+    for time in times {
+        availability.record_writes(ms(time), ms(time + 5));
+    }
+    availability
+}
+
+fn polls(from: u64, to: u64) -> impl Iterator<Item = u64> {
+    (from..to).step_by(POLL as usize)
+}
+
+/// Guards against removals that are held back although the store answers.
+#[test]
+fn polled_store_is_available() {
+    let availability = host_that_polled(polls(0, 10_000));
+    assert!(!availability.is_recovering(ms(10_000)));
+}
+
+/// Guards against removals that are used although their targets lost their entries in an outage
+/// and have had no time to write them again.
+#[test]
+fn outage_for_all_hosts_is_detected() {
+    let mut first = host_that_polled(polls(0, 10_000));
+    let mut second = host_that_polled(polls(300, 10_000));
+    let (end, now) = (16_000, 16_400);
+    for host in [&mut first, &mut second] {
+        assert!(host.is_recovering(ms(end)), "the outage is not seen");
+        host.record_writes(ms(end + 100), ms(end + 105));
+    }
+    let report = second.report(ms(now)).expect("writes are known");
+    first.receive_report(&report, ms(now));
+    assert!(first.is_recovering(ms(now)));
+    for time in polls(end + 700, end + 5_000) {
+        first.record_writes(ms(time), ms(time + 5));
+        assert!(first.is_recovering(ms(time)) || time > end + REWRITE_TIME);
+    }
+    assert!(!first.is_recovering(ms(end + 5_000)));
+}
+
+/// Guards against a host that takes its own failed calls for an outage of the store, although other
+/// hosts read writes of targets all the while.
+#[test]
+fn outage_for_one_host_is_no_outage() {
+    for outage in [1_600, 3_000, 8_000, 30_000] {
+        let mut cut_off = host_that_polled(polls(0, 10_000));
+        let end = 10_000 + outage;
+        for now in polls(10_000, end) {
+            let peer = host_that_polled(polls(0, now));
+            let report = peer.report(ms(now)).expect("writes are known");
+            cut_off.receive_report(&report, ms(now));
+        }
+        cut_off.record_writes(ms(end + 100), ms(end + 105));
+        assert!(
+            !cut_off.is_recovering(ms(end + 105)),
+            "an outage of {outage} ms for one host passes for one of the store"
+        );
+    }
+}
+
+/// Guards against a host that was frozen, or cut off from everything, and takes that time for an
+/// outage of the store: the first report of another host that it reads afterwards corrects it.
+#[test]
+fn one_report_after_a_freeze_is_enough() {
+    let mut frozen = host_that_polled(polls(0, 10_000));
+    let end = 17_000;
+    frozen.record_writes(ms(end), ms(end + 5));
+    assert!(frozen.is_recovering(ms(end + 5)));
+    let peer = host_that_polled(polls(0, end));
+    let report = peer.report(ms(end + 200)).expect("writes are known");
+    frozen.receive_report(&report, ms(end + 200));
+    assert!(!frozen.is_recovering(ms(end + 200)));
+}
+
+/// Guards against an old report that hides an outage: it was sent before the outage was noticed.
+#[test]
+fn report_from_before_an_outage_does_not_hide_it() {
+    let mut host = host_that_polled(polls(0, 10_000));
+    let peer = host_that_polled(polls(300, 10_000));
+    let end = 14_000;
+    host.record_writes(ms(end), ms(end + 5));
+    let report = peer.report(ms(end + 50)).expect("writes are known");
+    host.receive_report(&report, ms(end + 50));
+    assert!(host.is_recovering(ms(end + 50)));
+}
+
+/// Guards against a removal that is held back until some later poll, or for ever if no target
+/// writes any more.
+#[test]
+fn held_removal_is_used_after_the_recovery_time() {
+    let mut reader = ListReader::default();
+    let gone = TargetName::new("gone");
+    let entry = ListEntry {
+        name: gone.clone(),
+        record: None,
+    };
+    let change = reader.read(vec![entry], true, ms(0));
+    assert!(change.removed.is_empty());
+    assert_eq!(change.held_back, std::slice::from_ref(&gone));
+    assert!(reader.release(true, ms(REWRITE_TIME)).is_empty());
+    let released = (REWRITE_TIME..10_000)
+        .find(|time| !reader.clone().release(true, ms(*time)).is_empty())
+        .expect("the removal is held back for ever");
+    assert!(released <= 3_000, "held back for {released} ms");
+    assert_eq!(reader.release(false, ms(REWRITE_TIME)), [gone]);
+    assert!(reader.is_complete());
+}
+
+/// Guards against a target that wrote its entry again and is removed all the same.
+#[test]
+fn target_that_writes_again_is_not_removed() {
+    let mut reader = ListReader::default();
+    let name = TargetName::new("lapsed");
+    let entry = |record| ListEntry {
+        name: name.clone(),
+        record,
+    };
+    reader.read(vec![entry(None)], true, ms(0));
+    reader.read(vec![entry(Some(record("lapsed", "a", &[])))], true, ms(600));
+    assert!(reader.release(false, ms(1_000)).is_empty());
+    assert!(reader.is_complete());
+}
--- a/crates/serving/tests/target_list.rs
+++ b/crates/serving/tests/target_list.rs
@@ -112,10 +112,10 @@
 fn older_write_of_a_removed_target_is_not_used() {
     let mut reader = ListReader::default();
     let entries = vec![written("gone"), written("lives"), removed("gone")];
-    let change = reader.read(entries, true);
+    let change = reader.read(entries, true, ms(0));
     assert_eq!(names(&change.upserts), ["lives"]);
     assert!(change.removed.is_empty());
-    let change = reader.read(Vec::new(), false);
+    let change = reader.read(Vec::new(), false, ms(0));
     assert_eq!(change.removed, [TargetName::new("gone")]);
 }
 
@@ -124,14 +124,14 @@
 #[test]
 fn list_is_not_relayed_without_its_removals() {
     let mut reader = ListReader::default();
-    let change = reader.read(vec![removed("lapsed")], true);
+    let change = reader.read(vec![removed("lapsed")], true, ms(0));
     assert!(!change.is_complete);
-    let change = reader.read(vec![written("other")], true);
+    let change = reader.read(vec![written("other")], true, ms(0));
     assert!(
         !change.is_complete,
         "the change is complete although a removal is held back"
     );
-    let change = reader.read(vec![written("lapsed")], true);
+    let change = reader.read(vec![written("lapsed")], true, ms(0));
     assert!(
         change.is_complete,
         "the removal is held back although the target wrote again"
@@ -162,7 +162,7 @@
 #[test]
 fn removal_is_used_at_once_while_the_store_answers() {
     let mut reader = ListReader::default();
-    let change = reader.read(vec![removed("gone")], false);
+    let change = reader.read(vec![removed("gone")], false, ms(0));
     assert_eq!(change.removed, [TargetName::new("gone")]);
     assert!(change.is_complete);
 }
