edge: entries of a late answer that are older than the known list are dropped

A poll that was answered late, as of version 95, after a relayed removal up to version 100 listed the target again, and no later poll removed it, since the known version stayed 100. Cause: an answer was applied in full although changes relayed meanwhile were newer. Class of fault: an older answer overwrites a newer one. Change: entries carry the version of their row; those up to the known version are dropped, a whole table older than the known list is not applied, and the reader relays no answer that is older than its own list. Evidence: the test fails if newer_entries keeps all entries, as the code did before. Ruled out: a check of the incarnation and sequence, since a removed target has no record to compare with.

--- a/crates/edge/src/target_list.rs
+++ b/crates/edge/src/target_list.rs
@@ -39,7 +39,7 @@
                 continue;
             }
             shell.target_list.borrow_mut().start_poll(now);
-            let after = shell.target_list.borrow().version().unwrap_or(0);
+            let after = known_version(&shell);
             let changes = shell
                 .store
                 .read_changes(StoreTable::Targets, after, Duration::ZERO, POLL_TIMEOUT)
@@ -47,10 +47,7 @@
             match changes {
                 Ok(changes) => {
                     health.record_answer();
-                    let entries = decode_rows(&changes.rows);
-                    let change = read_entries(&shell, &mut reader, entries, now);
-                    let relay = is_reader && change.is_complete;
-                    apply_change(&shell, change, after, changes.version, now, relay);
+                    apply_changes(&shell, changes, &mut reader, now, is_reader);
                 }
                 Err(StoreError::HistoryGone) => break,
                 // Without an extra pause: if the reader relayed nothing for longer than the interval
@@ -61,10 +58,39 @@
     }
 }
 
-/// Applies the whole table: known targets that it does not contain are removed.
+/// Returns the version up to which this host knows the target list.
+fn known_version(shell: &EdgeShell) -> u64 {
+    shell.target_list.borrow().version().unwrap_or(0)
+}
+
+/// Applies the answer to a poll that was sent at `sent_at`. Changes that were relayed meanwhile may
+/// be newer than the answer.
+fn apply_changes(
+    shell: &EdgeShell,
+    changes: StoreChanges,
+    reader: &mut ListReader,
+    sent_at: ClockTime,
+    is_reader: bool,
+) {
+    let known = known_version(shell);
+    let entries = decode_rows(&changes.rows);
+    record_writes(shell, &entries, sent_at);
+    let entries = shell.target_list.borrow().newer_entries(entries);
+    let change = read_entries(shell, reader, entries);
+    let relay = is_reader && change.is_complete && changes.version >= known;
+    apply_change(shell, change, known, changes.version, sent_at, relay);
+}
+
+/// Applies the whole table, which was asked for at `sent_at`: known targets that it does not contain
+/// are removed.
 fn apply_page(shell: &EdgeShell, page: &StorePage, reader: &mut ListReader, sent_at: ClockTime) {
+    if shell.target_list.borrow().is_outdated(page.version) {
+        return;
+    }
     let listed: BTreeSet<&str> = page.rows.iter().map(|row| row.key.as_str()).collect();
     let mut entries = decode_rows(&page.rows);
+    let newer = shell.target_list.borrow().newer_entries(entries.clone());
+    record_writes(shell, &newer, sent_at);
     entries.extend(
         shell
             .serving
@@ -76,26 +102,27 @@
             .map(|name| ListEntry {
                 name: name.clone(),
                 record: None,
+                version: page.version,
             }),
     );
-    let change = read_entries(shell, reader, entries, sent_at);
+    let change = read_entries(shell, reader, entries);
     apply_change(shell, change, 0, page.version, sent_at, false);
 }
 
-/// Turns entries that the store returned to a call sent at `sent_at` into a change. The writes among
-/// them show that targets could write.
-fn read_entries(
-    shell: &EdgeShell,
-    reader: &mut ListReader,
-    entries: Vec<ListEntry>,
-    sent_at: ClockTime,
-) -> ListChange {
-    let now = clock::now();
-    let mut availability = shell.availability.borrow_mut();
+/// Records that targets could write to the store, if there are writes among the entries of the
+/// answer to a call that was sent at `sent_at`.
+fn record_writes(shell: &EdgeShell, entries: &[ListEntry], sent_at: ClockTime) {
     if entries.iter().any(|entry| entry.record.is_some()) {
-        availability.record_writes(sent_at, now);
+        let mut availability = shell.availability.borrow_mut();
+        availability.record_writes(sent_at, clock::now());
     }
-    reader.read(entries, availability.is_recovering(now), now)
+}
+
+/// Turns entries of the store into a change, in which removals may be held back.
+fn read_entries(shell: &EdgeShell, reader: &mut ListReader, entries: Vec<ListEntry>) -> ListChange {
+    let now = clock::now();
+    let recovering = shell.availability.borrow().is_recovering(now);
+    reader.read(entries, recovering, now)
 }
 
 /// Uses removals that no longer have to be held back.
@@ -112,7 +139,7 @@
     if removed.is_empty() {
         return;
     }
-    let version = shell.target_list.borrow().version().unwrap_or(0);
+    let version = known_version(shell);
     log_target_changes(shell, &[], &removed, version, ListSource::HeldBack);
     shell.dispatch(ServingEvent::Targets {
         upserts: Vec::new(),
@@ -135,7 +162,12 @@
             },
         };
         let name = TargetName::new(&row.key);
-        Some(ListEntry { name, record })
+        let version = row.version;
+        Some(ListEntry {
+            name,
+            record,
+            version,
+        })
     };
     rows.iter().filter_map(decode).collect()
 }
--- a/crates/serving/src/relay.rs
+++ b/crates/serving/src/relay.rs
@@ -52,6 +52,19 @@
         is_reader || self.holds_removals || !is_current
     }
 
+    /// Returns whether an answer as of `version` is older than the list that this host knows:
+    /// relayed changes may overtake the answer to a poll.
+    pub fn is_outdated(&self, version: u64) -> bool {
+        self.version.is_some_and(|known| version < known)
+    }
+
+    /// Returns the entries of an answer that are newer than the list that this host knows.
+    pub fn newer_entries(&self, mut entries: Vec<ListEntry>) -> Vec<ListEntry> {
+        let known = self.version.unwrap_or(0);
+        entries.retain(|entry| entry.version > known);
+        entries
+    }
+
     /// Records that a poll begins.
     pub fn start_poll(&mut self, now: ClockTime) {
         self.polled_at = Some(now);
@@ -97,6 +110,8 @@
     pub name: TargetName,
     /// Record that the target wrote; `None` if its entry was removed.
     pub record: Option<TargetRecord>,
+    /// Version of the list that the write or removal led to.
+    pub version: u64,
 }
 
 /// Change of the target list, read from entries of the store.
@@ -135,7 +150,7 @@
     ) -> ListChange {
         let mut upserts = Vec::new();
         let mut read = BTreeMap::new();
-        for ListEntry { name, record } in entries {
+        for ListEntry { name, record, .. } in entries {
             match record {
                 Some(record) => {
                     self.held_back.remove(&name);
--- a/crates/serving/tests/availability.rs
+++ b/crates/serving/tests/availability.rs
@@ -109,6 +109,7 @@
     let entry = ListEntry {
         name: gone.clone(),
         record: None,
+        version: 1,
     };
     let change = reader.read(vec![entry], true, ms(0));
     assert!(change.removed.is_empty());
@@ -130,6 +131,7 @@
     let entry = |record| ListEntry {
         name: name.clone(),
         record,
+        version: 1,
     };
     reader.read(vec![entry(None)], true, ms(0));
     reader.read(vec![entry(Some(record("lapsed", "a", &[])))], true, ms(600));
--- a/crates/serving/tests/target_list.rs
+++ b/crates/serving/tests/target_list.rs
@@ -91,6 +91,7 @@
     ListEntry {
         name: TargetName::new(name),
         record: Some(record(name, "a", &[])),
+        version: 1,
     }
 }
 
@@ -99,6 +100,7 @@
     ListEntry {
         name: TargetName::new(name),
         record: None,
+        version: 1,
     }
 }
 
@@ -166,3 +168,29 @@
     assert_eq!(change.removed, [TargetName::new("gone")]);
     assert!(change.is_complete);
 }
+
+/// Guards against a removed target that an older answer lists again, for ever: the known version is
+/// newer than the answer, so that no later poll reads the removal.
+#[test]
+fn late_answer_does_not_undo_a_relayed_removal() {
+    let mut list = follower_at(90, ms(0));
+    list.start_poll(ms(600));
+    assert!(list.accept_relayed(90, 100, ms(700)));
+    let at = |mut entry: ListEntry, version| {
+        entry.version = version;
+        entry
+    };
+    let answer = vec![at(written("gone"), 95)];
+    assert!(list.newer_entries(answer).is_empty());
+    let answer = vec![
+        at(written("gone"), 95),
+        at(removed("gone"), 98),
+        at(written("new"), 101),
+    ];
+    let newer = list.newer_entries(answer);
+    let change = ListReader::default().read(newer, false, ms(1_000));
+    assert_eq!(names(&change.upserts), ["new"]);
+    assert!(change.removed.is_empty());
+    assert!(list.is_outdated(99), "a table as of 99 lists the target");
+    assert!(!list.is_outdated(100));
+}
