serving: writes that arrive after the removal of their target are not used

Cause: the removal dropped all knowledge of the target, so that any later write counted as newer. Class of fault: an older answer overwrites a newer one. Change: the incarnation, sequence and leaving mark of a removed target are kept for 30 s. Writes of the same incarnation up to that sequence are ignored, and a target that had announced that it leaves stays marked as leaving. Another incarnation is a new target. TargetTable::remove returns nothing, since nobody used its result. Evidence: older_write_after_the_removal_is_not_used failed on the code before (used at 1500 ms); later_write_after_the_removal_is_used guards the other side. Ruled out: refusing older incarnations too, since the clock of a machine may be set back between two starts under one name.

--- a/crates/serving/src/state.rs
+++ b/crates/serving/src/state.rs
@@ -185,7 +185,7 @@
                     self.targets.upsert(record, now);
                 }
                 for name in removed {
-                    self.targets.remove(&name);
+                    self.targets.remove(&name, now);
                 }
                 self.send_waiting(now, &mut out);
             }
--- a/crates/serving/src/targets.rs
+++ b/crates/serving/src/targets.rs
@@ -28,6 +28,10 @@
 /// Time for which no calls are sent to a target that refused one because it was full.
 const FULL_TIME: ClockTime = ClockTime::from_ms(100);
 
+/// Time for which the last record of a removed target is kept. Writes of a target whose answers were
+/// lost may be carried out seconds later, after the removal.
+const DEPARTED_LIFETIME: ClockTime = ClockTime::from_secs(30);
+
 /// Models that an engine holds, each with its adapters.
 pub type HeldModels = BTreeMap<ModelName, BTreeSet<AdapterName>>;
 
@@ -230,21 +234,43 @@
 /// Number of requests of one host in progress, by target.
 pub type HostLoad = BTreeMap<TargetKey, u16>;
 
+/// What remains known of a target that was removed.
+#[derive(Clone, Copy, Debug)]
+struct DepartedTarget {
+    incarnation: u64,
+    /// Number of its newest known write.
+    sequence: u64,
+    leaving: bool,
+    removed_at: ClockTime,
+}
+
 /// All targets that one host knows.
 #[derive(Clone, Debug, Default)]
 pub struct TargetTable {
     states: BTreeMap<TargetName, TargetState>,
     /// Names of the targets by the keys that other hosts send.
     names: BTreeMap<TargetKey, TargetName>,
+    /// Targets that were removed recently.
+    departed: BTreeMap<TargetName, DepartedTarget>,
     peers: PeerReports<HostLoad>,
 }
 
 impl TargetTable {
-    /// Adds or updates a target; a record older than the known one is ignored.
+    /// Adds or updates a target; a record older than the known one is ignored, also after the
+    /// removal of the target.
     ///
     /// Within one incarnation, a target that is leaving stays marked as leaving.
-    pub fn upsert(&mut self, record: TargetRecord, now: ClockTime) {
+    pub fn upsert(&mut self, mut record: TargetRecord, now: ClockTime) {
         let Some(state) = self.states.get_mut(&record.name) else {
+            if let Some(departed) = self.departed.remove(&record.name) {
+                if departed.incarnation == record.incarnation {
+                    if record.sequence <= departed.sequence {
+                        self.departed.insert(record.name, departed);
+                        return;
+                    }
+                    record.leaving |= departed.leaving;
+                }
+            }
             let name = record.name.clone();
             self.names.insert(TargetKey::of(&name), name.clone());
             self.states.insert(name, TargetState::new(record));
@@ -290,10 +316,20 @@
         }
     }
 
-    /// Removes a target and returns its last state.
-    pub fn remove(&mut self, name: &TargetName) -> Option<TargetState> {
+    /// Removes a target.
+    pub fn remove(&mut self, name: &TargetName, now: ClockTime) {
+        self.departed
+            .retain(|_, departed| now.since(departed.removed_at) < DEPARTED_LIFETIME);
         self.names.remove(&TargetKey::of(name));
-        self.states.remove(name)
+        if let Some(state) = self.states.remove(name) {
+            let departed = DepartedTarget {
+                incarnation: state.record.incarnation,
+                sequence: state.record.sequence,
+                leaving: state.record.leaving,
+                removed_at: now,
+            };
+            self.departed.insert(name.clone(), departed);
+        }
     }
 
     /// Returns a target by its name.
--- a/crates/serving/tests/target_list.rs
+++ b/crates/serving/tests/target_list.rs
@@ -194,3 +194,52 @@
     assert!(list.is_outdated(99), "a table as of 99 lists the target");
     assert!(!list.is_outdated(100));
 }
+
+/// Record of the write number `sequence` of the target `gone`.
+fn write(sequence: u64, leaving: bool) -> TargetRecord {
+    TargetRecord {
+        sequence,
+        leaving,
+        ..record("gone", "a", &[])
+    }
+}
+
+fn is_usable(table: &TargetTable) -> bool {
+    table.of_service(&common::service()).next().is_some()
+}
+
+/// Guards against using a removed target again. A write whose answer was lost is carried out after
+/// the removal and shows the target as it was before it announced that it leaves.
+#[test]
+fn older_write_after_the_removal_is_not_used() {
+    let mut table = TargetTable::default();
+    table.upsert(write(20, true), ms(0));
+    table.remove(&TargetName::new("gone"), ms(1_000));
+    for now in [1_500, 4_000, 8_000] {
+        table.upsert(write(19, false), ms(now));
+        assert!(!is_usable(&table), "used at {now} ms");
+    }
+    table.upsert(write(21, false), ms(9_000));
+    assert!(
+        !is_usable(&table),
+        "a target that had announced that it leaves is used again"
+    );
+}
+
+/// Guards against a target that stays unused after its entry lapsed or after it started again.
+#[test]
+fn later_write_after_the_removal_is_used() {
+    let mut table = TargetTable::default();
+    table.upsert(write(20, false), ms(0));
+    table.remove(&TargetName::new("gone"), ms(1_000));
+    table.upsert(write(21, false), ms(2_000));
+    assert!(is_usable(&table), "the target wrote again after the lapse");
+    table.upsert(write(22, true), ms(3_000));
+    table.remove(&TargetName::new("gone"), ms(4_000));
+    let restarted = TargetRecord {
+        incarnation: 2,
+        ..write(1, false)
+    };
+    table.upsert(restarted, ms(5_000));
+    assert!(is_usable(&table), "the target started again");
+}
