serving: targets that wrote again after a removal are relayed

A reader relays only records whose content differs from the one that it knew. If it reads a removal together with the next write of the target, or holds the removal back until that write, it knows the same record before and after and relays nothing. Hosts that read the removal themselves and used it would lack the target until its record changes. Cause: the reader's own state stands for that of all hosts. Class of fault: a difference between two layers (poll and relay). Change: ListChange names such targets as restored, and their records are relayed. Evidence: restored_target_is_relayed fails without the new condition.

--- a/crates/edge/src/target_list.rs
+++ b/crates/edge/src/target_list.rs
@@ -192,7 +192,7 @@
             after,
             version,
             age,
-            upserts: changed_records(shell, &change.upserts),
+            upserts: records_to_relay(shell, &change),
             removed: change.removed.clone(),
         };
         let peers = shell.hosts.borrow().domain_peer_addresses();
@@ -213,15 +213,14 @@
     });
 }
 
-/// Returns the records whose content has changed; most writes of targets only show that they are
-/// alive.
-fn changed_records(shell: &EdgeShell, upserts: &[TargetRecord]) -> Vec<TargetRecord> {
+/// Returns the records whose content has changed, and those of restored targets; most writes of
+/// targets only show that they are alive.
+fn records_to_relay(shell: &EdgeShell, change: &ListChange) -> Vec<TargetRecord> {
     let serving = shell.serving.borrow();
-    let is_changed = |record: &&TargetRecord| {
+    change.records_to_relay(|record| {
         let known = serving.targets.get(&record.name);
-        !known.is_some_and(|state| state.record.has_same_content(record))
-    };
-    upserts.iter().filter(is_changed).cloned().collect()
+        known.is_some_and(|state| state.record.has_same_content(record))
+    })
 }
 
 /// Ages of the first and last write of targets since the last outage, for the decision log.
--- a/crates/serving/src/relay.rs
+++ b/crates/serving/src/relay.rs
@@ -9,7 +9,7 @@
 use crate::availability::RECOVERY_TIME;
 use crate::targets::TargetRecord;
 use crocusyard_base::prelude::*;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Interval between two polls of the store by one host.
 pub const POLL_INTERVAL: ClockTime = ClockTime::from_ms(600);
@@ -123,11 +123,24 @@
     pub removed: Vec<TargetName>,
     /// Names of targets whose removal was read and is held back.
     pub held_back: Vec<TargetName>,
+    /// Names of targets that wrote their entries again after a removal that was not used. Hosts that
+    /// read the removal themselves may have used it.
+    pub restored: BTreeSet<TargetName>,
     /// Whether the change includes all entries, with no removal held back. Only such a change is
     /// relayed, since the hosts that receive it never read its entries themselves.
     pub is_complete: bool,
 }
 
+impl ListChange {
+    /// Returns the records that other hosts need, without writes that only show that a target is
+    /// alive. `is_known` tells whether this host knows a record with the same content.
+    pub fn records_to_relay(&self, is_known: impl Fn(&TargetRecord) -> bool) -> Vec<TargetRecord> {
+        let is_news =
+            |record: &&TargetRecord| self.restored.contains(&record.name) || !is_known(record);
+        self.upserts.iter().filter(is_news).cloned().collect()
+    }
+}
+
 /// Turns entries of the store into changes of the target list.
 ///
 /// Targets that could not write to the store lose their entries and write them again when the store
@@ -149,16 +162,20 @@
         now: ClockTime,
     ) -> ListChange {
         let mut upserts = Vec::new();
+        let mut restored = BTreeSet::new();
         let mut read = BTreeMap::new();
         for ListEntry { name, record, .. } in entries {
             match record {
                 Some(record) => {
-                    self.held_back.remove(&name);
-                    read.remove(&name);
+                    let was_held = self.held_back.remove(&name).is_some();
+                    if read.remove(&name).is_some() || was_held {
+                        restored.insert(name);
+                    }
                     upserts.push(record);
                 }
                 None => {
                     upserts.retain(|record: &TargetRecord| record.name != name);
+                    restored.remove(&name);
                     read.insert(name, now);
                 }
             }
@@ -174,6 +191,7 @@
             upserts,
             removed: self.release(recovering, now),
             held_back,
+            restored,
             is_complete: self.is_complete(),
         }
     }
--- a/crates/serving/tests/target_list.rs
+++ b/crates/serving/tests/target_list.rs
@@ -243,3 +243,20 @@
     table.upsert(restarted, ms(5_000));
     assert!(is_usable(&table), "the target started again");
 }
+
+/// Guards against a target that is missing at some hosts for as long as its record stays the same.
+/// They read its removal themselves and used it; the reader, which read the next write of the
+/// target too, knew the same record before and after.
+#[test]
+fn restored_target_is_relayed() {
+    let mut reader = ListReader::default();
+    let entries = vec![removed("lapsed"), written("lapsed"), written("lives")];
+    let change = reader.read(entries, false, ms(0));
+    assert!(change.is_complete);
+    assert_eq!(names(&change.records_to_relay(|_| true)), ["lapsed"]);
+    reader.read(vec![removed("lapsed")], true, ms(600));
+    let change = reader.read(vec![written("lapsed"), written("lives")], true, ms(1_200));
+    assert_eq!(names(&change.records_to_relay(|_| true)), ["lapsed"]);
+    let change = reader.read(vec![written("lapsed")], true, ms(1_800));
+    assert!(change.records_to_relay(|_| true).is_empty());
+}
