edge: relayed changes count as current from the reader's call, not their arrival

A host that lives on relayed changes asked the store itself 950 ms after the last message, whose call may have been sent up to 700 ms before it arrived. Cause: a change was dated by its arrival. Class of fault: dated by when something is noticed instead of when it happened. Change: a relayed message carries the age of the reader's call, and the list is as old as that. The host checks every 100 ms (before: 200) whether to poll, so that a poll without an answer and the next one still fit into the 2 s of the small sites. The interval and the time limit of a poll stand beside the other times of the list. Evidence: every_path_reads_a_removal_in_time fails with the dates as they were (relayed after 205 ms, one poll lost) and with checks every 200 ms. Ruled out: a shorter time limit for a poll, since the store may be slow. Open: two polls in a row without an answer exceed the bound.

--- a/crates/edge/src/gossip.rs
+++ b/crates/edge/src/gossip.rs
@@ -196,7 +196,7 @@
             let accepted = shell
                 .target_list
                 .borrow_mut()
-                .accept_relayed(after, version, now);
+                .accept_relayed(after, version, now - age);
             if accepted {
                 let source = ListSource::Relay { age };
                 target_list::log_target_changes(shell, &upserts, &removed, version, source);
--- a/crates/edge/src/target_list.rs
+++ b/crates/edge/src/target_list.rs
@@ -11,27 +11,25 @@
 use crocusyard_adapter::prelude::*;
 use crocusyard_base::prelude::*;
 use crocusyard_serving::prelude::*;
+use crocusyard_serving::relay::{POLL_CHECK_INTERVAL, POLL_TIMEOUT};
 use log::warn;
 use serde_json::{json, Value};
 use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
 
-/// Interval at which the host checks whether to poll the target list.
-const POLL_CHECK_INTERVAL: Duration = Duration::from_millis(200);
-/// Longest time for an answer to a poll; the poll after a timeout uses another connection.
-const POLL_TIMEOUT: Duration = Duration::from_millis(700);
-
 /// Reads the target list and follows its changes until the process ends.
 pub(crate) async fn follow_targets(shell: Rc<EdgeShell>) {
     let mut health = StoreHealth::new("targets");
     let mut reader = ListReader::default();
+    let check_interval = Duration::from_millis(POLL_CHECK_INTERVAL.as_ms());
+    let timeout = Duration::from_millis(POLL_TIMEOUT.as_ms());
     loop {
         let sent_at = clock::now();
         let page = read_table(&shell, StoreTable::Targets, &mut health).await;
         apply_page(&shell, &page, &mut reader, sent_at);
         loop {
-            actix_rt::time::sleep(POLL_CHECK_INTERVAL).await;
+            actix_rt::time::sleep(check_interval).await;
             release_removals(&shell, &mut reader);
             let now = clock::now();
             let is_reader = shell.hosts.borrow().is_list_reader(now);
@@ -42,7 +40,7 @@
             let after = known_version(&shell);
             let changes = shell
                 .store
-                .read_changes(StoreTable::Targets, after, Duration::ZERO, POLL_TIMEOUT)
+                .read_changes(StoreTable::Targets, after, Duration::ZERO, timeout)
                 .await;
             match changes {
                 Ok(changes) => {
--- a/crates/serving/src/relay.rs
+++ b/crates/serving/src/relay.rs
@@ -13,16 +13,21 @@
 
 /// Interval between two polls of the store by one host.
 pub const POLL_INTERVAL: ClockTime = ClockTime::from_ms(600);
-/// Time without an update after which a host polls the store itself. Together with a poll and its
-/// answer it stays well below the 2 s within which hosts must know that a target is leaving.
+/// Interval at which a host checks whether to poll the target list.
+pub const POLL_CHECK_INTERVAL: ClockTime = ClockTime::from_ms(100);
+/// Longest time for an answer to a poll; the poll after a timeout uses another connection.
+pub const POLL_TIMEOUT: ClockTime = ClockTime::from_ms(700);
+/// Age of the list from which a host polls the store itself. Together with a poll that is not
+/// answered and the next one it stays below the 2 s within which hosts must know that a target is
+/// leaving.
 const SILENCE_LIMIT: ClockTime = ClockTime::from_ms(950);
 
 /// Decides when a host polls the target list and which relayed changes it applies.
 #[derive(Clone, Debug, Default)]
 pub struct ListFollower {
     version: Option<u64>,
-    /// When the last successful poll was sent or the last relayed change arrived; `None` makes this
-    /// host poll.
+    /// When the store was asked for the newest changes that this host knows, by itself or by the
+    /// reader; `None` makes this host poll.
     updated_at: Option<ClockTime>,
     /// When the last poll began.
     polled_at: Option<ClockTime>,
@@ -84,8 +89,8 @@
     }
 
     /// Records changes relayed by the reader, which lead from the version `after` to `version`;
-    /// returns whether they are to be applied.
-    pub fn accept_relayed(&mut self, after: u64, version: u64, now: ClockTime) -> bool {
+    /// returns whether they are to be applied. The reader asked the store for them at `sent`.
+    pub fn accept_relayed(&mut self, after: u64, version: u64, sent: ClockTime) -> bool {
         let Some(known) = self.version.filter(|_| !self.holds_removals) else {
             return false;
         };
@@ -98,7 +103,7 @@
             return false;
         }
         self.version = Some(version);
-        self.updated_at = Some(now);
+        self.updated_at = Some(self.updated_at.unwrap_or(sent).max(sent));
         true
     }
 }
--- a/crates/serving/tests/target_list.rs
+++ b/crates/serving/tests/target_list.rs
@@ -5,6 +5,7 @@
 use common::{ms, record};
 use crocusyard_base::prelude::*;
 use crocusyard_serving::prelude::*;
+use crocusyard_serving::relay::{POLL_CHECK_INTERVAL, POLL_TIMEOUT};
 use std::net::SocketAddr;
 
 /// A follower that has read the list up to `version`.
@@ -260,3 +261,55 @@
     let change = reader.read(vec![written("lapsed")], true, ms(1_800));
     assert!(change.records_to_relay(|_| true).is_empty());
 }
+
+/// Bound on the time from the removal of a target to the last request that is sent to it.
+const REMOVAL_BOUND: ClockTime = ClockTime::from_ms(2_000);
+/// Time for an answer of a store that is available, and to apply it.
+const ANSWER_TIME: ClockTime = ClockTime::from_ms(50);
+
+/// Time from 0 until a host that gets no more relayed changes has read a removal. Its first check is
+/// at `first_check`, and its first `lost` polls get no answer.
+fn removal_read_at(
+    mut list: ListFollower,
+    is_reader: bool,
+    first_check: u64,
+    lost: u32,
+) -> ClockTime {
+    let (mut now, mut lost) = (ms(first_check), lost);
+    loop {
+        if list.should_poll(is_reader, now) {
+            list.start_poll(now);
+            if lost == 0 {
+                return now + ANSWER_TIME;
+            }
+            lost -= 1;
+            now += POLL_TIMEOUT;
+        }
+        now += POLL_CHECK_INTERVAL;
+    }
+}
+
+/// Guards against a host that learns too late of a removal right after the call of its last
+/// knowledge, at the slowest of each path: its own polls as the reader, or relayed changes of a
+/// reader that then falls silent, with an answer on the way for up to its time limit, and with one
+/// own poll without an answer.
+#[test]
+fn every_path_reads_a_removal_in_time() {
+    for first_check in 0..POLL_CHECK_INTERVAL.as_ms() {
+        for lost in [0, 1] {
+            let read_at = removal_read_at(follower_at(10, ms(0)), true, first_check, lost);
+            assert!(read_at < REMOVAL_BOUND, "reader, {lost} lost: {read_at}");
+            for arrival in [5, 205, POLL_TIMEOUT.as_ms()] {
+                let mut list = ListFollower::default();
+                list.finish_poll(10, ms(0), true);
+                assert!(list.accept_relayed(10, 11, ms(0)));
+                let check = arrival + first_check;
+                let read_at = removal_read_at(list, false, check, lost);
+                assert!(
+                    read_at < REMOVAL_BOUND,
+                    "relayed after {arrival} ms, {lost} lost: {read_at}"
+                );
+            }
+        }
+    }
+}
