edge: a call is not sent to a target that left while its connection was opened

A target is chosen before the connection to it is opened, which may take 400 ms, twice if a kept connection turns out closed. The time from a removal to the last request thus was up to 0.8 s longer than the time to the knowledge. Change: the shell asks the table once more before each write of a request; a call whose target has left counts as unsent and goes to another target. Evidence: target_that_leaves_before_the_send_gets_no_call tests the decision and the second choice; it did not compile before, since takes_calls is new. The line in edge::exchange has no test of its own: a connection cannot be opened slowly on a loopback address.

--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -166,6 +166,10 @@
         .await
         .map_err(|_| AttemptOutcome::Unsent)?;
     loop {
+        // The target may have left while the connection was opened.
+        if !shell.serving.borrow().targets.takes_calls(&plan.target) {
+            return Err(AttemptOutcome::Unsent);
+        }
         let reused = conn.reused;
         let outgoing = attempt_request(request, plan, last_event, answer_timeout);
         match conn.send(outgoing).await {
--- a/crates/serving/src/targets.rs
+++ b/crates/serving/src/targets.rs
@@ -337,6 +337,11 @@
         self.states.get(name)
     }
 
+    /// Returns whether a target is known and takes new calls.
+    pub fn takes_calls(&self, name: &TargetName) -> bool {
+        self.get(name).is_some_and(|state| !state.record.leaving)
+    }
+
     /// Iterates over all targets in the order of their names.
     pub fn iter(&self) -> impl Iterator<Item = &TargetState> {
         self.states.values()
--- a/crates/serving/tests/target_list.rs
+++ b/crates/serving/tests/target_list.rs
@@ -313,3 +313,36 @@
         }
     }
 }
+
+/// Guards against a request that reaches a target which left while the connection to it was
+/// opened: such a request is not sent, and goes to another target.
+#[test]
+fn target_that_leaves_before_the_send_gets_no_call() {
+    let targets = vec![record("gone", "a", &[]), record("lives", "b", &[])];
+    let mut host = common::TestHost::new(&[], targets);
+    let (key, effects) = host.plain_call(common::route(CallKind::NonIdempotent, 1), ms(0));
+    let first = common::sent_to(&effects);
+    let [first] = first.as_slice() else {
+        panic!("sent to {first:?}");
+    };
+    let first = TargetName::new(first);
+    assert!(host.state.targets.takes_calls(&first));
+    let mut leaving = record(first.as_str(), "a", &[]);
+    (leaving.leaving, leaving.sequence) = (true, 2);
+    let event = ServingEvent::Targets {
+        upserts: vec![leaving],
+        removed: Vec::new(),
+    };
+    host.state.reduce(event, ms(100));
+    assert!(!host.state.targets.takes_calls(&first));
+    let event = ServingEvent::Targets {
+        upserts: Vec::new(),
+        removed: vec![first.clone()],
+    };
+    host.state.reduce(event, ms(200));
+    assert!(!host.state.targets.takes_calls(&first));
+    let effects = host.end(key, AttemptOutcome::Unsent, ms(300));
+    let second = common::sent_to(&effects);
+    assert_eq!(second.len(), 1, "the only attempt was not sent");
+    assert_ne!(second[0], first.as_str());
+}
