serving: a late read of an older lease row is ignored

A read of the lease row that is answered after the holder has reported a newer version put the older row in place: the host named the former holder, acknowledged the wrong version and sent its demand to the wrong host until the next heartbeat. Class of fault: an older answer overwrites a newer one. Change: rows older than the version that is known are ignored. Versions come from one counter of the store, so that a row that was removed and written again is newer. Evidence: late_read_of_an_older_row_is_ignored fails without the new line (holder a instead of b).

--- a/crates/serving/src/lease.rs
+++ b/crates/serving/src/lease.rs
@@ -301,9 +301,11 @@
         now.since(seen.since) >= wait
     }
 
-    /// Applies the row that a read returned, or the row that a conflicting write found.
+    /// Applies the row that a read returned, or the row that a conflicting write found. A read that
+    /// is answered late may return an older row than the one that the holder has reported.
     pub fn receive_row(&mut self, row: Option<(LeaseRow, u64)>, now: ClockTime) {
         let (holder, version, released) = match row {
+            Some((_, version)) if self.version().is_some_and(|seen| version < seen) => return,
             Some((row, version)) => (Some(row.holder), version, row.released),
             None => (None, 0, false),
         };
--- a/crates/serving/tests/lease.rs
+++ b/crates/serving/tests/lease.rs
@@ -338,3 +338,29 @@
         "a holder that may not give orders must report nothing"
     );
 }
+
+/// Guards against a read that is answered late and puts an older row in place of the one that the
+/// holder has reported: the host would acknowledge the wrong version and report to the wrong host.
+#[test]
+fn late_read_of_an_older_row_is_ignored() {
+    let mut lease = LeaseState::new(LEASE_TIME, ms(0));
+    let report = LeaseReport::Holds {
+        version: 12,
+        stamp: ms(900),
+    };
+    lease.receive_report(&host("b"), &report, ms(1_000));
+    let row = |holder: &str| LeaseRow {
+        holder: host(holder),
+        released: true,
+    };
+    lease.receive_row(Some((row("a"), 10)), ms(1_100));
+    assert_eq!(lease.holder(), Some(&host("b")));
+    assert_eq!(lease.version(), Some(12));
+    let acknowledged = LeaseReport::Acknowledged {
+        version: 12,
+        stamp: ms(900),
+    };
+    assert_eq!(lease.report(&[], ms(1_200)), Some(acknowledged));
+    lease.receive_row(Some((row("c"), 13)), ms(1_300));
+    assert_eq!(lease.holder(), Some(&host("c")));
+}
