edge: a stopping host removes its row only if no later process has written it

A process that stops removes its row without a condition. If the answer is lost, the removal may be carried out seconds later, after the next process of the same name has written its row, so that hosts that start later do not find a live host until it finds them. Cause: an older write overwrites a newer one. Change: the removal expects the version with which this process wrote the row. Evidence: stopping_host_leaves_the_row_of_its_successor failed before (no row left).

--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -201,8 +201,9 @@
     };
     loop {
         match shell.store.write(&write, STORE_TIMEOUT).await {
-            Ok(_) => {
+            Ok(version) => {
                 health.record_answer();
+                shell.own_row_version.set(Some(version));
                 return;
             }
             Err(error) => {
--- a/crates/edge/src/run.rs
+++ b/crates/edge/src/run.rs
@@ -167,12 +167,17 @@
     );
 }
 
+/// Removes the row of this host if no later process has written it. A removal whose answer is lost
+/// may be carried out after the next process of this name has started.
 async fn remove_own_row(shell: &EdgeShell) {
+    let Some(expected) = shell.own_row_version.get() else {
+        return;
+    };
     let write = StoreWrite {
         table: StoreTable::Hosts,
         key: shell.settings.name.as_str().to_owned(),
         value: None,
-        expected: None,
+        expected: Some(expected),
     };
     if let Err(error) = shell.store.write(&write, ROW_REMOVAL_TIMEOUT).await {
         warn!("the row of this host cannot be removed from the store: {error}");
--- a/crates/edge/src/shell.rs
+++ b/crates/edge/src/shell.rs
@@ -61,6 +61,8 @@
     pub(crate) pool: ConnPool,
     pub(crate) store: StoreClient,
     pub(crate) peers: PeerSocket,
+    /// Version with which this host wrote its row to the store, once it did.
+    pub(crate) own_row_version: Cell<Option<u64>>,
     /// When the process received the stop signal, if it did.
     pub(crate) stopping_since: Cell<Option<ClockTime>>,
     /// Version of the lease row with which this host released the lease, if it did.
@@ -107,6 +109,7 @@
             }),
             store: StoreClient::new(settings.store),
             peers,
+            own_row_version: Cell::new(None),
             stopping_since: Cell::new(None),
             released_version: Cell::new(None),
             rng: RefCell::new(seeded_rng(RandomState::new().build_hasher().finish())),
--- a/tests/entry_process.rs
+++ b/tests/entry_process.rs
@@ -199,41 +199,61 @@
     );
 }
 
+/// Sends the stop signal to a host.
+fn stop(host: &EntryHost) {
+    let killed = Command::new("kill")
+        .args(["-TERM", &host.child.id().to_string()])
+        .status()
+        .expect("the command `kill` cannot start");
+    assert!(killed.success());
+}
+
+/// Waits until the process of a host that was told to stop has ended.
+async fn wait_for_end(host: &mut EntryHost) {
+    let start = Instant::now();
+    while host
+        .child
+        .try_wait()
+        .expect("the state of the process cannot be read")
+        .is_none()
+    {
+        assert!(
+            start.elapsed() < Duration::from_secs(9),
+            "the process has not ended 9 s after the stop; it may take 8 s"
+        );
+        actix_rt::time::sleep(POLL_INTERVAL).await;
+    }
+}
+
 /// Guards against a planned stop that cuts off a request in progress.
 #[actix_rt::test]
 async fn planned_stop_cuts_off_no_request() {
     let (store, targets, mut host) = start_deployment(1).await;
     targets[0].set_fault(TargetFault::Slow(1_000));
-    let pid = host.child.id().to_string();
     let slow = call(&host, "/once/1", "r1");
     let stop = async {
         actix_rt::time::sleep(Duration::from_millis(300)).await;
-        let killed = Command::new("kill")
-            .args(["-TERM", &pid])
-            .status()
-            .expect("the command `kill` cannot start");
-        assert!(killed.success());
+        stop(&host);
         actix_rt::time::sleep(Duration::from_millis(300)).await;
         get(host.addresses.ready, READY_PATH).await.0
     };
     let (answer, ready) = futures_util::future::join(slow, stop).await;
     assert_eq!(answer.expect("the call got no answer").0, StatusCode::OK);
     assert_ne!(ready, StatusCode::OK, "a stopping host must not be ready");
-    let start = Instant::now();
-    while host
-        .child
-        .try_wait()
-        .expect("the state of the process cannot be read")
-        .is_none()
-    {
-        assert!(
-            start.elapsed() < Duration::from_secs(9),
-            "the process has not ended 9 s after the stop; it may take 8 s"
-        );
-        actix_rt::time::sleep(POLL_INTERVAL).await;
-    }
+    wait_for_end(&mut host).await;
     assert!(
         store.host_names().is_empty(),
         "the stopped host must remove its row from the store"
     );
 }
+
+/// Guards against the removal of the row of a live host: the removal of a stopping process may be
+/// carried out after the next process of the same name has written its row.
+#[actix_rt::test]
+async fn stopping_host_leaves_the_row_of_its_successor() {
+    let (store, _targets, mut host) = start_deployment(1).await;
+    store.put_host("edge-1");
+    stop(&host);
+    wait_for_end(&mut host).await;
+    assert_eq!(store.host_names(), ["edge-1"]);
+}
