httpconn, serving: answers and events without end are given up

Bytes that are no answer may come without end, in a head or a body, until the caller closes. read_body collected a body, and EventSplitter the part of an event, without a limit, on hosts of 160 to 512 MB; each piece also searched the whole part again. Change: a body may have 8 MiB, and all bodies that a pool collects at a time 32 MiB; a head 64 KiB (the library's own limit was 408 KiB); an event 256 KiB. A longer answer counts as lost and malformed, not as a broken connection, so that the call does not count as one that crashes targets; a line malformed_stream tells of an event. The connection is closed, which ends the bytes. Only new bytes are searched for the end of an event. Evidence: answer_without_end_is_an_error (five forms of heads and bodies) and answers_without_end_share_a_limit fail without the limits (not given up within 20 s); event_without_end_is_an_error could not be written before, since push had no error. long_answer_is_read_to_its_end guards the other side with 6 MiB. What has to be bounded is the memory at a time, which it now samples: at most 40 MiB, a quarter of the smallest host.

--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -110,7 +110,7 @@
             full: status != StatusCode::MISDIRECTED_REQUEST,
             misplaced: status == StatusCode::MISDIRECTED_REQUEST,
         };
-        if read_body(answer.into_body()).await.is_ok() {
+        if conn.read_body(answer.into_body()).await.is_ok() {
             conn.release().await;
         }
         return AttemptResult::Ended(outcome);
@@ -123,7 +123,7 @@
         return AttemptResult::Stream { answer, conn };
     }
     let (parts, body) = answer.into_parts();
-    match read_body(body).await {
+    match conn.read_body(body).await {
         Ok(body) => {
             conn.release().await;
             AttemptResult::Complete {
@@ -131,7 +131,16 @@
                 body,
             }
         }
-        Err(_) => AttemptResult::Ended(lost(true)),
+        Err(error) => {
+            let malformed = matches!(
+                error,
+                SendError::Lost {
+                    malformed: true,
+                    ..
+                }
+            );
+            AttemptResult::Ended(lost(!malformed))
+        }
     }
 }
 
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -39,6 +39,8 @@
 enum SourceEnd {
     Complete,
     Broken,
+    /// The target sends bytes that are no event.
+    Malformed,
     Expired,
     CallerLeft,
 }
@@ -79,6 +81,10 @@
                 broken: true,
                 started: true,
             },
+            SourceEnd::Malformed => AttemptOutcome::Lost {
+                broken: false,
+                started: true,
+            },
             SourceEnd::Expired => AttemptOutcome::Expired,
         };
         drop(source);
@@ -109,6 +115,14 @@
     let _ = sender.send(Err(error)).await;
 }
 
+fn log_overlong_event(open: &OpenRequest, error: &EventTooLong) {
+    decision_log::log_decision(
+        &open.request.call.id,
+        "malformed_stream",
+        json!({"cause": error.to_string()}),
+    );
+}
+
 /// Forwards complete events until the target's stream ends.
 async fn forward_events(
     open: &OpenRequest,
@@ -133,7 +147,13 @@
                 Err(_) => continue,
             },
         };
-        let complete = splitter.push(&data);
+        let complete = match splitter.push(&data) {
+            Ok(complete) => complete,
+            Err(error) => {
+                log_overlong_event(open, &error);
+                return SourceEnd::Malformed;
+            }
+        };
         if !complete.is_empty() && sender.send(Ok(Bytes::from(complete))).await.is_err() {
             return SourceEnd::CallerLeft;
         }
--- a/crates/httpconn/src/pool.rs
+++ b/crates/httpconn/src/pool.rs
@@ -1,7 +1,7 @@
 //! A pool of idle connections by address, and the exchange of requests and answers over them.
 
 use crate::socket::set_stream_options;
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
@@ -10,6 +10,7 @@
 use snafu::Snafu;
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::mem;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -20,6 +21,14 @@
 /// Longest time for a connection to become ready for the next request after a complete answer.
 const READY_TIMEOUT: Duration = Duration::from_millis(50);
 
+/// Longest head of an answer, bytes.
+const MAX_HEAD_BYTES: usize = 64 * 1024;
+/// Longest body that is collected, bytes.
+const MAX_BODY_BYTES: usize = 8 * 1024 * 1024;
+/// Largest total length of the bodies that one pool collects at a time, bytes; the smallest hosts
+/// have 160 MB.
+const MAX_COLLECTED_BYTES: usize = 32 * 1024 * 1024;
+
 /// Failure to send a request or to receive its answer.
 #[derive(Debug, Snafu)]
 pub enum SendError {
@@ -40,7 +49,7 @@
     Lost {
         /// Error of the HTTP library.
         reason: String,
-        /// Whether bytes arrived that are not a valid HTTP answer.
+        /// Whether bytes arrived that are not a valid HTTP answer, or more than an answer may have.
         malformed: bool,
     },
 }
@@ -83,6 +92,8 @@
     idle: HashMap<SocketAddr, Vec<OpenConn>>,
     /// Number of connections that were opened, including failed attempts.
     opened: u64,
+    /// Length of the bodies that are being collected, bytes.
+    collected: usize,
 }
 
 /// Pool of idle connections; clones share it.
@@ -117,6 +128,11 @@
         self.state.borrow().opened
     }
 
+    /// Returns the length of the bodies that are being collected, bytes.
+    pub fn collected_bytes(&self) -> usize {
+        self.state.borrow().collected
+    }
+
     /// Returns the idle connection that was used last, or opens a new one.
     ///
     /// # Errors
@@ -161,7 +177,9 @@
             .map_err(|_| no_connection("timed out".to_owned()))?
             .map_err(|error| no_connection(error.to_string()))?;
         set_stream_options(&stream).map_err(|error| no_connection(error.to_string()))?;
-        let (sender, driver) = http1::handshake(TokioIo::new(stream))
+        let (sender, driver) = http1::Builder::new()
+            .max_buf_size(MAX_HEAD_BYTES)
+            .handshake(TokioIo::new(stream))
             .await
             .map_err(|error| no_connection(error.to_string()))?;
         let driver = actix_rt::spawn(async move {
@@ -237,11 +255,34 @@
     ) -> Result<(StatusCode, Bytes), SendError> {
         let answer = self.send(request).await?;
         let status = answer.status();
-        let body = read_body(answer.into_body()).await?;
+        let body = self.read_body(answer.into_body()).await?;
         self.release().await;
         Ok((status, body))
     }
 
+    /// Reads the body of an answer on this connection to its end.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the body is cut off or too long.
+    pub async fn read_body(&self, mut body: Incoming) -> Result<Bytes, SendError> {
+        let mut collected = CollectedBody {
+            bytes: BytesMut::new(),
+            length: 0,
+            pool: self.pool.clone(),
+        };
+        while let Some(frame) = body.frame().await {
+            let frame = frame.map_err(|error| SendError::Lost {
+                reason: error.to_string(),
+                malformed: error.is_parse(),
+            })?;
+            if let Some(data) = frame.data_ref() {
+                collected.push(data)?;
+            }
+        }
+        Ok(mem::take(&mut collected.bytes).freeze())
+    }
+
     /// Records that the peer closes the connection after this answer, so that it is not reused.
     pub fn close_after_answer(&mut self) {
         self.closing = true;
@@ -268,15 +309,37 @@
     }
 }
 
-/// Reads a body to its end.
-///
-/// # Errors
-///
-/// Fails if the body is cut off.
-pub async fn read_body(body: Incoming) -> Result<Bytes, SendError> {
-    let collected = body.collect().await.map_err(|error| SendError::Lost {
-        reason: error.to_string(),
-        malformed: error.is_parse(),
-    })?;
-    Ok(collected.to_bytes())
+/// Body that is being collected; its length counts towards the limit of its pool.
+struct CollectedBody {
+    bytes: BytesMut,
+    /// Length of the body so far.
+    length: usize,
+    pool: ConnPool,
+}
+
+impl CollectedBody {
+    /// Adds bytes, unless the body or all bodies of the pool would get too long.
+    fn push(&mut self, data: &[u8]) -> Result<(), SendError> {
+        let mut state = self.pool.state.borrow_mut();
+        let length = self.length + data.len();
+        let total = state.collected + data.len();
+        if length > MAX_BODY_BYTES || total > MAX_COLLECTED_BYTES {
+            return Err(SendError::Lost {
+                reason: format!(
+                    "the body is too long: {length} bytes, {total} bytes in all bodies"
+                ),
+                malformed: true,
+            });
+        }
+        state.collected = total;
+        self.length = length;
+        self.bytes.extend_from_slice(data);
+        Ok(())
+    }
+}
+
+impl Drop for CollectedBody {
+    fn drop(&mut self) {
+        self.pool.state.borrow_mut().collected -= self.length;
+    }
 }
--- a/crates/httpconn/tests/ends.rs
+++ b/crates/httpconn/tests/ends.rs
@@ -4,7 +4,9 @@
 use crocusyard_httpconn::prelude::*;
 use http_body_util::Full;
 use hyper::Request;
+use std::cell::Cell;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
@@ -128,3 +130,138 @@
         "the connection stays open: {closed:?}"
     );
 }
+
+/// Bytes that a peer without end writes at most, so that a failing test ends too.
+const ENDLESS_BYTES: usize = 64 * 1024 * 1024;
+/// Largest number of bytes that may be read of one answer: the longest body and what the sockets
+/// hold.
+const READ_LIMIT: usize = 24 * 1024 * 1024;
+/// Time limit for an answer without end to be given up.
+const GIVE_UP_TIME: Duration = Duration::from_secs(20);
+
+/// Starts a peer that answers each request with `head` and then with `piece` again and again, until
+/// the caller closes. Returns its address and the number of bytes that it has written.
+async fn start_endless_peer(
+    head: &'static str,
+    piece: &'static [u8],
+) -> (SocketAddr, Rc<Cell<usize>>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("the listener's address");
+    let written = Rc::new(Cell::new(0));
+    let counter = written.clone();
+    actix_rt::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let counter = counter.clone();
+            actix_rt::spawn(async move {
+                let mut buffer = [0; 4_096];
+                if stream.read(&mut buffer).await.unwrap_or(0) == 0 {
+                    return;
+                }
+                let _ = stream.write_all(head.as_bytes()).await;
+                let mut sent = 0;
+                while sent < ENDLESS_BYTES && stream.write_all(piece).await.is_ok() {
+                    sent += piece.len();
+                    counter.set(counter.get() + piece.len());
+                }
+                // The connection stays open until the caller closes it.
+                let _ = stream.read(&mut buffer).await;
+            });
+        }
+    });
+    (address, written)
+}
+
+/// Guards against a host that runs out of memory because a peer sends a head or a body without end.
+#[actix_rt::test]
+async fn answer_without_end_is_an_error() {
+    static ZEROS: [u8; 65_536] = [b'0'; 65_536];
+    static CHUNK: &[u8] =
+        b"40\r\n0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef\r\n";
+    let answers: [(&str, &[u8]); 5] = [
+        ("HTTP/1.1 200 OK\r\n\r\n", &ZEROS),
+        (
+            "HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n",
+            &ZEROS,
+        ),
+        (
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+            CHUNK,
+        ),
+        ("HTTP/1.1 200 OK\r\nX-Long: ", &ZEROS),
+        ("HTTP/1.1 200 OK\r\n", b"X-Again: and again\r\n"),
+    ];
+    for (head, piece) in answers {
+        let (address, written) = start_endless_peer(head, piece).await;
+        let pool = ConnPool::new(LIMITS);
+        let result = tokio::time::timeout(GIVE_UP_TIME, exchange(&pool, address)).await;
+        let error = result
+            .unwrap_or_else(|_| panic!("{head:?} is not given up"))
+            .expect_err("the answer has no end");
+        assert!(
+            matches!(
+                error,
+                SendError::Lost {
+                    malformed: true,
+                    ..
+                }
+            ),
+            "{head:?}: {error}"
+        );
+        assert!(
+            written.get() < READ_LIMIT,
+            "{head:?}: {} bytes were read",
+            written.get()
+        );
+    }
+}
+
+/// Guards against a host that runs out of memory because many answers without end are read at the
+/// same time, and against a limit that stays used up afterwards.
+#[actix_rt::test]
+async fn answers_without_end_share_a_limit() {
+    /// A quarter of the memory of the smallest hosts.
+    const COLLECTED_LIMIT: usize = 40 * 1024 * 1024;
+    static ZEROS: [u8; 65_536] = [b'0'; 65_536];
+    let (address, _) = start_endless_peer("HTTP/1.1 200 OK\r\n\r\n", &ZEROS).await;
+    let pool = ConnPool::new(LIMITS);
+    let most = Rc::new(Cell::new(0));
+    let sampler = actix_rt::spawn({
+        let (pool, most) = (pool.clone(), most.clone());
+        async move {
+            loop {
+                most.set(pool.collected_bytes().max(most.get()));
+                tokio::task::yield_now().await;
+            }
+        }
+    });
+    let calls = (0..24).map(|_| exchange(&pool, address));
+    let results = futures_util::future::join_all(calls);
+    let results = tokio::time::timeout(GIVE_UP_TIME, results)
+        .await
+        .expect("the answers are not given up");
+    sampler.abort();
+    assert!(results.iter().all(Result::is_err));
+    let most = most.get();
+    assert!(most > 0, "nothing was collected");
+    assert!(most <= COLLECTED_LIMIT, "{most} bytes at a time");
+    assert_eq!(pool.collected_bytes(), 0);
+    const ANSWER: &str = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc";
+    let address = start_peer(&[ANSWER]).await;
+    let body = exchange(&pool, address).await.expect("a complete answer");
+    assert_eq!(body, "abc");
+}
+
+/// Guards against long answers that are taken for ones without end.
+#[actix_rt::test]
+async fn long_answer_is_read_to_its_end() {
+    const LENGTH: usize = 6 * 1024 * 1024;
+    let text = format!(
+        "HTTP/1.1 200 OK\r\nContent-Length: {LENGTH}\r\n\r\n{}",
+        "x".repeat(LENGTH)
+    );
+    let answers: &'static [&'static str] = Box::leak(Box::new([&*text.leak()]));
+    let address = start_peer(answers).await;
+    let pool = ConnPool::new(LIMITS);
+    let body = exchange(&pool, address).await.expect("a complete answer");
+    assert_eq!(body.len(), LENGTH);
+}
--- a/crates/serving/src/event_stream.rs
+++ b/crates/serving/src/event_stream.rs
@@ -3,6 +3,7 @@
 //! Only complete events are forwarded, so that a stream that breaks off inside an event can be
 //! resumed at another target.
 
+use snafu::Snafu;
 use std::mem;
 
 /// Empty line that ends an event.
@@ -10,6 +11,14 @@
 /// Prefix of the line with the identifier of an event.
 const ID_FIELD: &[u8] = b"id:";
 
+/// Longest event, bytes.
+const MAX_EVENT_BYTES: usize = 256 * 1024;
+
+/// An event of a stream does not end.
+#[derive(Debug, Snafu)]
+#[snafu(display("an event is longer than {MAX_EVENT_BYTES} bytes"))]
+pub struct EventTooLong;
+
 /// Splits one stream into complete events.
 #[derive(Debug, Default)]
 pub struct EventSplitter {
@@ -28,15 +37,26 @@
     }
 
     /// Adds received bytes and returns the events that they complete.
-    pub fn push(&mut self, bytes: &[u8]) -> Vec<u8> {
+    ///
+    /// # Errors
+    ///
+    /// Fails if the event that the bytes leave incomplete is already too long.
+    pub fn push(&mut self, bytes: &[u8]) -> Result<Vec<u8>, EventTooLong> {
+        // The end of an event may have begun with the last byte before.
+        let search_from = self.partial.len().saturating_sub(EVENT_END.len() - 1);
         self.partial.extend_from_slice(bytes);
-        let Some(end) = find_last(&self.partial, EVENT_END) else {
-            return Vec::new();
+        let complete = match find_last(&self.partial[search_from..], EVENT_END) {
+            None => Vec::new(),
+            Some(end) => {
+                let partial = self.partial.split_off(search_from + end + EVENT_END.len());
+                mem::replace(&mut self.partial, partial)
+            }
         };
-        let partial = self.partial.split_off(end + EVENT_END.len());
-        let complete = mem::replace(&mut self.partial, partial);
+        if self.partial.len() > MAX_EVENT_BYTES {
+            return Err(EventTooLong);
+        }
         self.read_ids(&complete);
-        complete
+        Ok(complete)
     }
 
     /// Discards the bytes of an incomplete event; another target sends the event again.
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -45,7 +45,7 @@
     pub use crate::event::{
         AttemptPlan, RefusalReason, RequestRefusal, ServingEffect, ServingEvent,
     };
-    pub use crate::event_stream::EventSplitter;
+    pub use crate::event_stream::{EventSplitter, EventTooLong};
     pub use crate::hosts::{HostRecord, HostShare, HostTable};
     pub use crate::lease::{LeaseReport, LeaseRow, LeaseState, LeaseStep};
     pub use crate::orders::{EngineOrder, EngineReport, OrderAction, OrderAnswer, OrderTracker};
--- a/crates/serving/tests/events.rs
+++ b/crates/serving/tests/events.rs
@@ -8,12 +8,17 @@
 fn event_that_was_begun_is_not_forwarded() {
     let mut splitter = EventSplitter::new();
     assert_eq!(
-        splitter.push(b"id: 1\ndata: a\n\nid: 2\nda"),
+        splitter
+            .push(b"id: 1\ndata: a\n\nid: 2\nda")
+            .expect("short events"),
         b"id: 1\ndata: a\n\n"
     );
     assert_eq!(splitter.last_id(), Some(1));
     splitter.discard_partial();
-    assert_eq!(splitter.push(b"id: 2\ndata: b\n\n"), b"id: 2\ndata: b\n\n");
+    assert_eq!(
+        splitter.push(b"id: 2\ndata: b\n\n").expect("short events"),
+        b"id: 2\ndata: b\n\n"
+    );
     assert_eq!((splitter.last_id(), splitter.event_count()), (Some(2), 2));
 }
 
@@ -32,10 +37,10 @@
             let mut rest = &text[..];
             for cut in cuts {
                 let (piece, after) = rest.split_at(usize::from(*cut).min(rest.len()));
-                complete.extend(splitter.push(piece));
+                complete.extend(splitter.push(piece).expect("short events"));
                 rest = after;
             }
-            complete.extend(splitter.push(rest));
+            complete.extend(splitter.push(rest).expect("short events"));
             complete.extend_from_slice(splitter.partial_event());
             assert_eq!(complete, text);
         });
@@ -63,3 +68,24 @@
     assert!(!tracker.is_refused(CallDigest(8), now));
     assert!(!tracker.is_refused(CallDigest(7), now + ClockTime::from_secs(61)));
 }
+
+/// Guards against a host that runs out of memory, or searches the same bytes again and again,
+/// because a target sends an event without end.
+#[test]
+fn event_without_end_is_an_error() {
+    const TOTAL_BYTES: usize = 4 * 1024 * 1024;
+    for length in [1, 100, 16 * 1024, TOTAL_BYTES] {
+        let mut splitter = EventSplitter::new();
+        let piece = vec![b'x'; length];
+        let accepted = (0..TOTAL_BYTES / length).find(|_| splitter.push(&piece).is_err());
+        let accepted = accepted.expect("an event of 4 MB is not an error") * length;
+        assert!(accepted < TOTAL_BYTES / 4, "{accepted} bytes were kept");
+    }
+    let mut splitter = EventSplitter::new();
+    for number in 0..50_000 {
+        let event = format!("id: {number}\ndata: many short events are no long one\n\n");
+        splitter
+            .push(event.as_bytes())
+            .expect("the event has an end");
+    }
+}
