targets: an event without end breaks the stream

Change: the length of the event that has not ended is counted before the library; over 256 KiB the stream is broken, as after a cut. Bodies that this crate and crates/platform collect had limits already; heads are limited to 128 KiB by the library. Evidence: event_without_end_breaks_the_stream is not given up within 20 s without the limit. Its first form passed without the limit too, since the library reads no body from an answer without length or chunks; it sends chunks now.

--- a/crates/targets/src/attempt.rs
+++ b/crates/targets/src/attempt.rs
@@ -1,7 +1,7 @@
 //! An attempt: sends one request to one target and reports the answer chunk by chunk.
 
 use crate::pool::UpdateSender;
-use awc::error::SendRequestError;
+use awc::error::{PayloadError, SendRequestError};
 use awc::http::{header::HeaderMap, Method, StatusCode};
 use awc::{Client, ClientRequest, ClientResponse};
 use bytes::Bytes;
@@ -18,6 +18,8 @@
 /// Time within which an answer must end after the event that marks the end of its stream; the last
 /// bytes usually arrive together with that event.
 const TRAILING_TIMEOUT: Duration = Duration::from_millis(500);
+/// Longest event of a stream, bytes.
+const MAX_EVENT_BYTES: usize = 256 * 1024;
 
 /// Request that an attempt sends.
 #[derive(Clone, Debug)]
@@ -296,7 +298,12 @@
         headers: response.headers().clone(),
     };
     report(AttemptChange::Head(Box::new(head)));
-    let mut events = response.eventsource();
+    let mut length = EventLength::default();
+    let pieces = response.map(move |piece| match piece {
+        Ok(piece) if length.add(&piece) > MAX_EVENT_BYTES => Err(PayloadError::Overflow),
+        piece => piece,
+    });
+    let mut events = pieces.eventsource();
     let mut next = first;
     while let Some(event) = events.next().await {
         let Ok(event) = event else {
@@ -315,3 +322,32 @@
     }
     AttemptResult::Broken
 }
+
+/// Length of the event of a stream that has not ended yet.
+#[derive(Default)]
+struct EventLength {
+    bytes: usize,
+    /// Whether the last byte ended a line.
+    ended_line: bool,
+}
+
+impl EventLength {
+    /// Adds received bytes; returns the length of the event that they leave incomplete.
+    fn add(&mut self, piece: &[u8]) -> usize {
+        for byte in piece {
+            self.bytes += 1;
+            match byte {
+                b'\r' => {}
+                b'\n' => {
+                    // An empty line ends an event.
+                    if self.ended_line {
+                        self.bytes = 0;
+                    }
+                    self.ended_line = true;
+                }
+                _ => self.ended_line = false,
+            }
+        }
+        self.bytes
+    }
+}
--- a/crates/targets/tests/broken.rs
+++ b/crates/targets/tests/broken.rs
@@ -3,6 +3,8 @@
 
 use crocusyard_base::prelude::*;
 use crocusyard_targets::prelude::*;
+use std::net::SocketAddr;
+use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
@@ -26,21 +28,27 @@
             stream.flush().await.expect("the part is sent");
             // The pause lets the parts arrive one by one, so that the client's buffer is empty when
             // the connection ends.
-            actix_rt::time::sleep(std::time::Duration::from_millis(50)).await;
+            actix_rt::time::sleep(Duration::from_millis(50)).await;
         }
     });
+    let kind = PlanKind::Plain {
+        method: awc::http::Method::GET,
+        path: "/opening".into(),
+        headers: std::sync::Arc::default(),
+        body: bytes::Bytes::new(),
+        recorded: false,
+    };
+    run_attempt(address, kind).await
+}
+
+/// Sends a request to a target; returns how the attempt ended.
+async fn run_attempt(address: SocketAddr, kind: PlanKind) -> AttemptResult {
     let (sender, mut updates) = mpsc::unbounded_channel();
-    let mut pools = TargetPools::new(sender, std::time::Duration::from_secs(1));
+    let mut pools = TargetPools::new(sender, Duration::from_secs(1));
     let plan = AttemptPlan {
         attempt: AttemptId(1),
         target: TargetName::new("mostrador-1"),
-        kind: PlanKind::Plain {
-            method: awc::http::Method::GET,
-            path: "/opening".into(),
-            headers: std::sync::Arc::default(),
-            body: bytes::Bytes::new(),
-            recorded: false,
-        },
+        kind,
     };
     pools.start(address, plan);
     loop {
@@ -94,3 +102,39 @@
         );
     }
 }
+
+/// Guards against a host that runs out of memory because an engine sends an event without end.
+#[actix_rt::test]
+async fn event_without_end_breaks_the_stream() {
+    /// Bytes that the engine writes at most, so that a failing test ends too.
+    const ENDLESS_BYTES: usize = 16 * 1024 * 1024;
+    let listener = TcpListener::bind("127.0.0.1:0")
+        .await
+        .expect("the listener is bound");
+    let address = listener.local_addr().expect("the listener has an address");
+    actix_rt::spawn(async move {
+        let (mut stream, _) = listener.accept().await.expect("a connection is accepted");
+        let mut buffer = [0; 4096];
+        let _ = stream.read(&mut buffer).await;
+        let head = "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\
+                    transfer-encoding: chunked\r\n\r\n\
+                    25\r\nid: 0\ndata: first event\n\nid: 1\ndata: \r\n";
+        let _ = stream.write_all(head.as_bytes()).await;
+        let piece = [b"10000\r\n".as_slice(), &[b'x'; 65_536], b"\r\n"].concat();
+        let mut written = 0;
+        while written < ENDLESS_BYTES && stream.write_all(&piece).await.is_ok() {
+            written += piece.len();
+        }
+        // The connection stays open until the host closes it.
+        let _ = stream.read(&mut buffer).await;
+    });
+    let kind = PlanKind::Completion {
+        path: "/v1/completions",
+        body: bytes::Bytes::from_static(b"{}"),
+        blocks: "".into(),
+        priority: 0,
+    };
+    let result = tokio::time::timeout(Duration::from_secs(20), run_attempt(address, kind)).await;
+    let result = result.expect("the event without end is not given up");
+    assert_eq!(result, AttemptResult::Broken);
+}
