--- a/crates/edge/src/run.rs
+++ b/crates/edge/src/run.rs
@@ -31,7 +31,7 @@
 /// Time after the stop signal for which a host still accepts connections: callers keep an address
 /// answer for its lifetime, some for three times as long.
 const LINGER_TIME: ClockTime = ClockTime::from_ms(6_000);
-/// Longest time to remove the row of this host; if that fails, the other hosts remove the row.
+/// Longest time to remove the row of this host; if that fails, the row stays.
 const ROW_REMOVAL_TIMEOUT: Duration = Duration::from_millis(300);
 /// Interval at which a stopping host checks whether requests are still in progress.
 const STOP_CHECK_INTERVAL: Duration = Duration::from_millis(50);
