serving: the start of a host is no outage, and hides none

A host that had just started held removals back for 2.5 s, since its first known write looked like the first one after an outage; after a restart of all hosts the last of it could fall behind the 3 s after which a host is bound again. A first mend with a mark was wrong too: a host that starts at the end of an outage and reads the first write before the others hid the outage from them. Cause: the span of writes did not tell an outage from a start, nor where the outage began. Change: the span and the report carry the last write before the outage. An outage of one host's span remains unless the joined span begins within a lapse time of that write.

--- a/crates/edge/src/target_list.rs
+++ b/crates/edge/src/target_list.rs
@@ -228,6 +228,7 @@
         Some(report) => json!({
             "since_age_ms": report.since_age.as_ms(),
             "until_age_ms": report.until_age.as_ms(),
+            "outage_age_ms": report.outage_age.map(ClockTime::as_ms),
         }),
     }
 }
--- a/crates/serving/src/availability.rs
+++ b/crates/serving/src/availability.rs
@@ -20,15 +20,20 @@
 struct WriteSpan {
     since: ClockTime,
     until: ClockTime,
+    /// Last write before the outage that came before the span; `None` if the span began with the
+    /// start of a host.
+    outage_from: Option<ClockTime>,
 }
 
 /// Report of a host about the writes of targets that it knows of.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct AvailabilityReport {
-    /// Time since the first write after the last outage.
+    /// Time since the first known write, after the last outage if there was one.
     pub since_age: ClockTime,
     /// Time since the last known write.
     pub until_age: ClockTime,
+    /// Time since the last write before that outage.
+    pub outage_age: Option<ClockTime>,
 }
 
 /// Knowledge of one host about when targets could write to the store.
@@ -56,10 +61,11 @@
             Some(span) if sent.since(span.until) < self.lapse_time => {
                 span.until = span.until.max(sent);
             }
-            _ => {
+            known => {
                 self.span = Some(WriteSpan {
                     since: now,
                     until: sent,
+                    outage_from: known.as_ref().map(|span| span.until),
                 });
             }
         }
@@ -71,6 +77,7 @@
         let reported = WriteSpan {
             since: now - report.since_age,
             until: now - report.until_age,
+            outage_from: report.outage_age.map(|age| now - age),
         };
         let Some(known) = &mut self.span else {
             self.span = Some(reported);
@@ -79,10 +86,23 @@
         let touches = reported.since.since(known.until) < self.lapse_time
             && known.since.since(reported.until) < self.lapse_time;
         if touches {
-            known.since = known.since.min(reported.since);
-            known.until = known.until.max(reported.until);
+            let since = known.since.min(reported.since);
+            // An outage that one of the two hosts has seen writes in was none.
+            let outages = [known.outage_from, reported.outage_from]
+                .into_iter()
+                .flatten();
+            *known = WriteSpan {
+                since,
+                until: known.until.max(reported.until),
+                outage_from: outages
+                    .filter(|from| since.since(*from) >= self.lapse_time)
+                    .max(),
+            };
         } else if reported.until > known.until {
-            *known = reported;
+            *known = WriteSpan {
+                outage_from: reported.outage_from.max(Some(known.until)),
+                ..reported
+            };
         }
     }
 
@@ -91,6 +111,7 @@
         self.span.map(|span| AvailabilityReport {
             since_age: now.since(span.since),
             until_age: now.since(span.until),
+            outage_age: span.outage_from.map(|from| now.since(from)),
         })
     }
 
@@ -98,7 +119,8 @@
     /// ended so recently that targets may not have written again.
     pub fn is_recovering(&self, now: ClockTime) -> bool {
         self.span.is_none_or(|span| {
-            now.since(span.until) >= self.lapse_time || now.since(span.since) < RECOVERY_TIME
+            let outage_lasts = now.since(span.until) >= self.lapse_time;
+            outage_lasts || span.outage_from.is_some() && now.since(span.since) < RECOVERY_TIME
         })
     }
 }
--- a/crates/serving/tests/availability.rs
+++ b/crates/serving/tests/availability.rs
@@ -138,3 +138,33 @@
     assert!(reader.release(false, ms(1_000)).is_empty());
     assert!(reader.is_complete());
 }
+
+/// Guards against removals that are held back after the start of a host.
+#[test]
+fn start_of_a_host_is_no_outage() {
+    let started = host_that_polled(polls(20_000, 20_100));
+    assert!(!started.is_recovering(ms(20_100)));
+}
+
+/// Guards against a host that starts at the end of an outage, before or after another host reads
+/// the first writes, and hides the outage from the other or does not learn of it.
+#[test]
+fn host_that_starts_after_an_outage_does_not_hide_it() {
+    for start in [19_800, 20_000] {
+        let mut started = host_that_polled(polls(start, start + 100));
+        let mut other = host_that_polled(polls(0, 10_000));
+        other.record_writes(ms(19_900), ms(19_905));
+        let report = started.report(ms(20_100)).expect("writes are known");
+        other.receive_report(&report, ms(20_100));
+        assert!(other.is_recovering(ms(20_100)), "the outage is hidden");
+        let report = other.report(ms(20_200)).expect("writes are known");
+        started.receive_report(&report, ms(20_200));
+        assert!(started.is_recovering(ms(20_200)), "the outage is not known");
+        let witness = host_that_polled(polls(5_000, 20_200));
+        let report = witness.report(ms(20_300)).expect("writes are known");
+        for host in [&mut started, &mut other] {
+            host.receive_report(&report, ms(20_300));
+            assert!(!host.is_recovering(ms(20_300)), "there was no outage");
+        }
+    }
+}
