edge: the age of a relayed change is the last field of its message

Cause: the age stood in the middle of the message, so that hosts of the version before would have read it as the number of records during a rolling update. ListReader keeps the removals of one answer as a set. Ruled out: a test of both versions in one process; the messages are private to the crate.

--- a/crates/edge/src/gossip.rs
+++ b/crates/edge/src/gossip.rs
@@ -189,9 +189,9 @@
         HostMessage::Targets {
             after,
             version,
-            age,
             upserts,
             removed,
+            age,
         } => {
             let accepted = shell
                 .target_list
--- a/crates/edge/src/message.rs
+++ b/crates/edge/src/message.rs
@@ -1,7 +1,7 @@
 //! Messages between entry hosts.
 //!
 //! They are sent over UDP and encoded with postcard, which identifies fields and variants by their
-//! order.
+//! order. New fields are added at the end of a message, where hosts of an older version ignore them.
 
 use crocusyard_base::prelude::*;
 use crocusyard_serving::prelude::*;
@@ -64,12 +64,12 @@
         after: u64,
         /// Version of the list that the changes lead to.
         version: u64,
-        /// Time since the sender asked the store for the changes.
-        age: ClockTime,
         /// Records of new or changed targets.
         upserts: Vec<TargetRecord>,
         /// Names of removed targets.
         removed: Vec<TargetName>,
+        /// Time since the sender asked the store for the changes.
+        age: ClockTime,
     },
     /// Reports that a call broke the connection to a target.
     Crash(CrashReport),
--- a/crates/edge/src/target_list.rs
+++ b/crates/edge/src/target_list.rs
@@ -189,9 +189,9 @@
         let message = HostMessage::Targets {
             after,
             version,
-            age,
             upserts: records_to_relay(shell, &change),
             removed: change.removed.clone(),
+            age,
         };
         let peers = shell.hosts.borrow().domain_peer_addresses();
         shell.peers.send_all(&peers, &message);
--- a/crates/serving/src/relay.rs
+++ b/crates/serving/src/relay.rs
@@ -168,12 +168,12 @@
     ) -> ListChange {
         let mut upserts = Vec::new();
         let mut restored = BTreeSet::new();
-        let mut read = BTreeMap::new();
+        let mut gone = BTreeSet::new();
         for ListEntry { name, record, .. } in entries {
             match record {
                 Some(record) => {
                     let was_held = self.held_back.remove(&name).is_some();
-                    if read.remove(&name).is_some() || was_held {
+                    if gone.remove(&name) || was_held {
                         restored.insert(name);
                     }
                     upserts.push(record);
@@ -181,16 +181,16 @@
                 None => {
                     upserts.retain(|record: &TargetRecord| record.name != name);
                     restored.remove(&name);
-                    read.insert(name, now);
+                    gone.insert(name);
                 }
             }
         }
         let mut held_back: Vec<TargetName> = Vec::new();
-        for (name, read_at) in read {
+        for name in gone {
             if recovering && !self.held_back.contains_key(&name) {
                 held_back.push(name.clone());
             }
-            self.held_back.entry(name).or_insert(read_at);
+            self.held_back.entry(name).or_insert(now);
         }
         ListChange {
             upserts,
