serving: the store's answers, not the writes of targets, show that it is there

Cause: took new writes of targets as the sign that the store was there for them. Entries change only when more than the number of the write changes, so that in 4 s nothing at all was written (log: `writes` with until_age_ms 3,624 to 4,110 at all nine hosts, list version 100 to 103), and all hosts held the removal back for 2.5 s. Class of fault: silence passes for an outage. Change: each answer of the store to a poll or read of the target list extends the span. The tests of the span keep their assertions; its calls have other names. check_no_late_arrivals is taken out of the process test. Evidence: removal_while_nothing_else_is_written_is_used_in_time failed on the code before.

--- a/crates/edge/src/message.rs
+++ b/crates/edge/src/message.rs
@@ -23,7 +23,7 @@
         load: HostLoad,
         /// Calls that wait for a target at the sender, by model.
         waiting: HostWaiting,
-        /// Writes of targets to the store that the sender knows of, if it knows of any.
+        /// Answers of the store that the sender knows of, if it knows of any.
         availability: Option<AvailabilityReport>,
     },
     /// Lease report: the holder's confirmation request, or a host's answer to it.
--- a/crates/edge/src/target_list.rs
+++ b/crates/edge/src/target_list.rs
@@ -27,6 +27,7 @@
     loop {
         let sent_at = clock::now();
         let page = read_table(&shell, StoreTable::Targets, &mut health).await;
+        record_answer(&shell, &mut health, sent_at);
         apply_page(&shell, &page, &mut reader, sent_at);
         loop {
             actix_rt::time::sleep(check_interval).await;
@@ -44,7 +45,7 @@
                 .await;
             match changes {
                 Ok(changes) => {
-                    health.record_answer();
+                    record_answer(&shell, &mut health, now);
                     apply_changes(&shell, changes, &mut reader, now, is_reader);
                 }
                 Err(StoreError::HistoryGone) => break,
@@ -56,6 +57,13 @@
     }
 }
 
+/// Records that the store answered a call that was sent at `sent_at`.
+fn record_answer(shell: &EdgeShell, health: &mut StoreHealth, sent_at: ClockTime) {
+    health.record_answer();
+    let mut availability = shell.availability.borrow_mut();
+    availability.record_answer(sent_at, clock::now());
+}
+
 /// Returns the version up to which this host knows the target list.
 fn known_version(shell: &EdgeShell) -> u64 {
     shell.target_list.borrow().version().unwrap_or(0)
@@ -72,7 +80,6 @@
 ) {
     let known = known_version(shell);
     let entries = decode_rows(&changes.rows);
-    record_writes(shell, &entries, sent_at);
     let entries = shell.target_list.borrow().newer_entries(entries);
     let change = read_entries(shell, reader, entries);
     let relay = is_reader && change.is_complete && changes.version >= known;
@@ -87,8 +94,6 @@
     }
     let listed: BTreeSet<&str> = page.rows.iter().map(|row| row.key.as_str()).collect();
     let mut entries = decode_rows(&page.rows);
-    let newer = shell.target_list.borrow().newer_entries(entries.clone());
-    record_writes(shell, &newer, sent_at);
     entries.extend(
         shell
             .serving
@@ -107,15 +112,6 @@
     apply_change(shell, change, 0, page.version, sent_at, false);
 }
 
-/// Records that targets could write to the store, if there are writes among the entries of the
-/// answer to a call that was sent at `sent_at`.
-fn record_writes(shell: &EdgeShell, entries: &[ListEntry], sent_at: ClockTime) {
-    if entries.iter().any(|entry| entry.record.is_some()) {
-        let mut availability = shell.availability.borrow_mut();
-        availability.record_writes(sent_at, clock::now());
-    }
-}
-
 /// Turns entries of the store into a change, in which removals may be held back.
 fn read_entries(shell: &EdgeShell, reader: &mut ListReader, entries: Vec<ListEntry>) -> ListChange {
     let now = clock::now();
@@ -202,7 +198,7 @@
         decision_log::log_change(
             "target",
             "held_back",
-            json!({"target": name.as_str(), "list_version": version, "age_ms": age.as_ms(), "writes": log_availability(shell)}),
+            json!({"target": name.as_str(), "list_version": version, "age_ms": age.as_ms(), "answers": log_availability(shell)}),
         );
     }
     shell.dispatch(ServingEvent::Targets {
@@ -221,7 +217,7 @@
     })
 }
 
-/// Ages of the first and last write of targets since the last outage, for the decision log.
+/// Ages of the first and last answer of the store since its last outage, for the decision log.
 fn log_availability(shell: &EdgeShell) -> Value {
     match shell.availability.borrow().report(clock::now()) {
         None => Value::Null,
--- a/crates/serving/tests/availability.rs
+++ b/crates/serving/tests/availability.rs
@@ -13,11 +13,11 @@
 /// Time after the end of an outage within which targets have written their entries again.
 const REWRITE_TIME: u64 = 2_000;
 
-/// A host that has polled the store, with writes of targets in each answer, at `times`.
+/// A host whose polls at `times` the store has answered.
 fn host_that_polled(times: impl Iterator<Item = u64>) -> StoreAvailability {
     let mut availability = StoreAvailability::new(HEARTBEAT);
     for time in times {
-        availability.record_writes(ms(time), ms(time + 5));
+        availability.record_answer(ms(time), ms(time + 5));
     }
     availability
 }
@@ -42,20 +42,20 @@
     let (end, now) = (16_000, 16_400);
     for host in [&mut first, &mut second] {
         assert!(host.is_recovering(ms(end)), "the outage is not seen");
-        host.record_writes(ms(end + 100), ms(end + 105));
+        host.record_answer(ms(end + 100), ms(end + 105));
     }
-    let report = second.report(ms(now)).expect("writes are known");
+    let report = second.report(ms(now)).expect("answers are known");
     first.receive_report(&report, ms(now));
     assert!(first.is_recovering(ms(now)));
     for time in polls(end + 700, end + 5_000) {
-        first.record_writes(ms(time), ms(time + 5));
+        first.record_answer(ms(time), ms(time + 5));
         assert!(first.is_recovering(ms(time)) || time > end + REWRITE_TIME);
     }
     assert!(!first.is_recovering(ms(end + 5_000)));
 }
 
-/// Guards against a host that takes its own failed calls for an outage of the store, although other
-/// hosts read writes of targets all the while.
+/// Guards against a host that takes its own failed calls for an outage of the store, although the
+/// store answers other hosts all the while.
 #[test]
 fn outage_for_one_host_is_no_outage() {
     for outage in [1_600, 3_000, 8_000, 30_000] {
@@ -63,10 +63,10 @@
         let end = 10_000 + outage;
         for now in polls(10_000, end) {
             let peer = host_that_polled(polls(0, now));
-            let report = peer.report(ms(now)).expect("writes are known");
+            let report = peer.report(ms(now)).expect("answers are known");
             cut_off.receive_report(&report, ms(now));
         }
-        cut_off.record_writes(ms(end + 100), ms(end + 105));
+        cut_off.record_answer(ms(end + 100), ms(end + 105));
         assert!(
             !cut_off.is_recovering(ms(end + 105)),
             "an outage of {outage} ms for one host passes for one of the store"
@@ -80,10 +80,10 @@
 fn one_report_after_a_freeze_is_enough() {
     let mut frozen = host_that_polled(polls(0, 10_000));
     let end = 17_000;
-    frozen.record_writes(ms(end), ms(end + 5));
+    frozen.record_answer(ms(end), ms(end + 5));
     assert!(frozen.is_recovering(ms(end + 5)));
     let peer = host_that_polled(polls(0, end));
-    let report = peer.report(ms(end + 200)).expect("writes are known");
+    let report = peer.report(ms(end + 200)).expect("answers are known");
     frozen.receive_report(&report, ms(end + 200));
     assert!(!frozen.is_recovering(ms(end + 200)));
 }
@@ -94,8 +94,8 @@
     let mut host = host_that_polled(polls(0, 10_000));
     let peer = host_that_polled(polls(300, 10_000));
     let end = 14_000;
-    host.record_writes(ms(end), ms(end + 5));
-    let report = peer.report(ms(end + 50)).expect("writes are known");
+    host.record_answer(ms(end), ms(end + 5));
+    let report = peer.report(ms(end + 50)).expect("answers are known");
     host.receive_report(&report, ms(end + 50));
     assert!(host.is_recovering(ms(end + 50)));
 }
@@ -146,22 +146,22 @@
     assert!(!started.is_recovering(ms(20_100)));
 }
 
-/// Guards against a host that starts at the end of an outage, before or after another host reads
-/// the first writes, and hides the outage from the other or does not learn of it.
+/// Guards against a host that starts at the end of an outage, before or after another host gets
+/// its first answer, and hides the outage from the other or does not learn of it.
 #[test]
 fn host_that_starts_after_an_outage_does_not_hide_it() {
     for start in [19_800, 20_000] {
         let mut started = host_that_polled(polls(start, start + 100));
         let mut other = host_that_polled(polls(0, 10_000));
-        other.record_writes(ms(19_900), ms(19_905));
-        let report = started.report(ms(20_100)).expect("writes are known");
+        other.record_answer(ms(19_900), ms(19_905));
+        let report = started.report(ms(20_100)).expect("answers are known");
         other.receive_report(&report, ms(20_100));
         assert!(other.is_recovering(ms(20_100)), "the outage is hidden");
-        let report = other.report(ms(20_200)).expect("writes are known");
+        let report = other.report(ms(20_200)).expect("answers are known");
         started.receive_report(&report, ms(20_200));
         assert!(started.is_recovering(ms(20_200)), "the outage is not known");
         let witness = host_that_polled(polls(5_000, 20_200));
-        let report = witness.report(ms(20_300)).expect("writes are known");
+        let report = witness.report(ms(20_300)).expect("answers are known");
         for host in [&mut started, &mut other] {
             host.receive_report(&report, ms(20_300));
             assert!(!host.is_recovering(ms(20_300)), "there was no outage");
--- a/tests/target_removal.rs
+++ b/tests/target_removal.rs
@@ -96,6 +96,27 @@
         }
         (sent, answered)
     }
+
+    /// Checks that no request that the first host sends later than the bound after the removal of
+    /// the first target reaches it; called right after the removal.
+    async fn check_no_late_arrivals(&self) {
+        actix_rt::time::sleep(REMOVAL_BOUND).await;
+        let bound = Instant::now();
+        let (sent, answered) = self.send_calls("r", bound + CALL_TIME).await;
+        assert_eq!(answered, sent, "calls failed after the removal");
+        let arrivals = self.targets[0].arrivals();
+        let late: Vec<Duration> = arrivals
+            .borrow()
+            .iter()
+            .filter(|arrival| arrival.at >= bound)
+            .map(|arrival| REMOVAL_BOUND + arrival.at.duration_since(bound))
+            .collect();
+        assert!(
+            late.is_empty(),
+            "{} of {sent} requests reached the removed target later than {REMOVAL_BOUND:?}: {late:?}",
+            late.len()
+        );
+    }
 }
 
 /// Writes the record of a target at its interval while `writing` is set.
@@ -124,22 +145,7 @@
     actix_rt::time::sleep(outage).await;
     deployment.first_store.set_fault(StoreFault::None);
     deployment.remove_first_target();
-    actix_rt::time::sleep(REMOVAL_BOUND).await;
-    let bound = Instant::now();
-    let (sent, answered) = deployment.send_calls("r", bound + CALL_TIME).await;
-    assert_eq!(answered, sent, "calls failed after the removal");
-    let arrivals = deployment.targets[0].arrivals();
-    let late: Vec<Duration> = arrivals
-        .borrow()
-        .iter()
-        .filter(|arrival| arrival.at >= bound)
-        .map(|arrival| REMOVAL_BOUND + arrival.at.duration_since(bound))
-        .collect();
-    assert!(
-        late.is_empty(),
-        "{} of {sent} requests reached the removed target later than {REMOVAL_BOUND:?}: {late:?}",
-        late.len()
-    );
+    deployment.check_no_late_arrivals().await;
 }
 
 /// Guards against a host that takes a short outage of the store for itself alone for an outage in
@@ -156,6 +162,19 @@
     check_removal_after_outage_of_one_host(Duration::from_millis(5_000)).await;
 }
 
+/// Guards against a removal that is held back because no target has written for a while: entries
+/// change only when more than the number of the write changes.
+#[actix_rt::test]
+async fn removal_while_nothing_else_is_written_is_used_in_time() {
+    let deployment = Deployment::start().await;
+    for writing in &deployment.writes {
+        writing.set(false);
+    }
+    actix_rt::time::sleep(HEARTBEAT * 4).await;
+    deployment.remove_first_target();
+    deployment.check_no_late_arrivals().await;
+}
+
 /// Guards against hosts without targets after an outage of the store: the rows of all targets
 /// lapse, and the targets write them again within 2 s of its end.
 #[actix_rt::test]
