--- a/crates/targets/tests/broken.rs
+++ b/crates/targets/tests/broken.rs
@@ -9,13 +9,18 @@
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 
-/// Sends a plain call to a target that answers with the parts and closes the connection; returns how
-/// the attempt ended.
-async fn run_plain_call(parts: &'static [&'static str]) -> AttemptResult {
+async fn listen() -> (TcpListener, SocketAddr) {
     let listener = TcpListener::bind("127.0.0.1:0")
         .await
         .expect("the listener is bound");
     let address = listener.local_addr().expect("the listener has an address");
+    (listener, address)
+}
+
+/// Sends a plain call to a target that answers with the parts and closes the connection; returns how
+/// the attempt ended.
+async fn run_plain_call(parts: &'static [&'static str]) -> AttemptResult {
+    let (listener, address) = listen().await;
     actix_rt::spawn(async move {
         let (mut stream, _) = listener.accept().await.expect("a connection is accepted");
         let mut request = [0; 4096];
@@ -108,10 +113,7 @@
 async fn event_without_end_breaks_the_stream() {
     /// Bytes that the engine writes at most, so that a failing test ends too.
     const ENDLESS_BYTES: usize = 16 * 1024 * 1024;
-    let listener = TcpListener::bind("127.0.0.1:0")
-        .await
-        .expect("the listener is bound");
-    let address = listener.local_addr().expect("the listener has an address");
+    let (listener, address) = listen().await;
     actix_rt::spawn(async move {
         let (mut stream, _) = listener.accept().await.expect("a connection is accepted");
         let mut buffer = [0; 4096];
--- a/tests/target_removal.rs
+++ b/tests/target_removal.rs
@@ -5,7 +5,6 @@
 use crocusyard_platform_standin::prelude::*;
 use entry_support::{call, route, EntryHost};
 use hyper::StatusCode;
-use serde_json::json;
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -129,9 +128,7 @@
     actix_rt::time::sleep(delay).await;
     for sequence in 2u64.. {
         if writing.get() {
-            let mut record = target.record("s");
-            record["seq_no"] = json!(sequence);
-            store.put_target(&target.name(), &record);
+            store.put_target(&target.name(), &target.record_write("s", sequence));
         }
         actix_rt::time::sleep(HEARTBEAT).await;
     }
