edge, httpconn: one question for malformed answers; records of the page corrected

Change: SendError::is_malformed; StoreHealth is told once; the comment is gone. Behaviour is unchanged. No assertion changed.

--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -131,16 +131,7 @@
                 body,
             }
         }
-        Err(error) => {
-            let malformed = matches!(
-                error,
-                SendError::Lost {
-                    malformed: true,
-                    ..
-                }
-            );
-            AttemptResult::Ended(lost(!malformed))
-        }
+        Err(error) => AttemptResult::Ended(lost(!error.is_malformed())),
     }
 }
 
@@ -191,8 +182,7 @@
                     .map_err(|_| AttemptOutcome::Unsent)?;
             }
             Err(error) if error.is_unsent() => return Err(AttemptOutcome::Unsent),
-            Err(SendError::Lost { malformed, .. }) => return Err(lost(!malformed)),
-            Err(_) => return Err(AttemptOutcome::Unsent),
+            Err(error) => return Err(lost(!error.is_malformed())),
         }
     }
 }
--- a/crates/edge/src/target_list.rs
+++ b/crates/edge/src/target_list.rs
@@ -27,7 +27,7 @@
     loop {
         let sent_at = clock::now();
         let page = read_table(&shell, StoreTable::Targets, &mut health).await;
-        record_answer(&shell, &mut health, sent_at);
+        record_answer(&shell, sent_at);
         apply_page(&shell, &page, &mut reader, sent_at);
         loop {
             actix_rt::time::sleep(check_interval).await;
@@ -45,7 +45,8 @@
                 .await;
             match changes {
                 Ok(changes) => {
-                    record_answer(&shell, &mut health, now);
+                    health.record_answer();
+                    record_answer(&shell, now);
                     apply_changes(&shell, changes, &mut reader, now, is_reader);
                 }
                 Err(StoreError::HistoryGone) => break,
@@ -57,9 +58,8 @@
     }
 }
 
-/// Records that the store answered a call that was sent at `sent_at`.
-fn record_answer(shell: &EdgeShell, health: &mut StoreHealth, sent_at: ClockTime) {
-    health.record_answer();
+/// Records that the store was available to a call that was sent at `sent_at`.
+fn record_answer(shell: &EdgeShell, sent_at: ClockTime) {
     let mut availability = shell.availability.borrow_mut();
     availability.record_answer(sent_at, clock::now());
 }
@@ -207,8 +207,7 @@
     });
 }
 
-/// Returns the records whose content has changed, and those of restored targets; most writes of
-/// targets only show that they are alive.
+/// Returns the records whose content has changed, and those of restored targets.
 fn records_to_relay(shell: &EdgeShell, change: &ListChange) -> Vec<TargetRecord> {
     let serving = shell.serving.borrow();
     change.records_to_relay(|record| {
--- a/crates/httpconn/src/pool.rs
+++ b/crates/httpconn/src/pool.rs
@@ -59,6 +59,17 @@
     pub fn is_unsent(&self) -> bool {
         !matches!(self, Self::Lost { .. })
     }
+
+    /// Returns whether the peer sent bytes that are no valid answer, rather than breaking off.
+    pub fn is_malformed(&self) -> bool {
+        matches!(
+            self,
+            Self::Lost {
+                malformed: true,
+                ..
+            }
+        )
+    }
 }
 
 /// Limits on the connections of a pool.
