edge: lost calls are logged with their prompt parts and run time

Cause: the log could not tell whether the lost calls of several targets share a prompt part, and a stream that broke after its head left no attempt_ended.

Change: attempt_ended of a lost call names incarnation, model, parts and run time; broken streams write the line as well.

--- a/crates/edge/src/entry.rs
+++ b/crates/edge/src/entry.rs
@@ -45,6 +45,8 @@
 /// Time after the stop signal, or after its start, for which a connection without a request yet is
 /// kept open.
 const FIRST_REQUEST_TIME: Duration = Duration::from_millis(1_000);
+/// Largest number of prompt parts in a log line.
+const MAX_LOGGED_PARTS: usize = 16;
 /// Pause after a failed accept, since the process may have run out of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
@@ -301,7 +303,7 @@
                 }
             }
             AttemptResult::Stream { answer, conn } => {
-                return stream::deliver_stream(open, answer, conn).await;
+                return stream::deliver_stream(open, plan, answer, conn).await;
             }
             AttemptResult::Ended(outcome) => {
                 log_attempt_ended(&open, &plan, outcome);
@@ -425,11 +427,25 @@
     );
 }
 
-/// Logs how an attempt ended.
+/// Logs how an attempt ended without an answer. A lost call may have crashed its target; the parts
+/// of its prompt and its run time show what the lost calls of several targets have in common.
 pub(crate) fn log_attempt_ended(open: &OpenRequest, plan: &AttemptPlan, outcome: AttemptOutcome) {
-    decision_log::log_decision(
-        &open.request.call.id,
-        "attempt_ended",
-        json!({"target": plan.target.as_str(), "outcome": format!("{outcome:?}")}),
-    );
+    let call = &open.request.call;
+    let mut inputs = json!({
+        "target": plan.target.as_str(),
+        "outcome": format!("{outcome:?}"),
+    });
+    if matches!(outcome, AttemptOutcome::Lost { .. }) {
+        let parts: Vec<String> = call
+            .prompt
+            .iter()
+            .take(MAX_LOGGED_PARTS)
+            .map(|part| format!("{:x}", part.id))
+            .collect();
+        inputs["incarnation"] = json!(plan.incarnation);
+        inputs["model"] = json!(call.model().map(ModelName::as_str));
+        inputs["parts"] = json!(parts);
+        inputs["ran_ms"] = json!(clock::now().since(plan.sent_at).as_ms());
+    }
+    decision_log::log_decision(&call.id, "attempt_ended", inputs);
 }
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -49,18 +49,24 @@
 /// Answers a request with a stream, which is resumed at other targets if the route allows it.
 pub(crate) async fn deliver_stream(
     open: OpenRequest,
+    plan: AttemptPlan,
     answer: Response<Incoming>,
     conn: PooledConn,
 ) -> Result<Response<AnswerBody>, AnswerAborted> {
     let (head, source) = StreamSource::open(answer, conn);
     let (sender, answer_body) = AnswerBody::stream();
     let response = deliver(&open, head, answer_body);
-    actix_rt::spawn(forward_stream(open, source, sender));
+    actix_rt::spawn(forward_stream(open, plan, source, sender));
     Ok(response)
 }
 
 /// Forwards a stream to its end, over as many targets as the reducer allows.
-async fn forward_stream(mut open: OpenRequest, mut source: StreamSource, sender: StreamSender) {
+async fn forward_stream(
+    mut open: OpenRequest,
+    mut plan: AttemptPlan,
+    mut source: StreamSource,
+    sender: StreamSender,
+) {
     let mut splitter = EventSplitter::new();
     let mut timing = StreamTiming::new(open.arrived);
     loop {
@@ -98,9 +104,10 @@
         };
         drop(source);
         splitter.discard_partial();
+        log_attempt_ended(&open, &plan, outcome);
         open.end_attempt(outcome);
         match resume(&mut open, &splitter).await {
-            Some(next) => source = next,
+            Some(next) => (plan, source) = next,
             None => {
                 record_result(&open, &timing, false);
                 abort_stream(&open, &sender, &splitter).await;
@@ -220,7 +227,10 @@
 }
 
 /// Resumes the stream at another target after the last complete event, if the reducer decides so.
-async fn resume(open: &mut OpenRequest, splitter: &EventSplitter) -> Option<StreamSource> {
+async fn resume(
+    open: &mut OpenRequest,
+    splitter: &EventSplitter,
+) -> Option<(AttemptPlan, StreamSource)> {
     loop {
         let RequestStep::Send(plan) = open.steps.recv().await? else {
             return None;
@@ -229,7 +239,7 @@
         let result = attempt(&open.shell, &open.request, &plan, splitter.last_id()).await;
         let outcome = match result {
             AttemptResult::Stream { answer, conn } if answer.status() == StatusCode::OK => {
-                return Some(StreamSource::open(answer, conn).1);
+                return Some((plan, StreamSource::open(answer, conn).1));
             }
             AttemptResult::Stream { .. } | AttemptResult::Complete { .. } => AttemptOutcome::Lost {
                 broken: false,
--- a/crates/serving/src/event.rs
+++ b/crates/serving/src/event.rs
@@ -106,6 +106,8 @@
     pub incarnation: u64,
     /// Number of this attempt within the request, from 1.
     pub attempt: u32,
+    /// When the reducer decided to send it.
+    pub sent_at: ClockTime,
     /// Age of the load that the target reported last, if it has reported one.
     pub load_age: Option<ClockTime>,
     /// Requests in progress at the target, as estimated when it was chosen.
--- a/crates/serving/src/state.rs
+++ b/crates/serving/src/state.rs
@@ -329,6 +329,7 @@
             address: state.record.address,
             incarnation: state.record.incarnation,
             attempt: request.sends,
+            sent_at: now,
             load_age: state.load_age(now),
             load: state.load(now),
             waited_for: request.waited_for,
