serving: test for prompt parts that crash their targets, failing

Cause: no test has calls that share a part and differ otherwise, nor hosts that each see a share of one crash.

Conclusion: hosts look for whole calls, of which no two are alike.

--- a/crates/serving/tests/common/mod.rs
+++ b/crates/serving/tests/common/mod.rs
@@ -3,6 +3,8 @@
 
 #![allow(dead_code)]
 
+pub mod fleet;
+
 use crocusyard_base::prelude::*;
 use crocusyard_serving::copies::EngineView;
 use crocusyard_serving::prelude::*;
@@ -214,6 +216,35 @@
         self.arrive(id, route, None, now)
     }
 
+    /// Lets a call with a prompt arrive; the prompt tells it from other calls.
+    pub fn prompt_call(
+        &mut self,
+        route: RouteRule,
+        name: &str,
+        prompt: Vec<PromptPart>,
+        now: ClockTime,
+    ) -> (RequestKey, Vec<ServingEffect>) {
+        let key = RequestKey(self.next_key);
+        self.next_key += 1;
+        let call = Rc::new(CallInfo {
+            id: format!("request-{}", key.0).into(),
+            service: service(),
+            need: Some(CallNeed {
+                model: model(name),
+                adapter: None,
+            }),
+            prompt_tokens: prompt.iter().map(|part| part.tokens).sum(),
+            output_tokens: 300,
+            deadline: now + route.timeout,
+            start_deadline: now + route.start_timeout,
+            digest: CallDigest::of(&route.path_prefix, b"", &prompt),
+            prompt,
+            route,
+        });
+        let event = ServingEvent::CallArrived { key, call };
+        (key, self.state.reduce(event, now))
+    }
+
     fn arrive(
         &mut self,
         id: &str,
