crashes: targets are protected from prompt parts that crash them

Callers saw most of their calls refused or broken off for as long as one prompt part crashed targets.

Cause: hosts counted crashes by the digest of a whole call. No two calls with the part were alike, so that no digest reached the limit, and each host saw only its own lost calls of a crash.

Change: new crate crashes, one place for the evidence. Hosts report what their calls lost in a crash contained, whole calls and shared prompt parts alike; complete answers, answers of targets after their reported crash and crashes that a blamed part explains count against a suspicion. A part with three crashes (five if it was in complete answers before, and only if no answer of a call sent in the 2 s before is among them) is refused by all hosts. After 30 s, then twice as long each time, one host runs one call as a trial, announced to the others; a complete answer ends the blame everywhere. Evidence against blamed parts goes with the heartbeats, for hosts that start or miss messages.

--- a/crates/edge/src/control.rs
+++ b/crates/edge/src/control.rs
@@ -36,6 +36,8 @@
 fn metrics(shell: &EdgeShell) -> Response<AnswerBody> {
     let waiting = shell.serving.borrow().waiting_count();
     let opened_count = shell.pool.opened_count();
+    let blamed = shell.serving.borrow().blamed_count();
+    shell.metrics.set_blamed(blamed);
     let text = shell
         .metrics
         .text(shell.request_count(), waiting, opened_count);
--- a/crates/edge/src/gossip.rs
+++ b/crates/edge/src/gossip.rs
@@ -98,6 +98,10 @@
         waiting,
         availability: shell.availability.borrow().report(clock::now()),
     });
+    let evidence = shell.serving.borrow().evidence_report(clock::now());
+    if let Some(evidence) = evidence {
+        shell.broadcast(&HostMessage::Evidence(evidence));
+    }
 }
 
 /// Passes news on to a few hosts, drawn anew in each round, where hosts are many.
@@ -221,6 +225,7 @@
         }
         targets @ HostMessage::Targets { .. } => receive_targets(shell, targets),
         HostMessage::Crash(report) => shell.dispatch(ServingEvent::Crash(report)),
+        HostMessage::Evidence(evidence) => shell.dispatch(ServingEvent::Evidence(evidence)),
         HostMessage::News {
             hosts,
             holder,
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -13,6 +13,7 @@
 mod clock;
 mod compression;
 mod control;
+mod crash_log;
 mod decision_log;
 mod entry;
 mod exchange;
--- a/crates/edge/src/message.rs
+++ b/crates/edge/src/message.rs
@@ -74,7 +74,7 @@
         /// before the first one.
         configuration: u64,
     },
-    /// Reports that a call broke the connection to a target.
+    /// Reports which calls were lost when a target crashed.
     Crash(CrashReport),
     /// Passes on what the sender has heard; sent to a few hosts at a time where hosts are many.
     News {
@@ -99,4 +99,6 @@
         /// Names of the hosts whose rows were removed.
         removed: Vec<HostName>,
     },
+    /// Reports what the sender knows of the causes of crashes.
+    Evidence(EvidenceReport),
 }
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -68,6 +68,8 @@
     in_progress: Gauge,
     waiting: Gauge,
     connections: Gauge,
+    crashes: Counter,
+    blamed: Gauge,
     /// Calls to the store by table and reason.
     pub(crate) store_calls: StoreCalls,
     routes: std::cell::RefCell<std::collections::BTreeSet<RouteName>>,
@@ -120,6 +122,17 @@
             "Refused requests by reason",
             Family::clone(&refusals),
         );
+        let (crashes, blamed) = (Counter::default(), Gauge::default());
+        registry.register(
+            "crashes_reported",
+            "Crashes of targets that broke calls of this host",
+            crashes.clone(),
+        );
+        registry.register(
+            "blamed_causes",
+            "Calls and prompt parts that are refused because they crash targets",
+            blamed.clone(),
+        );
         let store_calls = StoreCalls::default();
         registry.register(
             "store_calls",
@@ -138,6 +151,8 @@
             in_progress,
             waiting,
             connections,
+            crashes,
+            blamed,
             routes: std::cell::RefCell::default(),
         }
     }
@@ -179,6 +194,14 @@
         self.refusals.get_or_create(&labels).inc();
     }
 
+    pub(crate) fn count_crash(&self) {
+        self.crashes.inc();
+    }
+
+    pub(crate) fn set_blamed(&self, count: usize) {
+        self.blamed.set(i64::try_from(count).unwrap_or(i64::MAX));
+    }
+
     pub(crate) fn count_attempt(&self) {
         self.attempts.inc();
     }
--- a/crates/edge/src/run.rs
+++ b/crates/edge/src/run.rs
@@ -127,7 +127,11 @@
 async fn tick(shell: Rc<EdgeShell>) {
     loop {
         actix_rt::time::sleep(TICK_INTERVAL).await;
-        if shell.serving.borrow().waiting_count() > 0 {
+        let needs_tick = {
+            let serving = shell.serving.borrow();
+            serving.waiting_count() > 0 || serving.has_crash_work()
+        };
+        if needs_tick {
             shell.dispatch(ServingEvent::Tick);
         }
     }
--- a/crates/edge/src/shell.rs
+++ b/crates/edge/src/shell.rs
@@ -1,6 +1,7 @@
 //! Holds the state of the process and carries out the reducer's effects.
 
 use crate::clock;
+use crate::crash_log;
 use crate::decision_log;
 use crate::gossip::{self, PeerSocket};
 use crate::message::HostMessage;
@@ -93,6 +94,7 @@
     pub(crate) fn new(settings: HostSettings, peers: PeerSocket) -> Rc<Self> {
         let now = clock::now();
         let config = ServingConfig {
+            host: settings.name.clone(),
             domain: settings.domain.clone(),
             retries: settings.retries,
         };
@@ -199,13 +201,17 @@
             ServingEffect::Fail { key, expired } => self.push(key, RequestStep::Fail { expired }),
             ServingEffect::RequestCopy { service, need } => self.request_copy(service, need),
             ServingEffect::ReportCrash(report) => {
-                decision_log::log_change(
-                    "call",
-                    "broke_target",
-                    json!({"digest": report.digest.0, "target": report.target.as_str()}),
-                );
+                crash_log::log_crash(&report);
+                self.metrics.count_crash();
                 self.broadcast(&HostMessage::Crash(report));
             }
+            ServingEffect::ReportEvidence(evidence) => {
+                crash_log::log_evidence(&evidence);
+                self.broadcast(&HostMessage::Evidence(evidence));
+            }
+            ServingEffect::LogBlame { cause, is_blamed } => {
+                crash_log::log_blame(cause, is_blamed);
+            }
             ServingEffect::ReportLeaving(notice) => {
                 decision_log::log_change(
                     "target",
--- a/crates/serving/src/call.rs
+++ b/crates/serving/src/call.rs
@@ -3,10 +3,14 @@
 use crate::hashing::unit_hash;
 use crate::rules::RouteRule;
 use crocusyard_base::prelude::*;
+use crocusyard_crashes::prelude::CrashCause;
 use serde::{Deserialize, Serialize};
 use std::hash::Hash;
 use std::sync::Arc;
 
+/// Largest number of prompt parts of a call that are suspected of crashing targets.
+const MAX_SUSPECT_PARTS: usize = 32;
+
 /// Digest of a call's path, body and prompt; a call that is sent again has the same digest.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct CallDigest(pub u64);
@@ -91,6 +95,16 @@
         self.need.as_ref()?.adapter.as_ref()
     }
 
+    /// Returns what the call contains that may crash targets: itself, and the parts that other calls
+    /// may share. The last part belongs to the call or its session.
+    pub fn crash_causes(&self) -> Vec<CrashCause> {
+        let shared = self.prompt.len().saturating_sub(1).min(MAX_SUSPECT_PARTS);
+        let parts = self.prompt[..shared].iter();
+        std::iter::once(CrashCause::Call(self.digest.0))
+            .chain(parts.map(|part| CrashCause::Part(part.id)))
+            .collect()
+    }
+
     /// Returns whether another call waits for the same targets: for the same model of the same
     /// service, or for the same plain service.
     pub fn same_queue(&self, other: &Self) -> bool {
--- a/crates/serving/src/event.rs
+++ b/crates/serving/src/event.rs
@@ -2,12 +2,12 @@
 
 use crate::call::{AttemptOutcome, CallInfo, CallNeed};
 use crate::choose::NoTarget;
-use crate::crashes::CrashReport;
 use crate::hosts::HostShare;
 use crate::rules::RuleSet;
 use crate::targets::{HeldModels, HostLoad, LeavingNotice, TargetLoad, TargetRecord};
 use crate::turns::HostWaiting;
 use crocusyard_base::prelude::*;
+use crocusyard_crashes::prelude::{CrashCause, CrashReport, EvidenceReport};
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -69,8 +69,10 @@
         /// All models that it holds, each with its adapters.
         models: HeldModels,
     },
-    /// Another host reported a call that broke the connection to a target.
+    /// Another host reported calls that were lost when a target crashed.
     Crash(CrashReport),
+    /// Another host reported what it knows of the causes of crashes.
+    Evidence(EvidenceReport),
     /// Another host reported its requests in progress.
     PeerLoad {
         /// Host that reported.
@@ -125,7 +127,7 @@
     Overloaded,
     /// The model cannot be loaded before the deadline.
     ModelAbsent,
-    /// The call broke the connections to several targets.
+    /// The call, or a part of its prompt, has crashed several targets.
     Crashes,
     /// A target refused the call, and no further attempt is allowed.
     TargetRefused,
@@ -171,8 +173,17 @@
         /// Model and adapter that calls wait for.
         need: CallNeed,
     },
-    /// Report to the other hosts that a call broke the connection to a target.
+    /// Report to the other hosts which calls were lost when a target crashed.
     ReportCrash(CrashReport),
+    /// Report to the other hosts what this host knows of the causes of crashes.
+    ReportEvidence(EvidenceReport),
+    /// Log that calls with a cause are refused from now on, or are not any more.
+    LogBlame {
+        /// The cause.
+        cause: CrashCause,
+        /// Whether it is blamed.
+        is_blamed: bool,
+    },
     /// Report to the other hosts that a target said in an answer that it is leaving.
     ReportLeaving(LeavingNotice),
 }
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -16,7 +16,6 @@
 pub mod call;
 pub mod choose;
 pub mod copies;
-pub mod crashes;
 pub mod demand;
 pub mod event;
 pub mod event_stream;
@@ -42,7 +41,6 @@
     pub use crate::backoff::CallBackoff;
     pub use crate::call::{AttemptOutcome, CallDigest, CallInfo, CallNeed, PromptPart};
     pub use crate::copies::{plan_orders, EngineView, PlanInput};
-    pub use crate::crashes::{CrashReport, CrashTracker};
     pub use crate::demand::{DemandTotals, ModelDemand};
     pub use crate::event::{
         AttemptPlan, RefusalReason, RequestRefusal, ServingEffect, ServingEvent,
@@ -64,4 +62,5 @@
     };
     pub use crate::trend::DemandTrend;
     pub use crate::turns::{HostWaiting, ModelKey, TurnInput, TurnTracker};
+    pub use crocusyard_crashes::prelude::{CrashCause, CrashReport, EvidenceReport};
 }
--- a/crates/serving/tests/common/mod.rs
+++ b/crates/serving/tests/common/mod.rs
@@ -146,7 +146,13 @@
 
 impl TestHost {
     pub fn new(models: &[&str], targets: Vec<TargetRecord>) -> Self {
+        Self::named("h", models, targets)
+    }
+
+    /// Creates the host `name`.
+    pub fn named(name: &str, models: &[&str], targets: Vec<TargetRecord>) -> Self {
         let config = ServingConfig {
+            host: HostName::new(name),
             domain: DomainName::new("a"),
             retries: RetryLimits {
                 ratio: 0.2,
