--- a/tests/operator_reports.rs
+++ b/tests/operator_reports.rs
@@ -255,6 +255,80 @@
     );
 }
 
+/// Guards against hosts that end, lose their targets or stop following the list because another
+/// writer left an odd entry in it.
+#[actix_rt::test]
+async fn odd_entries_of_other_writers_change_nothing() {
+    let mut deployment = Deployment::start(1, 1).await;
+    let address = crocusyard_testbed::ports::unused_address();
+    let nested = [vec![b'['; 20_000], vec![b']'; 20_000]].concat();
+    let in_field = |field: &str, value: &str| {
+        const MARK: &str = "in place of the value";
+        let mut record = target_record("s", address);
+        record[field] = MARK.into();
+        record
+            .to_string()
+            .replace(&format!("\"{MARK}\""), value)
+            .into_bytes()
+    };
+    let nested_text = String::from_utf8_lossy(&nested).into_owned();
+    let odd = [
+        nested.clone(),
+        in_field("extra", &nested_text),
+        in_field("models", &nested_text),
+        in_field("at_hand", &nested_text),
+        in_field("slots", "1e999"),
+        in_field("slots", "4294967295"),
+        in_field("slots", "4294967296"),
+        in_field("slots", "-1"),
+        in_field("seq_no", "1e40"),
+        in_field("seq_no", "18446744073709551616"),
+        in_field("born", "1e400"),
+        in_field("born", "-5"),
+        in_field("remaining_ms", "1e999"),
+        in_field("address", "\"127.0.0.1:99999\""),
+        in_field("address", "\"127.0.0.1:0\""),
+        in_field("address", "7"),
+        in_field("state", "\"odd\""),
+        in_field("service", "\"odd\""),
+        b"\xff\xfe\x00".to_vec(),
+        Vec::new(),
+    ];
+    for (number, bytes) in odd.iter().enumerate() {
+        deployment
+            .store
+            .put_target_bytes(&format!("odd-{number}"), bytes);
+        deployment
+            .store
+            .put_target_bytes(&format!("odd-again-{number}"), bytes);
+    }
+    actix_rt::time::sleep(Duration::from_millis(1_500)).await;
+    for number in 0..40 {
+        let answer = deployment.call("/once/1", &format!("r{number}")).await;
+        assert_eq!(answer.0, StatusCode::OK, "call {number}");
+    }
+    // A host that starts reads the whole table.
+    let host = EntryHost::start("edge-late", deployment.store.address);
+    host.wait_ready().await;
+    let answer = call(&host, "/once/1", "late").await.expect("an answer");
+    assert_eq!(answer.0, StatusCode::OK);
+    // Later changes are still followed.
+    let target = TargetStandin::start("i-new").await.expect("a target");
+    deployment.store.put_target("i-new", &target.record("s"));
+    deployment.store.remove_target("i-0");
+    actix_rt::time::sleep(Duration::from_millis(3_500)).await;
+    for host in [&deployment.hosts[0], &host] {
+        let answer = call(host, "/once/1", "changed").await.expect("an answer");
+        assert_eq!(answer.0, StatusCode::OK);
+    }
+    assert_eq!(target.runs("changed"), 2);
+    let ended = deployment.hosts[0].child.try_wait();
+    assert!(
+        matches!(ended, Ok(None)),
+        "the process has ended: {ended:?}"
+    );
+}
+
 /// Guards against a process that ends because of one malformed message of another host or of a
 /// target.
 #[actix_rt::test]
