httpconn: invalid chunks of a body count as malformed

A target that sends an endless chunk extension was given up after 16 KiB, but the answer counted as broken off and thereby as a crash of its target.

Cause: only errors of the head were told from closed connections; within a body the HTTP library reports invalid bytes as an I/O error.

Change: is_malformed looks at the kind of that error; streams use it as well.

Test: answer_without_end_is_an_error has three more answers without end (bytes in place of the head, a chunk extension, trailers); the chunk extension failed before.

Conclusion: no answer without end is kept in memory, in head, body, chunk extension or trailers; evidence of crashes needs the difference too.

--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -8,7 +8,7 @@
 use crate::shell::RequestStep;
 use bytes::Bytes;
 use crocusyard_base::prelude::*;
-use crocusyard_httpconn::prelude::PooledConn;
+use crocusyard_httpconn::prelude::{is_malformed, PooledConn};
 use crocusyard_serving::prelude::*;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
@@ -188,6 +188,7 @@
             };
             let data = match frame {
                 None => return self.finish(source).await,
+                Some(Err(error)) if is_malformed(&error) => return SourceEnd::Malformed,
                 Some(Err(_)) => return SourceEnd::Broken,
                 Some(Ok(frame)) => match frame.into_data() {
                     Ok(data) => data,
--- a/crates/httpconn/src/lib.rs
+++ b/crates/httpconn/src/lib.rs
@@ -9,6 +9,6 @@
 
 /// Items that users of this crate usually need.
 pub mod prelude {
-    pub use crate::pool::{ConnPool, PoolLimits, PooledConn, SendError};
+    pub use crate::pool::{is_malformed, ConnPool, PoolLimits, PooledConn, SendError};
     pub use crate::socket::{listen_on, set_stream_options};
 }
--- a/crates/httpconn/src/pool.rs
+++ b/crates/httpconn/src/pool.rs
@@ -10,6 +10,7 @@
 use snafu::Snafu;
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::io;
 use std::mem;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -72,6 +73,20 @@
     }
 }
 
+/// Returns whether an error means that the peer sent bytes that are no valid answer, rather than
+/// breaking off. Within a body, the HTTP library reports them as invalid input or data.
+pub fn is_malformed(error: &hyper::Error) -> bool {
+    let source = std::error::Error::source(error);
+    let kind = source
+        .and_then(|source| source.downcast_ref::<io::Error>())
+        .map(io::Error::kind);
+    error.is_parse()
+        || matches!(
+            kind,
+            Some(io::ErrorKind::InvalidInput | io::ErrorKind::InvalidData)
+        )
+}
+
 /// Limits on the connections of a pool.
 #[derive(Clone, Copy, Debug)]
 pub struct PoolLimits {
@@ -249,7 +264,7 @@
                 } else {
                     SendError::Lost {
                         reason,
-                        malformed: error.is_parse(),
+                        malformed: is_malformed(&error),
                     }
                 }
             })
@@ -285,7 +300,7 @@
         while let Some(frame) = body.frame().await {
             let frame = frame.map_err(|error| SendError::Lost {
                 reason: error.to_string(),
-                malformed: error.is_parse(),
+                malformed: is_malformed(&error),
             })?;
             if let Some(data) = frame.data_ref() {
                 collected.push(data)?;
--- a/crates/httpconn/tests/ends.rs
+++ b/crates/httpconn/tests/ends.rs
@@ -177,7 +177,7 @@
     static ZEROS: [u8; 65_536] = [b'0'; 65_536];
     static CHUNK: &[u8] =
         b"40\r\n0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef\r\n";
-    let answers: [(&str, &[u8]); 5] = [
+    let answers: [(&str, &[u8]); 8] = [
         ("HTTP/1.1 200 OK\r\n\r\n", &ZEROS),
         (
             "HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n",
@@ -189,6 +189,15 @@
         ),
         ("HTTP/1.1 200 OK\r\nX-Long: ", &ZEROS),
         ("HTTP/1.1 200 OK\r\n", b"X-Again: and again\r\n"),
+        ("", &ZEROS),
+        (
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;",
+            &ZEROS,
+        ),
+        (
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+            b"X-Again: and again\r\n",
+        ),
     ];
     for (head, piece) in answers {
         let (address, written) = start_endless_peer(head, piece).await;
