edge: calls that come late in a planned stop get an answer

Another operator reported calls that were taken late in the grace and cut at its end. It happened here: of 14 calls of 5.5 s on a route with a timeout of 6 s, the six sent 2.5 s to 5 s after SIGTERM were cut without an answer.

Cause: plain calls were accepted until 5.5 s after the stop signal whatever their timeout, and the process ended at 7.6 s with calls in progress.

Change: after 2.5 s a plain call is accepted only if its timeout lies within the stop time; what is still in progress at its end fails with 504 before the process ends, 0.1 s earlier than before.

Test: late_calls_of_a_planned_stop_get_an_answer failed before with late-5 to late-10 and passes.

Conclusion: a time by kind of call cannot replace the call's own deadline.

--- a/crates/edge/src/entry.rs
+++ b/crates/edge/src/entry.rs
@@ -213,7 +213,8 @@
         }
         Err(_) => return Err(AnswerAborted),
     };
-    if shell.refuses_new(&route) {
+    let timeout = call_timeout(&headers, &route);
+    if shell.refuses_new(&route, timeout) {
         decision_log::log_decision(&headers.id, "refused", json!({"reason": "Stopping"}));
         // The other hosts take work at once.
         return Ok(unavailable(HeaderValue::from_static(STOPPING_RETRY_S)));
@@ -241,6 +242,11 @@
     run_request(open).await
 }
 
+/// Returns the time until the caller stops waiting or the timeout of the route ends.
+fn call_timeout(headers: &CallHeaders, route: &RouteRule) -> ClockTime {
+    headers.timeout.unwrap_or(route.timeout).min(route.timeout)
+}
+
 /// Collects the properties of a call from its headers, route and body.
 fn call_info(
     shell: &EdgeShell,
@@ -250,7 +256,7 @@
     body: &Bytes,
     arrived: ClockTime,
 ) -> CallInfo {
-    let timeout = headers.timeout.unwrap_or(route.timeout).min(route.timeout);
+    let timeout = call_timeout(headers, &route);
     CallInfo {
         id: headers.id.as_str().into(),
         service: draw_service(shell, &route),
@@ -292,7 +298,16 @@
             Some(RequestStep::Fail { expired }) => return Ok(fail(&open, expired)),
         };
         log_attempt_sent(&open, &plan);
-        match attempt(&open.shell, &open.request, &plan, None).await {
+        let result = tokio::select! {
+            biased;
+            result = attempt(&open.shell, &open.request, &plan, None) => result,
+            // A step before the end of the attempt ends the request.
+            step = open.steps.recv() => {
+                next = step;
+                continue;
+            }
+        };
+        match result {
             AttemptResult::Complete { head, body } => {
                 let status = head.status().as_u16();
                 open.end_attempt(AttemptOutcome::Answered { status });
--- a/crates/edge/src/run.rs
+++ b/crates/edge/src/run.rs
@@ -29,8 +29,8 @@
 const TICK_INTERVAL: Duration = Duration::from_millis(25);
 /// Interval at which idle connections that are too old are closed.
 const PRUNE_INTERVAL: Duration = Duration::from_secs(2);
-/// Part of the stop time that is reserved for the exit of the process itself.
-const EXIT_MARGIN: ClockTime = ClockTime::from_ms(400);
+/// Time for which the answers to the last requests are written before the process ends.
+const LAST_ANSWERS_TIME: Duration = Duration::from_millis(100);
 /// Time after the stop signal for which a host still accepts connections: callers keep an address
 /// answer for its lifetime, some for three times as long.
 const LINGER_TIME: ClockTime = ClockTime::from_ms(6_000);
@@ -156,7 +156,7 @@
         json!({"requests": shell.request_count()}),
     );
     send_heartbeat(shell);
-    let limit = shell.settings.stop_time.since(EXIT_MARGIN);
+    let limit = shell.stop_limit();
     // This closes idle connections; their callers open new ones to other hosts.
     stop.send_replace(true);
     release_lease(shell).await;
@@ -169,6 +169,11 @@
         }
         actix_rt::time::sleep(STOP_CHECK_INTERVAL).await;
     }
+    if shell.request_count() > 0 {
+        // A caller that gets an answer knows that its call may have run.
+        shell.dispatch(ServingEvent::EndAll);
+        actix_rt::time::sleep(LAST_ANSWERS_TIME).await;
+    }
     shell.metrics.store_calls.log();
     decision_log::log_change(
         "process",
--- a/crates/edge/src/shell.rs
+++ b/crates/edge/src/shell.rs
@@ -30,10 +30,12 @@
 /// Number of idle connections kept for one target.
 const MAX_IDLE_CONNS: usize = 32;
 
-/// Time after the stop signal for which new streams are still accepted; the longest take 3 s.
-const STREAM_ACCEPT_TIME: ClockTime = ClockTime::from_ms(2_500);
-/// Time after the stop signal for which other new calls are still accepted; they take 0.2 s.
-const CALL_ACCEPT_TIME: ClockTime = ClockTime::from_ms(5_500);
+/// Time after the stop signal for which all new calls are accepted; most streams end within the rest
+/// of the stop time.
+const STOP_ACCEPT_TIME: ClockTime = ClockTime::from_ms(2_500);
+
+/// Part of the stop time that is reserved for the last answers and the exit of the process itself.
+const EXIT_MARGIN: ClockTime = ClockTime::from_ms(500);
 
 /// Next step of a request, as decided by the reducer.
 #[derive(Clone, Debug)]
@@ -165,18 +167,22 @@
         self.stopping_since.get().is_some()
     }
 
-    /// Returns whether a new request is refused, because it might not end before the process does.
-    pub(crate) fn refuses_new(&self, route: &RouteRule) -> bool {
+    /// Returns whether a new call, whose caller waits for `timeout`, is refused because it might not
+    /// end before the process does.
+    pub(crate) fn refuses_new(&self, route: &RouteRule, timeout: ClockTime) -> bool {
         let Some(stop_began) = self.stopping_since.get() else {
             return false;
         };
+        let elapsed = clock::now().since(stop_began);
         let is_stream = matches!(route.kind, CallKind::Stream { .. });
-        let limit = if is_stream {
-            STREAM_ACCEPT_TIME
-        } else {
-            CALL_ACCEPT_TIME
-        };
-        clock::now().since(stop_began) >= limit
+        let may_outlast = elapsed + timeout > self.stop_limit();
+        elapsed >= STOP_ACCEPT_TIME && (is_stream || may_outlast)
+    }
+
+    /// Returns the time after the stop signal at which requests that are still in progress are
+    /// ended.
+    pub(crate) fn stop_limit(&self) -> ClockTime {
+        self.settings.stop_time.since(EXIT_MARGIN)
     }
 
     /// Returns the number of requests in progress.
--- a/crates/serving/src/event.rs
+++ b/crates/serving/src/event.rs
@@ -91,6 +91,8 @@
     Hosts(HostShare),
     /// The host stops; waiting calls are refused, so that their callers turn to other hosts.
     Stop,
+    /// The stop time is over; requests in progress fail, as they may have run.
+    EndAll,
     /// Time has passed; waiting calls may have expired.
     Tick,
 }
--- a/crates/serving/src/state.rs
+++ b/crates/serving/src/state.rs
@@ -245,6 +245,12 @@
                 self.stopping = true;
                 self.send_waiting(now, &mut out);
             }
+            ServingEvent::EndAll => {
+                let keys: Vec<RequestKey> = self.requests.keys().copied().collect();
+                for key in keys {
+                    self.fail(key, true, &mut out);
+                }
+            }
             ServingEvent::Tick => {
                 self.report_crashes(now, &mut out);
                 self.end_expired(now, &mut out);
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -98,6 +98,7 @@
             kind,
             attempts,
             service,
+            timeout_ms: None,
         };
         let repeatable = RouteKind::Idempotent;
         let routes = [
--- a/tests/entry_support/mod.rs
+++ b/tests/entry_support/mod.rs
@@ -125,6 +125,7 @@
         kind,
         attempts,
         service: "s",
+        timeout_ms: None,
     }
 }
 
@@ -154,7 +155,12 @@
 /// Sends a call on a new connection; returns whether the connection was opened and then ended
 /// without an answer.
 pub async fn is_cut_off(host: &EntryHost, path: &str, id: &str) -> bool {
-    let request = caller_request(path, id, CALL_TIMEOUT_MS).expect("the request is not valid");
+    is_cut_off_within(host, path, id, CALL_TIMEOUT_MS).await
+}
+
+/// Sends a call whose caller waits for `timeout_ms`, in the same way.
+pub async fn is_cut_off_within(host: &EntryHost, path: &str, id: &str, timeout_ms: u64) -> bool {
+    let request = caller_request(path, id, timeout_ms).expect("the request is not valid");
     match pool().open(host.addresses.entry).await {
         Ok(conn) => conn.exchange(request).await.is_err(),
         Err(_) => false,
--- a/tests/operator_reports.rs
+++ b/tests/operator_reports.rs
@@ -8,10 +8,17 @@
 use std::net::UdpSocket;
 use std::time::{Duration, Instant};
 
-const ROUTES: [TestRoute; 3] = [
+/// Timeout of the routes of long calls, ms.
+const LONG_TIMEOUT_MS: u64 = 6_000;
+
+const ROUTES: [TestRoute; 4] = [
     route("/once/", RouteKind::NonIdempotent, 1),
     route("/many/", RouteKind::Idempotent, 2),
     route(STREAM_PATH, RouteKind::Resumable, 2),
+    TestRoute {
+        timeout_ms: Some(LONG_TIMEOUT_MS),
+        ..route("/long/", RouteKind::NonIdempotent, 1)
+    },
 ];
 
 /// A store, targets of the service `s` and entry hosts.
@@ -255,6 +262,31 @@
     );
 }
 
+/// Guards against calls that come late in a planned stop, are passed on and then cut off without an
+/// answer when the process ends.
+#[actix_rt::test]
+async fn late_calls_of_a_planned_stop_get_an_answer() {
+    const LATEST_MS: u64 = 7_000;
+    let deployment = Deployment::start(4, 1).await;
+    let host = &deployment.hosts[0];
+    for target in &deployment.targets {
+        target.set_fault(TargetFault::Slow(5_500));
+    }
+    stop(host);
+    let calls = (0..LATEST_MS / 500).map(|number| async move {
+        actix_rt::time::sleep(Duration::from_millis(number * 500)).await;
+        let id = format!("late-{number}");
+        let is_cut = entry_support::is_cut_off_within(host, "/long/1", &id, LONG_TIMEOUT_MS).await;
+        is_cut.then_some(id)
+    });
+    let cut: Vec<String> = futures_util::future::join_all(calls)
+        .await
+        .into_iter()
+        .flatten()
+        .collect();
+    assert!(cut.is_empty(), "cut off without an answer: {cut:?}");
+}
+
 /// Guards against hosts that end, lose their targets or stop following the list because another
 /// writer left an odd entry in it.
 #[actix_rt::test]
