edge: a stream that ends inside an event is broken off

Change: a partial event at the end of a stream counts as broken, whatever the framing; the call is resumed after the last whole event where its route allows.

Test: stream_that_ends_inside_an_event_is_resumed failed before (complete instead of broken) and passes.

--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -11,8 +11,7 @@
 use crocusyard_httpconn::prelude::{is_malformed, PooledConn};
 use crocusyard_serving::prelude::*;
 use http_body_util::BodyExt;
-use hyper::body::{Body, Incoming};
-use hyper::header::TRANSFER_ENCODING;
+use hyper::body::Incoming;
 use hyper::{Response, StatusCode};
 use serde_json::json;
 use std::io;
@@ -22,17 +21,13 @@
 struct StreamSource {
     body: Incoming,
     conn: PooledConn,
-    /// Whether the length or the end of the body is marked, so that a close before it is an error.
-    framed: bool,
 }
 
 impl StreamSource {
     /// Splits an answer into its head and its body with the connection.
     fn open(answer: Response<Incoming>, conn: PooledConn) -> (Response<()>, Self) {
         let (parts, body) = answer.into_parts();
-        let framed =
-            parts.headers.contains_key(TRANSFER_ENCODING) || body.size_hint().exact().is_some();
-        (Response::from_parts(parts, ()), Self { body, conn, framed })
+        (Response::from_parts(parts, ()), Self { body, conn })
     }
 }
 
@@ -187,7 +182,7 @@
                 }
             };
             let data = match frame {
-                None => return self.finish(source).await,
+                None => return self.finish(),
                 Some(Err(error)) if is_malformed(&error) => return SourceEnd::Malformed,
                 Some(Err(_)) => return SourceEnd::Broken,
                 Some(Ok(frame)) => match frame.into_data() {
@@ -213,17 +208,14 @@
         }
     }
 
-    /// Forwards the rest of a stream that the target has ended; broken if it was cut inside an
-    /// event.
-    async fn finish(&self, source: &StreamSource) -> SourceEnd {
-        if !source.framed && !self.splitter.partial_event().is_empty() {
-            return SourceEnd::Broken;
+    /// Returns the end of a stream that the target has ended: broken if it was cut inside an event,
+    /// whether or not the end of the body was marked.
+    fn finish(&self) -> SourceEnd {
+        if self.splitter.partial_event().is_empty() {
+            SourceEnd::Complete
+        } else {
+            SourceEnd::Broken
         }
-        let rest = Bytes::copy_from_slice(self.splitter.partial_event());
-        if !rest.is_empty() && self.sender.send(Ok(rest)).await.is_err() {
-            return SourceEnd::CallerLeft;
-        }
-        SourceEnd::Complete
     }
 }
 
--- a/tests/operator_reports.rs
+++ b/tests/operator_reports.rs
@@ -184,6 +184,30 @@
     }
 }
 
+/// Guards against a stream that ends inside an event and is taken for a complete one, also if its
+/// end is marked: another target goes on after the last whole event.
+#[actix_rt::test]
+async fn stream_that_ends_inside_an_event_is_resumed() {
+    let deployment = Deployment::start(2, 1).await;
+    for target in &deployment.targets {
+        target.set_fault(TargetFault::EndsInsideEvent);
+    }
+    let path = format!("{STREAM_PATH}1");
+    let limit = Duration::from_secs(6);
+    let answer = stream(&deployment.hosts[0], &path, "twice", limit).await;
+    assert_eq!(answer.end, StreamEnd::Broken, "{}", answer.text);
+    deployment.targets[1].set_fault(TargetFault::None);
+    for number in 0..4 {
+        let id = format!("r{number}");
+        let answer = stream(&deployment.hosts[0], &path, &id, limit).await;
+        let events: String = (1..=EVENT_COUNT)
+            .map(|event| event_text(&id, event))
+            .collect();
+        assert_eq!(answer.text, events);
+        assert_eq!(answer.end, StreamEnd::Complete);
+    }
+}
+
 /// Guards against slow but sound streams that are cut.
 #[actix_rt::test]
 async fn slow_stream_is_delivered() {
