requests: test for blocks of prompts that crash targets, failing

Cause: the product's own data path counts crashes by the digest of a request, as the hosts of the platform did.

Conclusion: the same cause, not mended here.

--- a/crates/requests/tests/crash_spread.rs
+++ b/crates/requests/tests/crash_spread.rs
@@ -28,6 +28,8 @@
     max_load: u32,
     /// Whether each host lacks the load report of one target, a different one on each host.
     missing_reports: bool,
+    /// Whether the hosts receive different requests, which share the first blocks of their prompts.
+    shares_blocks: bool,
 }
 
 enum Event {
@@ -174,7 +176,11 @@
                 .expect("an event should be due");
             match event {
                 Event::Arrive(host) => {
-                    let spec = Box::new(stream_spec(ClockTime::from_ms(now), digest));
+                    let mut spec = Box::new(stream_spec(ClockTime::from_ms(now), digest));
+                    if case.shares_blocks {
+                        spec.digest = BodyDigest(digest.wrapping_add(host as u128));
+                        spec.prefix = vec![1, 2, 100 + host as u64];
+                    }
                     let key = RequestKey(1);
                     crash_run.feed_host(now, host, RequestEvent::Arrived { key, spec });
                 }
@@ -213,6 +219,7 @@
                 start_window_ms,
                 max_load,
                 missing_reports,
+                shares_blocks: false,
             };
             let seeds = first..first + runs;
             let mut counts: Vec<usize> = seeds.map(|seed| run(seed, case)).collect();
@@ -232,3 +239,24 @@
         }
     }
 }
+
+// Guards against a block of a prompt that crashes one target after the other, since no two requests
+// with it are alike.
+#[test]
+fn requests_that_share_a_block_crash_few_targets() {
+    /// Crashes after which hosts have to act, and requests that may still reach targets then.
+    const CRASH_LIMIT: usize = 5 + 3;
+    let case = Case {
+        start_window_ms: 15_000,
+        max_load: 20,
+        missing_reports: false,
+        shares_blocks: true,
+    };
+    for seed in 1..=10 {
+        let crashed = run(seed, case);
+        assert!(
+            crashed <= CRASH_LIMIT,
+            "seed {seed}: {crashed} targets crashed"
+        );
+    }
+}
