edge: evidence against blamed parts lasts in the lease row

Hosts that all start again at the same time had no evidence left and lost three targets again for each part; for a rare part that takes longer than stable_ms.

Cause: evidence lived in the hosts only, which keep nothing.

Change: the lease holder writes the evidence with its renewals, which it sends anyway; hosts read it with the lease row when they start, and a new holder keeps it. No further call to the store.

Tests: host_that_starts_alone_knows_the_blamed_parts and next_holder_of_the_lease_keeps_the_evidence fail without the change (the part reaches the target; the next holder drops the evidence).

--- a/crates/edge/src/lease_keeper.rs
+++ b/crates/edge/src/lease_keeper.rs
@@ -11,6 +11,7 @@
 use crocusyard_base::prelude::*;
 use crocusyard_serving::prelude::*;
 use log::warn;
+use serde::{Deserialize, Serialize};
 use serde_json::json;
 use std::rc::Rc;
 use std::time::Duration;
@@ -53,6 +54,22 @@
     }
 }
 
+/// Lease row as it is stored, with the evidence of crashes that its holder knows. The evidence lasts
+/// there when all hosts start again at the same time.
+#[derive(Serialize)]
+struct StoredLease {
+    #[serde(flatten)]
+    row: LeaseRow,
+    evidence: EvidenceReport,
+}
+
+/// Part of the lease row that holds evidence of crashes.
+#[derive(Default, Deserialize)]
+struct StoredEvidence {
+    #[serde(default)]
+    evidence: EvidenceReport,
+}
+
 async fn read_lease(shell: &EdgeShell) {
     let calls = &shell.metrics.store_calls;
     calls.count(StoreTable::Lease, CallReason::SilentHolder);
@@ -60,6 +77,7 @@
         Ok(page) => {
             let row = page.rows.iter().find_map(decode_lease);
             shell.lease.borrow_mut().receive_row(row, clock::now());
+            receive_stored_evidence(shell, &page.rows);
         }
         Err(error) => {
             shell.lease.borrow_mut().read_failed();
@@ -82,11 +100,31 @@
     }
 }
 
+/// Applies the evidence of crashes in the lease row.
+fn receive_stored_evidence(shell: &EdgeShell, rows: &[StoreRow]) {
+    let value = rows
+        .iter()
+        .find(|row| row.key == LEASE_KEY)
+        .and_then(|row| row.value.as_deref());
+    let Some(value) = value else {
+        return;
+    };
+    match serde_json::from_slice::<StoredEvidence>(value) {
+        Ok(stored) if stored.evidence.is_empty() => {}
+        Ok(stored) => shell.dispatch(ServingEvent::Evidence(stored.evidence)),
+        Err(error) => warn!("the evidence in the lease row cannot be decoded: {error}"),
+    }
+}
+
 /// Builds the write of the lease row; `None` if the row cannot be serialized.
-fn lease_row_write(own: &HostName, expected: u64, released: bool) -> Option<StoreWrite> {
-    let row = LeaseRow {
-        holder: own.clone(),
-        released,
+fn lease_row_write(shell: &EdgeShell, expected: u64, released: bool) -> Option<StoreWrite> {
+    let evidence = shell.serving.borrow().evidence_report(clock::now());
+    let row = StoredLease {
+        row: LeaseRow {
+            holder: shell.settings.name.clone(),
+            released,
+        },
+        evidence: evidence.unwrap_or_default(),
     };
     match serde_json::to_vec(&row) {
         Ok(value) => Some(StoreWrite {
@@ -112,7 +150,7 @@
     let (true, Some(expected)) = (is_holder, version) else {
         return;
     };
-    let Some(write) = lease_row_write(&shell.settings.name, expected, true) else {
+    let Some(write) = lease_row_write(shell, expected, true) else {
         return;
     };
     let calls = &shell.metrics.store_calls;
@@ -131,7 +169,7 @@
 /// Writes the lease row with this host as the holder.
 async fn write_lease(shell: &EdgeShell, own: &HostName, expected: u64) {
     let sent_at = clock::now();
-    let Some(write) = lease_row_write(own, expected, false) else {
+    let Some(write) = lease_row_write(shell, expected, false) else {
         return;
     };
     let calls = &shell.metrics.store_calls;
@@ -139,15 +177,19 @@
     let result = shell.store.write(&write, LEASE_TIMEOUT).await;
     let now = clock::now();
     let others = shell.hosts.borrow().other_names();
-    let mut lease = shell.lease.borrow_mut();
     match result {
-        Ok(version) => lease.write_succeeded(own, version, sent_at, now),
+        Ok(version) => {
+            let mut lease = shell.lease.borrow_mut();
+            lease.write_succeeded(own, version, sent_at, now);
+        }
         Err(StoreError::Conflict { rows }) => {
-            lease.receive_row(rows.iter().find_map(decode_lease), now);
+            let row = rows.iter().find_map(decode_lease);
+            shell.lease.borrow_mut().receive_row(row, now);
+            receive_stored_evidence(shell, &rows);
         }
         Err(error) => {
             warn!("the lease row cannot be written to the store: {error}");
-            lease.write_failed(&others, now);
+            shell.lease.borrow_mut().write_failed(&others, now);
         }
     }
 }
--- a/tests/entry_support/mod.rs
+++ b/tests/entry_support/mod.rs
@@ -118,6 +118,14 @@
     exchange(host.addresses.entry, request).await
 }
 
+/// Sends a call with a prompt of parts with these identifiers; returns its status.
+pub async fn prompt_call(host: &EntryHost, path: &str, id: &str, parts: &[u64]) -> StatusCode {
+    let request =
+        prompt_request(path, id, CALL_TIMEOUT_MS, parts).expect("the request is not valid");
+    let answer = exchange(host.addresses.entry, request).await;
+    answer.expect("the call got no answer").0
+}
+
 /// A route of the service `s`.
 pub const fn route(prefix: &'static str, kind: RouteKind, attempts: u32) -> TestRoute {
     TestRoute {
