--- a/crates/serving/tests/common/fleet.rs
+++ b/crates/serving/tests/common/fleet.rs
@@ -5,6 +5,7 @@
 use crocusyard_base::random::seeded_rng;
 use crocusyard_serving::prelude::*;
 use rand::Rng;
+use serde::Serialize;
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap};
 
@@ -115,9 +116,9 @@
     pub sound: Vec<(u64, bool)>,
     /// Times at which sound calls were refused as the cause of crashes, ms.
     pub blamed: Vec<u64>,
-    /// Messages between hosts.
-    pub messages: u64,
-    /// Longest message, bytes.
+    /// Messages about crashes that hosts have sent, each to all others.
+    pub crash_messages: u64,
+    /// Longest of them as JSON, bytes.
     pub longest_message: usize,
 }
 
@@ -315,6 +316,7 @@
     fn report_evidence(&mut self, host: usize) {
         let evidence = self.hosts[host].state.evidence_report(ms(self.now_ms));
         if let Some(evidence) = evidence {
+            self.count_message(&evidence);
             self.broadcast(host, &ServingEvent::Evidence(evidence));
         }
     }
@@ -396,9 +398,11 @@
                     self.calls.remove(&(host, key));
                 }
                 ServingEffect::ReportCrash(report) => {
+                    self.count_message(&report);
                     self.broadcast(host, &ServingEvent::Crash(report));
                 }
                 ServingEffect::ReportEvidence(evidence) => {
+                    self.count_message(&evidence);
                     self.broadcast(host, &ServingEvent::Evidence(evidence));
                 }
                 _ => {}
@@ -406,12 +410,17 @@
         }
     }
 
+    fn count_message<M: Serialize>(&mut self, message: &M) {
+        let length = serde_json::to_vec(message).map_or(0, |bytes| bytes.len());
+        self.result.crash_messages += 1;
+        self.result.longest_message = self.result.longest_message.max(length);
+    }
+
     fn broadcast(&mut self, from: usize, event: &ServingEvent) {
         for host in 0..self.hosts.len() {
             if host == from {
                 continue;
             }
-            self.result.messages += 1;
             if self.rng.random::<f64>() >= self.plan.loss {
                 let message = FleetEvent::Message(host, event.clone());
                 self.schedule(MESSAGE_DELAY_MS, message);
--- a/crates/serving/tests/crashing_parts.rs
+++ b/crates/serving/tests/crashing_parts.rs
@@ -12,6 +12,8 @@
 const STABLE_MS: u64 = 3_000;
 /// Calls with a deadly part that may reach targets later.
 const LATE_SENDS: usize = 3;
+/// Largest size of a message between hosts, bytes.
+const MAX_MESSAGE_BYTES: usize = 60_000;
 /// Least fraction of the sound calls that begin beside a deadly part, of those at other times.
 const SOUND_FRACTION: f64 = 0.5;
 
@@ -64,6 +66,13 @@
             assert_contained(&result, DEADLY, &case);
             assert_sound_served(&result, DEADLY, 14_000, &case);
             assert!(result.blamed.is_empty(), "{case}: sound calls refused");
+            let longest = result.longest_message;
+            assert!(longest < MAX_MESSAGE_BYTES, "{case}: {longest} bytes");
+            println!(
+                "{case}: {} crashes, {} messages, the longest of {longest} bytes as JSON",
+                result.deadly_crashes[&DEADLY].len(),
+                result.crash_messages
+            );
         }
     }
 }
