crashes: the cause with more crashes explains those it shares

Cause: whichever cause was blamed first explained the crashes of the others.

Change: a blamed cause explains the crashes that it shares with causes of fewer crashes only, and blamed causes are judged again with each report. Crashes are kept up to 32 a cause, the newest 8 are sent.

Tests: part_with_more_crashes_clears_the_one_that_was_blamed_beside_it is new code; crashes_by_a_blamed_part_count_against_no_other_at_other_hosts still passes.

--- a/crates/crashes/src/suspect.rs
+++ b/crates/crashes/src/suspect.rs
@@ -4,7 +4,7 @@
 use crocusyard_base::prelude::*;
 use std::collections::BTreeMap;
 
-/// Time for which a crash counts against a cause that is not blamed.
+/// Time for which a crash counts against a cause, up to the last one with the cause.
 const CRASH_LIFETIME: ClockTime = ClockTime::from_secs(600);
 /// Number of crashes for which a cause is blamed.
 const BLAME_CRASHES: usize = 3;
@@ -14,7 +14,9 @@
 /// of calls sent with the lost ones may be on their way.
 pub(crate) const SOUND_GRACE: ClockTime = ClockTime::from_ms(2_000);
 /// Largest number of crashes that are kept for a cause; the oldest are dropped first.
-const MAX_CRASHES: usize = 8;
+const MAX_CRASHES: usize = 32;
+/// Largest number of crashes in a message, the newest ones.
+const MAX_CRASHES_SENT: usize = 8;
 /// Time from the last crash to the first trial; it doubles with each trial.
 const TRIAL_DELAY: ClockTime = ClockTime::from_secs(30);
 /// Largest number of times that the trial delay is doubled.
@@ -34,8 +36,6 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct CrashSuspect {
     pub(crate) crashes: BTreeMap<TargetRun, CrashTimes>,
-    /// Whether calls with the cause are refused.
-    pub(crate) is_blamed: bool,
     trials: u32,
     /// Earliest time of the next trial.
     trial_at: ClockTime,
@@ -52,11 +52,9 @@
         known.sent_at = known.sent_at.max(times.sent_at);
         known.crashed_at = known.crashed_at.min(times.crashed_at);
         self.last = self.last.max(times.crashed_at);
-        if !self.is_blamed {
-            let last = self.last;
-            self.crashes
-                .retain(|_, times| last.since(times.crashed_at) < CRASH_LIFETIME);
-        }
+        let last = self.last;
+        self.crashes
+            .retain(|_, times| last.since(times.crashed_at) < CRASH_LIFETIME);
         while self.crashes.len() > MAX_CRASHES {
             let oldest = self
                 .crashes
@@ -74,14 +72,24 @@
         self.crashes.retain(|_, times| times.sent_at > sent_at);
     }
 
-    /// Returns whether the crashes are enough to blame the cause.
+    /// Returns whether the crashes for which `counts` holds are enough to blame the cause.
     ///
     /// `sound_at` is the send of the newest call with it that got a complete answer. A part must also
     /// have been sent after the first crash: targets that crash at the same time for another reason
     /// break many calls with the same part.
-    pub(crate) fn has_enough(&self, cause: CrashCause, sound_at: Option<ClockTime>) -> bool {
-        let times = || self.crashes.values();
-        let last_sent = times().map(|times| times.sent_at).max();
+    pub(crate) fn has_enough(
+        &self,
+        cause: CrashCause,
+        sound_at: Option<ClockTime>,
+        counts: impl Fn(&TargetRun) -> bool,
+    ) -> bool {
+        let counted: Vec<&CrashTimes> = self
+            .crashes
+            .iter()
+            .filter(|(run, _)| counts(run))
+            .map(|(_, times)| times)
+            .collect();
+        let last_sent = counted.iter().map(|times| times.sent_at).max();
         let (needed, is_recent) = match sound_at {
             Some(sound_at) => {
                 let gap = last_sent.unwrap_or_default().since(sound_at);
@@ -89,10 +97,11 @@
             }
             None => (BLAME_CRASHES, false),
         };
-        if self.crashes.len() < needed || is_recent {
+        if counted.len() < needed || is_recent {
             return false;
         }
-        matches!(cause, CrashCause::Call(_)) || last_sent > Some(self.first_crash())
+        let first = counted.iter().map(|times| times.crashed_at).min();
+        matches!(cause, CrashCause::Call(_)) || last_sent > first
     }
 
     /// Returns the time until a call with the cause may run as a trial, or `None` if one may run
@@ -129,7 +138,10 @@
 
     /// Returns what is known against the cause.
     pub(crate) fn evidence(&self, cause: CrashCause, now: ClockTime) -> CauseEvidence {
-        let crashes = self.crashes.iter().map(|((target, incarnation), times)| {
+        let mut newest: Vec<(&TargetRun, &CrashTimes)> = self.crashes.iter().collect();
+        newest.sort_unstable_by_key(|(_, times)| std::cmp::Reverse(times.crashed_at));
+        newest.truncate(MAX_CRASHES_SENT);
+        let crashes = newest.into_iter().map(|((target, incarnation), times)| {
             let (age, sent_age) = (now.since(times.crashed_at), now.since(times.sent_at));
             CrashPoint {
                 target: target.clone(),
--- a/crates/crashes/src/tracker.rs
+++ b/crates/crashes/src/tracker.rs
@@ -72,8 +72,6 @@
     sound_news: BTreeMap<CrashCause, u32>,
     /// Reported crashes, with the time of each.
     reported: BTreeMap<TargetRun, ClockTime>,
-    /// Crashes by blamed causes, with the time of the last report; they count against no other cause.
-    explained: BTreeMap<TargetRun, ClockTime>,
     /// Targets that have answered after their reported crash, with the time of the answer.
     withdrawn: BTreeMap<TargetRun, ClockTime>,
     /// Such targets that other hosts may not know of, with the number of rounds in which this host
@@ -220,13 +218,6 @@
             return;
         }
         self.make_room(now);
-        if report
-            .causes
-            .iter()
-            .any(|lost| self.blamed.contains(&lost.cause))
-        {
-            self.explained.insert(run.clone(), now);
-        }
         let crashed_at = now - report.age;
         self.reported.retain(|_, at| now.since(*at) < RUN_LIFETIME);
         self.reported.entry(run.clone()).or_insert(crashed_at);
@@ -238,7 +229,7 @@
             self.add_crash(lost.cause, run.clone(), times);
         }
         let causes: Vec<CrashCause> = report.causes.iter().map(|lost| lost.cause).collect();
-        self.update_blame(&causes, now);
+        self.update_blame(&causes);
     }
 
     /// Records what another host knows.
@@ -276,7 +267,7 @@
             }
         }
         let causes: Vec<CrashCause> = evidence.blamed.iter().map(|known| known.cause).collect();
-        self.update_blame(&causes, now);
+        self.update_blame(&causes);
     }
 
     /// Tells of a complete answer again if the sender of evidence has missed it.
@@ -331,12 +322,8 @@
         }
     }
 
-    /// Adds a crash to a cause, unless a blamed cause explains it or the cause was sound in a later
-    /// call.
+    /// Adds a crash to a cause, unless the cause was sound in a later call.
     fn add_crash(&mut self, cause: CrashCause, run: TargetRun, times: CrashTimes) {
-        if self.explained.contains_key(&run) && !self.blamed.contains(&cause) {
-            return;
-        }
         let sound_at = self.sound.get(&cause).copied();
         let suspect = self.suspects.entry(cause).or_default();
         suspect.add(run, times);
@@ -374,7 +361,7 @@
         *newest = sent_at.max(*newest);
         if self.suspects.contains_key(&cause) {
             self.drop_crashes(cause, sent_at);
-            self.update_blame(&[cause], now);
+            self.update_blame(&[cause]);
         }
         debug_assert!(sent_at <= now, "a call is sent before its answer");
     }
@@ -396,64 +383,51 @@
                 changed.push(*cause);
             }
         }
-        self.update_blame(&changed, now);
+        self.update_blame(&changed);
     }
 
-    /// Decides again which of the causes are blamed. All are judged before the crashes of blamed ones
-    /// are taken from the others, so that causes that cannot be told apart are blamed together.
-    fn update_blame(&mut self, causes: &[CrashCause], now: ClockTime) {
+    /// Decides again which of the causes, and of the blamed ones, are blamed. All are judged by the
+    /// blame before, so that causes that cannot be told apart are blamed together.
+    fn update_blame(&mut self, causes: &[CrashCause]) {
         let judged: Vec<(CrashCause, bool)> = causes
             .iter()
+            .chain(&self.blamed)
             .map(|cause| (*cause, self.should_blame(*cause)))
             .collect();
-        for (cause, is_blamed) in &judged {
-            if *is_blamed {
-                self.blamed.insert(*cause);
-            } else {
-                self.blamed.remove(cause);
-            }
-            if let Some(suspect) = self.suspects.get_mut(cause) {
-                suspect.is_blamed = *is_blamed;
-            }
-        }
         for (cause, is_blamed) in judged {
             if is_blamed {
-                self.explain_crashes(cause, now);
+                self.blamed.insert(cause);
+            } else {
+                self.blamed.remove(&cause);
             }
         }
     }
 
-    /// Takes the crashes of a blamed cause from all causes that are not blamed.
-    fn explain_crashes(&mut self, cause: CrashCause, now: ClockTime) {
-        self.explained.retain(|_, at| now.since(*at) < RUN_LIFETIME);
+    fn should_blame(&self, cause: CrashCause) -> bool {
         let Some(suspect) = self.suspects.get(&cause) else {
-            return;
+            return false;
         };
-        let runs: Vec<TargetRun> = suspect.crashes.keys().cloned().collect();
-        for other in self.suspects.values_mut() {
-            if !other.is_blamed {
-                other.crashes.retain(|run, _| !runs.contains(run));
-            }
-        }
-        self.explained
-            .extend(runs.into_iter().map(|run| (run, now)));
-    }
-
-    fn should_blame(&self, cause: CrashCause) -> bool {
         let sound_at = self.sound.get(&cause).copied();
         let sound_at = sound_at.filter(|_| matches!(cause, CrashCause::Part(_)));
-        let Some(suspect) = self.suspects.get(&cause) else {
+        let stronger: Vec<&CrashSuspect> = self
+            .blamed
+            .iter()
+            .filter(|blamed| **blamed != cause)
+            .filter_map(|blamed| self.suspects.get(blamed))
+            .filter(|blamed| blamed.crashes.len() > suspect.crashes.len())
+            .collect();
+        let is_explained =
+            |run: &TargetRun| stronger.iter().any(|other| other.crashes.contains_key(run));
+        if !suspect.has_enough(cause, sound_at, |run| !is_explained(run)) {
             return false;
-        };
+        }
         let first = suspect.first_crash();
         let others = self.reported.iter().filter(|(run, at)| {
-            **at >= first
-                && !self.explained.contains_key(*run)
-                && !suspect.crashes.contains_key(*run)
+            **at >= first && !is_explained(run) && !suspect.crashes.contains_key(*run)
         });
         let crashes = suspect.crashes.len() as f64;
         let is_frequent = crashes >= (crashes + others.count() as f64) * MIN_CRASH_FRACTION;
-        suspect.has_enough(cause, sound_at) && (suspect.is_blamed || is_frequent)
+        is_frequent || self.blamed.contains(&cause)
     }
 
     /// Drops expired suspects, and the older half if there are too many.
--- a/crates/crashes/tests/tracker.rs
+++ b/crates/crashes/tests/tracker.rs
@@ -160,6 +160,24 @@
     assert_eq!(tracker.judge(&[other], ms(41_000)), CauseVerdict::Allowed);
 }
 
+/// Guards against a sound part that is blamed first and takes its crashes from the part that caused
+/// them, which is then found late.
+#[test]
+fn part_with_more_crashes_clears_the_one_that_was_blamed_beside_it() {
+    let mut tracker = CrashTracker::default();
+    let sound = CrashCause::Part(8);
+    tracker.receive_report(&report("t", 0, &[sound]), ms(9_000));
+    for number in 1..=2 {
+        let now = ms(10_000 + number * 1_000);
+        tracker.receive_report(&report("t", number, &[sound, PART]), now);
+    }
+    assert!(tracker.is_blamed(&[sound]));
+    tracker.receive_report(&report("t", 3, &[PART]), ms(13_000));
+    assert!(tracker.is_blamed(&[PART]), "the part is found late");
+    tracker.receive_report(&report("t", 4, &[PART]), ms(14_000));
+    assert_eq!(tracker.judge(&[sound], ms(14_000)), CauseVerdict::Allowed);
+}
+
 /// Guards against a host that goes on to refuse a sound part because it missed the news of a
 /// complete answer, or of an answer of a target that was reported as crashed.
 #[test]
