review: case 3, broken streams are sent on after their callers have left

Cause: the task that resumes a stream does not notice that its caller leaves while it waits for a target or for the head of an answer.

--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -4,6 +4,7 @@
 //! `TROUBLE=0` in the environment the disruption is left out.
 
 mod configuration;
+mod flow;
 mod host;
 mod http;
 mod json;
@@ -61,6 +62,7 @@
     let mut record = Record::new();
     let verdict = match case.as_str() {
         "configuration" => configuration::run(has_trouble, &scratch, &mut record),
+        "flow" => flow::run(has_trouble, &scratch, &mut record),
         _ => Verdict::Failed,
     };
     record.write(&Path::new(folder).join("record.txt"));
