--- a/review/standin/configuration.rs
+++ b/review/standin/configuration.rs
@@ -41,8 +41,14 @@
     let mut hosts: Vec<Host> = (1..=HOSTS)
         .map(|number| Host::start(number, store.address, folder))
         .collect();
-    record.add(start, format!("{HOSTS} hosts start; configuration 1 sends /order/ to old-desk"));
-    if !hosts.iter().all(|host| host.wait_ready(Duration::from_secs(10))) {
+    record.add(
+        start,
+        format!("{HOSTS} hosts start; configuration 1 sends /order/ to old-desk"),
+    );
+    if !hosts
+        .iter()
+        .all(|host| host.wait_ready(Duration::from_secs(10)))
+    {
         record.add(Instant::now(), "a host is not ready in time".to_owned());
         return Verdict::Failed;
     }
@@ -95,7 +101,10 @@
                 record.add(sent, format!("request {id} GET {path} sent to {name}"));
                 let (status, body) = answer.unwrap_or((0, String::new()));
                 let now = Instant::now();
-                record.add(now, format!("request {id} is answered with {status} {body}"));
+                record.add(
+                    now,
+                    format!("request {id} is answered with {status} {body}"),
+                );
                 let is_stale = match path {
                     "/added/1" => status == 404,
                     _ => status == 200 && body == "old-desk",
@@ -106,7 +115,10 @@
         thread::sleep(PAUSE);
     }
     for run in runs.lock().expect("the runs").iter() {
-        record.add(run.at, format!("request {} is run by {}", run.id, run.service));
+        record.add(
+            run.at,
+            format!("request {} is run by {}", run.id, run.service),
+        );
     }
     stale
 }
--- a/review/standin/flow.rs
+++ b/review/standin/flow.rs
@@ -50,7 +50,10 @@
     let hosts: Vec<Host> = (1..=HOSTS)
         .map(|number| Host::start(number, store.address, folder))
         .collect();
-    if !hosts.iter().all(|host| host.wait_ready(Duration::from_secs(10))) {
+    if !hosts
+        .iter()
+        .all(|host| host.wait_ready(Duration::from_secs(10)))
+    {
         record.add(Instant::now(), "a host is not ready in time".to_owned());
         return Verdict::Failed;
     }
@@ -88,7 +91,10 @@
 fn judge(arrivals: &Log, answers: &Log, left: &Log, record: &mut Record) -> Verdict {
     let left = left.lock().expect("the log").clone();
     if left.len() > MOST_LEAVERS {
-        record.add(Instant::now(), format!("{} callers have left, which is too many", left.len()));
+        record.add(
+            Instant::now(),
+            format!("{} callers have left, which is too many", left.len()),
+        );
         return Verdict::Failed;
     }
     for (at, id, end) in answers.lock().expect("the log").iter() {
@@ -96,13 +102,17 @@
     }
     let mut late = 0;
     for (at, id, server) in arrivals.lock().expect("the log").iter() {
-        let left_at = left.iter().find(|entry| entry.1 == *id).map(|entry| entry.0);
+        let left_at = left
+            .iter()
+            .find(|entry| entry.1 == *id)
+            .map(|entry| entry.0);
         let is_late = left_at.is_some_and(|left_at| *at > left_at + LEFT_LIMIT);
         late += usize::from(is_late);
         let note = if is_late { ", its caller has left" } else { "" };
         record.add(*at, format!("request {id} reaches server {server}{note}"));
     }
-    let line = format!("requests that reached a server over 0.5 s after their callers had left: {late}");
+    let line =
+        format!("requests that reached a server over 0.5 s after their callers had left: {late}");
     record.add(Instant::now(), line);
     if late > FEW {
         Verdict::Broken
@@ -115,7 +125,12 @@
 fn call(address: SocketAddr, id: &str, left: &Log) -> String {
     match read_stream(address, id) {
         Ok(end) => end,
-        Err(error) if matches!(error.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut) => {
+        Err(error)
+            if matches!(
+                error.kind(),
+                io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut
+            ) =>
+        {
             // The connection was closed when the stream was dropped.
             let mut left = left.lock().expect("the log");
             left.push((Instant::now(), id.to_owned(), String::new()));
@@ -139,7 +154,10 @@
     while read_chunk(&mut reader)?.is_some() {
         events += 1;
     }
-    Ok(format!("status {}, complete, {events} chunks", head.status()))
+    Ok(format!(
+        "status {}, complete, {events} chunks",
+        head.status()
+    ))
 }
 
 /// Starts a server of streams; the result is whether it runs.
@@ -148,7 +166,9 @@
     let listener = listen();
     let address = listener.local_addr().expect("an address");
     let (id, log, runs) = (name.to_owned(), arrivals.clone(), alive.clone());
-    serve(listener, move |request, stream| answer(&id, &log, &runs, request, stream));
+    serve(listener, move |request, stream| {
+        answer(&id, &log, &runs, request, stream)
+    });
     let born = SystemTime::now().duration_since(UNIX_EPOCH);
     let born = born.map_or(0, |time| time.as_millis() as u64);
     let (id, store, runs) = (name.to_owned(), store.clone(), alive.clone());
@@ -180,7 +200,10 @@
         return Ok(false);
     }
     if !expected.is_empty() && expected != name {
-        let headers = [("Crocusyard-Request-Id", id), ("Crocusyard-Instance-Id", name)];
+        let headers = [
+            ("Crocusyard-Request-Id", id),
+            ("Crocusyard-Instance-Id", name),
+        ];
         write_answer(stream, "421 Misdirected Request", &headers, b"")?;
         return Ok(true);
     }
--- a/review/standin/http.rs
+++ b/review/standin/http.rs
@@ -34,7 +34,9 @@
     pub fn query(&self, name: &str) -> Option<&str> {
         let query = self.target().split_once('?')?.1;
         let mut fields = query.split('&').filter_map(|field| field.split_once('='));
-        fields.find(|(field, _)| *field == name).map(|(_, value)| value)
+        fields
+            .find(|(field, _)| *field == name)
+            .map(|(_, value)| value)
     }
 
     /// Status of an answer; 0 if it is not valid.
@@ -73,7 +75,10 @@
     let Some(mut message) = read_head(reader)? else {
         return Ok(None);
     };
-    if message.header("transfer-encoding").eq_ignore_ascii_case("chunked") {
+    if message
+        .header("transfer-encoding")
+        .eq_ignore_ascii_case("chunked")
+    {
         while let Some(chunk) = read_chunk(reader)? {
             message.body.extend(chunk);
         }
--- a/review/standin/json.rs
+++ b/review/standin/json.rs
@@ -57,7 +57,11 @@
 /// Builds an object from its members.
 pub fn object(members: Vec<(&str, Json)>) -> Json {
     let members = members.into_iter();
-    Json::Object(members.map(|(name, value)| (name.to_owned(), value)).collect())
+    Json::Object(
+        members
+            .map(|(name, value)| (name.to_owned(), value))
+            .collect(),
+    )
 }
 
 pub fn text(value: &str) -> Json {
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -46,7 +46,9 @@
     fn write(mut self, path: &Path) {
         self.lines.sort_by_key(|line| line.0);
         let lines = self.lines.iter();
-        let text: String = lines.map(|(ms, line)| format!("{ms:>6} ms  {line}\n")).collect();
+        let text: String = lines
+            .map(|(ms, line)| format!("{ms:>6} ms  {line}\n"))
+            .collect();
         fs::write(path, text).expect("the record");
     }
 }
--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -66,7 +66,9 @@
             address,
         };
         let server = store.clone();
-        serve(listener, move |request, stream| server.answer(request, stream));
+        serve(listener, move |request, stream| {
+            server.answer(request, stream)
+        });
         store
     }
 
@@ -139,7 +141,11 @@
 
     fn feed(&self, request: &Message) -> (&'static str, Json) {
         let table = request.query("table").unwrap_or("").to_owned();
-        let field = |name| request.query(name).and_then(|text| text.parse::<u64>().ok());
+        let field = |name| {
+            request
+                .query(name)
+                .and_then(|text| text.parse::<u64>().ok())
+        };
         let after = field("after").unwrap_or(0);
         let end = Instant::now() + Duration::from_millis(field("wait_ms").unwrap_or(0));
         let mut tables = self.shared.tables.lock().expect("the tables");
@@ -158,7 +164,12 @@
                 ]);
                 return ("200 OK", body);
             }
-            tables = self.shared.changed.wait_timeout(tables, left).expect("the tables").0;
+            tables = self
+                .shared
+                .changed
+                .wait_timeout(tables, left)
+                .expect("the tables")
+                .0;
         }
     }
 
@@ -195,7 +206,10 @@
             tables.write(key(entry), None);
         }
         self.shared.changed.notify_all();
-        ("200 OK", object(vec![("row_version", number(tables.version))]))
+        (
+            "200 OK",
+            object(vec![("row_version", number(tables.version))]),
+        )
     }
 }
 
@@ -223,7 +237,11 @@
         }
         for index in 0..4 {
             let digit = DIGITS[(bits >> (18 - 6 * index) & 63) as usize];
-            text.push(if index <= group.len() { char::from(digit) } else { '=' });
+            text.push(if index <= group.len() {
+                char::from(digit)
+            } else {
+                '='
+            });
         }
     }
     text
