edge: logs tell how long a failed call to the store was awaited

Cause: the log of a host could not tell whether a late configuration was not asked for, asked for in a call that got no answer, or read and not applied. 'store lost' named neither the call's age nor the length of the gap, and 'configuration in_force' neither the row nor its source.

Change: 'store lost' has asked_ms, 'regained' failing_ms, 'in_force' the row's version and source (store or relay).

--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -40,8 +40,8 @@
 pub(crate) struct StoreHealth {
     /// Name of the table in the decision log.
     table: &'static str,
-    /// Whether the last call failed.
-    failing: bool,
+    /// When the first call since the last answer was sent, if it failed.
+    failing_since: Option<ClockTime>,
     backoff: CallBackoff,
 }
 
@@ -49,22 +49,24 @@
     pub(crate) fn new(table: &'static str) -> Self {
         Self {
             table,
-            failing: false,
+            failing_since: None,
             backoff: CallBackoff::default(),
         }
     }
 
-    /// Records a failed call; logs the first one after a success.
-    pub(crate) fn record_failure(&mut self, error: &StoreError) {
-        if !self.failing {
-            self.failing = true;
-            let cause = error.to_string();
-            decision_log::log_change(
-                "store",
-                "lost",
-                json!({"table": self.table, "cause": cause}),
-            );
+    /// Records a failed call that was sent at `sent_at`; logs the first one after a success.
+    pub(crate) fn record_failure(&mut self, error: &StoreError, sent_at: ClockTime) {
+        if self.failing_since.is_some() {
+            return;
         }
+        self.failing_since = Some(sent_at);
+        let cause = error.to_string();
+        let asked_ms = clock::now().since(sent_at).as_ms();
+        decision_log::log_change(
+            "store",
+            "lost",
+            json!({"table": self.table, "cause": cause, "asked_ms": asked_ms}),
+        );
     }
 
     /// Waits before the call that follows a failed one; the wait grows with each failure.
@@ -76,9 +78,13 @@
     /// Records a successful call; logs the first one after a failure.
     pub(crate) fn record_answer(&mut self) {
         self.backoff.reset();
-        if self.failing {
-            self.failing = false;
-            decision_log::log_change("store", "regained", json!({"table": self.table}));
+        if let Some(since) = self.failing_since.take() {
+            let failing_ms = clock::now().since(since).as_ms();
+            decision_log::log_change(
+                "store",
+                "regained",
+                json!({"table": self.table, "failing_ms": failing_ms}),
+            );
         }
     }
 }
@@ -94,13 +100,14 @@
             .metrics
             .store_calls
             .count(table, CallReason::WholeTable);
+        let sent_at = clock::now();
         match shell.store.read(table, STORE_TIMEOUT).await {
             Ok(page) => {
                 health.record_answer();
                 return page;
             }
             Err(error) => {
-                health.record_failure(&error);
+                health.record_failure(&error, sent_at);
                 health.wait_for_retry().await;
             }
         }
@@ -143,7 +150,7 @@
     fn apply(self, shell: &EdgeShell, rows: &[StoreRow], version: u64) {
         match self {
             Self::Configuration => {
-                apply_rules(shell, rows);
+                apply_rules(shell, rows, ConfigurationSource::Store);
                 let known = shell.configuration_read.get();
                 shell.configuration_read.set(known.max(version));
             }
@@ -197,7 +204,7 @@
                     value: Some(value),
                     version,
                 };
-                apply_rules(shell, &[row]);
+                apply_rules(shell, &[row], ConfigurationSource::Relay);
                 shell.configuration_read.set(version);
             }
             Err(error) => warn!("a relayed configuration cannot be decompressed: {error}"),
@@ -267,6 +274,7 @@
         loop {
             let read = followed.next_read(shell).await;
             shell.metrics.store_calls.count(table, read.reason);
+            let sent_at = clock::now();
             let changes = shell
                 .store
                 .read_changes(table, version, read.wait, STORE_TIMEOUT)
@@ -282,7 +290,7 @@
                 }
                 Err(StoreError::HistoryGone) => break,
                 Err(error) => {
-                    health.record_failure(&error);
+                    health.record_failure(&error, sent_at);
                     health.wait_for_retry().await;
                 }
             }
@@ -296,8 +304,27 @@
     follow_table(&shell, FollowedTable::Configuration, &mut health).await;
 }
 
+/// Where a host has read a configuration.
+#[derive(Clone, Copy, Debug)]
+enum ConfigurationSource {
+    /// The store.
+    Store,
+    /// The reader of the failure domain.
+    Relay,
+}
+
+impl ConfigurationSource {
+    /// Returns the name in the decision log.
+    fn label(self) -> &'static str {
+        match self {
+            Self::Store => "store",
+            Self::Relay => "relay",
+        }
+    }
+}
+
 /// Puts the configuration in force if it is among the rows.
-fn apply_rules(shell: &EdgeShell, rows: &[StoreRow]) {
+fn apply_rules(shell: &EdgeShell, rows: &[StoreRow], source: ConfigurationSource) {
     for row in rows.iter().filter(|row| row.key == CONFIGURATION_KEY) {
         let Some(value) = &row.value else {
             continue;
@@ -309,7 +336,7 @@
                 decision_log::log_change(
                     "configuration",
                     "in_force",
-                    json!({"version": rules.version, "routes": rules.route_count()}),
+                    json!({"version": rules.version, "routes": rules.route_count(), "row_version": row.version, "source": source.label()}),
                 );
                 shell.dispatch(ServingEvent::Rules(Rc::new(rules)));
             }
@@ -351,6 +378,7 @@
             .metrics
             .store_calls
             .count(StoreTable::Hosts, CallReason::OwnRow);
+        let sent_at = clock::now();
         match shell.store.write(&write, STORE_TIMEOUT).await {
             Ok(version) => {
                 health.record_answer();
@@ -358,7 +386,7 @@
                 return;
             }
             Err(error) => {
-                health.record_failure(&error);
+                health.record_failure(&error, sent_at);
                 health.wait_for_retry().await;
             }
         }
--- a/crates/edge/src/target_list.rs
+++ b/crates/edge/src/target_list.rs
@@ -64,7 +64,7 @@
                 // Without an extra pause: if the reader relayed nothing for longer than the interval
                 // between two polls, the other hosts would poll in its place.
                 Err(error) => {
-                    health.record_failure(&error);
+                    health.record_failure(&error, now);
                     shell.target_list.borrow_mut().fail_poll();
                 }
             }
