edge: a lost answer of the store delays a configuration by 2.5 s at most

What callers saw: after an outage of the store in which it gave no answers for 4.5 s, calls went to the old service and calls on added routes got 404 for up to 26 s on all hosts (CONFIG, DENIED).

Cause: a host followed the configuration with one call that waited 25 s at the store and was given up after 26.5 s. A call that the store received in the outage is never answered, and its connection shows no error. Nothing else bounded the wait; calls of the same host for other tables did not end it.

Change: such a call waits 1.2 s at the store and is given up 1 s later; while calls fail, the next one does not wait, so that the first answer after the disruption arrives at once. The bound does not rest on a sign of trouble elsewhere: it holds when a single answer is lost, and for any length of an outage.

Conclusion: more calls to the store, at most 0.83 a second for each host that waits: all hosts of a small deployment, two of each failure domain of a larger one.

--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -17,8 +17,12 @@
 
 /// Longest time for an answer of the store, in addition to the wait that a call asks for.
 const STORE_TIMEOUT: Duration = Duration::from_millis(1_500);
-/// Time for which the store holds a long poll open until the first change.
-const FEED_WAIT: Duration = Duration::from_secs(25);
+/// Time for which the store holds a long poll open until the first change. The answer may be lost
+/// without a sign on the connection. This wait, `FEED_TIMEOUT` and the first delay before a retry
+/// therefore fit into the 3 s after a disruption in which changes must be known.
+const FEED_WAIT: Duration = Duration::from_millis(1_200);
+/// Longest time for an answer of the store after the wait of a long poll.
+const FEED_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Interval at which the rows of the entry hosts are read. It bounds the time for which a host
 /// does not know that another host has left, or that a host exists with which it exchanges no
 /// heartbeats.
@@ -69,6 +73,11 @@
         );
     }
 
+    /// Returns whether the last call failed.
+    fn is_failing(&self) -> bool {
+        self.failing_since.is_some()
+    }
+
     /// Waits before the call that follows a failed one; the wait grows with each failure.
     pub(crate) async fn wait_for_retry(&mut self) {
         let pause = self.backoff.next_delay();
@@ -119,10 +128,36 @@
 struct ChangeRead {
     /// Time for which the store waits for the first change before it answers.
     wait: Duration,
+    /// Longest time for an answer, in addition to the wait.
+    timeout: Duration,
     /// Reason under which the call is counted.
     reason: CallReason,
 }
 
+impl ChangeRead {
+    /// A call that the store answers at once.
+    fn immediate(reason: CallReason) -> Self {
+        Self {
+            wait: Duration::ZERO,
+            timeout: STORE_TIMEOUT,
+            reason,
+        }
+    }
+
+    /// A call that waits for the first change. While calls fail, it does not wait, so that the first
+    /// answer after a disruption arrives at once.
+    fn waiting(is_failing: bool) -> Self {
+        if is_failing {
+            return Self::immediate(CallReason::Wait);
+        }
+        Self {
+            wait: FEED_WAIT,
+            timeout: FEED_TIMEOUT,
+            reason: CallReason::Wait,
+        }
+    }
+}
+
 /// A table whose changes a host follows.
 #[derive(Clone, Copy)]
 enum FollowedTable {
@@ -138,10 +173,10 @@
         }
     }
 
-    /// Waits until this host has to ask for changes.
-    async fn next_read(self, shell: &EdgeShell) -> ChangeRead {
+    /// Waits until this host has to ask for changes; `is_failing` is whether the last call failed.
+    async fn next_read(self, shell: &EdgeShell, is_failing: bool) -> ChangeRead {
         match self {
-            Self::Configuration => next_configuration_read(shell).await,
+            Self::Configuration => next_configuration_read(shell, is_failing).await,
             Self::Hosts => next_hosts_read(shell).await,
         }
     }
@@ -216,13 +251,10 @@
 /// Waits until this host has to read the configuration. The reader of a failure domain and its
 /// deputy wait for changes at the store; the other hosts read them when they hear of them, or while
 /// they hear nothing of the reader.
-async fn next_configuration_read(shell: &EdgeShell) -> ChangeRead {
+async fn next_configuration_read(shell: &EdgeShell, is_failing: bool) -> ChangeRead {
     loop {
         if shell.awaits_configuration() {
-            return ChangeRead {
-                wait: FEED_WAIT,
-                reason: CallReason::Wait,
-            };
+            return ChangeRead::waiting(is_failing);
         }
         let news = shell.configuration_news.notified();
         let is_heard = shell.lacks_configuration()
@@ -237,10 +269,7 @@
             }
         }
         if is_heard {
-            return ChangeRead {
-                wait: Duration::ZERO,
-                reason: CallReason::NewerVersion,
-            };
+            return ChangeRead::immediate(CallReason::NewerVersion);
         }
     }
 }
@@ -255,10 +284,7 @@
         let hosts = shell.hosts.borrow();
         let is_reader = hosts.is_small() || hosts.is_list_reader(clock::now());
         if is_reader || waited >= LONG_HOSTS_POLL_INTERVAL {
-            return ChangeRead {
-                wait: Duration::ZERO,
-                reason: CallReason::Reader,
-            };
+            return ChangeRead::immediate(CallReason::Reader);
         }
     }
 }
@@ -272,12 +298,12 @@
         followed.apply(shell, &page.rows, page.version);
         let mut version = page.version;
         loop {
-            let read = followed.next_read(shell).await;
+            let read = followed.next_read(shell, health.is_failing()).await;
             shell.metrics.store_calls.count(table, read.reason);
             let sent_at = clock::now();
             let changes = shell
                 .store
-                .read_changes(table, version, read.wait, STORE_TIMEOUT)
+                .read_changes(table, version, read.wait, read.timeout)
                 .await;
             match changes {
                 Ok(changes) => {
