edge: a broken stream that waits for a target ends when its caller leaves

What callers saw: nothing directly; targets ran requests up to their first event seconds after the callers had left (GONE), in the place of others.

Cause: stream::resume awaited the next step of the reducer and then the head of the next answer without looking at the caller. Only the forwarding of events noticed that the caller had left, after the first event of the next target.

Change: the wait and the attempt race against the caller's leaving. Dropping them closes the connection to the target and releases the request, which leaves the queue of the reducer.

--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -80,11 +80,7 @@
                 return;
             }
             SourceEnd::CallerLeft => {
-                decision_log::log_decision(
-                    &open.request.call.id,
-                    "caller_left",
-                    json!({"events": splitter.event_count()}),
-                );
+                log_caller_left(&open, &splitter);
                 return;
             }
             SourceEnd::Broken => AttemptOutcome::Lost {
@@ -101,7 +97,16 @@
         splitter.discard_partial();
         log_attempt_ended(&open, &plan, outcome);
         open.end_attempt(outcome);
-        match resume(&mut open, &splitter).await {
+        let resumed = tokio::select! {
+            biased;
+            // The wait for another target may last for seconds.
+            () = sender.closed() => {
+                log_caller_left(&open, &splitter);
+                return;
+            }
+            resumed = resume(&mut open, &splitter) => resumed,
+        };
+        match resumed {
             Some(next) => (plan, source) = next,
             None => {
                 record_result(&open, &timing, false);
@@ -153,6 +158,16 @@
     let _ = sender.send(Err(error)).await;
 }
 
+/// Logs that the caller has left; dropping the request then cancels what is left of it.
+fn log_caller_left(open: &OpenRequest, splitter: &EventSplitter) {
+    let call = &open.request.call;
+    decision_log::log_decision(
+        &call.id,
+        "caller_left",
+        json!({"events": splitter.event_count(), "age_ms": clock::now().since(open.arrived).as_ms()}),
+    );
+}
+
 fn log_overlong_event(open: &OpenRequest, error: &EventTooLong) {
     decision_log::log_decision(
         &open.request.call.id,
