tests: answers that are cut in the middle of their heads

Conclusion: does not happen here, so that no code changes. The tests pass on the code before as well; none has been seen failing.

--- a/crates/httpconn/tests/ends.rs
+++ b/crates/httpconn/tests/ends.rs
@@ -65,6 +65,61 @@
     }
 }
 
+/// Guards against a target that stops in the middle of the head of its answer, or of its body, and
+/// whose caller gets an empty or short answer that is framed as a whole one.
+#[actix_rt::test]
+async fn answer_cut_at_any_byte_is_an_error() {
+    for answer in [
+        "HTTP/1.1 200 OK\r\nA: b\r\nContent-Length: 12\r\n\r\nabcdefghijkl",
+        "HTTP/1.1 200 OK\r\nA: b\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+        "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\nContent-Length: 3\n\nabc",
+    ] {
+        let complete: &'static [&'static str] = Box::leak(Box::new([answer]));
+        let address = start_peer(complete).await;
+        let pool = ConnPool::new(LIMITS);
+        assert!(exchange(&pool, address).await.is_ok(), "{answer:?}");
+        for length in 0..answer.len() {
+            let cut = &answer[..length];
+            let answers: &'static [&'static str] = Box::leak(Box::new([cut]));
+            let address = start_peer(answers).await;
+            let error = exchange(&pool, address).await.expect_err(cut);
+            assert!(!error.is_unsent(), "{cut:?}: {error}");
+            assert!(!error.is_malformed(), "{cut:?}: {error}");
+        }
+    }
+}
+
+/// Guards against the same for an answer without a length, which ends with its connection: a cut head
+/// is no answer with an empty body.
+#[actix_rt::test]
+async fn head_cut_at_any_byte_before_an_unframed_body_is_an_error() {
+    const HEAD: &str = "HTTP/1.1 200 OK\r\nA: b\r\nB: c\r\n\r\n";
+    let pool = ConnPool::new(LIMITS);
+    for length in 0..HEAD.len() {
+        let answers: &'static [&'static str] = Box::leak(Box::new([&HEAD[..length]]));
+        let address = start_peer(answers).await;
+        let error = exchange(&pool, address).await;
+        let error = error.expect_err(&HEAD[..length]);
+        assert!(!error.is_unsent(), "{:?}: {error}", &HEAD[..length]);
+    }
+}
+
+/// Guards against the same on a connection that has carried an answer before.
+#[actix_rt::test]
+async fn head_cut_on_a_reused_connection_is_an_error() {
+    const HEAD: &str = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+    let pool = ConnPool::new(LIMITS);
+    for length in 0..HEAD.len() {
+        let answers: &'static [&'static str] = Box::leak(Box::new([HEAD, &HEAD[..length]]));
+        let address = start_peer(answers).await;
+        assert!(exchange(&pool, address).await.is_ok());
+        let opened = pool.opened_count();
+        let error = exchange(&pool, address).await;
+        assert!(error.is_err(), "{:?}", &HEAD[..length]);
+        assert_eq!(pool.opened_count(), opened, "the connection was not reused");
+    }
+}
+
 /// Guards against bytes after an answer that are taken for the answer to the next request.
 #[actix_rt::test]
 async fn connection_with_an_extra_answer_is_not_reused() {
--- a/crates/targets/tests/broken.rs
+++ b/crates/targets/tests/broken.rs
@@ -36,14 +36,35 @@
             actix_rt::time::sleep(Duration::from_millis(50)).await;
         }
     });
-    let kind = PlanKind::Plain {
+    run_attempt(address, plain_call()).await
+}
+
+fn plain_call() -> PlanKind {
+    PlanKind::Plain {
         method: awc::http::Method::GET,
         path: "/opening".into(),
         headers: std::sync::Arc::default(),
         body: bytes::Bytes::new(),
         recorded: false,
-    };
-    run_attempt(address, kind).await
+    }
+}
+
+fn completion_call() -> PlanKind {
+    PlanKind::Completion {
+        path: "/v1/completions",
+        body: bytes::Bytes::from_static(b"{}"),
+        blocks: "".into(),
+        priority: 5,
+    }
+}
+
+/// Answers the first request on the first connection with these bytes and closes it.
+async fn answer_once(listener: TcpListener, answer: &'static str) {
+    let (mut stream, _) = listener.accept().await.expect("a connection is accepted");
+    let mut request = [0; 4096];
+    let _ = stream.read(&mut request).await;
+    let written = stream.write_all(answer.as_bytes()).await;
+    written.expect("the answer is written");
 }
 
 /// Sends a request to a target; returns how the attempt ended.
@@ -87,6 +108,27 @@
     }
 }
 
+/// Guards against a target that stops in the middle of the head of its answer and whose caller gets an
+/// empty answer that is framed as a whole one, as a plain answer or as a stream.
+#[actix_rt::test]
+async fn answer_cut_in_its_head_is_broken() {
+    let heads = [
+        "HTTP/1.1 200 OK\r\ncontent-length: 14\r\n\r\n",
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nx-a: b\r\n\r\n",
+    ];
+    for head in heads {
+        for length in 0..head.len() {
+            for kind in [plain_call(), completion_call()] {
+                let (listener, address) = listen().await;
+                actix_rt::spawn(answer_once(listener, &head[..length]));
+                let result = run_attempt(address, kind).await;
+                assert_eq!(result, AttemptResult::Broken, "{:?}", &head[..length]);
+            }
+        }
+    }
+}
+
 /// Guards against a complete answer that counts as broken.
 #[actix_rt::test]
 async fn answer_with_its_end_is_complete() {
