platform: a call to the store that got no answer closes idle connections

Change: after a timeout the pool closes the idle connections to the store; the next call opens a new one. Calls in progress are not touched.

--- a/crates/httpconn/src/pool.rs
+++ b/crates/httpconn/src/pool.rs
@@ -225,6 +225,12 @@
         })
     }
 
+    /// Closes the idle connections to an address. After a call without an answer, others that were
+    /// open at that time may be silent as well.
+    pub fn close_idle(&self, address: SocketAddr) {
+        self.state.borrow_mut().idle.remove(&address);
+    }
+
     /// Closes connections that have been idle for too long.
     pub fn prune(&self) {
         let limit = self.limits.idle_timeout;
