tests: a caller of the product's interface that leaves before the first token

That was the engine's way: it ends a cancelled stream with its next token. The host's own gauge shows the request gone. Setting h1_allow_half_closed to false made no difference and was taken back.

--- a/tests/request_faults/common.rs
+++ b/tests/request_faults/common.rs
@@ -10,6 +10,8 @@
 use std::net::SocketAddr;
 use std::path::Path;
 use std::time::{Duration, Instant};
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
 
 /// Time limit of every wait for a condition; only a fault makes a wait this long.
 const WAIT_LIMIT: Duration = Duration::from_secs(60);
@@ -137,3 +139,28 @@
         .position(|spec| spec.name == TargetName::new(target))
         .expect("the target is not in the catalogue")
 }
+
+/// Sends a stream request over a raw connection and returns the connection without reading from it.
+pub async fn open_unread_stream(entry: SocketAddr, model: &str, tokens: u32) -> TcpStream {
+    let body = serde_json::json!({
+        "model": model,
+        "stream": true,
+        "max_tokens": tokens,
+        "messages": [{"role": "user", "content": "never read"}],
+    })
+    .to_string();
+    let request = format!(
+        "POST /v1/chat/completions HTTP/1.1\r\nhost: {entry}\r\nx-tenant: plazas\r\n\
+         x-request-deadline-ms: 600000\r\ncontent-type: application/json\r\n\
+         content-length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    let mut stream = TcpStream::connect(entry)
+        .await
+        .expect("the host does not accept a connection");
+    stream
+        .write_all(request.as_bytes())
+        .await
+        .expect("the request cannot be sent");
+    stream
+}
--- a/tests/request_faults/main.rs
+++ b/tests/request_faults/main.rs
@@ -6,6 +6,7 @@
 mod common;
 mod connections;
 mod late_writes;
+mod left;
 mod load;
 mod streams;
 mod targets;
--- a/tests/request_faults/streams.rs
+++ b/tests/request_faults/streams.rs
@@ -4,7 +4,6 @@
 use crocusyard_standins::prelude::{answer_tokens, EngineOptions, RelayMode};
 use crocusyard_testbed::prelude::*;
 use futures_util::future::join_all;
-use std::net::SocketAddr;
 use tokio::io::AsyncWriteExt;
 use tokio::sync::Mutex;
 
@@ -147,31 +146,6 @@
     assert_eq!(answer.text, answer_tokens(MODEL, "hello", 150));
 }
 
-/// Sends a stream request over a raw connection and returns the connection without reading from it.
-async fn open_unread_stream(entry: SocketAddr, tokens: u32) -> tokio::net::TcpStream {
-    let body = serde_json::json!({
-        "model": MODEL,
-        "stream": true,
-        "max_tokens": tokens,
-        "messages": [{"role": "user", "content": "never read"}],
-    })
-    .to_string();
-    let request = format!(
-        "POST /v1/chat/completions HTTP/1.1\r\nhost: {entry}\r\nx-tenant: plazas\r\n\
-         x-request-deadline-ms: 600000\r\ncontent-type: application/json\r\n\
-         content-length: {}\r\n\r\n{body}",
-        body.len()
-    );
-    let mut stream = tokio::net::TcpStream::connect(entry)
-        .await
-        .expect("the host does not accept a connection");
-    stream
-        .write_all(request.as_bytes())
-        .await
-        .expect("the request cannot be sent");
-    stream
-}
-
 /// Guards against unbounded memory use of a host, and against slow answers to others, when a caller
 /// stops reading.
 ///
@@ -186,7 +160,7 @@
         .expect("the deployment cannot start");
     let entry = deployment.entry(0);
     // About 30 MB, more than the sockets and the host buffer for one caller.
-    let unread = open_unread_stream(entry, 120_000).await;
+    let unread = open_unread_stream(entry, MODEL, 120_000).await;
     wait_until("the stream is in progress", || async {
         read_metric(entry, "crocusyard_requests_in_progress").await >= 1.0
     })
