--- a/tests/left_callers.rs
+++ b/tests/left_callers.rs
@@ -3,7 +3,7 @@
 mod entry_support;
 
 use crocusyard_platform_standin::prelude::*;
-use entry_support::{route, stream, EntryHost, StreamEnd, POLL_INTERVAL};
+use entry_support::{call, route, stream, EntryHost, StreamEnd, POLL_INTERVAL};
 use std::time::{Duration, Instant};
 
 /// Time after which a request whose caller has left must not reach a target, nor be worked on.
@@ -20,7 +20,11 @@
 const LIST_TIME: Duration = Duration::from_millis(1_500);
 
 const PATH: &str = "/flow/1";
-const ROUTES: [TestRoute; 1] = [route(STREAM_PATH, RouteKind::Resumable, 3)];
+const CALL_PATH: &str = "/many/1";
+const ROUTES: [TestRoute; 2] = [
+    route(STREAM_PATH, RouteKind::Resumable, 3),
+    route("/many/", RouteKind::Idempotent, 2),
+];
 
 /// A host with one target that serves streams.
 struct Deployment {
@@ -77,6 +81,23 @@
         assert_eq!(answer.end, StreamEnd::Open, "{}", answer.text);
     }
 
+    /// Checks that no target works for a request `LEFT_LIMIT` after its caller has left, which is now.
+    async fn check_work_ends(&self, id: &str) {
+        let left = Instant::now();
+        let is_running = || {
+            self.arrivals(id)
+                .iter()
+                .any(|arrival| arrival.ended.is_none())
+        };
+        while is_running() {
+            assert!(
+                left.elapsed() < LEFT_LIMIT,
+                "a target still works for a caller that left {LEFT_LIMIT:?} ago"
+            );
+            actix_rt::time::sleep(POLL_INTERVAL).await;
+        }
+    }
+
     /// Returns the arrivals of a request at the targets, in their order.
     fn arrivals(&self, id: &str) -> Vec<TargetArrival> {
         let log = self.target.arrivals();
@@ -124,16 +145,34 @@
         let slow = TargetFault::Slow(STREAM_TIMEOUT_MS);
         deployment.target.set_fault(slow);
         deployment.leave_stream("leaves", READ_TIME).await;
-        let left = Instant::now();
+        deployment.check_work_ends("leaves").await;
         let resumed = deployment.arrivals("leaves");
         assert_eq!(targets_of(&resumed), ["i-2", "i-1"]);
-        while deployment.arrivals("leaves")[1].ended.is_none() {
-            assert!(
-                left.elapsed() < LEFT_LIMIT,
-                "the target still works for a caller that left {LEFT_LIMIT:?} ago"
-            );
-            actix_rt::time::sleep(POLL_INTERVAL).await;
-        }
     };
     futures_util::join!(busy, others);
 }
+
+/// Guards against calls that wait for a free target, or for its answer, after their callers have left.
+#[actix_rt::test]
+async fn plain_call_ends_with_its_caller() {
+    let deployment = Deployment::start().await;
+    let busy = deployment.keep_busy(TARGET_SLOTS, LIST_TIME + READ_TIME + LEFT_LIMIT);
+    let waiting = async {
+        actix_rt::time::sleep(LIST_TIME).await;
+        let call = call(&deployment.host, CALL_PATH, "waits");
+        let answer = actix_rt::time::timeout(READ_TIME, call).await;
+        assert!(answer.is_err(), "the call did not wait");
+    };
+    futures_util::join!(busy, waiting);
+    actix_rt::time::sleep(LEFT_LIMIT).await;
+    let late = deployment.arrivals("waits");
+    assert!(late.is_empty(), "the caller had left: {late:?}");
+
+    let slow = TargetFault::Slow(STREAM_TIMEOUT_MS);
+    deployment.target.set_fault(slow);
+    let call = call(&deployment.host, CALL_PATH, "sent");
+    let answer = actix_rt::time::timeout(READ_TIME / 4, call).await;
+    assert!(answer.is_err(), "the call was answered");
+    assert_eq!(targets_of(&deployment.arrivals("sent")), ["i-1"]);
+    deployment.check_work_ends("sent").await;
+}
