lease: leaving hosts count for confirmation; a new holder counts former loads

Cause: a host that was leaving did not have to acknowledge the holder, and the mark outlived its process. The next process may take the lease 4.8 s after its start. The loads that a former holder had begun were not known to the next one.

Change: leaving hosts have to acknowledge as well; a host that has released the lease acknowledges the next holder. A new holder begins no load until the window of the weight store has passed since the last possible order of the former one (2 s after the lease was taken).

Ruled out: remembering incarnations of acknowledgements. An acknowledgement lasts 1.5 s and a new process takes the lease 4.8 s after its start, so that one of an earlier process does no harm.

--- a/crates/edge/src/lease_keeper.rs
+++ b/crates/edge/src/lease_keeper.rs
@@ -44,7 +44,8 @@
         }
         let is_holder = shell.lease.borrow().is_holder();
         if is_holder != was_holder {
-            shell.orders.borrow_mut().clear();
+            let former_loads = shell.lease.borrow().former_orders_end(clock::now());
+            shell.orders.borrow_mut().start_term(former_loads);
             let version = shell.lease.borrow().version();
             let change = if is_holder { "taken" } else { "lost" };
             decision_log::log_change("lease", change, json!({"version": version}));
--- a/crates/edge/src/shell.rs
+++ b/crates/edge/src/shell.rs
@@ -282,7 +282,10 @@
 
     /// Returns the lease report of this host, if it has one.
     pub(crate) fn lease_report(&self) -> Option<LeaseReport> {
-        if let Some(version) = self.released_version.get() {
+        // The next holder needs the acknowledgement of this host as well.
+        let is_taken = |version| self.lease.borrow().version() > Some(version);
+        let released = self.released_version.get();
+        if let Some(version) = released.filter(|version| !is_taken(*version)) {
             return Some(LeaseReport::Released { version });
         }
         let others = self.hosts.borrow().other_names();
--- a/crates/serving/src/hosts.rs
+++ b/crates/serving/src/hosts.rs
@@ -277,13 +277,10 @@
             .collect()
     }
 
-    /// Returns the names of the other hosts that may take the lease; a leaving host takes none.
+    /// Returns the names of the other hosts that may take the lease. Leaving hosts are among them:
+    /// their next processes may take it.
     pub fn other_names(&self) -> Vec<HostName> {
-        self.others
-            .iter()
-            .filter(|(_, state)| !state.leaving)
-            .map(|(name, _)| name.clone())
-            .collect()
+        self.others.keys().cloned().collect()
     }
 
     /// Returns the address for messages to another host, or `None` if the host is not known.
--- a/crates/serving/src/lease.rs
+++ b/crates/serving/src/lease.rs
@@ -12,7 +12,8 @@
 //!
 //! While the holder cannot reach the store, it keeps the lease as long as every other host has
 //! acknowledged a recent heartbeat: a host takes the lease over only long after the last heartbeat.
-//! A single host that has not acknowledged one, because it is dead or cut off, ends the lease. With
+//! A single host that has not acknowledged one, because it is dead or cut off, ends the lease. A
+//! leaving host is no exception, since its next process may take the lease. With
 //! many hosts, heartbeats are too far apart for this rule; a holder whose renewal is late
 //! therefore asks all hosts for confirmation, and they answer at once.
 
@@ -142,6 +143,8 @@
     acknowledged: BTreeMap<HostName, ClockTime>,
     /// Whether the holder has given the lease up.
     released: bool,
+    /// Whether this host holds the lease as the first holder of the system.
+    is_first: bool,
     /// Start of this host.
     started: ClockTime,
     /// Whether this host lets a stronger one take the lease first.
@@ -169,6 +172,7 @@
             stamp: ClockTime::ZERO,
             acknowledged: BTreeMap::new(),
             released: false,
+            is_first: false,
             started: now,
             yields: false,
             free_since: None,
@@ -437,6 +441,12 @@
         self.confirmed_at = None;
     }
 
+    /// Returns the latest time at which a former holder may have given orders, for a host that has
+    /// taken the lease at `now`; `None` if it is the first holder of the system.
+    pub fn former_orders_end(&self, now: ClockTime) -> Option<ClockTime> {
+        (!self.is_first).then(|| now.since(self.lease_time))
+    }
+
     /// Applies the success of a write that was sent at `sent`.
     pub fn write_succeeded(
         &mut self,
@@ -446,6 +456,7 @@
         now: ClockTime,
     ) {
         if !self.is_holder() {
+            self.is_first = self.version().unwrap_or(0) == 0;
             self.taken_version = Some(version);
             self.acknowledged.clear();
         }
--- a/crates/serving/src/orders.rs
+++ b/crates/serving/src/orders.rs
@@ -137,12 +137,18 @@
     engines: BTreeMap<TargetName, EngineState>,
     /// Times of the loads from the weight store within the window.
     loads: HashMap<ServiceName, VecDeque<ClockTime>>,
+    /// Latest time at which the former holder of the lease may have begun loads.
+    former_loads: Option<ClockTime>,
 }
 
 impl OrderTracker {
     /// Forgets all engines; to be called when the lease is taken or lost.
-    pub fn clear(&mut self) {
+    ///
+    /// `former_loads` is the latest time at which another holder may have begun loads; `None` if
+    /// there was none.
+    pub fn start_term(&mut self, former_loads: Option<ClockTime>) {
         self.engines.clear();
+        self.former_loads = self.former_loads.max(former_loads);
     }
 
     /// Adopts the list of engines, given with their incarnations.
@@ -283,12 +289,20 @@
     }
 
     /// Returns how many loads from the weight store may begin now.
+    ///
+    /// The loads of the former holder are not known. It is assumed to have begun as many as allowed.
     pub fn loads_left(
         &mut self,
         service: &ServiceName,
         rule: &EngineRule,
         now: ClockTime,
     ) -> usize {
+        if self
+            .former_loads
+            .is_some_and(|at| now.since(at) <= LOAD_WINDOW)
+        {
+            return 0;
+        }
         let loads = self.loads.entry(service.clone()).or_default();
         while loads.front().is_some_and(|at| now.since(*at) > LOAD_WINDOW) {
             loads.pop_front();
--- a/crates/serving/tests/lease.rs
+++ b/crates/serving/tests/lease.rs
@@ -491,3 +491,39 @@
     let (_, taken) = take_over_after_outage(false, (2_000, 16_000));
     assert!(taken <= ms(17_000), "lease taken at {taken}");
 }
+
+/// Record of another host in the same failure domain.
+fn record(name: &str, port: u16) -> HostRecord {
+    let address = std::net::SocketAddr::from(([127, 0, 0, 1], port));
+    HostRecord {
+        name: host(name),
+        domain: DomainName::new("d"),
+        entry: address,
+        peer: address,
+        millicores: 250,
+    }
+}
+
+/// Guards against two holders at a time: a holder that is cut off from the store and from a host
+/// that restarts must not take the host's last notice, that it leaves, for a lasting
+/// acknowledgement. The next process of that host may take the lease.
+#[test]
+fn holder_does_not_outlive_the_acknowledgement_of_a_leaving_host() {
+    let mut hosts = HostTable::new(record("a", 7_001));
+    hosts.receive_heartbeat(&record("b", 7_002), false, ms(1_000));
+    let mut holder = holder_at(ms(1_000));
+    // The last heartbeat of the stopping process; the link is cut after it.
+    let acknowledged = LeaseReport::Acknowledged {
+        version: 10,
+        stamp: ms(2_000),
+    };
+    hosts.receive_heartbeat(&record("b", 7_002), true, ms(2_000));
+    holder.receive_report(&host("b"), &acknowledged, ms(2_000));
+    let can_order = |at| holder.order_fence(&hosts.other_names(), at).is_some();
+    assert!(can_order(ms(3_400)));
+    // A process that starts at 2,000 may take the lease at 6,800, and the lease time is 3,000.
+    assert!(
+        !can_order(ms(3_800)),
+        "the holder orders although the next process of b may soon hold the lease"
+    );
+}
--- a/crates/serving/tests/orders.rs
+++ b/crates/serving/tests/orders.rs
@@ -177,3 +177,27 @@
         AdapterStep::Wait
     );
 }
+
+/// Guards against more loads in the window than the weight store allows when the lease changes
+/// hands: the former holder may have begun as many loads as allowed just before its last order.
+#[test]
+fn new_holder_counts_the_loads_of_the_former() {
+    let rule = engine_rule(&["m"]);
+    let mut orders = OrderTracker::default();
+    let taken = ms(10_000);
+    let last_order_of_former = ms(7_000);
+    orders.start_term(Some(last_order_of_former));
+    assert_eq!(orders.loads_left(&service(), &rule, taken), 0);
+    assert_eq!(orders.loads_left(&service(), &rule, ms(11_900)), 0);
+    assert!(orders.loads_left(&service(), &rule, ms(12_100)) > 0);
+}
+
+/// Guards against a pause of all loads in a system that has just started, where no holder came
+/// before.
+#[test]
+fn first_holder_begins_loads_at_once() {
+    let rule = engine_rule(&["m"]);
+    let mut orders = OrderTracker::default();
+    orders.start_term(None);
+    assert!(orders.loads_left(&service(), &rule, ms(1_000)) > 0);
+}
