tests: the holder that outlives a leaving host still reaches another host

The first form of the test passed for the wrong reason on the code before: a holder without other hosts gives no orders. With a third host that acknowledges it, the test fails there (the holder orders at 3,800 ms) and passes now.

--- a/crates/serving/tests/lease.rs
+++ b/crates/serving/tests/lease.rs
@@ -519,6 +519,14 @@
     };
     hosts.receive_heartbeat(&record("b", 7_002), true, ms(2_000));
     holder.receive_report(&host("b"), &acknowledged, ms(2_000));
+    // A host that the holder still reaches goes on acknowledging.
+    let reachable = record("c", 7_003);
+    hosts.receive_heartbeat(&reachable, false, ms(3_300));
+    let acknowledged = LeaseReport::Acknowledged {
+        version: 10,
+        stamp: ms(3_300),
+    };
+    holder.receive_report(&reachable.name, &acknowledged, ms(3_300));
     let can_order = |at| holder.order_fence(&hosts.other_names(), at).is_some();
     assert!(can_order(ms(3_400)));
     // A process that starts at 2,000 may take the lease at 6,800, and the lease time is 3,000.
