--- a/crates/edge/src/entry.rs
+++ b/crates/edge/src/entry.rs
@@ -267,6 +267,9 @@
         deadline: arrived + timeout,
         start_deadline: arrived + timeout.min(route.start_timeout),
         digest: CallDigest::of(path, body, &headers.prompt),
+        key: None,
+        tenant: None,
+        cost: 1,
         route,
     }
 }
@@ -396,9 +399,17 @@
             "model": call.model().map(ModelName::as_str),
         }),
     );
-    let mut response = empty_response(StatusCode::SERVICE_UNAVAILABLE);
-    if let Ok(value) = HeaderValue::from_str(&format!("{retry_after_s:.2}")) {
-        response.headers_mut().insert(RETRY_AFTER, value);
+    let status = match refusal.reason {
+        RefusalReason::OverLimit => StatusCode::TOO_MANY_REQUESTS,
+        RefusalReason::KeyRevoked => StatusCode::UNAUTHORIZED,
+        _ => StatusCode::SERVICE_UNAVAILABLE,
+    };
+    let mut response = empty_response(status);
+    // The caller of a revoked key gains nothing by trying again.
+    if refusal.reason != RefusalReason::KeyRevoked {
+        if let Ok(value) = HeaderValue::from_str(&format!("{retry_after_s:.2}")) {
+            response.headers_mut().insert(RETRY_AFTER, value);
+        }
     }
     response
 }
--- a/crates/serving/src/call.rs
+++ b/crates/serving/src/call.rs
@@ -2,10 +2,12 @@
 
 use crate::hashing::unit_hash;
 use crate::rules::RouteRule;
+use crate::tenants::{KeyDigest, TenantRule};
 use crocusyard_base::prelude::*;
 use crocusyard_crashes::prelude::CrashCause;
 use serde::{Deserialize, Serialize};
 use std::hash::Hash;
+use std::rc::Rc;
 use std::sync::Arc;
 
 /// Largest number of prompt parts of a call that are suspected of crashing targets.
@@ -82,6 +84,13 @@
     pub start_deadline: ClockTime,
     /// Digest by which crash reports identify the call.
     pub digest: CallDigest,
+    /// Digest of the known key that the caller sent; `None` if it sent none, or if the configuration
+    /// has no tenants.
+    pub key: Option<KeyDigest>,
+    /// Tenant of the key, if there is one.
+    pub tenant: Option<Rc<TenantRule>>,
+    /// Cost of the call in the unit of its tenant; 1 without a tenant.
+    pub cost: u64,
 }
 
 impl CallInfo {
--- a/crates/serving/src/event.rs
+++ b/crates/serving/src/event.rs
@@ -141,6 +141,13 @@
     Expired,
     /// The host is stopping.
     Stopping,
+    /// The tenant has used up its limit; answered as 429.
+    OverLimit,
+    /// The key is no longer in the configuration in force; answered as 401.
+    KeyRevoked,
+    /// The configuration in force has changed whether the call needs a key or whose key it has; sent
+    /// again, the call is handled by that configuration.
+    AccessChanged,
 }
 
 /// Refusal of a request that has not run and will not run.
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod state;
 pub mod stream_timing;
 pub mod targets;
+pub mod tenants;
 pub mod trend;
 pub mod turns;
 pub mod waiting;
@@ -60,7 +61,9 @@
     pub use crate::targets::{
         LeavingNotice, TargetHoldings, TargetLoad, TargetRecord, TargetTable,
     };
+    pub use crate::tenants::{CostUnit, KeyDigest, TenantFault, TenantRule, TenantTable};
     pub use crate::trend::DemandTrend;
     pub use crate::turns::{HostWaiting, ModelKey, TurnInput, TurnTracker};
     pub use crocusyard_crashes::prelude::{CrashCause, CrashReport, EvidenceReport};
+    pub use crocusyard_quota::prelude::UsageLimit;
 }
--- a/crates/serving/src/rules.rs
+++ b/crates/serving/src/rules.rs
@@ -1,5 +1,6 @@
 //! The operators' configuration: routes, services and limits for callers.
 
+use crate::tenants::TenantTable;
 use crocusyard_base::prelude::*;
 use std::collections::HashMap;
 
@@ -51,6 +52,8 @@
     pub services: Vec<(ServiceName, f64)>,
     /// Largest number of attempts per request.
     pub max_attempts: u32,
+    /// Whether calls need no key, although the configuration has tenants.
+    pub anonymous: bool,
 }
 
 /// Sizes and load times of a model that the engines of a service can hold.
@@ -122,6 +125,9 @@
     pub services: HashMap<ServiceName, ServiceRule>,
     /// Limits on what callers may send.
     pub limits: CallerLimits,
+    /// Tenants, one of which each call on a route that is not anonymous must belong to; `None` if
+    /// callers need no keys.
+    pub tenants: Option<TenantTable>,
 }
 
 impl RuleSet {
@@ -145,6 +151,15 @@
             routes: by_host,
             services,
             limits,
+            tenants: None,
+        }
+    }
+
+    /// Sets the tenants.
+    pub fn with_tenants(self, tenants: TenantTable) -> Self {
+        Self {
+            tenants: Some(tenants),
+            ..self
         }
     }
 
--- a/crates/serving/tests/common/mod.rs
+++ b/crates/serving/tests/common/mod.rs
@@ -44,6 +44,7 @@
         priority: 1,
         services: vec![(service(), 1.0)],
         max_attempts,
+        anonymous: false,
     }
 }
 
@@ -245,6 +246,9 @@
             start_deadline: now + route.start_timeout,
             digest: CallDigest::of(&route.path_prefix, b"", &prompt),
             prompt,
+            key: None,
+            tenant: None,
+            cost: 1,
             route,
         });
         let event = ServingEvent::CallArrived { key, call };
@@ -271,6 +275,9 @@
             deadline: now + route.timeout,
             start_deadline: now + route.start_timeout,
             digest: CallDigest(key.0),
+            key: None,
+            tenant: None,
+            cost: 1,
             route,
         });
         let effects = self
