edge: callers are identified by their keys before bodies are read

While the configuration has tenants, a call on a route that is not anonymous needs one known key; any other gets 401 from its head alone and one line in the decision log. Attempts, second ones and resumed streams included, carry the name of the key's tenant and never the key. A waiting call whose key is revoked is refused with 401, and one whose key has moved to another tenant with 503. A host without a configuration reads its first one with tenants from the store, since a peer that lags behind could relay one with a revoked key.

Without tenants, both headers are forwarded as before.

--- a/crates/edge/src/entry.rs
+++ b/crates/edge/src/entry.rs
@@ -18,7 +18,7 @@
 use crocusyard_serving::prelude::*;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
-use hyper::header::{HeaderValue, CONNECTION, CONTENT_LENGTH, HOST, RETRY_AFTER};
+use hyper::header::{HeaderMap, HeaderValue, CONNECTION, CONTENT_LENGTH, HOST, RETRY_AFTER};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
@@ -206,6 +206,10 @@
         );
         return Ok(empty_response(StatusCode::NOT_FOUND));
     };
+    let identity = match identify(shell, &rules, &route, &parts.headers, &headers.id) {
+        Ok(identity) => identity,
+        Err(refusal) => return Ok(*refusal),
+    };
     let body = match Limited::new(body, rules.limits.body_bytes).collect().await {
         Ok(body) => body.to_bytes(),
         Err(error) if error.is::<http_body_util::LengthLimitError>() => {
@@ -219,7 +223,8 @@
         // The other hosts take work at once.
         return Ok(unavailable(HeaderValue::from_static(STOPPING_RETRY_S)));
     }
-    let call = Rc::new(call_info(shell, &headers, route, path, &body, arrived));
+    let call = call_info(shell, &headers, route, identity, path, &body, arrived);
+    let call = Rc::new(call);
     let (key, steps) = shell.register_request();
     let open = OpenRequest {
         request: CallerRequest {
@@ -242,6 +247,34 @@
     run_request(open).await
 }
 
+/// Identifies the caller of a request from its head, before its body is read; `None` if it needs no
+/// key. Returns the refusal if its key does not admit it.
+fn identify(
+    shell: &EdgeShell,
+    rules: &RuleSet,
+    route: &RouteRule,
+    headers: &HeaderMap,
+    id: &str,
+) -> Result<Option<CallerIdentity>, Box<Response<AnswerBody>>> {
+    if rules.tenants.is_none() {
+        return Ok(None);
+    }
+    rules.identify(route, read_key(headers)).map_err(|fault| {
+        let rules_age = shell.serving.borrow().rules_age(clock::now());
+        decision_log::log_decision(
+            id,
+            "unauthorized",
+            json!({
+                "reason": fault.label(),
+                "route": route.name.as_str(),
+                "version": rules.version,
+                "version_age_ms": rules_age.as_ms(),
+            }),
+        );
+        Box::new(empty_response(StatusCode::UNAUTHORIZED))
+    })
+}
+
 /// Returns the time until the caller stops waiting or the timeout of the route ends.
 fn call_timeout(headers: &CallHeaders, route: &RouteRule) -> ClockTime {
     headers.timeout.unwrap_or(route.timeout).min(route.timeout)
@@ -252,11 +285,15 @@
     shell: &EdgeShell,
     headers: &CallHeaders,
     route: RouteRule,
+    identity: Option<CallerIdentity>,
     path: &str,
     body: &Bytes,
     arrived: ClockTime,
 ) -> CallInfo {
     let timeout = call_timeout(headers, &route);
+    let (key, tenant) = identity
+        .map(|identity| (identity.key, identity.tenant))
+        .unzip();
     CallInfo {
         id: headers.id.as_str().into(),
         service: draw_service(shell, &route),
@@ -267,9 +304,11 @@
         deadline: arrived + timeout,
         start_deadline: arrived + timeout.min(route.start_timeout),
         digest: CallDigest::of(path, body, &headers.prompt),
-        key: None,
-        tenant: None,
-        cost: 1,
+        key,
+        cost: tenant.as_ref().map_or(1, |tenant: &Rc<TenantRule>| {
+            tenant.cost(headers.stated_tokens)
+        }),
+        tenant,
         route,
     }
 }
--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -183,7 +183,8 @@
             return Err(AttemptOutcome::Unsent);
         }
         let reused = conn.reused;
-        let outgoing = attempt_request(request, plan, last_event, answer_timeout);
+        let has_tenants = shell.serving.borrow().has_tenants();
+        let outgoing = attempt_request(request, plan, last_event, answer_timeout, has_tenants);
         match conn.send(outgoing).await {
             Ok(answer) => return Ok((answer, conn)),
             Err(error) if error.is_unsent() && reused => {
@@ -205,6 +206,7 @@
     plan: &AttemptPlan,
     last_event: Option<u64>,
     answer_timeout: ClockTime,
+    has_tenants: bool,
 ) -> Request<Full<Bytes>> {
     let call = &request.call;
     let time_left = call.deadline.since(clock::now()).min(answer_timeout);
@@ -212,7 +214,13 @@
     let mut outgoing = Request::new(Full::new(request.body.clone()));
     *outgoing.method_mut() = request.method.clone();
     *outgoing.uri_mut() = request.uri.clone();
-    *outgoing.headers_mut() =
-        attempt_headers(&request.headers, call, &plan.target, time_left, last_event);
+    *outgoing.headers_mut() = attempt_headers(
+        &request.headers,
+        call,
+        &plan.target,
+        time_left,
+        last_event,
+        has_tenants,
+    );
     outgoing
 }
--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -239,8 +239,10 @@
                     value: Some(value),
                     version,
                 };
-                apply_rules(shell, &[row], ConfigurationSource::Relay);
-                shell.configuration_read.set(version);
+                if may_start_with(shell, &row) {
+                    apply_rules(shell, &[row], ConfigurationSource::Relay);
+                    shell.configuration_read.set(version);
+                }
             }
             Err(error) => warn!("a relayed configuration cannot be decompressed: {error}"),
         }
@@ -248,6 +250,25 @@
     shell.hear_configuration(version);
 }
 
+/// Returns whether a relayed configuration may come in force. A host that has none yet, such as one
+/// that was restarted, reads its first configuration with tenants from the store: a peer that lags
+/// behind could relay one with a key that was revoked before the restart.
+fn may_start_with(shell: &EdgeShell, row: &StoreRow) -> bool {
+    if shell.serving.borrow().rules().is_some() {
+        return true;
+    }
+    let rules = row.value.as_deref().map(read_rules);
+    let is_open = matches!(rules, Some(Ok(rules)) if rules.tenants.is_none());
+    if !is_open {
+        decision_log::log_change(
+            "configuration",
+            "relay_not_used",
+            json!({"row_version": row.version, "reason": "the first configuration is read from the store"}),
+        );
+    }
+    is_open
+}
+
 /// Waits until this host has to read the configuration. The reader of a failure domain and its
 /// deputy wait for changes at the store; the other hosts read them when they hear of them, or while
 /// they hear nothing of the reader.
@@ -356,6 +377,10 @@
             continue;
         };
         let known = shell.configuration_version.get();
+        if row.version == known {
+            // The same row was read again, as a whole or from a relay.
+            continue;
+        }
         shell.configuration_version.set(known.max(row.version));
         match read_rules(value) {
             Ok(rules) => {
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -61,7 +61,10 @@
     pub use crate::targets::{
         LeavingNotice, TargetHoldings, TargetLoad, TargetRecord, TargetTable,
     };
-    pub use crate::tenants::{CostUnit, KeyDigest, TenantFault, TenantRule, TenantTable};
+    pub use crate::tenants::{
+        CallerIdentity, CallerKey, CostUnit, KeyDigest, KeyFault, TenantFault, TenantRule,
+        TenantTable,
+    };
     pub use crate::trend::DemandTrend;
     pub use crate::turns::{HostWaiting, ModelKey, TurnInput, TurnTracker};
     pub use crocusyard_crashes::prelude::{CrashCause, CrashReport, EvidenceReport};
--- a/crates/serving/src/rules.rs
+++ b/crates/serving/src/rules.rs
@@ -1,6 +1,6 @@
 //! The operators' configuration: routes, services and limits for callers.
 
-use crate::tenants::TenantTable;
+use crate::tenants::{CallerIdentity, CallerKey, KeyFault, TenantTable};
 use crocusyard_base::prelude::*;
 use std::collections::HashMap;
 
@@ -173,6 +173,27 @@
             .find(|rule| path.starts_with(&rule.path_prefix))
     }
 
+    /// Identifies the caller of a request on a route by its key; `None` if callers need no keys, or
+    /// for a caller without a known key on an anonymous route.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the route needs a key and the request has none, several or an unknown one.
+    pub fn identify(
+        &self,
+        route: &RouteRule,
+        key: CallerKey,
+    ) -> Result<Option<CallerIdentity>, KeyFault> {
+        let Some(tenants) = &self.tenants else {
+            return Ok(None);
+        };
+        match tenants.identify(key) {
+            Ok(identity) => Ok(Some(identity)),
+            Err(_) if route.anonymous => Ok(None),
+            Err(fault) => Err(fault),
+        }
+    }
+
     /// Returns the number of routes.
     pub fn route_count(&self) -> usize {
         self.routes.values().map(Vec::len).sum()
--- a/crates/serving/src/state.rs
+++ b/crates/serving/src/state.rs
@@ -4,6 +4,7 @@
 //! again whenever one of its attempts ends or a slot of a target becomes free. A call that may have
 //! run is never refused, since a refusal promises that nothing has run.
 
+mod access;
 mod crash_evidence;
 mod estimate;
 
@@ -77,6 +78,8 @@
 pub struct ServingState {
     config: ServingConfig,
     rules: Option<Rc<RuleSet>>,
+    /// When `rules` came in force.
+    rules_since: ClockTime,
     /// Targets of all services, as this host knows them.
     pub targets: TargetTable,
     /// Whether the target list has been read at least once.
@@ -109,6 +112,7 @@
             budget: RetryBudget::new(config.retries),
             config,
             rules: None,
+            rules_since: now,
             targets: TargetTable::default(),
             targets_known: false,
             requests: HashMap::new(),
@@ -130,6 +134,18 @@
         self.rules.as_ref()
     }
 
+    /// Returns for how long the present configuration has been in force.
+    pub fn rules_age(&self, now: ClockTime) -> ClockTime {
+        now.since(self.rules_since)
+    }
+
+    /// Returns whether callers need keys.
+    pub fn has_tenants(&self) -> bool {
+        self.rules
+            .as_ref()
+            .is_some_and(|rules| rules.tenants.is_some())
+    }
+
     /// Returns whether the configuration and the target list are known.
     pub fn is_ready(&self) -> bool {
         self.rules.is_some() && self.targets_known
@@ -193,7 +209,10 @@
                 self.remove_request(key);
                 self.send_waiting(now, &mut out);
             }
-            ServingEvent::Rules(rules) => self.set_rules(rules),
+            ServingEvent::Rules(rules) => {
+                self.set_rules(rules, now);
+                self.refuse_unadmitted_waiting(&mut out);
+            }
             ServingEvent::Targets { upserts, removed } => {
                 self.targets_known = true;
                 for record in upserts {
@@ -262,13 +281,14 @@
         out
     }
 
-    fn set_rules(&mut self, rules: Rc<RuleSet>) {
+    fn set_rules(&mut self, rules: Rc<RuleSet>, now: ClockTime) {
         let newer = self
             .rules
             .as_ref()
             .is_none_or(|current| rules.version > current.version);
         if newer {
             self.rules = Some(rules);
+            self.rules_since = now;
         }
     }
 
@@ -307,7 +327,7 @@
 
     /// Sends a request if a target can take it now; otherwise it waits or is refused.
     fn send_or_wait(&mut self, key: RequestKey, now: ClockTime, out: &mut Effects) {
-        if self.refuse_blamed(key, out) {
+        if self.refuse_unadmitted(key, out) || self.refuse_blamed(key, out) {
             return;
         }
         let Some(request) = self.requests.get(&key) else {
--- a/crates/serving/src/tenants.rs
+++ b/crates/serving/src/tenants.rs
@@ -26,6 +26,48 @@
     }
 }
 
+/// Key that a request carries.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CallerKey {
+    /// The request has no key.
+    Missing,
+    /// The request has several keys.
+    Repeated,
+    /// The request has one key.
+    One(KeyDigest),
+}
+
+/// Why a request is not admitted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum KeyFault {
+    /// It has no key.
+    Missing,
+    /// It has several keys.
+    Repeated,
+    /// Its key is not in the configuration in force: it never was, or it was revoked.
+    Unknown,
+}
+
+impl KeyFault {
+    /// Returns the name in logs and metrics.
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::Missing => "missing_key",
+            Self::Repeated => "repeated_key",
+            Self::Unknown => "unknown_key",
+        }
+    }
+}
+
+/// To whom a call belongs.
+#[derive(Clone, Debug, PartialEq)]
+pub struct CallerIdentity {
+    /// Digest of the caller's key.
+    pub key: KeyDigest,
+    /// Tenant of the key.
+    pub tenant: Rc<TenantRule>,
+}
+
 /// Unit in which the usage of a tenant is counted.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum CostUnit {
@@ -101,6 +143,25 @@
         self.by_key.get(key)
     }
 
+    /// Identifies the caller of a request by its key.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the request has no key, several keys or an unknown key.
+    pub fn identify(&self, key: CallerKey) -> Result<CallerIdentity, KeyFault> {
+        match key {
+            CallerKey::Missing => Err(KeyFault::Missing),
+            CallerKey::Repeated => Err(KeyFault::Repeated),
+            CallerKey::One(key) => match self.find(&key) {
+                Some(tenant) => Ok(CallerIdentity {
+                    key,
+                    tenant: tenant.clone(),
+                }),
+                None => Err(KeyFault::Unknown),
+            },
+        }
+    }
+
     /// Returns the number of tenants.
     pub fn len(&self) -> usize {
         self.names.len()
--- a/tests/entry_support/mod.rs
+++ b/tests/entry_support/mod.rs
@@ -41,6 +41,11 @@
 impl EntryHost {
     /// Starts the host `name`, which uses the given store.
     pub fn start(name: &str, store: SocketAddr) -> Self {
+        Self::start_with_output(name, store, Stdio::null())
+    }
+
+    /// Starts a host whose standard output, which has its log, goes to `output`.
+    pub fn start_with_output(name: &str, store: SocketAddr, output: Stdio) -> Self {
         // The ports come from a helper that avoids ports of outgoing connections. An ordinary free
         // port of 127.0.0.1 may be taken by such a connection before the process binds it.
         let peer = unused_range(PORT_COUNT);
@@ -60,7 +65,7 @@
         let child = Command::new(env!("CARGO_BIN_EXE_crocusyard"))
             .arg("entry")
             .env(SETTINGS_VARIABLE, &settings)
-            .stdout(Stdio::null())
+            .stdout(output)
             .spawn()
             .expect("the host process cannot start");
         Self {
@@ -85,7 +90,8 @@
     }
 }
 
-fn pool() -> ConnPool {
+/// Returns the connections of a caller.
+pub fn pool() -> ConnPool {
     ConnPool::new(PoolLimits {
         connect_timeout: Duration::from_secs(1),
         idle_timeout: Duration::from_secs(5),
@@ -93,7 +99,8 @@
     })
 }
 
-async fn exchange(
+/// Sends a request on a new connection; returns `None` if the connection ends without an answer.
+pub async fn exchange(
     address: SocketAddr,
     request: Request<Full<Bytes>>,
 ) -> Option<(StatusCode, Bytes)> {
