--- a/crates/serving/tests/common/mod.rs
+++ b/crates/serving/tests/common/mod.rs
@@ -201,7 +201,23 @@
             model: model(name),
             adapter,
         };
-        self.arrive(id, route, Some(need), now)
+        self.arrive(id, route, Some(need), None, now)
+    }
+
+    /// Lets a call of a tenant arrive that needs a model, with the digest of the tenant's key.
+    pub fn call_of(
+        &mut self,
+        identity: Option<(KeyDigest, Rc<TenantRule>)>,
+        route: RouteRule,
+        name: &str,
+        now: ClockTime,
+    ) -> (RequestKey, Vec<ServingEffect>) {
+        let need = CallNeed {
+            model: model(name),
+            adapter: None,
+        };
+        let id = format!("request-{}", self.next_key);
+        self.arrive(&id, route, Some(need), identity, now)
     }
 
     /// Lets a call arrive that needs no model.
@@ -220,7 +236,7 @@
         route: RouteRule,
         now: ClockTime,
     ) -> (RequestKey, Vec<ServingEffect>) {
-        self.arrive(id, route, None, now)
+        self.arrive(id, route, None, None, now)
     }
 
     /// Lets a call with a prompt arrive; the prompt tells it from other calls.
@@ -260,8 +276,10 @@
         id: &str,
         route: RouteRule,
         need: Option<CallNeed>,
+        identity: Option<(KeyDigest, Rc<TenantRule>)>,
         now: ClockTime,
     ) -> (RequestKey, Vec<ServingEffect>) {
+        let (caller_key, tenant) = identity.unzip();
         let key = RequestKey(self.next_key);
         self.next_key += 1;
         let (prompt_tokens, output_tokens) = if need.is_some() { (700, 300) } else { (0, 0) };
@@ -275,8 +293,8 @@
             deadline: now + route.timeout,
             start_deadline: now + route.start_timeout,
             digest: CallDigest(key.0),
-            key: None,
-            tenant: None,
+            key: caller_key,
+            tenant,
             cost: 1,
             route,
         });
