serving: choose targets by load and pace

Targets may add a fourth figure to the load that they report: how long work takes on their machine at the moment. It was discarded, so that slow machines got as many calls as others.

Each host keeps the last observation and an average over seconds of each target; the expected pace goes from the first to the second within fractions of a second. The load of a target that reports its pace counts by it, and calls that are spread at random follow the speed of the targets. Choices among targets that report none, or the usual one, are as before.

--- a/crates/serving/src/choose.rs
+++ b/crates/serving/src/choose.rs
@@ -5,6 +5,10 @@
 //! calls with the same prompt prefer. A target that failed recently is chosen only if no other
 //! target holds the model.
 //!
+//! For a target that reports its pace, the load counts by the time that the work takes there, the
+//! call itself included. The random term is shifted by the logarithm of the pace, so that calls
+//! which are spread at random are spread in proportion to the speed of the targets.
+//!
 //! A random term of the cost spreads the calls of many hosts. All hosts know the same loads with
 //! the same delay and would otherwise send to the same target until newer loads arrive.
 
@@ -139,6 +143,10 @@
         None => PLAIN_SPREAD / own.fraction,
     };
     let mut cost = load + random_cost(state, call) * spread;
+    if let Some(pace) = state.pace(now) {
+        let slots = f64::from(state.slots());
+        cost += (load + 1.0 / slots) * (pace - 1.0) + spread * pace.ln();
+    }
     if state.record.domain != *own.domain {
         cost += REMOTE_DOMAIN_COST;
     }
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod hosts;
 pub mod lease;
 pub mod orders;
+pub mod pace;
 pub mod peer_reports;
 pub mod relay;
 pub mod retries;
--- a/crates/serving/src/targets.rs
+++ b/crates/serving/src/targets.rs
@@ -3,6 +3,7 @@
 //! Holdings come from the target's own record in the store and, sooner, from the lease holder.
 //! Loads come from the answers of the target and from the heartbeats of the other hosts.
 
+use crate::pace::PaceEstimate;
 use crate::peer_reports::PeerReports;
 use crocusyard_base::prelude::*;
 use serde::{Deserialize, Serialize};
@@ -93,6 +94,9 @@
     pub waiting: u32,
     /// Number of requests that can run at once.
     pub slots: u32,
+    /// How long work takes on the machine at this moment, percent of the usual time; `None` if the
+    /// target does not report it.
+    pub pace: Option<u32>,
 }
 
 /// Last load report of a target.
@@ -128,6 +132,7 @@
     /// Requests of the other hosts in progress at the target, by their last heartbeats.
     others: u32,
     reported: Option<ReportedLoad>,
+    pace: Option<PaceEstimate>,
     avoid_until: ClockTime,
     /// Time for which the next failure of the target makes this host avoid it.
     avoid_time: ClockTime,
@@ -150,6 +155,7 @@
             in_flight: 0,
             others: 0,
             reported: None,
+            pace: None,
             avoid_until: ClockTime::ZERO,
             avoid_time: MIN_AVOID_TIME,
             last_failure: ClockTime::ZERO,
@@ -193,6 +199,12 @@
         self.reported.map(|reported| now.since(reported.at))
     }
 
+    /// Returns how long work is expected to take now, as a multiple of the usual time; `None` if the
+    /// target does not report its pace.
+    pub fn pace(&self, now: ClockTime) -> Option<f64> {
+        self.pace.map(|pace| pace.expected(now))
+    }
+
     /// Number of requests that can run at once; at least 1.
     pub fn slots(&self) -> u32 {
         self.record.slots.max(1)
@@ -508,6 +520,10 @@
         if let Some(state) = self.states.get_mut(name) {
             let own = state.in_flight;
             state.reported = Some(ReportedLoad { load, own, at: now });
+            if let Some(percent) = load.pace {
+                let factor = f64::from(percent) / 100.0;
+                PaceEstimate::observe(&mut state.pace, factor, now);
+            }
         }
     }
 
