serving: waiting calls are ordered by tenants' priorities and recent usage

Where targets are full, a tenant with many calls took most slots, since calls of equal priority were served in the order of their arrival. While there are tenants, calls in time go before late ones, then the tenant's priority counts, then the route's, then the recent usage of the tenant on all hosts (slot time and prompt tokens, half-life 4 s). A new call goes behind waiting ones that precede it, and a tenant that has used clearly less than others takes its turn without waiting for the other hosts. A call that has waited for half the time to its objective is promoted if less than half the usual part of its tenant's calls has been sent. The rank at engines follows tenant, route and time.

Without tenants, the order, the estimates and the ranks are as before.

--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -217,7 +217,7 @@
     *outgoing.headers_mut() = attempt_headers(
         &request.headers,
         call,
-        &plan.target,
+        plan,
         time_left,
         last_event,
         has_tenants,
--- a/crates/edge/src/gossip.rs
+++ b/crates/edge/src/gossip.rs
@@ -9,6 +9,7 @@
 use crocusyard_base::prelude::*;
 use crocusyard_serving::host_news::NEWS_INTERVAL;
 use crocusyard_serving::prelude::*;
+use crocusyard_serving::state::USAGE_HEARTBEATS;
 use log::{debug, warn};
 use rand::Rng;
 use std::io;
@@ -77,8 +78,11 @@
 
 /// Sends heartbeats to all hosts and demand to the lease holder, once per heartbeat interval.
 pub(crate) async fn send_heartbeats(shell: Rc<EdgeShell>) {
-    loop {
+    for number in 1_u32.. {
         send_heartbeat(&shell);
+        if number % USAGE_HEARTBEATS == 0 {
+            report_usage(&shell);
+        }
         report_demand(&shell);
         let pause = shell.hosts.borrow().heartbeat_interval();
         actix_rt::time::sleep(Duration::from_millis(pause.as_ms())).await;
@@ -104,6 +108,15 @@
     }
 }
 
+/// Reports the recent usage of tenants at this host to all other hosts, while there are tenants.
+fn report_usage(shell: &EdgeShell) {
+    let usage = shell.serving.borrow().usage_report(clock::now());
+    if let Some(usage) = usage {
+        let host = shell.settings.name.clone();
+        shell.broadcast(&HostMessage::TenantUsage { host, usage });
+    }
+}
+
 /// Passes news on to a few hosts, drawn anew in each round, where hosts are many.
 pub(crate) async fn spread_news(shell: Rc<EdgeShell>) {
     loop {
@@ -226,6 +239,9 @@
         targets @ HostMessage::Targets { .. } => receive_targets(shell, targets),
         HostMessage::Crash(report) => shell.dispatch(ServingEvent::Crash(report)),
         HostMessage::Evidence(evidence) => shell.dispatch(ServingEvent::Evidence(evidence)),
+        HostMessage::TenantUsage { host, usage } => {
+            shell.dispatch(ServingEvent::PeerUsage { host, usage });
+        }
         HostMessage::News {
             hosts,
             holder,
--- a/crates/edge/src/message.rs
+++ b/crates/edge/src/message.rs
@@ -101,4 +101,11 @@
     },
     /// Reports what the sender knows of the causes of crashes.
     Evidence(EvidenceReport),
+    /// Reports the largest recent usages of tenants at the sender; sent while there are tenants.
+    TenantUsage {
+        /// Host that sends the report.
+        host: HostName,
+        /// Usages by tenant.
+        usage: UsageReport,
+    },
 }
--- a/crates/serving/src/call.rs
+++ b/crates/serving/src/call.rs
@@ -104,6 +104,14 @@
         self.need.as_ref()?.adapter.as_ref()
     }
 
+    /// Returns the priority of the call's tenant; 0 is the most urgent. Calls on anonymous routes are
+    /// the least urgent, since anyone may send them.
+    pub fn tenant_priority(&self) -> u8 {
+        self.tenant
+            .as_ref()
+            .map_or(u8::MAX, |tenant| tenant.priority)
+    }
+
     /// Returns what the call contains that may crash targets: itself, and the parts that other calls
     /// may share. The last part belongs to the call or its session.
     pub fn crash_causes(&self) -> Vec<CrashCause> {
--- a/crates/serving/src/event.rs
+++ b/crates/serving/src/event.rs
@@ -4,6 +4,7 @@
 use crate::choose::NoTarget;
 use crate::hosts::HostShare;
 use crate::rules::RuleSet;
+use crate::shares::UsageReport;
 use crate::targets::{HeldModels, HostLoad, LeavingNotice, TargetLoad, TargetRecord};
 use crate::turns::HostWaiting;
 use crocusyard_base::prelude::*;
@@ -87,6 +88,13 @@
         /// Number of its waiting calls, by model.
         waiting: HostWaiting,
     },
+    /// Another host reported the recent usage of tenants there.
+    PeerUsage {
+        /// Host that reported.
+        host: HostName,
+        /// Largest usages on that host, by tenant.
+        usage: UsageReport,
+    },
     /// The number of live hosts and this host's share of the callers were determined again.
     Hosts(HostShare),
     /// The host stops; waiting calls are refused, so that their callers turn to other hosts.
@@ -118,6 +126,8 @@
     pub load: u32,
     /// Reason for the last wait of the request; `None` if it was sent without a wait.
     pub waited_for: Option<NoTarget>,
+    /// Rank of the request in the queue of an engine; 0 is the most urgent.
+    pub rank: u8,
 }
 
 /// Reason for refusing a request.
--- a/crates/serving/src/hashing.rs
+++ b/crates/serving/src/hashing.rs
@@ -11,3 +11,10 @@
     let bits = (hasher.finish() >> 32) as u32;
     (f64::from(bits) + 0.5) / (f64::from(u32::MAX) + 1.0)
 }
+
+/// Returns a number that identifies `key` within this process.
+pub(crate) fn name_hash<K: Hash>(key: &K) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    key.hash(&mut hasher);
+    hasher.finish()
+}
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod choose;
 pub mod copies;
 pub mod demand;
+pub mod engine_rank;
 pub mod event;
 pub mod event_stream;
 mod hashing;
@@ -28,6 +29,8 @@
 pub mod relay;
 pub mod retries;
 pub mod rules;
+mod served_ratio;
+pub mod shares;
 pub mod state;
 pub mod stream_timing;
 pub mod targets;
@@ -56,6 +59,7 @@
     pub use crate::rules::{
         CallKind, CallerLimits, EngineRule, ModelRule, RouteRule, RuleSet, ServiceRule,
     };
+    pub use crate::shares::{TenantKey, TenantShares, UsageLevel, UsageReport};
     pub use crate::state::{ServingConfig, ServingState, MAX_PAUSE};
     pub use crate::stream_timing::{StreamResult, StreamTiming};
     pub use crate::targets::{
--- a/crates/serving/src/state.rs
+++ b/crates/serving/src/state.rs
@@ -7,20 +7,25 @@
 mod access;
 mod crash_evidence;
 mod estimate;
+mod fairness;
 
 use crate::call::{AttemptOutcome, CallInfo, CallNeed};
 use crate::choose::{choose_target, NoTarget, OwnHost};
 use crate::demand::{DemandCounter, ModelDemand};
+use crate::engine_rank::{engine_rank, AttemptStart};
 use crate::event::{AttemptPlan, RefusalReason, RequestRefusal, ServingEffect, ServingEvent};
 use crate::hosts::{report_lifetime, HostShare};
 use crate::retries::{RetryBudget, RetryLimits};
 use crate::rules::RuleSet;
+use crate::served_ratio::ServedRatios;
+use crate::shares::{TenantShares, UsageReport};
 use crate::targets::TargetTable;
 use crate::turns::{HostWaiting, ModelKey, TurnTracker};
 use crate::waiting::{WaitingCall, WaitingCalls};
 use crocusyard_base::prelude::*;
 use crocusyard_crashes::prelude::{CauseVerdict, CrashCause, CrashTracker};
 use estimate::{ModelAbsence, QueueKey};
+use fairness::{TenantCharge, WaitingGroup};
 use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 
@@ -37,6 +42,10 @@
 /// Longest retry delay sent to callers.
 const MAX_RETRY_DELAY: ClockTime = ClockTime::from_secs(5);
 
+/// Number of heartbeats of a host between two reports of its tenants' usage, which keeps them below
+/// 6 KB/s. Usage changes over seconds.
+pub const USAGE_HEARTBEATS: u32 = 2;
+
 /// Longest time that a target's pause may last; it also bounds the retry delay that callers get
 /// because of it.
 pub const MAX_PAUSE: ClockTime = ClockTime::from_secs(30);
@@ -71,6 +80,10 @@
     waited_for: Option<NoTarget>,
     /// Whether a target may have run the call.
     maybe_ran: bool,
+    /// What the call waits for if it has to wait.
+    group: WaitingGroup,
+    /// Charge of the current attempt to the usage of the call's tenant.
+    charge: Option<TenantCharge>,
 }
 
 /// State of the request path of one host.
@@ -87,6 +100,10 @@
     requests: HashMap<RequestKey, RequestState>,
     waiting: WaitingCalls,
     turns: TurnTracker,
+    /// Recent usage of the tenants on all hosts.
+    shares: TenantShares,
+    /// Which part of the recent calls of each tenant has been sent.
+    served: ServedRatios,
     budget: RetryBudget,
     crashes: CrashTracker,
     demand: DemandCounter,
@@ -100,6 +117,9 @@
     /// Start of the host.
     started: ClockTime,
     stopping: bool,
+    /// Whether a new call waits behind others although a target could take it, so that waiting calls
+    /// can be sent.
+    free_target_left: bool,
 }
 
 /// Effects of one event, in the order in which they are to be carried out.
@@ -118,6 +138,8 @@
             requests: HashMap::new(),
             waiting: WaitingCalls::default(),
             turns: TurnTracker::default(),
+            shares: TenantShares::new(now),
+            served: ServedRatios::default(),
             crashes: CrashTracker::default(),
             demand: DemandCounter::default(),
             run_times: HashMap::new(),
@@ -126,6 +148,7 @@
             share: HostShare::equal(1),
             started: now,
             stopping: false,
+            free_target_left: false,
         }
     }
 
@@ -192,6 +215,12 @@
         report
     }
 
+    /// Returns the largest recent usages of tenants on this host, to be sent to the other hosts;
+    /// `None` if there are no tenants.
+    pub fn usage_report(&self, now: ClockTime) -> Option<UsageReport> {
+        self.has_tenants().then(|| self.shares.report(now))
+    }
+
     fn waiting_calls(&self) -> impl Iterator<Item = &CallInfo> {
         self.waiting
             .keys()
@@ -206,6 +235,7 @@
             ServingEvent::CallArrived { key, call } => self.arrive(key, call, now, &mut out),
             ServingEvent::AttemptEnded { key, outcome } => self.end(key, outcome, now, &mut out),
             ServingEvent::CallerLeft { key } => {
+                self.settle_attempt(key, None, now);
                 self.remove_request(key);
                 self.send_waiting(now, &mut out);
             }
@@ -254,12 +284,10 @@
             ServingEvent::PeerWaiting { host, waiting } => {
                 self.turns.update_peer(&host, waiting, now);
             }
-            ServingEvent::Hosts(share) => {
-                self.share = share;
-                let limit = report_lifetime(share.hosts);
-                self.targets.drop_silent_peers(limit, now);
-                self.turns.drop_expired(limit, now);
+            ServingEvent::PeerUsage { host, usage } => {
+                self.shares.update_peer(&host, usage, now);
             }
+            ServingEvent::Hosts(share) => self.set_share(share, now),
             ServingEvent::Stop => {
                 self.stopping = true;
                 self.send_waiting(now, &mut out);
@@ -270,17 +298,35 @@
                     self.fail(key, true, &mut out);
                 }
             }
-            ServingEvent::Tick => {
-                self.report_crashes(now, &mut out);
-                self.end_expired(now, &mut out);
-                self.send_waiting(now, &mut out);
-                self.end_hopeless(now, &mut out);
-                self.forget_full_targets();
-            }
+            ServingEvent::Tick => self.tick(now, &mut out),
         }
         out
     }
 
+    fn tick(&mut self, now: ClockTime, out: &mut Effects) {
+        if self.has_tenants() {
+            self.shares.update_level(now);
+        }
+        self.report_crashes(now, out);
+        self.end_expired(now, out);
+        self.send_waiting(now, out);
+        self.end_hopeless(now, out);
+        self.forget_full_targets();
+    }
+
+    fn set_share(&mut self, share: HostShare, now: ClockTime) {
+        self.share = share;
+        let limit = report_lifetime(share.hosts);
+        self.targets.drop_silent_peers(limit, now);
+        self.turns.drop_expired(limit, now);
+        self.shares
+            .drop_silent(limit.scale(f64::from(USAGE_HEARTBEATS)), now);
+        self.served.drop_decayed(now);
+        if self.has_tenants() {
+            self.shares.update_level(now);
+        }
+    }
+
     fn set_rules(&mut self, rules: Rc<RuleSet>, now: ClockTime) {
         let newer = self
             .rules
@@ -300,8 +346,10 @@
         let causes: Rc<[CrashCause]> = call.crash_causes().into();
         let verdict = self.crashes.judge(&causes, now);
         let request = RequestState {
-            call,
             causes,
+            group: WaitingGroup::of(&call),
+            charge: None,
+            call,
             is_trial: verdict == CauseVerdict::Trial,
             arrived: now,
             sends: 0,
@@ -312,6 +360,7 @@
             maybe_ran: false,
         };
         self.requests.insert(key, request);
+        self.count_arrived(key, now);
         match verdict {
             CauseVerdict::Allowed => {}
             CauseVerdict::Refused(wait) => {
@@ -323,6 +372,9 @@
             }
         }
         self.send_or_wait(key, now, out);
+        if std::mem::take(&mut self.free_target_left) {
+            self.send_waiting(now, out);
+        }
     }
 
     /// Sends a request if a target can take it now; otherwise it waits or is refused.
@@ -347,6 +399,10 @@
             self.record_free_target(&call);
         }
         match chosen {
+            Ok(_) if self.goes_behind(key, &call, now) => {
+                self.wait_or_refuse(key, &call, NoTarget::AllFull, now, out);
+                self.free_target_left = true;
+            }
             Ok(_) if !self.takes_turn(&call, now) => {
                 self.wait_or_refuse(key, &call, NoTarget::AllFull, now, out);
             }
@@ -357,6 +413,7 @@
 
     /// Sends a request to the chosen target.
     fn send(&mut self, key: RequestKey, target: &TargetName, now: ClockTime, out: &mut Effects) {
+        let has_tenants = self.has_tenants();
         self.waiting.remove(key);
         let Some(request) = self.requests.get_mut(&key) else {
             return;
@@ -364,6 +421,12 @@
         let Some(state) = self.targets.get(target) else {
             return;
         };
+        let start = AttemptStart {
+            has_tenants,
+            arrived: request.arrived,
+            maybe_ran: request.maybe_ran,
+            now,
+        };
         request.sends += 1;
         request.tried.push(target.clone());
         request.target = Some((target.clone(), state.record.incarnation));
@@ -378,8 +441,11 @@
             load_age: state.load_age(now),
             load: state.load(now),
             waited_for: request.waited_for,
+            rank: engine_rank(&request.call, start),
         }));
         self.targets.count_sent(target);
+        self.charge_attempt(key, now);
+        self.count_first_send(key, now);
     }
 
     /// Lets a request wait for a target, or refuses it if the wait would last too long.
@@ -484,6 +550,7 @@
 
     /// Handles the end of an attempt: the request ends, is sent again or waits.
     fn end(&mut self, key: RequestKey, outcome: AttemptOutcome, now: ClockTime, out: &mut Effects) {
+        self.settle_attempt(key, Some(outcome), now);
         let Some(request) = self.requests.get_mut(&key) else {
             return;
         };
@@ -687,7 +754,7 @@
         // Services and needs of calls that still wait; later calls for the same cannot be sent
         // either.
         let mut blocked: HashSet<(ServiceName, Option<CallNeed>)> = HashSet::new();
-        for key in self.waiting.in_order(now) {
+        for key in self.service_order(now) {
             let Some(request) = self.requests.get(&key) else {
                 self.waiting.remove(key);
                 continue;
--- a/crates/serving/src/state/estimate.rs
+++ b/crates/serving/src/state/estimate.rs
@@ -69,7 +69,7 @@
         if self.waiting.contains(key) {
             return full_for;
         }
-        self.estimate_queue(call).max(full_for)
+        self.estimate_queue(call, now).max(full_for)
     }
 
     /// Estimates the time until a model that no target holds is loaded. A load that is overdue is
@@ -151,18 +151,19 @@
     }
 
     /// Estimates the time until the waiting calls ahead of a new one have been sent.
-    fn estimate_queue(&self, call: &CallInfo) -> ClockTime {
-        let ahead = self
-            .waiting_calls()
-            .filter(|other| other.same_queue(call) && other.route.priority <= call.route.priority)
-            .count();
+    fn estimate_queue(&self, call: &CallInfo, now: ClockTime) -> ClockTime {
+        let ahead = self.count_ahead(call, now);
         let running = self
             .requests
             .values()
             .filter(|request| request.target.is_some() && request.call.same_queue(call))
             .count();
-        let wait = (ahead + 1) as f64 * self.run_time(call) / running.max(1) as f64;
-        ClockTime::from_ms(wait as u64)
+        let interval = self.run_time(call) / running.max(1) as f64;
+        let wait = ClockTime::from_ms(((ahead + 1) as f64 * interval) as u64);
+        match self.estimate_promotion(call, interval, now) {
+            Some(promotion) => wait.min(promotion),
+            None => wait,
+        }
     }
 
     /// Expected time from a send to the event that the latency objective bounds.
@@ -177,7 +178,7 @@
     }
 
     /// Average run time of calls like this one, ms.
-    fn run_time(&self, call: &CallInfo) -> f64 {
+    pub(super) fn run_time(&self, call: &CallInfo) -> f64 {
         self.run_times
             .get(&queue_key(call))
             .copied()
@@ -239,6 +240,9 @@
         else {
             return true;
         };
+        if self.precedes_other_hosts(call, now) {
+            return true;
+        }
         let own = self
             .waiting_calls()
             .filter(|other| other.same_queue(call))
--- a/crates/serving/src/waiting.rs
+++ b/crates/serving/src/waiting.rs
@@ -3,7 +3,8 @@
 //! Calls that can still meet their latency objective are served before calls that no longer can.
 //! Within each of the two groups, calls of the more urgent route come first, and then the older
 //! ones. Late calls are still served when no other call can use a slot, so that no call is given up
-//! that can be answered before its deadline.
+//! that can be answered before its deadline. While there are tenants, `state/fairness.rs` orders the
+//! calls.
 
 use crocusyard_base::prelude::*;
 use std::collections::HashMap;
@@ -50,6 +51,11 @@
         self.calls.contains_key(&key)
     }
 
+    /// Iterates over all calls, in no particular order.
+    pub fn iter(&self) -> impl Iterator<Item = (RequestKey, &WaitingCall)> + '_ {
+        self.calls.iter().map(|(key, call)| (*key, call))
+    }
+
     /// Iterates over the keys of all calls, in no particular order.
     pub fn keys(&self) -> impl Iterator<Item = RequestKey> + '_ {
         self.calls.keys().copied()
--- a/crates/serving/tests/common/mod.rs
+++ b/crates/serving/tests/common/mod.rs
@@ -279,11 +279,40 @@
         identity: Option<(KeyDigest, Rc<TenantRule>)>,
         now: ClockTime,
     ) -> (RequestKey, Vec<ServingEffect>) {
-        let (caller_key, tenant) = identity.unzip();
         let key = RequestKey(self.next_key);
         self.next_key += 1;
+        let call = Rc::new(self.info(id, route, need, identity, now));
+        let effects = self
+            .state
+            .reduce(ServingEvent::CallArrived { key, call }, now);
+        (key, effects)
+    }
+
+    /// Returns a call of a tenant that needs a model, without letting it arrive.
+    pub fn info_of(
+        &mut self,
+        identity: Option<(KeyDigest, Rc<TenantRule>)>,
+        route: RouteRule,
+        name: &str,
+    ) -> CallInfo {
+        let need = CallNeed {
+            model: model(name),
+            adapter: None,
+        };
+        self.info("request", route, Some(need), identity, ms(0))
+    }
+
+    fn info(
+        &self,
+        id: &str,
+        route: RouteRule,
+        need: Option<CallNeed>,
+        identity: Option<(KeyDigest, Rc<TenantRule>)>,
+        now: ClockTime,
+    ) -> CallInfo {
+        let (caller_key, tenant) = identity.unzip();
         let (prompt_tokens, output_tokens) = if need.is_some() { (700, 300) } else { (0, 0) };
-        let call = Rc::new(CallInfo {
+        CallInfo {
             id: id.into(),
             service: service(),
             need,
@@ -292,16 +321,12 @@
             output_tokens,
             deadline: now + route.timeout,
             start_deadline: now + route.start_timeout,
-            digest: CallDigest(key.0),
+            digest: CallDigest(self.next_key - 1),
             key: caller_key,
             tenant,
             cost: 1,
             route,
-        });
-        let effects = self
-            .state
-            .reduce(ServingEvent::CallArrived { key, call }, now);
-        (key, effects)
+        }
     }
 
     /// Applies a report of another host about its requests in progress, by target.
