--- a/crates/edge/src/message.rs
+++ b/crates/edge/src/message.rs
@@ -103,4 +103,11 @@
     Evidence(EvidenceReport),
     /// Reports the sender's calls at targets that fail some of them; sent with the heartbeat.
     Failures(Vec<FailureReport>),
+    /// Reports the largest recent usages of tenants at the sender; sent while there are tenants.
+    TenantUsage {
+        /// Host that sends the report.
+        host: HostName,
+        /// Usages by tenant.
+        usage: UsageReport,
+    },
 }
