entry: calls over their tenant's limit are refused

Nothing used the limits of tenants yet. A call is charged when it arrives and before a target is chosen. Over the limit it is answered with 429 and a Retry-After with fractions; the decision log has the tenant, the credit and the age of the oldest figure behind it. A call that ends without having run is refunded. Hosts exchange reports while tenants have limits, and the metrics have credit and usage of up to 64 tenants.

--- a/crates/edge/src/clock.rs
+++ b/crates/edge/src/clock.rs
@@ -14,6 +14,12 @@
     ClockTime::from_ms(secs * 1_000 + nanos / 1_000_000)
 }
 
+/// Returns the time of day in Unix s; it tells a process of a host from the one before it.
+pub(crate) fn start_s() -> u32 {
+    let unix = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    unix.map_or(0, |time| u32::try_from(time.as_secs()).unwrap_or(u32::MAX))
+}
+
 /// Returns the stamp that news had at the origin of the clock. It comes from the time of day, so that
 /// the stamps of the next process on this machine or at its name are later.
 pub(crate) fn first_stamp(now: ClockTime) -> NewsStamp {
--- a/crates/edge/src/control.rs
+++ b/crates/edge/src/control.rs
@@ -38,6 +38,8 @@
     let opened_count = shell.pool.opened_count();
     let blamed = shell.serving.borrow().blamed_count();
     shell.metrics.set_blamed(blamed);
+    let usage = shell.serving.borrow_mut().limits.usage(clock::now());
+    shell.metrics.set_tenants(&usage);
     let text = shell
         .metrics
         .text(shell.request_count(), waiting, opened_count);
--- a/crates/edge/src/entry.rs
+++ b/crates/edge/src/entry.rs
@@ -436,6 +436,10 @@
             "retry_after_s": retry_after_s,
             "route": call.route.name.as_str(),
             "model": call.model().map(ModelName::as_str),
+            "tenant": call.tenant.as_ref().map(|tenant| tenant.name.as_str()),
+            "cost": call.cost,
+            "credit": refusal.quota.map(|quota| quota.credit.round()),
+            "figures_age_ms": refusal.quota.map(|quota| quota.oldest_figure.as_ms()),
         }),
     );
     let status = match refusal.reason {
--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -189,7 +189,10 @@
                 let known = shell.configuration_read.get();
                 shell.configuration_read.set(known.max(version));
             }
-            Self::Hosts => apply_hosts(shell, rows),
+            Self::Hosts => {
+                apply_hosts(shell, rows);
+                shell.hosts_read.set(true);
+            }
         }
     }
 
--- a/crates/edge/src/gossip.rs
+++ b/crates/edge/src/gossip.rs
@@ -26,6 +26,12 @@
 /// Pause between two rounds of news.
 const NEWS_PAUSE: Duration = Duration::from_millis(NEWS_INTERVAL.as_ms());
 
+/// Time after the start in which a host hears all live hosts, also if it cannot read their rows from
+/// the store.
+const HOSTS_HEARD_TIME: ClockTime = ClockTime::from_secs(10);
+/// Interval at which a host checks whether other hosts need new figures about the usage of tenants.
+const USAGE_CHECK_INTERVAL: Duration = Duration::from_millis(25);
+
 /// Pause between two rounds of confirmation requests of the lease holder; a lost request is
 /// repeated several times while the last confirmation is still valid.
 const CONFIRMATION_INTERVAL: Duration = Duration::from_millis(250);
@@ -117,6 +123,29 @@
     }
 }
 
+/// Reports the usage of tenants to all other hosts while there are tenants with limits.
+pub(crate) async fn report_usage(shell: Rc<EdgeShell>) {
+    let started = clock::now();
+    loop {
+        actix_rt::time::sleep(USAGE_CHECK_INTERVAL).await;
+        if !shell.serving.borrow().limits.has_limits() {
+            continue;
+        }
+        let now = clock::now();
+        let knows_hosts = shell.hosts_read.get() || now.since(started) >= HOSTS_HEARD_TIME;
+        let report = {
+            let mut serving = shell.serving.borrow_mut();
+            if knows_hosts {
+                serving.limits.set_hosts(&shell.hosts.borrow(), now);
+            }
+            serving.limits.report(now)
+        };
+        if let Some(report) = report {
+            shell.broadcast(&HostMessage::Usage(report));
+        }
+    }
+}
+
 /// Builds the message that passes on news of hosts and what else this host has heard.
 fn news_message(shell: &EdgeShell, hosts: Vec<HostNews>) -> HostMessage {
     let now = clock::now();
@@ -244,6 +273,7 @@
             compressed,
         } => apply_relayed_configuration(shell, version, &compressed),
         HostMessage::Hosts { upserts, removed } => update_hosts(shell, upserts, &removed),
+        HostMessage::Usage(report) => shell.serving.borrow_mut().limits.receive(&report, now),
     }
 }
 
@@ -265,6 +295,7 @@
         .hosts
         .borrow_mut()
         .receive_heartbeat(&host, leaving, arrived);
+    shell.serving.borrow_mut().limits.hear(&host.name, arrived);
     if let Some(report) = &lease {
         shell
             .lease
--- a/crates/edge/src/message.rs
+++ b/crates/edge/src/message.rs
@@ -101,4 +101,6 @@
     },
     /// Reports what the sender knows of the causes of crashes.
     Evidence(EvidenceReport),
+    /// Reports the usage of tenants with limits at the sender.
+    Usage(QuotaReport),
 }
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -11,6 +11,7 @@
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
+use std::sync::atomic::AtomicU64;
 
 /// Bucket bounds of the latency histograms, s; the latency objectives of the routes lie between
 /// them.
@@ -18,6 +19,8 @@
 /// Number of routes with a label of their own; all further routes share one, so that a large
 /// configuration does not take unbounded memory.
 const MAX_ROUTE_LABELS: usize = 64;
+/// Number of tenants whose usage and credit are metrics.
+const MAX_TENANT_LABELS: usize = 64;
 /// Label of the routes beyond that number.
 const OTHER_ROUTES: &str = "other";
 
@@ -56,6 +59,15 @@
     answer: String,
 }
 
+/// Labels of the gauges of tenants with limits.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct LimitLabels {
+    tenant: String,
+}
+
+/// Gauge of a figure of a tenant.
+type TenantGauge = Family<LimitLabels, Gauge<f64, AtomicU64>>;
+
 /// All metrics of the process.
 pub(crate) struct EdgeMetrics {
     registry: Registry,
@@ -70,6 +82,9 @@
     connections: Gauge,
     crashes: Counter,
     blamed: Gauge,
+    tenant_credit: TenantGauge,
+    tenant_rate: TenantGauge,
+    tenant_usage: TenantGauge,
     /// Calls to the store by table and reason.
     pub(crate) store_calls: StoreCalls,
     routes: std::cell::RefCell<std::collections::BTreeSet<RouteName>>,
@@ -79,6 +94,29 @@
     Histogram::new(LATENCY_BOUNDS_S)
 }
 
+/// Registers the gauges of tenants with limits: credit, rate and usage.
+fn register_tenants(registry: &mut Registry) -> [TenantGauge; 3] {
+    [
+        (
+            "tenant_credit",
+            "Credit of a tenant over all hosts, as this host knows it",
+        ),
+        (
+            "tenant_usage_per_second",
+            "Usage of a tenant per second over all hosts",
+        ),
+        (
+            "tenant_usage",
+            "Usage of a tenant over all hosts since their processes started",
+        ),
+    ]
+    .map(|(name, help)| {
+        let gauge = TenantGauge::default();
+        registry.register(name, help, gauge.clone());
+        gauge
+    })
+}
+
 impl EdgeMetrics {
     pub(crate) fn new() -> Self {
         let mut registry = Registry::with_prefix("crocusyard_entry");
@@ -133,6 +171,7 @@
             "Calls and prompt parts that are refused because they crash targets",
             blamed.clone(),
         );
+        let [tenant_credit, tenant_rate, tenant_usage] = register_tenants(&mut registry);
         let store_calls = StoreCalls::default();
         registry.register(
             "store_calls",
@@ -153,6 +192,9 @@
             connections,
             crashes,
             blamed,
+            tenant_credit,
+            tenant_rate,
+            tenant_usage,
             routes: std::cell::RefCell::default(),
         }
     }
@@ -202,6 +244,22 @@
         self.blamed.set(i64::try_from(count).unwrap_or(i64::MAX));
     }
 
+    /// Sets the gauges of the tenants with limits; further tenants have none.
+    pub(crate) fn set_tenants(&self, usages: &[NamedUsage]) {
+        for gauge in [&self.tenant_credit, &self.tenant_rate, &self.tenant_usage] {
+            gauge.clear();
+        }
+        for NamedUsage { name, usage } in usages.iter().take(MAX_TENANT_LABELS) {
+            let labels = LimitLabels {
+                tenant: name.as_str().to_owned(),
+            };
+            let set = |gauge: &TenantGauge, value| gauge.get_or_create(&labels).set(value);
+            set(&self.tenant_credit, usage.credit);
+            set(&self.tenant_rate, usage.usage_per_s);
+            set(&self.tenant_usage, usage.total as f64);
+        }
+    }
+
     pub(crate) fn count_attempt(&self) {
         self.attempts.inc();
     }
--- a/crates/edge/src/run.rs
+++ b/crates/edge/src/run.rs
@@ -5,7 +5,8 @@
 use crate::entry::{accept, ListenerRole};
 use crate::follow::{follow_hosts, follow_rules};
 use crate::gossip::{
-    receive, request_confirmations, send_heartbeat, send_heartbeats, spread_news, PeerSocket,
+    receive, report_usage, request_confirmations, send_heartbeat, send_heartbeats, spread_news,
+    PeerSocket,
 };
 use crate::lease_keeper::{keep_lease, release_lease};
 use crate::moves::give_orders;
@@ -116,6 +117,7 @@
     actix_rt::spawn(receive(shell.clone()));
     actix_rt::spawn(send_heartbeats(shell.clone()));
     actix_rt::spawn(spread_news(shell.clone()));
+    actix_rt::spawn(report_usage(shell.clone()));
     actix_rt::spawn(request_confirmations(shell.clone()));
     actix_rt::spawn(keep_lease(shell.clone()));
     actix_rt::spawn(give_orders(shell.clone()));
--- a/crates/edge/src/shell.rs
+++ b/crates/edge/src/shell.rs
@@ -66,6 +66,8 @@
     pub(crate) pool: ConnPool,
     pub(crate) store: StoreClient,
     pub(crate) peers: PeerSocket,
+    /// Whether the rows of the entry hosts have been read from the store.
+    pub(crate) hosts_read: Cell<bool>,
     /// Version with which this host wrote its row to the store, once it did.
     pub(crate) own_row_version: Cell<Option<u64>>,
     /// Version of the configuration's row that was read last; 0 before the first one.
@@ -96,6 +98,8 @@
     pub(crate) fn new(settings: HostSettings, peers: PeerSocket) -> Rc<Self> {
         let now = clock::now();
         let config = ServingConfig {
+            process: clock::start_s(),
+            seed: RandomState::new().build_hasher().finish(),
             host: settings.name.clone(),
             domain: settings.domain.clone(),
             retries: settings.retries,
@@ -124,6 +128,7 @@
             }),
             store: StoreClient::new(settings.store),
             peers,
+            hosts_read: Cell::new(false),
             own_row_version: Cell::new(None),
             configuration_version: Cell::new(0),
             configuration_read: Cell::new(0),
--- a/crates/serving/src/event.rs
+++ b/crates/serving/src/event.rs
@@ -8,6 +8,7 @@
 use crate::turns::HostWaiting;
 use crocusyard_base::prelude::*;
 use crocusyard_crashes::prelude::{CrashCause, CrashReport, EvidenceReport};
+use crocusyard_quota::prelude::QuotaRefusal;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -151,7 +152,7 @@
 }
 
 /// Refusal of a request that has not run and will not run.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct RequestRefusal {
     /// Request that is refused.
     pub key: RequestKey,
@@ -159,6 +160,8 @@
     pub reason: RefusalReason,
     /// Delay after which the caller may send the request again.
     pub retry_after: ClockTime,
+    /// Figures behind a refusal because of the tenant's limit.
+    pub quota: Option<QuotaRefusal>,
 }
 
 /// Effect that the host has to carry out.
--- a/crates/serving/src/hosts.rs
+++ b/crates/serving/src/hosts.rs
@@ -326,6 +326,16 @@
         HostShare { hosts, fraction }
     }
 
+    /// Iterates over all known hosts, live or not, with their processor times as weights and whether
+    /// they are leaving.
+    pub fn weights(&self) -> impl Iterator<Item = (&HostName, f64, bool)> {
+        let own = (&self.own, self.own_leaving);
+        let others = self.others.values();
+        std::iter::once(own)
+            .chain(others.map(|state| (&state.record, state.leaving)))
+            .map(|(record, leaving)| (&record.name, record.strength(), leaving))
+    }
+
     /// Returns the number of known hosts, this one included.
     pub fn known_count(&self) -> usize {
         1 + self.others.len()
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod host_news;
 pub mod hosts;
 pub mod lease;
+pub mod limits;
 pub mod orders;
 pub mod peer_reports;
 pub mod relay;
@@ -50,6 +51,7 @@
     pub use crate::host_news::{HostKey, HostNews, NewsStamp};
     pub use crate::hosts::{HostRecord, HostShare, HostTable};
     pub use crate::lease::{HolderNews, LeaseReport, LeaseRow, LeaseState, LeaseStep};
+    pub use crate::limits::{NamedUsage, TenantLimits};
     pub use crate::orders::{EngineOrder, EngineReport, OrderAction, OrderAnswer, OrderTracker};
     pub use crate::relay::{ListChange, ListEntry, ListFollower, ListReader, ReaderRank};
     pub use crate::retries::{RetryBudget, RetryLimits};
@@ -68,5 +70,5 @@
     pub use crate::trend::DemandTrend;
     pub use crate::turns::{HostWaiting, ModelKey, TurnInput, TurnTracker};
     pub use crocusyard_crashes::prelude::{CrashCause, CrashReport, EvidenceReport};
-    pub use crocusyard_quota::prelude::UsageLimit;
+    pub use crocusyard_quota::prelude::{QuotaRefusal, QuotaReport, UsageLimit};
 }
--- a/crates/serving/src/state.rs
+++ b/crates/serving/src/state.rs
@@ -13,6 +13,7 @@
 use crate::demand::{DemandCounter, ModelDemand};
 use crate::event::{AttemptPlan, RefusalReason, RequestRefusal, ServingEffect, ServingEvent};
 use crate::hosts::{report_lifetime, HostShare};
+use crate::limits::TenantLimits;
 use crate::retries::{RetryBudget, RetryLimits};
 use crate::rules::RuleSet;
 use crate::targets::TargetTable;
@@ -48,6 +49,10 @@
     pub host: HostName,
     /// Failure domain of this host.
     pub domain: DomainName,
+    /// Incarnation of the process; it rises with each start.
+    pub process: u32,
+    /// Seed of random numbers, which differs between processes.
+    pub seed: u64,
     /// Limits of the retry budget.
     pub retries: RetryLimits,
 }
@@ -56,6 +61,8 @@
 #[derive(Clone, Debug)]
 struct RequestState {
     call: Rc<CallInfo>,
+    /// Whether the call is charged to its tenant, which gets it back if the call does not run.
+    charged: bool,
     /// What the call contains that may crash targets.
     causes: Rc<[CrashCause]>,
     /// Whether the call runs although it contains a blamed cause.
@@ -80,6 +87,10 @@
     rules: Option<Rc<RuleSet>>,
     /// When `rules` came in force.
     rules_since: ClockTime,
+    /// Limits of the tenants.
+    pub limits: TenantLimits,
+    /// Calls that ended without having run, and whose charges are to be taken back.
+    unrun: Vec<Rc<CallInfo>>,
     /// Targets of all services, as this host knows them.
     pub targets: TargetTable,
     /// Whether the target list has been read at least once.
@@ -110,7 +121,9 @@
     pub fn new(config: ServingConfig, now: ClockTime) -> Self {
         Self {
             budget: RetryBudget::new(config.retries),
+            limits: TenantLimits::new(&config.host, config.process, config.seed, now),
             config,
+            unrun: Vec::new(),
             rules: None,
             rules_since: now,
             targets: TargetTable::default(),
@@ -278,21 +291,42 @@
                 self.forget_full_targets();
             }
         }
+        self.refund_unrun(now);
         out
     }
 
+    /// Takes back the charges of calls that have ended without having run.
+    fn refund_unrun(&mut self, now: ClockTime) {
+        for call in std::mem::take(&mut self.unrun) {
+            self.limits.refund(&call, now);
+        }
+    }
+
     fn set_rules(&mut self, rules: Rc<RuleSet>, now: ClockTime) {
         let newer = self
             .rules
             .as_ref()
             .is_none_or(|current| rules.version > current.version);
         if newer {
+            self.limits.set_tenants(rules.tenants.as_ref(), now);
             self.rules = Some(rules);
             self.rules_since = now;
         }
     }
 
     fn arrive(&mut self, key: RequestKey, call: Rc<CallInfo>, now: ClockTime, out: &mut Effects) {
+        let charged = match self.limits.charge(&call, now) {
+            Ok(charged) => charged,
+            Err(refusal) => {
+                out.push(ServingEffect::Refuse(RequestRefusal {
+                    key,
+                    reason: RefusalReason::OverLimit,
+                    retry_after: refusal.retry_after,
+                    quota: Some(refusal),
+                }));
+                return;
+            }
+        };
         self.budget.count_request(&call.service, now);
         if let Some(need) = &call.need {
             self.demand.count_arrival(&call.service, need, now);
@@ -301,6 +335,7 @@
         let verdict = self.crashes.judge(&causes, now);
         let request = RequestState {
             call,
+            charged,
             causes,
             is_trial: verdict == CauseVerdict::Trial,
             arrived: now,
@@ -464,6 +499,7 @@
             key,
             reason,
             retry_after: delay.clamp(MIN_RETRY_DELAY, longest),
+            quota: None,
         }));
         self.remove_request(key);
     }
@@ -474,6 +510,9 @@
         let Some(request) = self.requests.remove(&key) else {
             return;
         };
+        if request.charged && !request.maybe_ran && request.target.is_none() {
+            self.unrun.push(request.call.clone());
+        }
         if let Some((target, _)) = &request.target {
             self.targets.count_ended(target);
         }
@@ -495,6 +534,8 @@
         self.targets.count_ended(&target);
         match outcome {
             AttemptOutcome::Answered { status } => {
+                // It has run, so that the charge stays.
+                request.charged = false;
                 let sent_at = request.sent_at;
                 let causes = request.causes.clone();
                 self.record_answer((&target, incarnation), status, &causes, sent_at, now, out);
--- a/crates/serving/src/tenants.rs
+++ b/crates/serving/src/tenants.rs
@@ -162,6 +162,11 @@
         }
     }
 
+    /// Iterates over the tenants that have keys, once for each key.
+    pub fn rules(&self) -> impl Iterator<Item = &TenantRule> {
+        self.by_key.values().map(|rule| &**rule)
+    }
+
     /// Returns the number of tenants.
     pub fn len(&self) -> usize {
         self.names.len()
--- a/crates/serving/tests/common/mod.rs
+++ b/crates/serving/tests/common/mod.rs
@@ -153,6 +153,8 @@
     /// Creates the host `name`.
     pub fn named(name: &str, models: &[&str], targets: Vec<TargetRecord>) -> Self {
         let config = ServingConfig {
+            process: 1,
+            seed: 1,
             host: HostName::new(name),
             domain: DomainName::new("a"),
             retries: RetryLimits {
