--- a/crates/edge/src/entry.rs
+++ b/crates/edge/src/entry.rs
@@ -442,6 +442,11 @@
         "age_ms": clock::now().since(open.arrived).as_ms(),
     });
     add_tenant(&mut inputs, open);
+    if let Some(quota) = refusal.quota {
+        inputs["cost"] = json!(call.cost);
+        inputs["credit"] = json!(quota.credit.round());
+        inputs["figures_age_ms"] = json!(quota.oldest_figure.as_ms());
+    }
     decision_log::log_decision(&call.id, "refused", inputs);
     let status = match refusal.reason {
         RefusalReason::OverLimit => StatusCode::TOO_MANY_REQUESTS,
--- a/crates/edge/src/message.rs
+++ b/crates/edge/src/message.rs
@@ -110,4 +110,6 @@
         /// Usages by tenant.
         usage: UsageReport,
     },
+    /// Reports the usage of tenants with limits at the sender.
+    Usage(QuotaReport),
 }
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -15,6 +15,7 @@
 use std::cell::RefCell;
 use std::collections::BTreeSet;
 use std::fmt::Display;
+use std::sync::atomic::AtomicU64;
 
 /// Bucket bounds of the latency histograms, s; the latency objectives of the routes lie between
 /// them.
@@ -22,6 +23,8 @@
 /// Number of routes with a label of their own; all further routes share one, so that a large
 /// configuration does not take unbounded memory.
 const MAX_ROUTE_LABELS: usize = 64;
+/// Number of tenants whose usage and credit are metrics.
+const MAX_TENANT_LABELS: usize = 64;
 /// Label of what has no label of its own.
 const OTHER_LABEL: &str = "other";
 
@@ -60,6 +63,15 @@
     answer: String,
 }
 
+/// Labels of the gauges of tenants with limits.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct LimitLabels {
+    tenant: String,
+}
+
+/// Gauge of a figure of a tenant.
+type TenantGauge = Family<LimitLabels, Gauge<f64, AtomicU64>>;
+
 /// All metrics of the process.
 pub(crate) struct EdgeMetrics {
     registry: Registry,
@@ -74,6 +86,9 @@
     connections: Gauge,
     crashes: Counter,
     blamed: Gauge,
+    tenant_credit: TenantGauge,
+    tenant_rate: TenantGauge,
+    tenant_usage: TenantGauge,
     /// Calls to the store by table and reason.
     pub(crate) store_calls: StoreCalls,
     /// Metrics by tenant.
@@ -113,6 +128,29 @@
     Histogram::new(LATENCY_BOUNDS_S)
 }
 
+/// Registers the gauges of tenants with limits: credit, rate and usage.
+fn register_tenants(registry: &mut Registry) -> [TenantGauge; 3] {
+    [
+        (
+            "tenant_credit",
+            "Credit of a tenant over all hosts, as this host knows it",
+        ),
+        (
+            "tenant_usage_per_second",
+            "Usage of a tenant per second over all hosts",
+        ),
+        (
+            "tenant_usage",
+            "Usage of a tenant over all hosts since their processes started",
+        ),
+    ]
+    .map(|(name, help)| {
+        let gauge = TenantGauge::default();
+        registry.register(name, help, gauge.clone());
+        gauge
+    })
+}
+
 impl EdgeMetrics {
     pub(crate) fn new() -> Self {
         let mut registry = Registry::with_prefix("crocusyard_entry");
@@ -168,6 +206,7 @@
             blamed.clone(),
         );
         let tenants = TenantMetrics::register(&mut registry);
+        let [tenant_credit, tenant_rate, tenant_usage] = register_tenants(&mut registry);
         let store_calls = StoreCalls::default();
         registry.register(
             "store_calls",
@@ -188,6 +227,9 @@
             connections,
             crashes,
             blamed,
+            tenant_credit,
+            tenant_rate,
+            tenant_usage,
             tenants,
             routes: BoundedLabels::new(MAX_ROUTE_LABELS),
         }
@@ -238,6 +280,22 @@
         self.blamed.set(i64::try_from(count).unwrap_or(i64::MAX));
     }
 
+    /// Sets the gauges of the tenants with limits; further tenants have none.
+    pub(crate) fn set_tenants(&self, usages: &[NamedUsage]) {
+        for gauge in [&self.tenant_credit, &self.tenant_rate, &self.tenant_usage] {
+            gauge.clear();
+        }
+        for NamedUsage { name, usage } in usages.iter().take(MAX_TENANT_LABELS) {
+            let labels = LimitLabels {
+                tenant: name.as_str().to_owned(),
+            };
+            let set = |gauge: &TenantGauge, value| gauge.get_or_create(&labels).set(value);
+            set(&self.tenant_credit, usage.credit);
+            set(&self.tenant_rate, usage.usage_per_s);
+            set(&self.tenant_usage, usage.total as f64);
+        }
+    }
+
     pub(crate) fn count_attempt(&self) {
         self.attempts.inc();
     }
