placement: the number of copies follows the tokens of calls

Cause: copies were planned by calls in progress. Engines of models with long prompts were reading prompts all the time, while models with as many short calls had as many copies.

Change: hosts report the tokens of their calls by model; the planner uses slots, memory for tokens or reading time, whichever the model needs most of. The tokens follow the demands in the message, where hosts of an earlier version ignore them. Calls without token counts are planned as before. Three literals of ModelDemand in existing tests get the new field.

--- a/crates/edge/src/gossip.rs
+++ b/crates/edge/src/gossip.rs
@@ -159,7 +159,12 @@
     let holder = shell.lease.borrow().holder().cloned();
     let address = holder.and_then(|holder| shell.hosts.borrow().peer_address(&holder));
     if let Some(address) = address {
-        let message = HostMessage::Demand { host: own, demands };
+        let work = demands.iter().map(|demand| demand.work).collect();
+        let message = HostMessage::Demand {
+            host: own,
+            demands,
+            work,
+        };
         shell.peers.send(address, &message);
     }
 }
@@ -205,7 +210,14 @@
                 acknowledge_holder(shell, &host);
             }
         }
-        HostMessage::Demand { host, demands } => {
+        HostMessage::Demand {
+            host,
+            mut demands,
+            work,
+        } => {
+            for (demand, work) in demands.iter_mut().zip(work) {
+                demand.work = work;
+            }
             shell.demands.borrow_mut().update(&host, demands, now);
         }
         HostMessage::CopyRequest { service, need } => moves::request_copy(shell, service, need),
--- a/crates/edge/src/message.rs
+++ b/crates/edge/src/message.rs
@@ -39,6 +39,10 @@
         host: HostName,
         /// Its demand, one entry per service, model and adapter.
         demands: Vec<ModelDemand>,
+        /// Tokens of the calls, one entry for each of `demands`; empty from hosts of an earlier
+        /// version.
+        #[serde(deserialize_with = "crocusyard_serving::work::work_or_none")]
+        work: Vec<TokenWork>,
     },
     /// Asks the lease holder for a copy that calls at the sender wait for.
     CopyRequest {
--- a/crates/edge/src/moves.rs
+++ b/crates/edge/src/moves.rs
@@ -163,7 +163,7 @@
     }
 }
 
-/// Returns the number of requests that each model of a service is expected to have in progress.
+/// Returns the slots that each model of a service is expected to need.
 fn demand_forecast(
     trend: &DemandTrend,
     service: &ServiceName,
@@ -172,7 +172,10 @@
 ) -> HashMap<ModelName, f64> {
     rule.models
         .keys()
-        .map(|model| (model.clone(), trend.forecast(service, model, now)))
+        .map(|model| {
+            let slots = trend.expected_slots(service, rule, model, now);
+            (model.clone(), slots)
+        })
         .collect()
 }
 
--- a/crates/serving/src/call.rs
+++ b/crates/serving/src/call.rs
@@ -95,6 +95,16 @@
         self.need.as_ref()?.adapter.as_ref()
     }
 
+    /// Returns the tokens of the prompt that no other call shares. The parts before the last are
+    /// mostly cached by the engine that calls with the same prompt prefer.
+    pub fn own_prompt_tokens(&self) -> u32 {
+        let shared = self.prompt.len().saturating_sub(1);
+        let shared_tokens = self.prompt[..shared]
+            .iter()
+            .fold(0_u32, |sum, part| sum.saturating_add(part.tokens));
+        self.prompt_tokens.saturating_sub(shared_tokens)
+    }
+
     /// Returns what the call contains that may crash targets: itself, and the parts that other calls
     /// may share. The last part belongs to the call or its session.
     pub fn crash_causes(&self) -> Vec<CrashCause> {
--- a/crates/serving/src/copies.rs
+++ b/crates/serving/src/copies.rs
@@ -16,13 +16,11 @@
 use crate::orders::OrderAction;
 use crate::rules::{EngineRule, ModelRule};
 use crate::targets::TargetHoldings;
+use crate::work::PLANNED_SLOTS;
 use crocusyard_base::prelude::*;
 use std::cmp::Ordering;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
-/// Fraction of the slots of a model's engines that its requests are planned to use; the rest is for
-/// a rise in demand.
-const PLANNED_UTILISATION: f64 = 0.3;
 /// Rate above which an adapter counts as in use, 1/s; less used adapters take turns in one adapter
 /// slot.
 const MIN_ADAPTER_RATE: f64 = 0.3;
@@ -85,8 +83,9 @@
     pub engines: Vec<EngineView>,
     /// Demand for the models of the service, summed over all hosts.
     pub demand: &'a [ModelDemand],
-    /// Requests that each model is expected to have in progress when a load that begins now ends;
-    /// the present demand counts for models that are not listed.
+    /// Slots that each model is expected to need when a load that begins now ends, see
+    /// [`DemandTrend::expected_slots`](crate::trend::DemandTrend::expected_slots); the requests in
+    /// progress count for models that are not listed.
     pub forecast: HashMap<ModelName, f64>,
     /// Time since the last request for each model; models that are not listed count as just used.
     pub idle: HashMap<ModelName, ClockTime>,
@@ -100,7 +99,7 @@
 #[derive(Clone, Debug)]
 struct CopyPlan<'a> {
     rule: &'a ModelRule,
-    /// Requests that the model is expected to have in progress.
+    /// Slots that the model is expected to need.
     in_progress: f64,
     /// Requests that the model has in progress now.
     running: f64,
@@ -270,7 +269,7 @@
                 .get(&rule.name)
                 .copied()
                 .unwrap_or(sum.in_progress);
-            let by_load = (in_progress / (slots * PLANNED_UTILISATION)).ceil() as usize;
+            let by_load = (in_progress / (slots * PLANNED_SLOTS)).ceil() as usize;
             let by_adapters = sum.adapters.div_ceil(input.rule.adapter_slots.max(1));
             let wanted = by_load.max(by_adapters);
             let plan = CopyPlan {
--- a/crates/serving/src/demand.rs
+++ b/crates/serving/src/demand.rs
@@ -3,8 +3,9 @@
 //! Each host counts the requests that it gets; the lease holder adds up the last reports of all
 //! hosts.
 
-use crate::call::CallNeed;
+use crate::call::{CallInfo, CallNeed};
 use crate::peer_reports::PeerReports;
+use crate::work::TokenWork;
 use crocusyard_base::prelude::*;
 use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
@@ -33,6 +34,10 @@
     pub rate: f64,
     /// Mean time from a send to its answer, ms; `None` if no request has been answered yet.
     pub run_ms: Option<u32>,
+    /// Tokens of the calls. It is sent beside the demands, not in them: hosts of an earlier version
+    /// could not tell the next demand from it.
+    #[serde(skip)]
+    pub work: TokenWork,
 }
 
 /// Counts for one model and adapter at one host.
@@ -41,15 +46,29 @@
     in_progress: u32,
     waiting: u32,
     rate: f64,
-    /// Time of the last arrival, as of which `rate` holds.
+    /// Prompt and output tokens of the requests in progress.
+    tokens: u64,
+    /// Rate at which prompt tokens arrive, 1/s.
+    prompt_rate: f64,
+    /// Time of the last arrival, as of which the rates hold.
     rated_at: ClockTime,
 }
 
 impl NeedCount {
     /// Returns the rate of arrivals, which decays exponentially without further ones, 1/s.
     fn rate_at(&self, now: ClockTime) -> f64 {
+        self.rate * self.decay(now)
+    }
+
+    /// Returns the rate at which prompt tokens arrive, which decays in the same way, 1/s.
+    fn prompt_rate_at(&self, now: ClockTime) -> f64 {
+        self.prompt_rate * self.decay(now)
+    }
+
+    /// Returns the factor by which the rates have decayed since the last arrival.
+    fn decay(&self, now: ClockTime) -> f64 {
         let age = now.since(self.rated_at).as_ms() as f64;
-        self.rate * (-age / RATE_TIME_CONSTANT_MS).exp()
+        (-age / RATE_TIME_CONSTANT_MS).exp()
     }
 }
 
@@ -60,20 +79,30 @@
 }
 
 impl DemandCounter {
-    /// Counts a request that arrives.
-    pub fn count_arrival(&mut self, service: &ServiceName, need: &CallNeed, now: ClockTime) {
-        let key = (service.clone(), need.clone());
+    /// Counts a call that arrives. A call that needs no model is not counted.
+    pub fn count_arrival(&mut self, call: &CallInfo, now: ClockTime) {
+        let Some(need) = &call.need else {
+            return;
+        };
+        let key = (call.service.clone(), need.clone());
         let count = self.counts.entry(key).or_default();
+        let prompt = f64::from(call.own_prompt_tokens());
         count.rate = count.rate_at(now) + 1_000.0 / RATE_TIME_CONSTANT_MS;
+        count.prompt_rate = count.prompt_rate_at(now) + prompt * 1_000.0 / RATE_TIME_CONSTANT_MS;
         count.rated_at = now;
         count.in_progress += 1;
+        count.tokens += tokens_of(call);
     }
 
-    /// Counts the end of a request.
-    pub fn count_end(&mut self, service: &ServiceName, need: &CallNeed) {
-        let key = (service.clone(), need.clone());
+    /// Counts the end of a call.
+    pub fn count_end(&mut self, call: &CallInfo) {
+        let Some(need) = &call.need else {
+            return;
+        };
+        let key = (call.service.clone(), need.clone());
         if let Some(count) = self.counts.get_mut(&key) {
             count.in_progress = count.in_progress.saturating_sub(1);
+            count.tokens = count.tokens.saturating_sub(tokens_of(call));
         }
     }
 
@@ -98,6 +127,10 @@
                 waiting: count.waiting,
                 rate: count.rate_at(now),
                 run_ms: None,
+                work: TokenWork {
+                    tokens: u32::try_from(count.tokens).unwrap_or(u32::MAX),
+                    prompt_rate: count.prompt_rate_at(now) as u32,
+                },
             })
             .collect();
         demands.sort_by(|a, b| (&a.service, &a.need).cmp(&(&b.service, &b.need)));
@@ -105,6 +138,12 @@
     }
 }
 
+/// Returns the tokens that a call takes in the memory of an engine, apart from prompt parts that
+/// other calls share.
+fn tokens_of(call: &CallInfo) -> u64 {
+    u64::from(call.own_prompt_tokens()) + u64::from(call.output_tokens)
+}
+
 /// Returns the mean run time of two demands, weighted by their rates; a demand without a run time
 /// does not count.
 fn mean_run_time(sum: &ModelDemand, other: &ModelDemand) -> Option<u32> {
@@ -154,12 +193,14 @@
                 waiting: 0,
                 rate: 0.0,
                 run_ms: None,
+                work: TokenWork::default(),
                 ..demand.clone()
             });
             sum.run_ms = mean_run_time(sum, demand);
             sum.in_progress += demand.in_progress;
             sum.waiting += demand.waiting;
             sum.rate += demand.rate;
+            sum.work += demand.work;
         }
         let mut demands: Vec<ModelDemand> = totals.into_values().collect();
         demands.sort_by(|a, b| (&a.service, &a.need).cmp(&(&b.service, &b.need)));
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod trend;
 pub mod turns;
 pub mod waiting;
+pub mod work;
 
 /// The types and functions that other crates use most.
 pub mod prelude {
@@ -62,5 +63,6 @@
     };
     pub use crate::trend::DemandTrend;
     pub use crate::turns::{HostWaiting, ModelKey, TurnInput, TurnTracker};
+    pub use crate::work::TokenWork;
     pub use crocusyard_crashes::prelude::{CrashCause, CrashReport, EvidenceReport};
 }
--- a/crates/serving/src/state.rs
+++ b/crates/serving/src/state.rs
@@ -274,9 +274,7 @@
 
     fn arrive(&mut self, key: RequestKey, call: Rc<CallInfo>, now: ClockTime, out: &mut Effects) {
         self.budget.count_request(&call.service, now);
-        if let Some(need) = &call.need {
-            self.demand.count_arrival(&call.service, need, now);
-        }
+        self.demand.count_arrival(&call, now);
         let causes: Rc<[CrashCause]> = call.crash_causes().into();
         let verdict = self.crashes.judge(&causes, now);
         let request = RequestState {
@@ -457,9 +455,7 @@
         if let Some((target, _)) = &request.target {
             self.targets.count_ended(target);
         }
-        if let Some(need) = &request.call.need {
-            self.demand.count_end(&request.call.service, need);
-        }
+        self.demand.count_end(&request.call);
     }
 
     /// Handles the end of an attempt: the request ends, is sent again or waits.
--- a/crates/serving/src/trend.rs
+++ b/crates/serving/src/trend.rs
@@ -4,6 +4,8 @@
 //! extrapolated by its slope, and a model that was busy a moment ago keeps its copies for a while.
 
 use crate::demand::ModelDemand;
+use crate::rules::EngineRule;
+use crate::work::{EngineDemand, TokenWork};
 use crocusyard_base::prelude::*;
 use std::collections::{BTreeSet, HashMap, VecDeque};
 
@@ -40,6 +42,10 @@
     /// Highest number of requests in progress, reached at `peak_at`.
     peak: f64,
     peak_at: ClockTime,
+    /// Rate at which prompt tokens arrive, 1/s.
+    prompt_rate: f64,
+    /// Mean number of tokens of a request, as of the last time that any was in progress.
+    request_tokens: f64,
 }
 
 impl ModelTrend {
@@ -79,6 +85,7 @@
     timed_rate: f64,
     /// Sum of the run times, each multiplied by its rate.
     weighted_ms: f64,
+    work: TokenWork,
 }
 
 /// Trends of the demand for all models.
@@ -105,6 +112,7 @@
             let sum = sums.entry(key).or_default();
             sum.in_progress += f64::from(demand.in_progress);
             sum.rate += demand.rate;
+            sum.work += demand.work;
             if let Some(run_ms) = demand.run_ms {
                 sum.timed_rate += demand.rate;
                 sum.weighted_ms += demand.rate * f64::from(run_ms);
@@ -135,6 +143,10 @@
                 trend.run_time = Some(run_time.min(MAX_RUN_TIME_S));
             }
             trend.in_progress = sum.in_progress;
+            trend.prompt_rate = f64::from(sum.work.prompt_rate);
+            if sum.in_progress > 0.0 {
+                trend.request_tokens = f64::from(sum.work.tokens) / sum.in_progress;
+            }
             trend.samples.push_back((now, sum.rate));
             while trend
                 .samples
@@ -218,4 +230,26 @@
         let expected = trend.expected_rate() * run_time;
         expected.max(trend.in_progress).max(trend.decayed_peak(now))
     }
+
+    /// Returns the slots that a model is expected to need when a load that begins now ends, where
+    /// requests with many tokens need more than one each.
+    pub fn expected_slots(
+        &self,
+        service: &ServiceName,
+        rule: &EngineRule,
+        model: &ModelName,
+        now: ClockTime,
+    ) -> f64 {
+        let requests = self.forecast(service, model, now);
+        let Some(trend) = self.models.get(&(service.clone(), model.clone())) else {
+            return requests;
+        };
+        let growth = trend.expected_rate() / trend.rate().max(f64::MIN_POSITIVE);
+        let demand = EngineDemand {
+            requests,
+            tokens: requests * trend.request_tokens,
+            prompt_rate: trend.prompt_rate * growth.max(1.0),
+        };
+        demand.slots(rule)
+    }
 }
--- a/crates/serving/tests/common/mod.rs
+++ b/crates/serving/tests/common/mod.rs
@@ -4,6 +4,7 @@
 #![allow(dead_code)]
 
 pub mod fleet;
+pub mod placement;
 
 use crocusyard_base::prelude::*;
 use crocusyard_serving::copies::EngineView;
--- a/crates/serving/tests/demand_shift.rs
+++ b/crates/serving/tests/demand_shift.rs
@@ -20,6 +20,7 @@
         waiting: 0,
         rate,
         run_ms: None,
+        work: TokenWork::default(),
     }
 }
 
--- a/crates/serving/tests/places.rs
+++ b/crates/serving/tests/places.rs
@@ -229,6 +229,7 @@
             waiting,
             rate,
             run_ms: Some(100),
+            work: TokenWork::default(),
         };
         counts.into_iter().map(demand).collect()
     }
@@ -531,6 +532,7 @@
         waiting: 0,
         rate: 0.0,
         run_ms: None,
+        work: TokenWork::default(),
     };
     let orders = plan_orders(&PlanInput {
         rule: &rule,
