placement: copies move to models with a much higher load per copy

Cause: with all places taken, models that all lacked copies kept what they had, however much their loads differed. A model that became ten times as hot got its second copy after 9 to 15 s. The only copy of a model was unloaded while a second one was still loading. Loads from the memory or disk of an engine used up the limit of the weight store.

Change: loads per copy are compared in pairs, with a margin for chance and only if the model that gives can carry its calls. Copies that are loading do not count as remaining. The forecast ignores slopes that chance explains, and waiting calls count up to what runs or arrives in a run time. A load is taken back from the limit once its duration shows that the weights were the engine's own.

--- a/crates/serving/src/copies.rs
+++ b/crates/serving/src/copies.rs
@@ -2,7 +2,8 @@
 //!
 //! A model in demand gets enough copies to keep its engines only partly filled, so that a rise in
 //! demand finds free slots while the next load is in progress. Copies beyond that number stay where
-//! they are until another model needs their memory.
+//! they are until another model needs their memory. Where all models in demand lack copies, a copy
+//! moves from a model with a low load per copy to one with a much higher load per copy.
 //!
 //! While there is room, every model keeps a copy. When the models outnumber the places, they share
 //! them over time: a model that calls wait for takes the place of one that has not been asked for,
@@ -45,6 +46,22 @@
 /// Time for which the only copy of a model in demand stays after its load, in load times, so that
 /// models which share a place over time answer calls for longer than they load.
 const MIN_STAY_LOADS: f64 = 4.0;
+/// Time for which a copy stays after its load before it may give way to a copy of a busier model, in
+/// load times.
+const MIN_SERVICE_LOADS: f64 = 1.0;
+/// Fraction of the planned load per copy up to which a model keeps a copy that it does not need, as
+/// its demand may rise again.
+const GIVE_AWAY_MARGIN: f64 = 0.75;
+/// Ratio of the loads per copy from which a copy moves from one model in demand to another; the
+/// demand has to change by the square of it before the copy moves back.
+const MIN_LOAD_RATIO: f64 = 1.5;
+/// Fraction of the slots of its engines that the requests of a model may use after it has given a copy
+/// away; the engines have other models as well. A model whose copies are fuller loses as many calls
+/// as another would gain.
+const CARRIED_SLOTS: f64 = 0.5;
+/// Standard deviations of a number of requests that count as chance when a copy moves from one model
+/// in demand to another.
+const CHANCE_DEVIATIONS: f64 = 0.5;
 
 /// State of an engine as the planner sees it.
 #[derive(Clone, Debug)]
@@ -107,8 +124,14 @@
     rate: f64,
     /// Copies that are held or being loaded, with the orders planned so far.
     copies: usize,
+    /// Copies that are held; one that is being loaded serves no calls for seconds.
+    held: usize,
     /// Copies that the model should have.
     wanted: usize,
+    /// Copies that the model keeps although it should have fewer, as its demand may rise again.
+    kept: usize,
+    /// Load of a copy up to which it may take over the requests of another, slots.
+    carried_load: f64,
     /// Time since the last request.
     idle: ClockTime,
     /// Time for which the model has been in demand without a copy.
@@ -148,24 +171,45 @@
         self.idle > ClockTime::ZERO && self.idle >= self.rule.load_time.scale(loads)
     }
 
+    /// Returns whether the model has more copies than it should have, also if its demand rises a
+    /// little.
+    fn is_spare(&self) -> bool {
+        self.copies > self.kept
+    }
+
+    /// Returns whether the model, with one copy less, has a much lower load per copy than `claimant`,
+    /// even if part of the difference is chance.
+    fn can_spare_for(&self, claimant: &CopyPlan<'_>) -> bool {
+        let chance = |requests: f64| CHANCE_DEVIATIONS * requests.sqrt();
+        let left = (self.copies - 1).max(1) as f64;
+        let own_load = (self.in_progress + chance(self.in_progress)) / left;
+        let needed = claimant.in_progress - chance(claimant.in_progress);
+        let claimed_load = needed / claimant.copies.max(1) as f64;
+        own_load <= self.carried_load && own_load * MIN_LOAD_RATIO <= claimed_load
+    }
+
     /// Returns whether a copy of this model that an engine has held for `held_for` may give way to
     /// `claimant`.
     fn yields_to(&self, claimant: &CopyPlan<'_>, held_for: ClockTime) -> bool {
-        if self.copies > self.wanted {
+        if self.is_spare() && self.held > 1 {
+            return true;
+        }
+        let has_served = held_for >= self.rule.load_time.scale(MIN_SERVICE_LOADS);
+        if self.held > 1 && has_served && self.can_spare_for(claimant) {
             return true;
         }
         if self.copies == 1 && self.is_idle(LONG_IDLE_LOADS) && claimant.demand() > 0.0 {
             return true;
         }
         let has_stayed = held_for >= self.rule.load_time.scale(MIN_STAY_LOADS);
-        claimant.is_missed() && (self.copies > 1 || self.is_idle(IDLE_LOADS) || has_stayed)
+        claimant.is_missed() && (self.held > 1 || self.is_idle(IDLE_LOADS) || has_stayed)
     }
 
     /// Returns the sort key by which copies give way: spare ones, those that run nothing first,
     /// then those of models that nobody asks for, the longest idle first, then those of models with
     /// several copies.
     fn yield_rank(&self) -> (u8, f64) {
-        if self.copies > self.wanted {
+        if self.is_spare() {
             return (0, self.unload_cost() + self.demand_per_copy());
         }
         if self.copies == 1 && self.is_idle(IDLE_LOADS) {
@@ -204,6 +248,7 @@
             }
             if let Some(plan) = plans.get_mut(victim) {
                 plan.copies -= 1;
+                plan.held = plan.held.saturating_sub(1);
                 // It does not take the place of another model in the same plan.
                 plan.wanted = plan.wanted.min(plan.copies);
             }
@@ -250,35 +295,38 @@
         }
     }
     let slots = f64::from(input.rule.slots.max(1));
+    let most = input.engines.len().max(1);
     input
         .rule
         .models
         .values()
         .map(|rule| {
-            let copies = input
-                .engines
-                .iter()
-                .filter(|engine| {
-                    engine.holdings.models.contains_key(&rule.name)
-                        || engine.loading_model.as_ref() == Some(&rule.name)
-                })
-                .count();
+            let holds = |engine: &&EngineView| engine.holdings.models.contains_key(&rule.name);
+            let held = input.engines.iter().filter(holds).count();
+            let loads = |engine: &&EngineView| {
+                engine.loading_model.as_ref() == Some(&rule.name) && !holds(engine)
+            };
+            let copies = held + input.engines.iter().filter(loads).count();
             let sum = sums.get(&rule.name).copied().unwrap_or_default();
             let in_progress = input
                 .forecast
                 .get(&rule.name)
                 .copied()
                 .unwrap_or(sum.in_progress);
-            let by_load = (in_progress / (slots * PLANNED_SLOTS)).ceil() as usize;
+            let by_load = |load: f64| (in_progress / load).ceil() as usize;
             let by_adapters = sum.adapters.div_ceil(input.rule.adapter_slots.max(1));
-            let wanted = by_load.max(by_adapters);
+            let copies_for = |load| by_load(load).max(by_adapters).clamp(1, most);
+            let planned_load = slots * PLANNED_SLOTS;
             let plan = CopyPlan {
                 rule,
                 in_progress,
                 running: sum.in_progress,
                 rate: sum.rate,
                 copies,
-                wanted: wanted.clamp(1, input.engines.len().max(1)),
+                held,
+                wanted: copies_for(planned_load),
+                kept: copies_for(planned_load * GIVE_AWAY_MARGIN),
+                carried_load: slots * CARRIED_SLOTS,
                 idle: input.idle.get(&rule.name).copied().unwrap_or_default(),
                 missed_for: input
                     .missed_for
--- a/crates/serving/src/orders.rs
+++ b/crates/serving/src/orders.rs
@@ -15,6 +15,12 @@
 /// Window in which loads from the weight store are counted; the platform counts them in the same
 /// window.
 const LOAD_WINDOW: ClockTime = ClockTime::from_secs(5);
+/// Fraction of the time of a load from the weight store by which a load has to be over to count as
+/// one from the engine's own memory or disk.
+const OWN_WEIGHTS_FRACTION: f64 = 0.4;
+/// Time after which the end of a load from the disk is known at the latest: two intervals of the
+/// engine's reports, and their delay.
+const REPORT_DELAY: ClockTime = ClockTime::from_ms(600);
 /// Shortest interval between two report requests to one engine.
 const REPORT_INTERVAL: ClockTime = ClockTime::from_ms(250);
 /// Time after which an order without an answer is sent again.
@@ -131,12 +137,38 @@
     }
 }
 
+/// A load that counts against the limit of the weight store.
+#[derive(Clone, Debug)]
+struct CountedLoad {
+    begun: ClockTime,
+    engine: TargetName,
+    model: ModelName,
+    /// When the engine was first seen to hold the model.
+    seen_at: Option<ClockTime>,
+}
+
+impl CountedLoad {
+    /// Returns whether the load was over so soon that the weights did not come from the weight
+    /// store.
+    ///
+    /// What an engine wrote about its memory and disk may be outdated, so that each load counts
+    /// until its duration shows where the weights came from.
+    fn had_own_weights(&self, rule: &EngineRule) -> bool {
+        let (Some(seen_at), Some(model)) = (self.seen_at, rule.models.get(&self.model)) else {
+            return false;
+        };
+        let from_disk = model.disk_time.max(model.warm_time) + REPORT_DELAY;
+        let limit = from_disk.min(model.load_time.scale(OWN_WEIGHTS_FRACTION));
+        seen_at.since(self.begun) < limit
+    }
+}
+
 /// Orders to all engines, tracked by the lease holder.
 #[derive(Clone, Debug, Default)]
 pub struct OrderTracker {
     engines: BTreeMap<TargetName, EngineState>,
-    /// Times of the loads from the weight store within the window.
-    loads: HashMap<ServiceName, VecDeque<ClockTime>>,
+    /// Loads within the window that may be from the weight store.
+    loads: HashMap<ServiceName, VecDeque<CountedLoad>>,
     /// Latest time at which the former holder of the lease may have begun loads.
     former_loads: Option<ClockTime>,
 }
@@ -207,7 +239,11 @@
         state.holdings = report.holdings.clone();
         state.known = true;
         if !report.busy {
-            state.in_progress = None;
+            if let Some(OrderAction::LoadModel(model)) = state.in_progress.take() {
+                if report.holdings.models.contains_key(&model) {
+                    note_loaded(&mut self.loads, name, &model, now);
+                }
+            }
         } else if let Some(action @ OrderAction::UnloadModel(_)) = &state.in_progress {
             // The engine lists the model until its requests have ended, but starts no new requests.
             let action = action.clone();
@@ -304,9 +340,7 @@
             return 0;
         }
         let loads = self.loads.entry(service.clone()).or_default();
-        while loads.front().is_some_and(|at| now.since(*at) > LOAD_WINDOW) {
-            loads.pop_front();
-        }
+        loads.retain(|load| now.since(load.begun) <= LOAD_WINDOW && !load.had_own_weights(rule));
         let limit = rule.loads_per_s * LOAD_WINDOW.as_ms() as f64 / 1_000.0;
         (limit as usize).saturating_sub(loads.len())
     }
@@ -329,11 +363,15 @@
         let state = self.engines.get_mut(name)?;
         state.unanswered = Some(action.clone());
         state.retry_at = now + ORDER_RETRY_DELAY;
-        if matches!(action, OrderAction::LoadModel(_)) {
-            self.loads
-                .entry(service.clone())
-                .or_default()
-                .push_back(now);
+        if let OrderAction::LoadModel(model) = action {
+            let load = CountedLoad {
+                begun: now,
+                engine: name.clone(),
+                model: model.clone(),
+                seen_at: None,
+            };
+            let loads = self.loads.entry(service.clone()).or_default();
+            loads.push_back(load);
         }
         Some(state.holdings.accepted_orders)
     }
@@ -408,6 +446,20 @@
     }
 }
 
+/// Records the end of the last load of a model on an engine.
+fn note_loaded(
+    loads: &mut HashMap<ServiceName, VecDeque<CountedLoad>>,
+    engine: &TargetName,
+    model: &ModelName,
+    now: ClockTime,
+) {
+    let mut all = loads.values_mut().flat_map(|loads| loads.iter_mut().rev());
+    let load = all.find(|load| load.engine == *engine && load.model == *model);
+    if let Some(load) = load {
+        load.seen_at.get_or_insert(now);
+    }
+}
+
 /// Applies an accepted order to the holdings of an engine. A model that is loading is not held yet.
 pub fn apply_order(holdings: &mut TargetHoldings, action: &OrderAction) {
     match action {
--- a/crates/serving/src/trend.rs
+++ b/crates/serving/src/trend.rs
@@ -18,6 +18,10 @@
 const GROWTH_LIMIT: f64 = 3.0;
 /// Rate below which a slope is ignored as chance, 1/s.
 const MIN_SLOPE_RATE: f64 = 2.0;
+/// Time constant of the moving averages that the hosts report as rates, s.
+const RATE_TIME_CONSTANT_S: f64 = 1.0;
+/// Standard deviations of the difference of two rates that count as chance.
+const CHANCE_DEVIATIONS: f64 = 1.5;
 /// Time constant with which the peak of a model decays, ms.
 const PEAK_TIME_CONSTANT_MS: f64 = 4_000.0;
 /// Rate of arrivals up to which a model without requests in progress counts as idle, 1/s; the rate
@@ -37,7 +41,7 @@
     run_time: Option<f64>,
     /// Rates of arrivals within the slope span, 1/s, each with its time.
     samples: VecDeque<(ClockTime, f64)>,
-    /// Requests in progress now.
+    /// Requests in progress now, and the waiting ones as far as they count.
     in_progress: f64,
     /// Highest number of requests in progress, reached at `peak_at`.
     peak: f64,
@@ -65,10 +69,26 @@
         if span <= 0.0 || rate < MIN_SLOPE_RATE {
             return rate;
         }
-        let slope = (rate - first) / span;
+        let chance = CHANCE_DEVIATIONS * ((rate + first) / (2.0 * RATE_TIME_CONSTANT_S)).sqrt();
+        let rise = rate - first;
+        let slope = rise.signum() * (rise.abs() - chance).max(0.0) / span;
         (rate + slope * LOOK_AHEAD_S).clamp(0.0, rate * GROWTH_LIMIT)
     }
 
+    /// Returns the waiting calls that count as demand for slots. Calls wait for up to seconds, and
+    /// more of them than arrive during a run time do not need a slot at the same time.
+    fn backlog(&self, sum: ModelSum, service_mean: Option<f64>) -> f64 {
+        let run_time = self.run_time.or(service_mean);
+        let arriving = sum.rate * run_time.unwrap_or(DEFAULT_RUN_TIME_S);
+        let running = sum.in_progress - sum.waiting;
+        if running > 0.0 {
+            sum.waiting.min(running.max(arriving))
+        } else {
+            // The model has no copy, and the calls tell how many callers miss it.
+            sum.waiting
+        }
+    }
+
     /// Returns what is left of the peak after its decay.
     fn decayed_peak(&self, now: ClockTime) -> f64 {
         let age = now.since(self.peak_at).as_ms() as f64;
@@ -80,6 +100,7 @@
 #[derive(Clone, Copy, Debug, Default)]
 struct ModelSum {
     in_progress: f64,
+    waiting: f64,
     rate: f64,
     /// Rate of the requests whose run time is known, 1/s.
     timed_rate: f64,
@@ -111,6 +132,7 @@
             let key = (demand.service.clone(), demand.need.model.clone());
             let sum = sums.entry(key).or_default();
             sum.in_progress += f64::from(demand.in_progress);
+            sum.waiting += f64::from(demand.waiting);
             sum.rate += demand.rate;
             sum.work += demand.work;
             if let Some(run_ms) = demand.run_ms {
@@ -137,12 +159,13 @@
             }
         }
         for (key, trend) in &mut self.models {
+            let service_mean = self.run_times.get(&key.0).copied();
             let sum = sums.get(key).copied().unwrap_or_default();
             if sum.timed_rate > 0.0 {
                 let run_time = sum.weighted_ms / sum.timed_rate / 1_000.0;
                 trend.run_time = Some(run_time.min(MAX_RUN_TIME_S));
             }
-            trend.in_progress = sum.in_progress;
+            trend.in_progress = sum.in_progress - sum.waiting + trend.backlog(sum, service_mean);
             trend.prompt_rate = f64::from(sum.work.prompt_rate);
             if sum.in_progress > 0.0 {
                 trend.request_tokens = f64::from(sum.work.tokens) / sum.in_progress;
@@ -155,8 +178,8 @@
             {
                 trend.samples.pop_front();
             }
-            if sum.in_progress >= trend.decayed_peak(now) {
-                trend.peak = sum.in_progress;
+            if trend.in_progress >= trend.decayed_peak(now) {
+                trend.peak = trend.in_progress;
                 trend.peak_at = now;
             }
         }
--- a/crates/serving/tests/work_placement.rs
+++ b/crates/serving/tests/work_placement.rs
@@ -8,6 +8,7 @@
 use crocusyard_serving::prelude::*;
 use crocusyard_serving::work::{work_or_none, PLANNED_SLOTS};
 use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
 
 /// Models of the emulated fleet.
 const MODELS: usize = 104;
@@ -249,3 +250,133 @@
     let read: Message = postcard::from_bytes(&encoded_earlier).expect("an earlier message is read");
     assert!(read.work.is_empty(), "{read:?}");
 }
+
+/// A load that rises tenfold within 4 s for the model of a rank, from 20 s to 45 s.
+fn rising_load(rank: usize) -> FleetLoad {
+    let shares = zipf(MODELS, 0.7);
+    FleetLoad {
+        rate: Box::new(move |index, now| {
+            let rise = (now as f64 - 20_000.0).clamp(0.0, 4_000.0) / 4_000.0;
+            let is_hot = index == rank && now < 45_000;
+            let factor = if is_hot { 1.0 + 9.0 * rise } else { 1.0 };
+            shares[index] * RATE * factor
+        }),
+        ..zipf_load(short_calls)
+    }
+}
+
+/// Guards against a model that becomes ten times as hot within 4 s and waits for copies while other
+/// models keep several that are less full: 104 models on 60 engines with room for two each. The
+/// model has 1 of 120 copies and gets 7 % of the calls.
+#[test]
+fn model_that_becomes_ten_times_as_hot_gets_copies() {
+    const RANK: usize = 30;
+    for seed in 1..=3 {
+        let result = run(FleetLoad {
+            seed,
+            ..rising_load(RANK)
+        });
+        print(&format!("ten times as hot, seed {seed}"), &result);
+        let hot = result.by_model[&RANK];
+        let copies: Vec<usize> = result.copies.iter().map(|copies| copies[RANK]).collect();
+        println!("  {hot:?}, copies by second: {copies:?}");
+        assert!(
+            copies[34] >= 4,
+            "{} copies 11 s after the rise, seed {seed}: {copies:?}",
+            copies[34]
+        );
+        assert!(
+            copies[59] <= 2,
+            "{} copies 15 s after the fall, seed {seed}: {copies:?}",
+            copies[59]
+        );
+        assert!(result.total().share_in_time() > 0.97, "seed {seed}");
+        assert_limits_kept(&result);
+    }
+}
+
+/// Guards against copies that stay with models whose demand has moved to others: the favourites
+/// change every 20 s.
+#[test]
+fn copies_follow_demand_that_moves() {
+    let shares = zipf(MODELS, 0.7);
+    let result = run(FleetLoad {
+        rate: Box::new(move |index, now| {
+            let shift = (now / 20_000) as usize * 13;
+            shares[(index + shift) % MODELS] * RATE
+        }),
+        ..zipf_load(short_calls)
+    });
+    print("demand that moves", &result);
+    assert!(result.total().share_in_time() > 0.91);
+    assert_limits_kept(&result);
+}
+
+/// Asserts that every model kept a copy, as there is room for all, and that no more loads from the
+/// weight store began within 5 s than allowed.
+fn assert_limits_kept(result: &FleetResult) {
+    assert!(result.fewest_copies >= 1, "a model lost its last copy");
+    let limit = FLEET.loads_per_s * 5.0;
+    assert!(result.loads_in_window as f64 <= limit);
+}
+
+/// A tracker with one engine that began to load `m` at 0 ms.
+fn loading_tracker(name: &TargetName) -> OrderTracker {
+    let mut orders = OrderTracker::default();
+    orders.sync_engines(&BTreeMap::from([(name.clone(), 1)]));
+    let load = OrderAction::LoadModel(model("m"));
+    orders.receive_report(name, &engine_report(0, &[], false), ms(0));
+    orders.begin(&service(), name, &load, ms(0));
+    orders.receive_answer(name, &load, OrderAnswer::Accepted, ms(600), ms(5));
+    orders
+}
+
+fn engine_report(accepted_orders: u64, models: &[(&str, &[&str])], busy: bool) -> EngineReport {
+    EngineReport {
+        incarnation: Some(1),
+        holdings: TargetHoldings {
+            accepted_orders,
+            models: held(models),
+        },
+        busy,
+    }
+}
+
+/// Guards against loads from the memory or disk of engines that use up the limit of the weight
+/// store, and against a load from the store that is not counted because the engine once listed the
+/// weights as its own.
+#[test]
+fn only_short_loads_leave_the_limit_alone() {
+    let rule = engine_rule(&["m"]);
+    let name = TargetName::new("t1");
+    let limit = 10;
+    for (ended_at, counted) in [(700, 0), (1_400, 0), (1_900, 1), (5_000, 1)] {
+        let mut orders = loading_tracker(&name);
+        assert_eq!(orders.loads_left(&service(), &rule, ms(600)), limit - 1);
+        orders.receive_report(&name, &engine_report(1, &[], true), ms(650));
+        assert_eq!(orders.loads_left(&service(), &rule, ms(650)), limit - 1);
+        let report = engine_report(1, &[("m", &[])], false);
+        orders.receive_report(&name, &report, ms(ended_at));
+        let left = orders.loads_left(&service(), &rule, ms(ended_at));
+        assert_eq!(left, limit - counted, "a load that ended at {ended_at} ms");
+    }
+    // A load that failed may have read from the weight store.
+    let mut orders = loading_tracker(&name);
+    orders.receive_report(&name, &engine_report(1, &[], false), ms(700));
+    assert_eq!(orders.loads_left(&service(), &rule, ms(700)), limit - 1);
+}
+
+/// Guards against counting a load that is not known to be short when its answer was lost.
+#[test]
+fn load_without_an_answer_counts() {
+    let rule = engine_rule(&["m"]);
+    let name = TargetName::new("t1");
+    let mut orders = OrderTracker::default();
+    orders.sync_engines(&BTreeMap::from([(name.clone(), 1)]));
+    orders.receive_report(&name, &engine_report(0, &[], false), ms(0));
+    let load = OrderAction::LoadModel(model("m"));
+    orders.begin(&service(), &name, &load, ms(0));
+    orders.receive_answer(&name, &load, OrderAnswer::Unknown, ms(600), ms(400));
+    orders.receive_report(&name, &engine_report(1, &[("m", &[])], false), ms(700));
+    assert_eq!(orders.loads_left(&service(), &rule, ms(700)), 9);
+}
