--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -41,6 +41,7 @@
 pub mod trend;
 pub mod turns;
 pub mod waiting;
+pub mod work;
 
 /// The types and functions that other crates use most.
 pub mod prelude {
@@ -76,6 +77,7 @@
     };
     pub use crate::trend::DemandTrend;
     pub use crate::turns::{HostWaiting, ModelKey, TurnInput, TurnTracker};
+    pub use crate::work::TokenWork;
     pub use crocusyard_crashes::prelude::{CrashCause, CrashReport, EvidenceReport};
     pub use crocusyard_quota::prelude::{QuotaRefusal, QuotaReport, UsageLimit};
 }
--- a/crates/serving/src/state.rs
+++ b/crates/serving/src/state.rs
@@ -393,9 +393,7 @@
             }
         };
         self.budget.count_request(&call.service, now);
-        if let Some(need) = &call.need {
-            self.demand.count_arrival(&call.service, need, now);
-        }
+        self.demand.count_arrival(&call, now);
         let causes: Rc<[CrashCause]> = call.crash_causes().into();
         let verdict = self.crashes.judge(&causes, now);
         let request = RequestState {
@@ -602,9 +600,7 @@
         if let Some((target, _)) = &request.target {
             self.targets.count_ended(target);
         }
-        if let Some(need) = &request.call.need {
-            self.demand.count_end(&request.call.service, need);
-        }
+        self.demand.count_end(&request.call);
     }
 
     /// Handles the end of an attempt: the request ends, is sent again or waits.
--- a/crates/serving/src/trend.rs
+++ b/crates/serving/src/trend.rs
@@ -4,6 +4,8 @@
 //! extrapolated by its slope, and a model that was busy a moment ago keeps its copies for a while.
 
 use crate::demand::ModelDemand;
+use crate::rules::EngineRule;
+use crate::work::{EngineDemand, TokenWork};
 use crocusyard_base::prelude::*;
 use std::collections::{BTreeSet, HashMap, VecDeque};
 
@@ -16,6 +18,10 @@
 const GROWTH_LIMIT: f64 = 3.0;
 /// Rate below which a slope is ignored as chance, 1/s.
 const MIN_SLOPE_RATE: f64 = 2.0;
+/// Time constant of the moving averages that the hosts report as rates, s.
+const RATE_TIME_CONSTANT_S: f64 = 1.0;
+/// Standard deviations of the difference of two rates that count as chance.
+const CHANCE_DEVIATIONS: f64 = 1.5;
 /// Time constant with which the peak of a model decays, ms.
 const PEAK_TIME_CONSTANT_MS: f64 = 4_000.0;
 /// Rate of arrivals up to which a model without requests in progress counts as idle, 1/s; the rate
@@ -35,11 +41,15 @@
     run_time: Option<f64>,
     /// Rates of arrivals within the slope span, 1/s, each with its time.
     samples: VecDeque<(ClockTime, f64)>,
-    /// Requests in progress now.
+    /// Requests in progress now, and the waiting ones as far as they count.
     in_progress: f64,
     /// Highest number of requests in progress, reached at `peak_at`.
     peak: f64,
     peak_at: ClockTime,
+    /// Rate at which prompt tokens arrive, 1/s.
+    prompt_rate: f64,
+    /// Mean number of tokens of a request, as of the last time that any was in progress.
+    request_tokens: f64,
 }
 
 impl ModelTrend {
@@ -59,10 +69,26 @@
         if span <= 0.0 || rate < MIN_SLOPE_RATE {
             return rate;
         }
-        let slope = (rate - first) / span;
+        let chance = CHANCE_DEVIATIONS * ((rate + first) / (2.0 * RATE_TIME_CONSTANT_S)).sqrt();
+        let rise = rate - first;
+        let slope = rise.signum() * (rise.abs() - chance).max(0.0) / span;
         (rate + slope * LOOK_AHEAD_S).clamp(0.0, rate * GROWTH_LIMIT)
     }
 
+    /// Returns the waiting calls that count as demand for slots. Calls wait for up to seconds, and
+    /// more of them than arrive during a run time do not need a slot at the same time.
+    fn backlog(&self, sum: ModelSum, service_mean: Option<f64>) -> f64 {
+        let run_time = self.run_time.or(service_mean);
+        let arriving = sum.rate * run_time.unwrap_or(DEFAULT_RUN_TIME_S);
+        let running = sum.in_progress - sum.waiting;
+        if running > 0.0 {
+            sum.waiting.min(running.max(arriving))
+        } else {
+            // The model has no copy, and the calls tell how many callers miss it.
+            sum.waiting
+        }
+    }
+
     /// Returns what is left of the peak after its decay.
     fn decayed_peak(&self, now: ClockTime) -> f64 {
         let age = now.since(self.peak_at).as_ms() as f64;
@@ -74,11 +100,13 @@
 #[derive(Clone, Copy, Debug, Default)]
 struct ModelSum {
     in_progress: f64,
+    waiting: f64,
     rate: f64,
     /// Rate of the requests whose run time is known, 1/s.
     timed_rate: f64,
     /// Sum of the run times, each multiplied by its rate.
     weighted_ms: f64,
+    work: TokenWork,
 }
 
 /// Trends of the demand for all models.
@@ -104,7 +132,9 @@
             let key = (demand.service.clone(), demand.need.model.clone());
             let sum = sums.entry(key).or_default();
             sum.in_progress += f64::from(demand.in_progress);
+            sum.waiting += f64::from(demand.waiting);
             sum.rate += demand.rate;
+            sum.work += demand.work;
             if let Some(run_ms) = demand.run_ms {
                 sum.timed_rate += demand.rate;
                 sum.weighted_ms += demand.rate * f64::from(run_ms);
@@ -129,12 +159,17 @@
             }
         }
         for (key, trend) in &mut self.models {
+            let service_mean = self.run_times.get(&key.0).copied();
             let sum = sums.get(key).copied().unwrap_or_default();
             if sum.timed_rate > 0.0 {
                 let run_time = sum.weighted_ms / sum.timed_rate / 1_000.0;
                 trend.run_time = Some(run_time.min(MAX_RUN_TIME_S));
             }
-            trend.in_progress = sum.in_progress;
+            trend.in_progress = sum.in_progress - sum.waiting + trend.backlog(sum, service_mean);
+            trend.prompt_rate = f64::from(sum.work.prompt_rate);
+            if sum.in_progress > 0.0 {
+                trend.request_tokens = f64::from(sum.work.tokens) / sum.in_progress;
+            }
             trend.samples.push_back((now, sum.rate));
             while trend
                 .samples
@@ -143,8 +178,8 @@
             {
                 trend.samples.pop_front();
             }
-            if sum.in_progress >= trend.decayed_peak(now) {
-                trend.peak = sum.in_progress;
+            if trend.in_progress >= trend.decayed_peak(now) {
+                trend.peak = trend.in_progress;
                 trend.peak_at = now;
             }
         }
@@ -218,4 +253,26 @@
         let expected = trend.expected_rate() * run_time;
         expected.max(trend.in_progress).max(trend.decayed_peak(now))
     }
+
+    /// Returns the slots that a model is expected to need when a load that begins now ends, where
+    /// requests with many tokens need more than one each.
+    pub fn expected_slots(
+        &self,
+        service: &ServiceName,
+        rule: &EngineRule,
+        model: &ModelName,
+        now: ClockTime,
+    ) -> f64 {
+        let requests = self.forecast(service, model, now);
+        let Some(trend) = self.models.get(&(service.clone(), model.clone())) else {
+            return requests;
+        };
+        let growth = trend.expected_rate() / trend.rate().max(f64::MIN_POSITIVE);
+        let demand = EngineDemand {
+            requests,
+            tokens: requests * trend.request_tokens,
+            prompt_rate: trend.prompt_rate * growth.max(1.0),
+        };
+        demand.slots(rule)
+    }
 }
--- a/crates/serving/tests/common/mod.rs
+++ b/crates/serving/tests/common/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod fake_target;
 pub mod fleet;
+pub mod placement;
 pub mod uneven;
 
 use crocusyard_base::prelude::*;
