serving: calls avoid targets that fail a part of them

A target counted as failed only after a lost call, for a fraction of a second, and answers with a status of 500 or more did not count at all. Of three plain targets, two that failed half of their calls got two thirds of the calls, and a second attempt often went to the other faulty one.

The rate is a cost of the choice, higher for calls that cannot be sent again and highest for second attempts. The cost is limited by what the sound targets can run, so that they are not overloaded. No target is excluded, and the counts fade, so that a few calls show when a target has recovered.

--- a/crates/edge/src/gossip.rs
+++ b/crates/edge/src/gossip.rs
@@ -102,6 +102,14 @@
     if let Some(evidence) = evidence {
         shell.broadcast(&HostMessage::Evidence(evidence));
     }
+    let failures = shell
+        .serving
+        .borrow_mut()
+        .targets
+        .take_failure_reports(clock::now());
+    if !failures.is_empty() {
+        shell.broadcast(&HostMessage::Failures(failures));
+    }
 }
 
 /// Passes news on to a few hosts, drawn anew in each round, where hosts are many.
@@ -226,6 +234,7 @@
         targets @ HostMessage::Targets { .. } => receive_targets(shell, targets),
         HostMessage::Crash(report) => shell.dispatch(ServingEvent::Crash(report)),
         HostMessage::Evidence(evidence) => shell.dispatch(ServingEvent::Evidence(evidence)),
+        HostMessage::Failures(reports) => shell.dispatch(ServingEvent::PeerFailures(reports)),
         HostMessage::News {
             hosts,
             holder,
--- a/crates/serving/src/choose.rs
+++ b/crates/serving/src/choose.rs
@@ -5,6 +5,10 @@
 //! calls with the same prompt prefer. A target that failed recently is chosen only if no other
 //! target holds the model.
 //!
+//! Targets that fail a part of their calls cost more by their failure rate, and most for further
+//! attempts of a call that has failed. They are never excluded: the random term leaves them a few
+//! calls, which show when they have recovered, and they take what the sound targets cannot run.
+//!
 //! For a target that reports its pace, the load counts by the time that the work takes there, the
 //! call itself included. The random term is shifted by the logarithm of the pace, so that calls
 //! which are spread at random are spread in proportion to the speed of the targets.
@@ -33,8 +37,31 @@
 /// call runs for longer than the interval between heartbeats.
 const MODEL_SPREAD: f64 = 0.1;
 /// Cost of a target that failed recently, as a fraction of its slots; higher than any other cost,
-/// so that every other target is preferred.
+/// so that every other target is preferred. It is multiplied by the scale of the random cost where
+/// that is above 1, with more than 25 hosts.
 const FAILED_COST: f64 = 10.0;
+/// Smallest scale of the costs of failing calls, as a fraction of a target's slots; the scale of the
+/// random cost is used if it is larger.
+const MIN_FAILURE_SCALE: f64 = 0.25;
+/// Cost of a target that fails all calls, for a call that can be sent again: an idle target that
+/// fails half of them gets a twelfth of the calls of a sound one if calls are spread at random.
+const FAILURE_COST: f64 = 5.0;
+/// The same for a call that cannot be sent again, so that the failure is the caller's.
+const FINAL_FAILURE_COST: f64 = 12.0;
+/// The same for a further attempt of a call: one that fails twice uses up the retry budget.
+const REPEATED_FAILURE_COST: f64 = 14.0;
+/// Fraction of the slots of the sound targets that may be used while others of the service fail; the
+/// failing ones get the other calls. A cost by the load of each target, as known 0.6 s late, made
+/// many hosts leave the sound targets together and come back together.
+const SOUND_USE: f64 = 0.95;
+/// Limit on failure costs if no target of a service is sound: the better ones get more calls, but
+/// not all.
+const ALL_FAILING_LIMIT: f64 = 1.0;
+/// Shift of the limit on failure costs for calls whose failure is final and for further attempts:
+/// they get the slots of the sound targets first.
+const FINAL_LIMIT_SHIFT: f64 = 1.0;
+/// Shift of the limit for other calls, which leave them to those.
+const REPEATABLE_LIMIT_SHIFT: f64 = -0.5;
 
 /// Reason why no target was chosen.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -75,6 +102,7 @@
     let mut best: Option<(f64, &TargetState)> = None;
     let mut reason = NoTarget::NoneKnown;
     let preferred = preferred_target(table, call, now);
+    let failures = ServiceFailures::of(table, call, now);
     for state in table.of_service(&call.service) {
         let holds_model = call.model().is_none_or(|model| state.holds(model, None));
         if holds_model && state.pause_left(now).is_some() {
@@ -98,7 +126,10 @@
             reason = reason.max_with(NoTarget::AllFull);
             continue;
         }
-        let cost = target_cost(state, call, preferred, own, now);
+        let mut cost = target_cost(state, call, preferred, own, now);
+        if let Some(failures) = &failures {
+            cost += failures.cost(state, call, !tried.is_empty(), own, now);
+        }
         if best.as_ref().is_none_or(|(lowest, _)| cost < *lowest) {
             best = Some((cost, state));
         }
@@ -138,10 +169,7 @@
     now: ClockTime,
 ) -> f64 {
     let load = f64::from(state.load(now)) / f64::from(state.slots());
-    let spread = match &call.need {
-        Some(_) => MODEL_SPREAD,
-        None => PLAIN_SPREAD / own.fraction,
-    };
+    let spread = random_scale(call, own);
     let mut cost = load + random_cost(state, call) * spread;
     if let Some(pace) = state.pace(now) {
         let slots = f64::from(state.slots());
@@ -151,7 +179,7 @@
         cost += REMOTE_DOMAIN_COST;
     }
     if state.is_avoided(now) {
-        cost += FAILED_COST;
+        cost += FAILED_COST * spread.max(1.0);
     }
     if preferred == Some(&state.record.name) {
         cost -= AFFINITY_GAIN;
@@ -159,6 +187,80 @@
     cost
 }
 
+/// Scale of the random cost of a call.
+fn random_scale(call: &CallInfo, own: OwnHost<'_>) -> f64 {
+    match &call.need {
+        Some(_) => MODEL_SPREAD,
+        None => PLAIN_SPREAD / own.fraction,
+    }
+}
+
+/// Failures of the targets of a service.
+struct ServiceFailures {
+    /// Largest cost of failures, in units of the scale of the random cost, at which the sound targets
+    /// can still run the calls that avoid the others.
+    limit: f64,
+}
+
+impl ServiceFailures {
+    /// Returns the failures of the targets that could run a call; `None` if all are sound.
+    fn of(table: &TargetTable, call: &CallInfo, now: ClockTime) -> Option<Self> {
+        if !table.has_failures(now) {
+            return None;
+        }
+        let holders = || {
+            table
+                .of_service(&call.service)
+                .filter(|state| call.model().is_none_or(|model| state.holds(model, None)))
+                .map(|state| (state, state.failure_rate(now)))
+        };
+        let highest = holders().map(|(_, rate)| rate).fold(0.0, f64::max);
+        if highest <= 0.0 {
+            return None;
+        }
+        let (mut sound, mut failing, mut load) = (0.0, 0.0, 0.0);
+        for (state, rate) in holders() {
+            let capacity = f64::from(state.slots()) / state.pace(now).unwrap_or(1.0);
+            if rate > highest / 2.0 {
+                failing += capacity;
+            } else {
+                sound += capacity;
+            }
+            load += f64::from(state.load(now));
+        }
+        // With costs of this size, the sound targets get the fraction of the calls that fills them.
+        let sound_fraction = SOUND_USE * sound / f64::max(load, 1.0);
+        let limit = if sound <= 0.0 {
+            ALL_FAILING_LIMIT
+        } else if sound_fraction >= 1.0 {
+            f64::INFINITY
+        } else {
+            (sound_fraction / (1.0 - sound_fraction) * failing / sound).ln()
+        };
+        Some(Self { limit })
+    }
+
+    /// Cost of the failures that are expected at a target.
+    fn cost(
+        &self,
+        state: &TargetState,
+        call: &CallInfo,
+        is_repeated: bool,
+        own: OwnHost<'_>,
+        now: ClockTime,
+    ) -> f64 {
+        let can_repeat = call.route.kind.may_repeat() && call.route.max_attempts > 1;
+        let (per_failure, shift) = match (is_repeated, can_repeat) {
+            (true, _) => (REPEATED_FAILURE_COST, FINAL_LIMIT_SHIFT),
+            (false, true) => (FAILURE_COST, REPEATABLE_LIMIT_SHIFT),
+            (false, false) => (FINAL_FAILURE_COST, FINAL_LIMIT_SHIFT),
+        };
+        let limit = (self.limit + shift).max(0.0);
+        let cost = (state.failure_rate(now) * per_failure).min(limit);
+        cost * random_scale(call, own).max(MIN_FAILURE_SCALE)
+    }
+}
+
 /// Returns the target that calls with the same prompt prefer: the one with the highest affinity
 /// weight among those that hold what the call needs.
 fn preferred_target<'a>(
--- a/crates/serving/src/event.rs
+++ b/crates/serving/src/event.rs
@@ -2,6 +2,7 @@
 
 use crate::call::{AttemptOutcome, CallInfo, CallNeed};
 use crate::choose::NoTarget;
+use crate::failures::FailureReport;
 use crate::hosts::HostShare;
 use crate::rules::RuleSet;
 use crate::targets::{HeldModels, HostLoad, LeavingNotice, TargetLoad, TargetRecord};
@@ -80,6 +81,8 @@
         /// Number of its requests in progress, by target.
         load: HostLoad,
     },
+    /// Another host reported calls at targets that fail some of them.
+    PeerFailures(Vec<FailureReport>),
     /// Another host reported its waiting calls.
     PeerWaiting {
         /// Host that reported.
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod demand;
 pub mod event;
 pub mod event_stream;
+pub mod failures;
 mod hashing;
 pub mod host_news;
 pub mod hosts;
@@ -47,6 +48,7 @@
         AttemptPlan, RefusalReason, RequestRefusal, ServingEffect, ServingEvent,
     };
     pub use crate::event_stream::{EventSplitter, EventTooLong};
+    pub use crate::failures::FailureReport;
     pub use crate::host_news::{HostKey, HostNews, NewsStamp};
     pub use crate::hosts::{HostRecord, HostShare, HostTable};
     pub use crate::lease::{HolderNews, LeaseReport, LeaseRow, LeaseState, LeaseStep};
--- a/crates/serving/src/state.rs
+++ b/crates/serving/src/state.rs
@@ -232,6 +232,7 @@
             ServingEvent::Crash(report) => self.receive_crash(&report, now, &mut out),
             ServingEvent::Evidence(evidence) => self.receive_evidence(&evidence, now, &mut out),
             ServingEvent::PeerLoad { host, load } => self.targets.update_peer(&host, load, now),
+            ServingEvent::PeerFailures(reports) => self.targets.receive_failures(&reports, now),
             ServingEvent::PeerWaiting { host, waiting } => {
                 self.turns.update_peer(&host, waiting, now);
             }
@@ -479,6 +480,7 @@
                 let causes = request.causes.clone();
                 self.record_answer((&target, incarnation), status, &causes, sent_at, now, out);
                 self.record_run_time(&call, ran);
+                self.targets.record_answer(&target, status >= 500, now);
                 let may_retry = status >= 500 && call.route.kind.may_repeat();
                 if may_retry && self.take_retry(key, now) {
                     self.mark_maybe_ran(key);
@@ -499,7 +501,7 @@
             AttemptOutcome::Lost { broken, .. } => {
                 let sent_at = request.sent_at;
                 let causes = request.causes.clone();
-                self.targets.record_failure(&target, now);
+                self.targets.record_lost(&target, now);
                 if broken {
                     self.record_lost((&target, incarnation), &causes, sent_at, now);
                 }
--- a/crates/serving/src/targets.rs
+++ b/crates/serving/src/targets.rs
@@ -3,6 +3,7 @@
 //! Holdings come from the target's own record in the store and, sooner, from the lease holder.
 //! Loads come from the answers of the target and from the heartbeats of the other hosts.
 
+use crate::failures::{FailureRate, FailureReport};
 use crate::pace::PaceEstimate;
 use crate::peer_reports::PeerReports;
 use crocusyard_base::prelude::*;
@@ -28,6 +29,9 @@
 const MODEL_REFUSAL_TIME: ClockTime = ClockTime::from_ms(500);
 /// Time for which no calls are sent to a target that refused one because it was full.
 const FULL_TIME: ClockTime = ClockTime::from_ms(100);
+/// Time after the last failure from which all targets count as sound; the failure rate of each has
+/// fallen below what is regarded by then.
+const FAILURE_MEMORY: ClockTime = ClockTime::from_secs(30);
 
 /// Time for which the last record of a removed target is kept. Writes of a target whose answers were
 /// lost may be carried out seconds later, after the removal.
@@ -133,6 +137,7 @@
     others: u32,
     reported: Option<ReportedLoad>,
     pace: Option<PaceEstimate>,
+    failures: FailureRate,
     avoid_until: ClockTime,
     /// Time for which the next failure of the target makes this host avoid it.
     avoid_time: ClockTime,
@@ -156,6 +161,7 @@
             others: 0,
             reported: None,
             pace: None,
+            failures: FailureRate::default(),
             avoid_until: ClockTime::ZERO,
             avoid_time: MIN_AVOID_TIME,
             last_failure: ClockTime::ZERO,
@@ -215,6 +221,11 @@
         now < self.avoid_until
     }
 
+    /// Returns the expected fraction of calls that fail at the target.
+    pub fn failure_rate(&self, now: ClockTime) -> f64 {
+        self.failures.rate(now)
+    }
+
     /// Returns whether the target has a free slot for a call that needs `model`, or for a plain
     /// call.
     ///
@@ -296,6 +307,8 @@
     /// Targets that were removed recently.
     departed: BTreeMap<TargetName, DepartedTarget>,
     peers: PeerReports<HostLoad>,
+    /// When a call at any target was last known to fail.
+    failed_at: Option<ClockTime>,
 }
 
 impl TargetTable {
@@ -543,13 +556,71 @@
         }
     }
 
-    /// Records that a call could not be sent to a target or got no answer.
+    /// Records that a call of this host was lost after it was sent to a target.
+    pub fn record_lost(&mut self, name: &TargetName, now: ClockTime) {
+        if let Some(state) = self.states.get_mut(name) {
+            state.record_failure(now);
+            state.failures.record_lost(now);
+            self.failed_at = Some(now);
+        }
+    }
+
+    /// Records that a call could not be sent to a target.
     pub fn record_failure(&mut self, name: &TargetName, now: ClockTime) {
         if let Some(state) = self.states.get_mut(name) {
             state.record_failure(now);
         }
     }
 
+    /// Records that a target answered a call of this host, and whether the answer is a failure.
+    pub fn record_answer(&mut self, name: &TargetName, is_failure: bool, now: ClockTime) {
+        if let Some(state) = self.states.get_mut(name) {
+            state.failures.record_answer(is_failure, now);
+            if is_failure {
+                self.failed_at = Some(now);
+            }
+        }
+    }
+
+    /// Returns whether calls have failed at any target so recently that failure rates are regarded.
+    pub fn has_failures(&self, now: ClockTime) -> bool {
+        self.failed_at
+            .is_some_and(|at| now.since(at) < FAILURE_MEMORY)
+    }
+
+    /// Returns what this host knows of calls at targets that fail some of them, since the last
+    /// report; to be sent to the other hosts.
+    pub fn take_failure_reports(&mut self, now: ClockTime) -> Vec<FailureReport> {
+        if !self.has_failures(now) {
+            return Vec::new();
+        }
+        let states = self.states.values_mut();
+        let reports = states.filter_map(|state| {
+            let (calls, failures) = state.failures.take_report(now)?;
+            Some(FailureReport {
+                target: TargetKey::of(&state.record.name),
+                calls,
+                failures,
+            })
+        });
+        reports.collect()
+    }
+
+    /// Applies the reports of another host about calls at targets that fail some of them.
+    pub fn receive_failures(&mut self, reports: &[FailureReport], now: ClockTime) {
+        for report in reports {
+            let name = self.names.get(&report.target);
+            let state = name.and_then(|name| self.states.get_mut(name));
+            let Some(state) = state else {
+                continue;
+            };
+            state.failures.receive(report, now);
+            if report.failures > 0 {
+                self.failed_at = Some(now);
+            }
+        }
+    }
+
     /// Records that a target does not hold a model or adapter that was listed for it.
     pub fn record_missing(
         &mut self,
--- a/crates/serving/tests/common/mod.rs
+++ b/crates/serving/tests/common/mod.rs
@@ -3,7 +3,9 @@
 
 #![allow(dead_code)]
 
+pub mod fake_target;
 pub mod fleet;
+pub mod uneven;
 
 use crocusyard_base::prelude::*;
 use crocusyard_serving::copies::EngineView;
