serving: choose engines by expected times where they report their pace

The load per slot says little about when a stream begins or how long it pauses: a slow machine and prompts that are prefilled make streams late at any load. Engines also got too many calls at once: 60 hosts with the same old loads sent to the same engines, since the random term was too small for the age of the loads.

Where engines report their pace, the cost of an engine now follows from the expected time to the first event, the expected lateness of the call and of the streams there, and the KV memory (target_model). Unanswered prompt tokens of this host are counted until the first event, a new event of the reducer; hosts report prompts and received loads to each other with the heartbeat. The prompts of a host that are prefilled at one engine are limited by the pauses that they cause. A cached prefix and the failure domain count as time. The random term grows with the square root of the heartbeat interval. Other services are served as before.

--- a/crates/edge/src/gossip.rs
+++ b/crates/edge/src/gossip.rs
@@ -102,13 +102,10 @@
     if let Some(evidence) = evidence {
         shell.broadcast(&HostMessage::Evidence(evidence));
     }
-    let failures = shell
-        .serving
-        .borrow_mut()
-        .targets
-        .take_failure_reports(clock::now());
-    if !failures.is_empty() {
-        shell.broadcast(&HostMessage::Failures(failures));
+    let now = clock::now();
+    let reports = shell.serving.borrow_mut().targets.take_reports(now);
+    if !reports.is_empty() {
+        shell.broadcast(&HostMessage::TargetReports(reports));
     }
 }
 
@@ -234,7 +231,9 @@
         targets @ HostMessage::Targets { .. } => receive_targets(shell, targets),
         HostMessage::Crash(report) => shell.dispatch(ServingEvent::Crash(report)),
         HostMessage::Evidence(evidence) => shell.dispatch(ServingEvent::Evidence(evidence)),
-        HostMessage::Failures(reports) => shell.dispatch(ServingEvent::PeerFailures(reports)),
+        HostMessage::TargetReports(reports) => {
+            shell.dispatch(ServingEvent::PeerTargets(reports));
+        }
         HostMessage::News {
             hosts,
             holder,
--- a/crates/edge/src/message.rs
+++ b/crates/edge/src/message.rs
@@ -101,6 +101,6 @@
     },
     /// Reports what the sender knows of the causes of crashes.
     Evidence(EvidenceReport),
-    /// Reports the sender's calls at targets that fail some of them; sent with the heartbeat.
-    Failures(Vec<FailureReport>),
+    /// Reports what the sender knows of targets; sent with the heartbeat if there is anything.
+    TargetReports(TargetReports),
 }
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -70,11 +70,17 @@
             sender: &sender,
             splitter: &mut splitter,
             timing: &mut timing,
+            is_new_attempt: true,
         };
         let end = events.run(&mut source).await;
         let outcome = match end {
             SourceEnd::Complete => {
                 record_result(&open, &timing, true);
+                if let Some(mean_gap_ms) = timing.mean_gap_ms() {
+                    let key = open.key;
+                    let event = ServingEvent::StreamEnded { key, mean_gap_ms };
+                    open.shell.dispatch(event);
+                }
                 source.conn.release().await;
                 open.end_attempt(AttemptOutcome::Answered { status: 200 });
                 return;
@@ -182,6 +188,8 @@
     sender: &'a StreamSender,
     splitter: &'a mut EventSplitter,
     timing: &'a mut StreamTiming,
+    /// Whether no event of the current target has arrived.
+    is_new_attempt: bool,
 }
 
 impl EventForward<'_> {
@@ -216,6 +224,11 @@
                 continue;
             }
             let events = self.splitter.event_count();
+            if self.is_new_attempt {
+                self.is_new_attempt = false;
+                let key = self.open.key;
+                self.open.shell.dispatch(ServingEvent::FirstEvent { key });
+            }
             self.timing.record_events(events, clock::now());
             if self.sender.send(Ok(Bytes::from(complete))).await.is_err() {
                 return SourceEnd::CallerLeft;
--- a/crates/serving/src/call.rs
+++ b/crates/serving/src/call.rs
@@ -117,6 +117,14 @@
         unit_hash(&(&self.id, salt))
     }
 
+    /// Returns the size of the parts of the prompt that the prompts of other calls may share, tokens:
+    /// those up to the part by which calls prefer targets.
+    pub fn shared_tokens(&self) -> u32 {
+        let shared = self.prompt.len().saturating_sub(1).max(1);
+        let parts = self.prompt.iter().take(shared);
+        parts.fold(0, |sum, part| sum.saturating_add(part.tokens))
+    }
+
     /// Returns the key by which calls with a common prompt prefer the same target, or `None`
     /// without a prompt.
     ///
--- a/crates/serving/src/choose.rs
+++ b/crates/serving/src/choose.rs
@@ -17,6 +17,7 @@
 //! the same delay and would otherwise send to the same target until newer loads arrive.
 
 use crate::call::CallInfo;
+use crate::target_model::{EngineDemand, EngineFigures};
 use crate::targets::{TargetState, TargetTable};
 use crocusyard_base::prelude::*;
 use std::collections::hash_map::DefaultHasher;
@@ -36,6 +37,21 @@
 /// Scale of the random cost of a call that needs a model, as a fraction of a target's slots. Such a
 /// call runs for longer than the interval between heartbeats.
 const MODEL_SPREAD: f64 = 0.1;
+/// Random cost of a call to an engine that reports its pace, with heartbeats each 250 ms, as a
+/// fraction of an engine's slots, besides `MODEL_SPREAD`; for a host that gets few of the callers. It
+/// grows with the square root of the interval. Lower ones made 60 hosts follow the same old loads,
+/// higher ones ignore them (`docs/measurements-targets.md`).
+const ENGINE_SPREAD: f64 = 0.25;
+/// The interval of those heartbeats, ms.
+const ENGINE_SPREAD_INTERVAL_MS: f64 = 250.0;
+/// Cost of each ms until the first event, at engines that report their pace, as a fraction of an
+/// engine's slots. Crossing to another failure domain and tokens that are not in the prefix cache
+/// cost by the time that they take.
+const TIME_COST_PER_MS: f64 = 0.03;
+/// Time that crossing to another failure domain takes, ms.
+const REMOTE_DOMAIN_MS: f64 = 3.0;
+/// Cost of each stream that is expected to be late, as a fraction of an engine's slots.
+const LATENESS_COST: f64 = 0.3;
 /// Cost of a target that failed recently, as a fraction of its slots; higher than any other cost,
 /// so that every other target is preferred. It is multiplied by the scale of the random cost where
 /// that is above 1, with more than 25 hosts.
@@ -76,6 +92,9 @@
     AdapterAbsent,
     /// All targets that hold the model and the adapter are full.
     AllFull,
+    /// Targets have free slots, but prompts of this host are prefilled there, and one more would make
+    /// the streams pause for too long.
+    Prefilling,
 }
 
 /// Properties of the choosing host that affect the choice.
@@ -85,6 +104,8 @@
     pub domain: &'a DomainName,
     /// Fraction of all callers that the host gets.
     pub fraction: f64,
+    /// Interval at which the hosts report to each other.
+    pub report_interval: ClockTime,
 }
 
 /// Chooses a target that has not been tried.
@@ -103,6 +124,8 @@
     let mut reason = NoTarget::NoneKnown;
     let preferred = preferred_target(table, call, now);
     let failures = ServiceFailures::of(table, call, now);
+    let has_model = call.need.is_some() && table.is_paced(&call.service, now);
+    let engines = has_model.then(|| table.figures(&call.service));
     for state in table.of_service(&call.service) {
         let holds_model = call.model().is_none_or(|model| state.holds(model, None));
         if holds_model && state.pause_left(now).is_some() {
@@ -126,7 +149,15 @@
             reason = reason.max_with(NoTarget::AllFull);
             continue;
         }
-        let mut cost = target_cost(state, call, preferred, own, now);
+        if let Some(figures) = &engines {
+            let demand = engine_demand(call, false);
+            let own_prefilling = f64::from(state.own_prefilling());
+            if figures.exceeds_prefill_limit(&state.engine_load(now), own_prefilling, &demand) {
+                reason = reason.max_with(NoTarget::Prefilling);
+                continue;
+            }
+        }
+        let mut cost = target_cost(state, call, preferred, engines.as_ref(), own, now);
         if let Some(failures) = &failures {
             cost += failures.cost(state, call, !tried.is_empty(), own, now);
         }
@@ -147,6 +178,7 @@
             Self::AllPaused => 2,
             Self::AdapterAbsent => 3,
             Self::AllFull => 4,
+            Self::Prefilling => 5,
         }
     }
 
@@ -165,28 +197,60 @@
     state: &TargetState,
     call: &CallInfo,
     preferred: Option<&TargetName>,
+    engines: Option<&EngineFigures>,
     own: OwnHost<'_>,
     now: ClockTime,
 ) -> f64 {
     let load = f64::from(state.load(now)) / f64::from(state.slots());
-    let spread = random_scale(call, own);
+    let spread = match engines {
+        Some(_) => engine_random_scale(own),
+        None => random_scale(call, own),
+    };
     let mut cost = load + random_cost(state, call) * spread;
     if let Some(pace) = state.pace(now) {
         let slots = f64::from(state.slots());
         cost += (load + 1.0 / slots) * (pace - 1.0) + spread * pace.ln();
     }
-    if state.record.domain != *own.domain {
-        cost += REMOTE_DOMAIN_COST;
-    }
     if state.is_avoided(now) {
         cost += FAILED_COST * spread.max(1.0);
     }
-    if preferred == Some(&state.record.name) {
+    let is_remote = state.record.domain != *own.domain;
+    let is_preferred = preferred == Some(&state.record.name);
+    if let Some(figures) = engines {
+        let load = state.engine_load(now);
+        let demand = engine_demand(call, is_preferred);
+        let mut start_ms = figures.time_to_first_event(&load, demand.prompt_tokens);
+        if is_remote {
+            start_ms += REMOTE_DOMAIN_MS;
+        }
+        let lateness = figures.expected_lateness(&load, &demand);
+        return cost + start_ms * TIME_COST_PER_MS + lateness * LATENESS_COST;
+    }
+    if is_remote {
+        cost += REMOTE_DOMAIN_COST;
+    }
+    if is_preferred {
         cost -= AFFINITY_GAIN;
     }
     cost
 }
 
+/// Returns what a call needs of an engine; at the engine that calls with the same prompt prefer, the
+/// parts that they share need not be prefilled.
+fn engine_demand(call: &CallInfo, is_preferred: bool) -> EngineDemand {
+    let cached = if is_preferred {
+        call.shared_tokens()
+    } else {
+        0
+    };
+    EngineDemand {
+        prompt_tokens: f64::from(call.prompt_tokens.saturating_sub(cached)),
+        tokens: f64::from(call.prompt_tokens) + f64::from(call.output_tokens),
+        start_objective: call.route.latency_objective,
+        pause_objective: call.route.pause_objective,
+    }
+}
+
 /// Scale of the random cost of a call.
 fn random_scale(call: &CallInfo, own: OwnHost<'_>) -> f64 {
     match &call.need {
@@ -195,6 +259,12 @@
     }
 }
 
+/// Scale of the random cost of a call to an engine that reports its pace.
+fn engine_random_scale(own: OwnHost<'_>) -> f64 {
+    let intervals = own.report_interval.as_ms() as f64 / ENGINE_SPREAD_INTERVAL_MS;
+    (MODEL_SPREAD + ENGINE_SPREAD * (1.0 - own.fraction)) * intervals.max(1.0).sqrt()
+}
+
 /// Failures of the targets of a service.
 struct ServiceFailures {
     /// Largest cost of failures, in units of the scale of the random cost, at which the sound targets
--- a/crates/serving/src/event.rs
+++ b/crates/serving/src/event.rs
@@ -2,9 +2,9 @@
 
 use crate::call::{AttemptOutcome, CallInfo, CallNeed};
 use crate::choose::NoTarget;
-use crate::failures::FailureReport;
 use crate::hosts::HostShare;
 use crate::rules::RuleSet;
+use crate::target_reports::TargetReports;
 use crate::targets::{HeldModels, HostLoad, LeavingNotice, TargetLoad, TargetRecord};
 use crate::turns::HostWaiting;
 use crocusyard_base::prelude::*;
@@ -81,8 +81,20 @@
         /// Number of its requests in progress, by target.
         load: HostLoad,
     },
-    /// Another host reported calls at targets that fail some of them.
-    PeerFailures(Vec<FailureReport>),
+    /// The first event of a call's answer arrived from its target.
+    FirstEvent {
+        /// Request that the answer belongs to.
+        key: RequestKey,
+    },
+    /// The stream of a call has ended.
+    StreamEnded {
+        /// Request that it belongs to.
+        key: RequestKey,
+        /// Average time between two of its events, ms.
+        mean_gap_ms: f64,
+    },
+    /// Another host reported what it knows of targets.
+    PeerTargets(TargetReports),
     /// Another host reported its waiting calls.
     PeerWaiting {
         /// Host that reported.
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -32,6 +32,8 @@
 pub mod rules;
 pub mod state;
 pub mod stream_timing;
+pub mod target_model;
+pub mod target_reports;
 pub mod targets;
 pub mod trend;
 pub mod turns;
@@ -60,6 +62,7 @@
     };
     pub use crate::state::{ServingConfig, ServingState, MAX_PAUSE};
     pub use crate::stream_timing::{StreamResult, StreamTiming};
+    pub use crate::target_reports::{LoadReport, PromptReport, TargetReports};
     pub use crate::targets::{
         LeavingNotice, TargetHoldings, TargetLoad, TargetRecord, TargetTable,
     };
--- a/crates/serving/src/pace.rs
+++ b/crates/serving/src/pace.rs
@@ -10,7 +10,7 @@
 /// Time after which half of the difference between an observation and the average is left.
 const OBSERVATION_HALF_LIFE_MS: f64 = 100.0;
 /// Time after which half of the difference between the average and the usual pace is left.
-const AVERAGE_HALF_LIFE_MS: f64 = 4_000.0;
+const AVERAGE_HALF_LIFE_MS: f64 = 2_000.0;
 /// Time by whose passing an observation counts in full for the average; observations of the same
 /// moment count once.
 const AVERAGE_WINDOW_MS: f64 = 2_000.0;
--- a/crates/serving/src/state.rs
+++ b/crates/serving/src/state.rs
@@ -11,10 +11,10 @@
 use crate::choose::{choose_target, NoTarget, OwnHost};
 use crate::demand::{DemandCounter, ModelDemand};
 use crate::event::{AttemptPlan, RefusalReason, RequestRefusal, ServingEffect, ServingEvent};
-use crate::hosts::{report_lifetime, HostShare};
+use crate::hosts::{heartbeat_interval, report_lifetime, HostShare};
 use crate::retries::{RetryBudget, RetryLimits};
 use crate::rules::RuleSet;
-use crate::targets::TargetTable;
+use crate::targets::{TargetRecord, TargetTable};
 use crate::turns::{HostWaiting, ModelKey, TurnTracker};
 use crate::waiting::{WaitingCall, WaitingCalls};
 use crocusyard_base::prelude::*;
@@ -66,6 +66,11 @@
     /// Target of the current attempt and the start of its incarnation, Unix ms.
     target: Option<(TargetName, u64)>,
     sent_at: ClockTime,
+    /// Time from the send to the first event that was expected, ms; `None` for a call whose target
+    /// does not report its pace.
+    expected_start_ms: Option<f64>,
+    /// Whether the first event of the current attempt has arrived.
+    has_begun: bool,
     /// Reason for the last wait of the request; `None` if it never waited.
     waited_for: Option<NoTarget>,
     /// Whether a target may have run the call.
@@ -195,13 +200,7 @@
             }
             ServingEvent::Rules(rules) => self.set_rules(rules),
             ServingEvent::Targets { upserts, removed } => {
-                self.targets_known = true;
-                for record in upserts {
-                    self.targets.upsert(record, now);
-                }
-                for name in removed {
-                    self.targets.remove(&name, now);
-                }
+                self.change_targets(upserts, &removed, now);
                 self.send_waiting(now, &mut out);
             }
             ServingEvent::Leaving(notice) => {
@@ -232,7 +231,11 @@
             ServingEvent::Crash(report) => self.receive_crash(&report, now, &mut out),
             ServingEvent::Evidence(evidence) => self.receive_evidence(&evidence, now, &mut out),
             ServingEvent::PeerLoad { host, load } => self.targets.update_peer(&host, load, now),
-            ServingEvent::PeerFailures(reports) => self.targets.receive_failures(&reports, now),
+            ServingEvent::FirstEvent { key } => self.begin_answer(key, now, &mut out),
+            ServingEvent::StreamEnded { key, mean_gap_ms } => {
+                self.record_gap(key, mean_gap_ms, now);
+            }
+            ServingEvent::PeerTargets(reports) => self.targets.receive_reports(&reports, now),
             ServingEvent::PeerWaiting { host, waiting } => {
                 self.turns.update_peer(&host, waiting, now);
             }
@@ -263,12 +266,65 @@
         out
     }
 
+    /// Records that the first event of a call has arrived, and when it was expected. A call that
+    /// waits for the end of a prefill may be sent now.
+    fn begin_answer(&mut self, key: RequestKey, now: ClockTime, out: &mut Effects) {
+        let Some(request) = self.requests.get_mut(&key) else {
+            return;
+        };
+        let Some((target, _)) = request.target.as_ref().filter(|_| !request.has_begun) else {
+            return;
+        };
+        request.has_begun = true;
+        self.targets.count_first_event(target, &request.call);
+        if let Some(expected) = request.expected_start_ms {
+            let took = now.since(request.sent_at).as_ms() as f64;
+            let figures = self.targets.figures_mut(&request.call.service);
+            figures.record_start(took, expected);
+            self.send_waiting(now, out);
+        }
+    }
+
+    /// Records the average time between the events of a call's stream.
+    fn record_gap(&mut self, key: RequestKey, mean_gap_ms: f64, now: ClockTime) {
+        let Some(request) = self.requests.get(&key) else {
+            return;
+        };
+        let target = request.target.as_ref();
+        let state = target.and_then(|(target, _)| self.targets.get(target));
+        if let (Some(state), Some(_)) = (state, request.expected_start_ms) {
+            let load = state.engine_load(now);
+            let figures = self.targets.figures_mut(&request.call.service);
+            figures.record_gap(mean_gap_ms, &load);
+        }
+    }
+
+    fn change_targets(
+        &mut self,
+        upserts: Vec<TargetRecord>,
+        removed: &[TargetName],
+        now: ClockTime,
+    ) {
+        self.targets_known = true;
+        for record in upserts {
+            self.targets.upsert(record, now);
+        }
+        for name in removed {
+            self.targets.remove(name, now);
+        }
+    }
+
     fn set_rules(&mut self, rules: Rc<RuleSet>) {
         let newer = self
             .rules
             .as_ref()
             .is_none_or(|current| rules.version > current.version);
         if newer {
+            for (name, rule) in &rules.services {
+                if let Some(engine) = &rule.engine {
+                    self.targets.figures_mut(name).kv_tokens = engine.kv_tokens as f64;
+                }
+            }
             self.rules = Some(rules);
         }
     }
@@ -289,6 +345,8 @@
             tried: Vec::new(),
             target: None,
             sent_at: now,
+            expected_start_ms: None,
+            has_begun: false,
             waited_for: None,
             maybe_ran: false,
         };
@@ -322,6 +380,7 @@
         let own = OwnHost {
             domain: &self.config.domain,
             fraction: self.share.fraction,
+            report_interval: heartbeat_interval(self.share.hosts),
         };
         let chosen = choose_target(&self.targets, &call, &request.tried, own, now);
         if chosen.is_ok() {
@@ -349,6 +408,15 @@
         request.tried.push(target.clone());
         request.target = Some((target.clone(), state.record.incarnation));
         request.sent_at = now;
+        request.has_begun = false;
+        request.expected_start_ms = None;
+        let call = request.call.clone();
+        if call.need.is_some() && self.targets.is_paced(&call.service, now) {
+            let load = state.engine_load(now);
+            let figures = self.targets.figures(&call.service);
+            let prompt = f64::from(call.prompt_tokens);
+            request.expected_start_ms = Some(figures.time_to_first_event(&load, prompt));
+        }
         out.push(ServingEffect::Send(AttemptPlan {
             key,
             target: target.clone(),
@@ -361,6 +429,7 @@
             waited_for: request.waited_for,
         }));
         self.targets.count_sent(target);
+        self.targets.count_prompt(target, &call);
     }
 
     /// Lets a request wait for a target, or refuses it if the wait would last too long.
@@ -457,6 +526,8 @@
         };
         if let Some((target, _)) = &request.target {
             self.targets.count_ended(target);
+            self.targets
+                .count_tokens_ended(target, &request.call, request.has_begun);
         }
         if let Some(need) = &request.call.need {
             self.demand.count_end(&request.call.service, need);
@@ -474,6 +545,8 @@
         };
         let ran = now.since(request.sent_at);
         self.targets.count_ended(&target);
+        self.targets
+            .count_tokens_ended(&target, &call, request.has_begun);
         match outcome {
             AttemptOutcome::Answered { status } => {
                 let sent_at = request.sent_at;
@@ -652,7 +725,7 @@
             NoTarget::NoneKnown => RefusalReason::NoTarget,
             NoTarget::ModelAbsent | NoTarget::AdapterAbsent => RefusalReason::ModelAbsent,
             NoTarget::AllPaused => RefusalReason::TargetsPaused,
-            NoTarget::AllFull => RefusalReason::Overloaded,
+            NoTarget::AllFull | NoTarget::Prefilling => RefusalReason::Overloaded,
         };
         self.refuse_or_fail(key, refusal, estimate, out);
         if let (Some(need), true) = (&call.need, refusal == RefusalReason::ModelAbsent) {
@@ -679,7 +752,10 @@
                 continue;
             }
             self.send_or_wait(key, now, out);
-            if self.waiting.contains(key) {
+            let request = self.requests.get(&key);
+            let waits_for = request.and_then(|request| request.waited_for);
+            // A call with a smaller prompt may be sent while one with a larger prompt waits.
+            if self.waiting.contains(key) && waits_for != Some(NoTarget::Prefilling) {
                 blocked.insert(queue);
             }
         }
--- a/crates/serving/src/state/estimate.rs
+++ b/crates/serving/src/state/estimate.rs
@@ -48,7 +48,8 @@
             }
             NoTarget::ModelAbsent => self.estimate_load(call, now),
             NoTarget::AllPaused => self.pause_left(call, now).unwrap_or(ClockTime::ZERO),
-            NoTarget::AdapterAbsent => ClockTime::ZERO,
+            // The first event of another call is due at once.
+            NoTarget::AdapterAbsent | NoTarget::Prefilling => ClockTime::ZERO,
             NoTarget::AllFull => self.estimate_full(key, call, now),
         }
     }
--- a/crates/serving/src/stream_timing.rs
+++ b/crates/serving/src/stream_timing.rs
@@ -41,6 +41,8 @@
     first_at: Option<ClockTime>,
     last_at: ClockTime,
     longest_pause: ClockTime,
+    /// Number of events until now.
+    events: u64,
     /// Number of events before the longest pause.
     events_before: u64,
 }
@@ -53,6 +55,7 @@
             first_at: None,
             last_at: arrived,
             longest_pause: ClockTime::ZERO,
+            events: 0,
             events_before: 0,
         }
     }
@@ -69,6 +72,14 @@
             }
         }
         self.last_at = now;
+        self.events = events;
+    }
+
+    /// Returns the average time between two events, ms; `None` with less than two.
+    pub fn mean_gap_ms(&self) -> Option<f64> {
+        let gaps = self.events.checked_sub(1).filter(|gaps| *gaps > 0)?;
+        let time = self.last_at.since(self.first_at?);
+        Some(time.as_ms() as f64 / gaps as f64)
     }
 
     /// Returns the time from the call to the first event, or `None` without one.
--- a/crates/serving/src/targets.rs
+++ b/crates/serving/src/targets.rs
@@ -3,9 +3,13 @@
 //! Holdings come from the target's own record in the store and, sooner, from the lease holder.
 //! Loads come from the answers of the target and from the heartbeats of the other hosts.
 
+use crate::call::CallInfo;
 use crate::failures::{FailureRate, FailureReport};
 use crate::pace::PaceEstimate;
 use crate::peer_reports::PeerReports;
+use crate::rules::CallKind;
+use crate::target_model::{EngineFigures, EngineLoad};
+use crate::target_reports::{LoadReport, PromptRate, PromptReport, TargetReports};
 use crocusyard_base::prelude::*;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
@@ -29,6 +33,13 @@
 const MODEL_REFUSAL_TIME: ClockTime = ClockTime::from_ms(500);
 /// Time for which no calls are sent to a target that refused one because it was full.
 const FULL_TIME: ClockTime = ClockTime::from_ms(100);
+/// Time for which a prompt of another host is expected to be ahead of later ones, ms, at the usual
+/// pace: the prefill of an average prompt, and a few steps.
+const PEER_PREFILL_MS: f64 = 60.0;
+/// Time after the last report of a pace from which a service is served as one without.
+const PACE_MEMORY: ClockTime = ClockTime::from_secs(60);
+/// Age up to which a load that a target reported is passed on to the other hosts.
+const RELAYED_LOAD_AGE: ClockTime = ClockTime::from_secs(2);
 /// Time after the last failure from which all targets count as sound; the failure rate of each has
 /// fallen below what is regarded by then.
 const FAILURE_MEMORY: ClockTime = ClockTime::from_secs(30);
@@ -138,6 +149,16 @@
     reported: Option<ReportedLoad>,
     pace: Option<PaceEstimate>,
     failures: FailureRate,
+    /// Prompt tokens of this host's calls that have got no first event.
+    own_prefilling: u32,
+    /// Prompt and output tokens of this host's calls in progress.
+    own_tokens: u32,
+    /// Prompt tokens that other hosts send.
+    peer_prompts: PromptRate,
+    /// Prompt tokens that have not been reported to the other hosts.
+    unreported_prompts: u32,
+    /// Whether the last load that the target reported to this host has not been passed on.
+    is_load_unreported: bool,
     avoid_until: ClockTime,
     /// Time for which the next failure of the target makes this host avoid it.
     avoid_time: ClockTime,
@@ -162,6 +183,11 @@
             reported: None,
             pace: None,
             failures: FailureRate::default(),
+            own_prefilling: 0,
+            own_tokens: 0,
+            peer_prompts: PromptRate::default(),
+            unreported_prompts: 0,
+            is_load_unreported: false,
             avoid_until: ClockTime::ZERO,
             avoid_time: MIN_AVOID_TIME,
             last_failure: ClockTime::ZERO,
@@ -221,6 +247,24 @@
         now < self.avoid_until
     }
 
+    /// Returns the load of the target, for the expected times of a call there.
+    pub fn engine_load(&self, now: ClockTime) -> EngineLoad {
+        let pace = self.pace(now).unwrap_or(1.0);
+        EngineLoad {
+            requests: f64::from(self.load(now)),
+            prompt_tokens: f64::from(self.own_prefilling)
+                + self.peer_prompts.per_ms(now) * PEER_PREFILL_MS * pace,
+            own_requests: f64::from(self.in_flight),
+            own_tokens: f64::from(self.own_tokens),
+            pace,
+        }
+    }
+
+    /// Returns the prompt tokens of this host's calls that have got no first event.
+    pub fn own_prefilling(&self) -> u32 {
+        self.own_prefilling
+    }
+
     /// Returns the expected fraction of calls that fail at the target.
     pub fn failure_rate(&self, now: ClockTime) -> f64 {
         self.failures.rate(now)
@@ -266,6 +310,15 @@
     }
 }
 
+/// Prompt tokens that count as unanswered until the first event of a call. Only a stream shows when
+/// its prompt has been prefilled.
+fn prefilling_tokens(call: &CallInfo) -> u32 {
+    match call.route.kind {
+        CallKind::Stream { .. } => call.prompt_tokens,
+        _ => 0,
+    }
+}
+
 /// Short key of a target, used in messages between hosts.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct TargetKey(pub u32);
@@ -309,6 +362,10 @@
     peers: PeerReports<HostLoad>,
     /// When a call at any target was last known to fail.
     failed_at: Option<ClockTime>,
+    /// Services whose targets report their pace, with the time of the last report.
+    paced: BTreeMap<ServiceName, ClockTime>,
+    /// Figures of the engines, by service.
+    figures: BTreeMap<ServiceName, EngineFigures>,
 }
 
 impl TargetTable {
@@ -340,9 +397,12 @@
         }
         if record.incarnation > state.record.incarnation {
             let (in_flight, others) = (state.in_flight, state.others);
+            let (own_prefilling, own_tokens) = (state.own_prefilling, state.own_tokens);
             *state = TargetState::new(record);
             state.in_flight = in_flight;
             state.others = others;
+            state.own_prefilling = own_prefilling;
+            state.own_tokens = own_tokens;
             return;
         }
         if state
@@ -477,6 +537,127 @@
         }
     }
 
+    /// Counts the tokens of a call that is sent to a target.
+    pub fn count_prompt(&mut self, name: &TargetName, call: &CallInfo) {
+        let Some(state) = self.states.get_mut(name) else {
+            return;
+        };
+        let tokens = call.prompt_tokens.saturating_add(call.output_tokens);
+        state.own_prefilling = state.own_prefilling.saturating_add(prefilling_tokens(call));
+        state.own_tokens = state.own_tokens.saturating_add(tokens);
+        state.unreported_prompts = state.unreported_prompts.saturating_add(call.prompt_tokens);
+        let figures = self.figures.entry(call.service.clone()).or_default();
+        figures.record_call(f64::from(tokens));
+    }
+
+    /// Counts the first event of a call at a target, or its end without one.
+    pub fn count_first_event(&mut self, name: &TargetName, call: &CallInfo) {
+        if let Some(state) = self.states.get_mut(name) {
+            state.own_prefilling = state.own_prefilling.saturating_sub(prefilling_tokens(call));
+        }
+    }
+
+    /// Counts the end of a call whose tokens were counted; `is_answered` is whether its first event
+    /// was counted.
+    pub fn count_tokens_ended(&mut self, name: &TargetName, call: &CallInfo, is_answered: bool) {
+        if !is_answered {
+            self.count_first_event(name, call);
+        }
+        if let Some(state) = self.states.get_mut(name) {
+            let tokens = call.prompt_tokens.saturating_add(call.output_tokens);
+            state.own_tokens = state.own_tokens.saturating_sub(tokens);
+        }
+    }
+
+    /// Returns whether targets of a service have reported their pace recently.
+    pub fn is_paced(&self, service: &ServiceName, now: ClockTime) -> bool {
+        self.paced
+            .get(service)
+            .is_some_and(|at| now.since(*at) < PACE_MEMORY)
+    }
+
+    /// Returns the figures of a service's engines.
+    pub fn figures(&self, service: &ServiceName) -> EngineFigures {
+        self.figures.get(service).copied().unwrap_or_default()
+    }
+
+    /// Returns the figures of a service's engines for changes.
+    pub fn figures_mut(&mut self, service: &ServiceName) -> &mut EngineFigures {
+        self.figures.entry(service.clone()).or_default()
+    }
+
+    /// Returns what this host knows of targets since its last report, to be sent to the other hosts.
+    pub fn take_reports(&mut self, now: ClockTime) -> TargetReports {
+        let mut reports = TargetReports {
+            failures: self.take_failure_reports(now),
+            ..TargetReports::default()
+        };
+        if self.paced.is_empty() {
+            return reports;
+        }
+        for (name, state) in &mut self.states {
+            let prompts = std::mem::take(&mut state.unreported_prompts);
+            let is_load_unreported = std::mem::take(&mut state.is_load_unreported);
+            if prompts == 0 && !is_load_unreported {
+                continue;
+            }
+            let is_paced = self.paced.get(&state.record.service);
+            if is_paced.is_none_or(|at| now.since(*at) >= PACE_MEMORY) {
+                continue;
+            }
+            let target = TargetKey::of(name);
+            if prompts > 0 {
+                reports.prompts.push(PromptReport::new(target, prompts));
+            }
+            let reported = state.reported.filter(|_| is_load_unreported);
+            if let Some(ReportedLoad { load, at, .. }) = reported {
+                let age = now.since(at);
+                if let (Some(pace), true) = (load.pace, age < RELAYED_LOAD_AGE) {
+                    reports.loads.push(LoadReport {
+                        target,
+                        running: u16::try_from(load.running).unwrap_or(u16::MAX),
+                        waiting: u16::try_from(load.waiting).unwrap_or(u16::MAX),
+                        pace,
+                        age_ms: u16::try_from(age.as_ms()).unwrap_or(u16::MAX),
+                    });
+                }
+            }
+        }
+        reports
+    }
+
+    /// Applies what another host knows of targets.
+    pub fn receive_reports(&mut self, reports: &TargetReports, now: ClockTime) {
+        self.receive_failures(&reports.failures, now);
+        for report in &reports.prompts {
+            let name = self.names.get(&report.target);
+            if let Some(state) = name.and_then(|name| self.states.get_mut(name)) {
+                state.peer_prompts.add(report.tokens(), now);
+            }
+        }
+        for report in &reports.loads {
+            let name = self.names.get(&report.target);
+            let Some(state) = name.and_then(|name| self.states.get_mut(name)) else {
+                continue;
+            };
+            let at = now - ClockTime::from_ms(u64::from(report.age_ms));
+            let load = TargetLoad {
+                running: u32::from(report.running),
+                waiting: u32::from(report.waiting),
+                slots: state.record.slots,
+                pace: Some(report.pace),
+            };
+            if state.reported.is_none_or(|known| known.at < at) {
+                let own = state.in_flight;
+                state.reported = Some(ReportedLoad { load, own, at });
+                // Only the host that got the answer passes it on.
+                state.is_load_unreported = false;
+            }
+            self.paced.insert(state.record.service.clone(), at);
+            PaceEstimate::observe(&mut state.pace, f64::from(report.pace) / 100.0, at);
+        }
+    }
+
     /// Returns the requests of this host in progress by target, to be sent to the other hosts.
     pub fn own_load(&self) -> HostLoad {
         self.states
@@ -536,6 +717,13 @@
             if let Some(percent) = load.pace {
                 let factor = f64::from(percent) / 100.0;
                 PaceEstimate::observe(&mut state.pace, factor, now);
+                state.is_load_unreported = true;
+                match self.paced.get_mut(&state.record.service) {
+                    Some(at) => *at = now,
+                    None => {
+                        self.paced.insert(state.record.service.clone(), now);
+                    }
+                }
             }
         }
     }
--- a/crates/serving/tests/common/uneven.rs
+++ b/crates/serving/tests/common/uneven.rs
@@ -57,6 +57,8 @@
     info: CallInfo,
     host: usize,
     arrived: u64,
+    sent: u64,
+    expected_ms: f64,
     target: Option<usize>,
     tried: Vec<TargetName>,
     timing: StreamTiming,
@@ -195,6 +197,8 @@
             info,
             host,
             arrived: self.now,
+            sent: self.now,
+            expected_ms: 0.0,
             target: None,
             tried: Vec::new(),
             timing: StreamTiming::new(now),
@@ -212,7 +216,18 @@
         let target = self.names.iter().position(|known| *known == name);
         let target = target.expect("the target is known");
         let call = &mut self.calls[number];
-        self.tables[call.host].count_sent(&name);
+        let table = &mut self.tables[call.host];
+        if call.info.need.is_some() {
+            let expected = table.get(&name).map(|state| {
+                let figures = table.figures(&call.info.service);
+                let prompt = f64::from(call.info.prompt_tokens);
+                figures.time_to_first_event(&state.engine_load(ms(self.now)), prompt)
+            });
+            call.expected_ms = expected.unwrap_or_default();
+        }
+        call.sent = self.now;
+        table.count_sent(&name);
+        table.count_prompt(&name, &call.info);
         call.target = Some(target);
         call.tried.push(name);
         let run = FakeRun::new(
@@ -231,6 +246,7 @@
             let own = OwnHost {
                 domain: &domain,
                 fraction: 1.0 / self.tables.len() as f64,
+                report_interval: ms(self.age_ms),
             };
             return choose_target(table, &call.info, &call.tried, own, now).ok();
         }
@@ -278,11 +294,11 @@
         let now = ms(self.now);
         let name = HostName::new(&format!("h{host}"));
         let load = self.tables[host].own_load();
-        let failures = self.tables[host].take_failure_reports(now);
+        let reports = self.tables[host].take_reports(now);
         for (other, table) in self.tables.iter_mut().enumerate() {
             if other != host {
                 table.update_peer(&name, load.clone(), now);
-                table.receive_failures(&failures, now);
+                table.receive_reports(&reports, now);
             }
         }
     }
@@ -308,9 +324,20 @@
         match event {
             FakeEvent::Output { is_last, .. } => {
                 call.timing.record_events(call.events, now);
+                if call.events == 1 {
+                    table.count_first_event(name, &call.info);
+                    let took = (self.now - call.sent) as f64;
+                    let figures = table.figures_mut(&call.info.service);
+                    figures.record_start(took, call.expected_ms);
+                }
                 if is_last {
                     call.target = None;
+                    if let (Some(gap), Some(state)) = (call.timing.mean_gap_ms(), table.get(name)) {
+                        let load = state.engine_load(now);
+                        table.figures_mut(&call.info.service).record_gap(gap, &load);
+                    }
                     table.count_ended(name);
+                    table.count_tokens_ended(name, &call.info, true);
                     match call.timing.result(&call.info.route, true) {
                         StreamResult::LateStart => self.outcome.late_start += 1,
                         StreamResult::LongPause => self.outcome.long_pause += 1,
@@ -321,6 +348,7 @@
             FakeEvent::Answer { status, .. } => {
                 call.target = None;
                 table.count_ended(name);
+                table.count_tokens_ended(name, &call.info, false);
                 table.record_answer(name, status >= 500, now);
                 if status < 500 {
                     let late = self.now - call.arrived > call.info.route.latency_objective.as_ms();
@@ -384,6 +412,71 @@
     }
 }
 
+/// Models that the engines hold, two each.
+const MODELS: [&str; 10] = ["m0", "m1", "m2", "m3", "m4", "m5", "m6", "m7", "m8", "m9"];
+
+/// Calls to engines: `per_s` to each engine on average, `long` of them with a long prompt, and with
+/// the first model called `hot` times as often as the others from 4 s on.
+pub fn engine_calls(engines: usize, per_s: f64, long: f64, hot: f64) -> Arrivals {
+    Box::new(move |now, rng| {
+        let mut calls = Vec::new();
+        let rate = per_s * engines as f64 / 1_000.0 / MODELS.len() as f64;
+        for (number, model) in MODELS.iter().enumerate() {
+            let factor = if number == 0 && now >= 4_000 {
+                hot
+            } else {
+                1.0
+            };
+            if rng.random::<f64>() >= rate * factor {
+                continue;
+            }
+            let is_long = rng.random::<f64>() < long;
+            let mut route = route(CallKind::Stream { resumable: false }, 1);
+            route.latency_objective = ms(if is_long { 3_000 } else { 400 });
+            route.pause_objective = Some(ms(200));
+            calls.push(NewCall {
+                model: Some(model),
+                prompt: if is_long {
+                    rng.random_range(4_000..8_000)
+                } else {
+                    rng.random_range(100..1_200)
+                },
+                output: rng.random_range(40..320),
+                route,
+            });
+        }
+        calls
+    })
+}
+
+/// Engines of which each sixth changes its pace every 100 ms if `changes_pace` is set.
+pub fn engine_scenario(
+    (hosts, engines, slots): (usize, usize, usize),
+    call: Arrivals,
+    changes_pace: bool,
+) -> Scenario {
+    let held = |number: usize| {
+        let first = MODELS[number % MODELS.len()];
+        let second = MODELS[(number * 3 + 1 + number / MODELS.len()) % MODELS.len()];
+        vec![first, second]
+    };
+    Scenario {
+        hosts,
+        targets: (0..engines)
+            .map(|number| (FakeTarget::new(Kind::Engine, slots), held(number)))
+            .collect(),
+        call,
+        change: Box::new(move |now, targets, rng| {
+            if changes_pace && now % 100 == 0 {
+                for target in targets.iter_mut().step_by(6) {
+                    target.pace = [1.0, 1.5, 2.0, 3.0, 4.0][rng.random_range(0..5)];
+                }
+            }
+        }),
+        length_ms: 12_000,
+    }
+}
+
 /// Returns the figures of several runs as columns of a table: calls, and percentages of late first
 /// events, long pauses, calls failed by a first target, failed calls and open calls.
 pub fn summary(outcomes: impl Iterator<Item = Outcome>) -> String {
--- a/crates/serving/tests/failing_targets.rs
+++ b/crates/serving/tests/failing_targets.rs
@@ -79,9 +79,12 @@
         calls: 10,
         failures,
     };
-    let reports = vec![report("t1", 5), report("t2", 5), report("t3", 0)];
+    let reports = TargetReports {
+        failures: vec![report("t1", 5), report("t2", 5), report("t3", 0)],
+        ..TargetReports::default()
+    };
     host.state
-        .reduce(ServingEvent::PeerFailures(reports), ms(1_000));
+        .reduce(ServingEvent::PeerTargets(reports), ms(1_000));
     let (mut second, mut sound) = (0, 0);
     for _ in 0..200 {
         let now = ms(1_010);
