--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -36,6 +36,8 @@
 pub mod shares;
 pub mod state;
 pub mod stream_timing;
+pub mod target_model;
+pub mod target_reports;
 pub mod targets;
 pub mod tenants;
 pub mod trend;
@@ -68,6 +70,7 @@
     pub use crate::shares::{TenantKey, TenantShares, UsageLevel, UsageReport};
     pub use crate::state::{ServingConfig, ServingState, MAX_PAUSE};
     pub use crate::stream_timing::{StreamResult, StreamTiming};
+    pub use crate::target_reports::{LoadReport, PromptReport, TargetReports};
     pub use crate::targets::{
         LeavingNotice, TargetHoldings, TargetLoad, TargetRecord, TargetTable,
     };
