tests: clients that are not controlled

Nothing bounds the sum of what a host buffers on behalf of others. The tests let small crowds of clients send bodies that stop short of their end, bodies far over the limit and heads that never end, or read nothing, and compare the peak memory and the open descriptors with the settings: 120 MB, and 512 descriptors of which 200 are for files.

The keys limits.memory_mb and limits.descriptors of `crocusyard serve` are read and not used yet.

--- a/crates/settings/src/keys.rs
+++ b/crates/settings/src/keys.rs
@@ -283,6 +283,18 @@
         Default("8192"),
         "connections from callers at once",
     ),
+    key(
+        "memory_mb",
+        integer(64, 1_048_576),
+        Default("512"),
+        "memory that the process may use, MB",
+    ),
+    key(
+        "descriptors",
+        integer(256, 10_000_000),
+        Default("10240"),
+        "files and sockets that the process may have open",
+    ),
 ];
 
 /// Keys of section `log`.
--- a/crates/settings/src/sections.rs
+++ b/crates/settings/src/sections.rs
@@ -251,6 +251,10 @@
     pub header_read_ms: ClockTime,
     /// Largest number of open connections from callers.
     pub connections: u32,
+    /// Memory that the process may use, MB.
+    pub memory_mb: u64,
+    /// Number of files and sockets that the process may have open.
+    pub descriptors: u32,
 }
 
 impl Default for LimitSettings {
@@ -260,6 +264,8 @@
             header_bytes: 32 << 10,
             header_read_ms: ClockTime::from_ms(5000),
             connections: 8192,
+            memory_mb: 512,
+            descriptors: 10_240,
         }
     }
 }
--- a/tests/entry_support/mod.rs
+++ b/tests/entry_support/mod.rs
@@ -41,6 +41,11 @@
 impl EntryHost {
     /// Starts the host `name`, which uses the given store.
     pub fn start(name: &str, store: SocketAddr) -> Self {
+        Self::start_with(name, store, "")
+    }
+
+    /// Starts the host `name` with further lines in its settings.
+    pub fn start_with(name: &str, store: SocketAddr, further_settings: &str) -> Self {
         // The ports come from a helper that avoids ports of outgoing connections. An ordinary free
         // port of 127.0.0.1 may be taken by such a connection before the process binds it.
         let peer = unused_range(PORT_COUNT);
@@ -52,7 +57,7 @@
         };
         // The metrics are served on the second port of the range.
         let metrics = SocketAddr::new(peer.ip(), peer.port() + 1);
-        let text = settings_text(name, &addresses, store);
+        let text = settings_text(name, &addresses, store) + further_settings;
         let mut file = tempfile::NamedTempFile::new().expect("the settings file cannot be created");
         file.write_all(text.as_bytes())
             .expect("the settings file cannot be written");
@@ -223,17 +228,22 @@
     }
 }
 
-/// Calls a streaming route on a connection with a small buffer, of which nothing is read.
-pub fn open_unread_stream(host: &EntryHost, path: &str, id: &str) -> socket2::Socket {
-    const RECEIVE_BUFFER_BYTES: usize = 4_096;
-    let request = caller_request(path, id, STREAM_TIMEOUT_MS).expect("the request is not valid");
-    let (head, _) = request.into_parts();
+/// Returns the head of a caller's request as text, without the length of the body and the line that
+/// ends the head.
+pub fn request_head(path: &str, id: &str, timeout_ms: u64) -> String {
+    let request = caller_request(path, id, timeout_ms).expect("the request is not valid");
     let mut text = format!("POST {path} HTTP/1.1\r\n");
-    for (name, value) in &head.headers {
+    for (name, value) in request.headers() {
         let value = value.to_str().expect("a header of text");
         text.push_str(&format!("{name}: {value}\r\n"));
     }
-    text.push_str("Content-Length: 0\r\n\r\n");
+    text
+}
+
+/// Calls a streaming route on a connection with a small buffer, of which nothing is read.
+pub fn open_unread_stream(host: &EntryHost, path: &str, id: &str) -> socket2::Socket {
+    const RECEIVE_BUFFER_BYTES: usize = 4_096;
+    let text = request_head(path, id, STREAM_TIMEOUT_MS) + "Content-Length: 0\r\n\r\n";
     let domain = socket2::Domain::for_address(host.addresses.entry);
     let socket = socket2::Socket::new(domain, socket2::Type::STREAM, None).expect("a socket");
     socket
