edge: bound what is buffered and open for callers

Bodies, heads, answers and events had bounds of their own and no common one. A body over the limit gets 413 at once, an evicted one 503 and one that is too slow 408, and the connection is closed.

Metrics: intake_refusals by reason, intake_bytes, caller_connections; one log line a second at most.

--- a/crates/edge/src/body.rs
+++ b/crates/edge/src/body.rs
@@ -9,6 +9,9 @@
 
 /// Number of chunks that may wait for a slow caller; beyond it the target is not read any further.
 const STREAM_BUFFER_CHUNKS: usize = 8;
+/// Length from which on a chunk waits alone, so that few long ones do not take as much memory as many
+/// ordinary ones, bytes.
+pub(crate) const LONG_CHUNK_BYTES: usize = 8 * 1_024;
 
 /// Body of an answer to a caller.
 pub(crate) enum AnswerBody {
--- a/crates/edge/src/control.rs
+++ b/crates/edge/src/control.rs
@@ -38,6 +38,9 @@
     let opened_count = shell.pool.opened_count();
     let blamed = shell.serving.borrow().blamed_count();
     shell.metrics.set_blamed(blamed);
+    let held_bytes = shell.intake.counts().held_bytes;
+    let connections = shell.caller_conns.count();
+    shell.metrics.set_intake(held_bytes, connections);
     let text = shell
         .metrics
         .text(shell.request_count(), waiting, opened_count);
--- a/crates/edge/src/entry.rs
+++ b/crates/edge/src/entry.rs
@@ -4,6 +4,8 @@
 //! target, refuse it or fail it.
 
 use crate::body::AnswerBody;
+use crate::body_reader::{read_body, BodyRefusal};
+use crate::caller_conns::{ConnEntry, ConnState, GuardedStream, TrackedBody};
 use crate::clock;
 use crate::control::{answer_control_request, empty_response};
 use crate::decision_log;
@@ -15,8 +17,8 @@
 use crocusyard_adapter::prelude::*;
 use crocusyard_base::prelude::*;
 use crocusyard_httpconn::prelude::set_stream_options;
+use crocusyard_intake::prelude::IntakeRefusal;
 use crocusyard_serving::prelude::*;
-use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::header::{HeaderValue, CONNECTION, CONTENT_LENGTH, HOST, RETRY_AFTER};
 use hyper::server::conn::http1;
@@ -38,6 +40,8 @@
 /// Size of the read buffer of a connection, bytes; it bounds the head of a request, also before the
 /// configuration is known.
 const MAX_HEAD_BYTES: usize = 64 * 1_024;
+/// `Retry-After` of answers to requests for whose bodies there is no memory, s.
+const NO_MEMORY_RETRY_S: &str = "1";
 /// `Retry-After` of answers while no configuration is known, s.
 const STARTING_RETRY_S: &str = "0.5";
 /// `Retry-After` of answers while the host stops, s; the other hosts take the work at once.
@@ -69,7 +73,12 @@
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                actix_rt::spawn(serve(shell.clone(), stream, role, stop.clone()));
+                if !shell.caller_conns.make_room().await {
+                    shell.count_intake_refusal("no_connection_left");
+                    continue;
+                }
+                let entry = shell.caller_conns.add();
+                actix_rt::spawn(serve(shell.clone(), stream, entry, role, stop.clone()));
             }
             Err(error) => {
                 warn!("a connection cannot be accepted: {error}");
@@ -84,6 +93,7 @@
 async fn serve(
     shell: Rc<EdgeShell>,
     stream: TcpStream,
+    entry: ConnEntry,
     role: ListenerRole,
     mut stop: watch::Receiver<bool>,
 ) {
@@ -101,10 +111,12 @@
     let handler_shell = shell.clone();
     let first_request = Rc::new(Notify::new());
     let arrived = first_request.clone();
+    let state = entry.state.clone();
     let service = service_fn(move |request| {
         arrived.notify_one();
-        answer(handler_shell.clone(), request, role)
+        answer(handler_shell.clone(), state.clone(), request, role)
     });
+    let stream = GuardedStream::new(stream, entry.state.clone());
     let conn = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(idle_timeout)
@@ -119,9 +131,13 @@
     };
     let ended = tokio::select! {
         ended = conn.as_mut() => ended,
+        () = entry.state.closed() => return,
         () = stopping => {
             conn.as_mut().graceful_shutdown();
-            conn.await
+            tokio::select! {
+                ended = conn.as_mut() => ended,
+                () = entry.state.closed() => return,
+            }
         }
     };
     if let Err(error) = ended {
@@ -131,18 +147,24 @@
 
 async fn answer(
     shell: Rc<EdgeShell>,
+    conn: Rc<ConnState>,
     request: Request<Incoming>,
     role: ListenerRole,
-) -> Result<Response<AnswerBody>, AnswerAborted> {
+) -> Result<Response<TrackedBody>, AnswerAborted> {
+    let in_progress = conn.begin_request().map_err(|refusal| {
+        shell.count_intake_refusal(refusal.label());
+        AnswerAborted
+    })?;
+    let track = |body| TrackedBody::new(body, Some(in_progress));
     if role == ListenerRole::Control {
-        return Ok(answer_control_request(&shell, &request));
+        return Ok(answer_control_request(&shell, &request).map(track));
     }
     let mut response = answer_request(&shell, request).await?;
     if shell.is_stopping() {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(CONNECTION, close);
     }
-    Ok(response)
+    Ok(response.map(track))
 }
 
 /// Error that makes hyper close the connection without an answer.
@@ -206,12 +228,9 @@
         );
         return Ok(empty_response(StatusCode::NOT_FOUND));
     };
-    let body = match Limited::new(body, rules.limits.body_bytes).collect().await {
-        Ok(body) => body.to_bytes(),
-        Err(error) if error.is::<http_body_util::LengthLimitError>() => {
-            return Ok(empty_response(StatusCode::PAYLOAD_TOO_LARGE));
-        }
-        Err(_) => return Err(AnswerAborted),
+    let body = match read_body(&shell.intake, body, rules.limits.body_bytes).await {
+        Ok(body) => body,
+        Err(refusal) => return refuse_body(shell, &headers, refusal),
     };
     let timeout = call_timeout(&headers, &route);
     if shell.refuses_new(&route, timeout) {
@@ -242,6 +261,35 @@
     run_request(open).await
 }
 
+/// Answers a request whose body was not read. It was not sent to any target. The connection is closed,
+/// since the rest of the body is not read either.
+fn refuse_body(
+    shell: &EdgeShell,
+    headers: &CallHeaders,
+    refusal: BodyRefusal,
+) -> Result<Response<AnswerBody>, AnswerAborted> {
+    let (reason, mut response) = match refusal {
+        BodyRefusal::Broken => return Err(AnswerAborted),
+        BodyRefusal::TooLarge => (
+            "body_too_large",
+            empty_response(StatusCode::PAYLOAD_TOO_LARGE),
+        ),
+        BodyRefusal::Budget(IntakeRefusal::TooSlow) => (
+            IntakeRefusal::TooSlow.label(),
+            empty_response(StatusCode::REQUEST_TIMEOUT),
+        ),
+        BodyRefusal::Budget(refusal) => (
+            refusal.label(),
+            unavailable(HeaderValue::from_static(NO_MEMORY_RETRY_S)),
+        ),
+    };
+    shell.count_intake_refusal(reason);
+    debug!("the body of request {} was refused: {reason}", headers.id);
+    let close = HeaderValue::from_static("close");
+    response.headers_mut().insert(CONNECTION, close);
+    Ok(response)
+}
+
 /// Returns the time until the caller stops waiting or the timeout of the route ends.
 fn call_timeout(headers: &CallHeaders, route: &RouteRule) -> ClockTime {
     headers.timeout.unwrap_or(route.timeout).min(route.timeout)
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -10,6 +10,8 @@
 //! `crates/host`.
 
 mod body;
+mod body_reader;
+mod caller_conns;
 mod clock;
 mod compression;
 mod control;
@@ -19,6 +21,7 @@
 mod exchange;
 mod follow;
 mod gossip;
+mod intake_log;
 mod lease_keeper;
 mod message;
 mod metrics;
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -50,12 +50,52 @@
     reason: String,
 }
 
+/// Labels of the counter of what was refused or closed to protect the host.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct IntakeLabels {
+    reason: &'static str,
+}
+
 /// Labels of the order counter.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct OrderLabels {
     answer: String,
 }
 
+/// Metrics of the memory budget and of callers' connections.
+struct IntakeMetrics {
+    refusals: Family<IntakeLabels, Counter>,
+    bytes: Gauge,
+    connections: Gauge,
+}
+
+impl IntakeMetrics {
+    fn register(registry: &mut Registry) -> Self {
+        let refusals = Family::default();
+        registry.register(
+            "intake_refusals",
+            "Bodies, heads and connections that were refused or closed to protect the host",
+            Family::clone(&refusals),
+        );
+        let (bytes, connections) = (Gauge::default(), Gauge::default());
+        registry.register(
+            "intake_bytes",
+            "Bytes that the memory budget holds",
+            bytes.clone(),
+        );
+        registry.register(
+            "caller_connections",
+            "Open connections of callers",
+            connections.clone(),
+        );
+        Self {
+            refusals,
+            bytes,
+            connections,
+        }
+    }
+}
+
 /// All metrics of the process.
 pub(crate) struct EdgeMetrics {
     registry: Registry,
@@ -70,6 +110,7 @@
     connections: Gauge,
     crashes: Counter,
     blamed: Gauge,
+    intake: IntakeMetrics,
     /// Calls to the store by table and reason.
     pub(crate) store_calls: StoreCalls,
     routes: std::cell::RefCell<std::collections::BTreeSet<RouteName>>,
@@ -133,6 +174,7 @@
             "Calls and prompt parts that are refused because they crash targets",
             blamed.clone(),
         );
+        let intake = IntakeMetrics::register(&mut registry);
         let store_calls = StoreCalls::default();
         registry.register(
             "store_calls",
@@ -153,6 +195,7 @@
             connections,
             crashes,
             blamed,
+            intake,
             routes: std::cell::RefCell::default(),
         }
     }
@@ -194,6 +237,24 @@
         self.refusals.get_or_create(&labels).inc();
     }
 
+    /// Counts what was refused or closed to protect the host.
+    pub(crate) fn count_intake_refusal(&self, reason: &'static str) {
+        self.intake
+            .refusals
+            .get_or_create(&IntakeLabels { reason })
+            .inc();
+    }
+
+    /// Sets the gauges of the memory budget and of callers' connections.
+    pub(crate) fn set_intake(&self, held_bytes: usize, connections: usize) {
+        self.intake
+            .bytes
+            .set(i64::try_from(held_bytes).unwrap_or(i64::MAX));
+        self.intake
+            .connections
+            .set(i64::try_from(connections).unwrap_or(i64::MAX));
+    }
+
     pub(crate) fn count_crash(&self) {
         self.crashes.inc();
     }
--- a/crates/edge/src/run.rs
+++ b/crates/edge/src/run.rs
@@ -1,5 +1,6 @@
 //! Starts and stops the process.
 
+use crate::caller_conns::SWEEP_INTERVAL;
 use crate::clock;
 use crate::decision_log;
 use crate::entry::{accept, ListenerRole};
@@ -36,6 +37,8 @@
 const LINGER_TIME: ClockTime = ClockTime::from_ms(6_000);
 /// Longest time to remove the row of this host; if that fails, the row stays.
 const ROW_REMOVAL_TIMEOUT: Duration = Duration::from_millis(300);
+/// Time limit of heads before the configuration is known.
+const INITIAL_HEAD_TIMEOUT: ClockTime = ClockTime::from_secs(15);
 /// Interval at which a stopping host checks whether requests are still in progress.
 const STOP_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -122,6 +125,7 @@
     actix_rt::spawn(tick(shell.clone()));
     actix_rt::spawn(prune(shell.clone()));
     actix_rt::spawn(log_calls(shell.clone()));
+    actix_rt::spawn(sweep(shell.clone()));
 }
 
 async fn tick(shell: Rc<EdgeShell>) {
@@ -144,6 +148,25 @@
     }
 }
 
+/// Closes callers' connections that hold resources without progress.
+async fn sweep(shell: Rc<EdgeShell>) {
+    loop {
+        actix_rt::time::sleep(SWEEP_INTERVAL).await;
+        let head_timeout = shell
+            .serving
+            .borrow()
+            .rules()
+            .map_or(INITIAL_HEAD_TIMEOUT, |rules| rules.limits.head_timeout);
+        for reason in shell.caller_conns.sweep(head_timeout) {
+            shell.count_intake_refusal(reason);
+        }
+        let held_bytes = shell.intake.counts().held_bytes;
+        shell
+            .intake_log
+            .write(held_bytes, shell.caller_conns.count());
+    }
+}
+
 /// Lets the requests in progress end, within the stop time that the platform gives.
 async fn stop_process(shell: &Rc<EdgeShell>, stop: &watch::Sender<bool>) {
     let stop_began = clock::now();
--- a/crates/edge/src/shell.rs
+++ b/crates/edge/src/shell.rs
@@ -1,9 +1,11 @@
 //! Holds the state of the process and carries out the reducer's effects.
 
+use crate::caller_conns::CallerConns;
 use crate::clock;
 use crate::crash_log;
 use crate::decision_log;
 use crate::gossip::{self, PeerSocket};
+use crate::intake_log::IntakeLog;
 use crate::message::HostMessage;
 use crate::metrics::EdgeMetrics;
 use crate::moves;
@@ -12,6 +14,7 @@
 use crocusyard_base::prelude::*;
 use crocusyard_base::random::seeded_rng;
 use crocusyard_httpconn::prelude::*;
+use crocusyard_intake::prelude::*;
 use crocusyard_serving::prelude::*;
 use serde_json::json;
 use std::cell::{Cell, RefCell};
@@ -64,6 +67,10 @@
     pub(crate) availability: RefCell<StoreAvailability>,
     pub(crate) metrics: EdgeMetrics,
     pub(crate) pool: ConnPool,
+    /// Memory for what the host buffers on behalf of others.
+    pub(crate) intake: IntakeBudget,
+    pub(crate) intake_log: IntakeLog,
+    pub(crate) caller_conns: Rc<CallerConns>,
     pub(crate) store: StoreClient,
     pub(crate) peers: PeerSocket,
     /// Version with which this host wrote its row to the store, once it did.
@@ -107,6 +114,8 @@
             entry: settings.entry,
             peer: settings.peer,
         };
+        let intake = IntakeBudget::new(IntakeLimits::for_memory(settings.memory_mb));
+        let conn_limits = ConnLimits::for_descriptors(settings.max_descriptors);
         Rc::new_cyclic(|weak_shell| Self {
             serving: RefCell::new(ServingState::new(config, now)),
             hosts: RefCell::new(HostTable::new(own).with_first_stamp(clock::first_stamp(now))),
@@ -121,7 +130,12 @@
                 connect_timeout: CONNECT_TIMEOUT,
                 idle_timeout: IDLE_TIMEOUT,
                 max_idle: MAX_IDLE_CONNS,
-            }),
+            })
+            .with_budget(intake.clone())
+            .with_max_open(conn_limits.targets),
+            caller_conns: CallerConns::new(conn_limits.callers, intake.clone()),
+            intake,
+            intake_log: IntakeLog::default(),
             store: StoreClient::new(settings.store),
             peers,
             own_row_version: Cell::new(None),
@@ -185,6 +199,12 @@
         self.settings.stop_time.since(EXIT_MARGIN)
     }
 
+    /// Counts what was refused or closed to protect the host.
+    pub(crate) fn count_intake_refusal(&self, reason: &'static str) {
+        self.metrics.count_intake_refusal(reason);
+        self.intake_log.count(reason);
+    }
+
     /// Returns the number of requests in progress.
     pub(crate) fn request_count(&self) -> usize {
         self.requests.borrow().len()
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -1,14 +1,14 @@
 //! Forwards streams of events from targets to callers.
 
-use crate::body::{AnswerBody, StreamSender};
+use crate::body::{AnswerBody, StreamSender, LONG_CHUNK_BYTES};
 use crate::clock;
 use crate::decision_log;
 use crate::entry::{deliver, log_attempt_ended, log_attempt_sent, AnswerAborted, OpenRequest};
 use crate::exchange::{attempt, AttemptResult};
 use crate::shell::RequestStep;
-use bytes::Bytes;
 use crocusyard_base::prelude::*;
 use crocusyard_httpconn::prelude::{is_malformed, PooledConn};
+use crocusyard_intake::prelude::*;
 use crocusyard_serving::prelude::*;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -17,6 +17,9 @@
 use std::io;
 use std::time::Duration;
 
+/// Interval at which a stream that waits for room in the memory budget tries again.
+const ROOM_INTERVAL: Duration = Duration::from_millis(20);
+
 /// A target's stream that is being read.
 struct StreamSource {
     body: Incoming,
@@ -64,12 +67,14 @@
 ) {
     let mut splitter = EventSplitter::new();
     let mut timing = StreamTiming::new(open.arrived);
+    let mut partial = open.shell.intake.open(IntakeUse::Held, clock::now());
     loop {
         let mut events = EventForward {
             open: &open,
             sender: &sender,
             splitter: &mut splitter,
             timing: &mut timing,
+            partial: &mut partial,
         };
         let end = events.run(&mut source).await;
         let outcome = match end {
@@ -95,6 +100,7 @@
         };
         drop(source);
         splitter.discard_partial();
+        partial.release(partial.bytes());
         log_attempt_ended(&open, &plan, outcome);
         open.end_attempt(outcome);
         let resumed = tokio::select! {
@@ -182,6 +188,8 @@
     sender: &'a StreamSender,
     splitter: &'a mut EventSplitter,
     timing: &'a mut StreamTiming,
+    /// Charge of the incomplete event in the splitter.
+    partial: &'a mut IntakeGuard,
 }
 
 impl EventForward<'_> {
@@ -205,6 +213,9 @@
                     Err(_) => continue,
                 },
             };
+            if let Some(end) = self.charge(data.len()).await {
+                return end;
+            }
             let complete = match self.splitter.push(&data) {
                 Ok(complete) => complete,
                 Err(error) => {
@@ -217,10 +228,53 @@
             }
             let events = self.splitter.event_count();
             self.timing.record_events(events, clock::now());
-            if self.sender.send(Ok(Bytes::from(complete))).await.is_err() {
-                return SourceEnd::CallerLeft;
+            if let Some(end) = self.forward(complete).await {
+                return end;
+            }
+        }
+    }
+
+    /// Charges bytes of the stream to the memory budget, and waits for room if necessary; meanwhile
+    /// the target is not read. Returns the end of the stream if it ends instead.
+    async fn charge(&mut self, length: usize) -> Option<SourceEnd> {
+        let deadline = self.open.request.call.deadline;
+        while self.partial.charge(length, clock::now()).is_err() {
+            if clock::now() >= deadline {
+                return Some(SourceEnd::Expired);
+            }
+            tokio::select! {
+                () = self.sender.closed() => return Some(SourceEnd::CallerLeft),
+                () = actix_rt::time::sleep(ROOM_INTERVAL) => {}
             }
         }
+        None
+    }
+
+    /// Sends complete events to the caller. Their charge moves from the incomplete event to them.
+    async fn forward(&mut self, complete: Vec<u8>) -> Option<SourceEnd> {
+        let length = complete.len();
+        self.partial.release(length);
+        let mut charge = self.open.shell.intake.open(IntakeUse::Held, clock::now());
+        // The bytes have just been released, and no other task ran in between.
+        let _ = charge.charge(length, clock::now());
+        let chunk = charge.attach(complete);
+        let places = if length > LONG_CHUNK_BYTES {
+            self.sender.max_capacity()
+        } else {
+            1
+        };
+        let time_left = self.open.request.call.deadline.since(clock::now());
+        let permits = tokio::select! {
+            permits = self.sender.reserve_many(places) => permits,
+            () = actix_rt::time::sleep(Duration::from_millis(time_left.as_ms())) => {
+                return Some(SourceEnd::Expired);
+            }
+        };
+        let Some(permit) = permits.ok().and_then(|mut permits| permits.next()) else {
+            return Some(SourceEnd::CallerLeft);
+        };
+        permit.send(Ok(chunk));
+        None
     }
 
     /// Returns the end of a stream that the target has ended: broken if it was cut inside an event,
--- a/crates/httpconn/src/pool.rs
+++ b/crates/httpconn/src/pool.rs
@@ -1,9 +1,11 @@
 //! A pool of idle connections by address, and the exchange of requests and answers over them.
 
 use crate::socket::set_stream_options;
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
+use crocusyard_base::prelude::*;
+use crocusyard_intake::prelude::*;
 use http_body_util::{BodyExt, Full};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
@@ -11,7 +13,6 @@
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::io;
-use std::mem;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -26,9 +27,14 @@
 const MAX_HEAD_BYTES: usize = 64 * 1024;
 /// Longest body that is collected, bytes.
 const MAX_BODY_BYTES: usize = 8 * 1024 * 1024;
-/// Largest total length of the bodies that one pool collects at a time, bytes; the smallest hosts
-/// have 160 MB.
+/// Memory for the bodies that a pool without a budget of its process collects at a time, bytes; the
+/// smallest hosts have 120 MB.
 const MAX_COLLECTED_BYTES: usize = 32 * 1024 * 1024;
+/// Longest wait of one body for room in the memory budget; answers that are waiting for slow callers are given up
+/// after 15 s at most.
+const ROOM_TIMEOUT: Duration = Duration::from_secs(2);
+/// Interval at which a body that waits for room tries again.
+const ROOM_INTERVAL: Duration = Duration::from_millis(10);
 
 /// Failure to send a request or to receive its answer.
 #[derive(Debug, Snafu)]
@@ -118,14 +124,34 @@
     idle: HashMap<SocketAddr, Vec<OpenConn>>,
     /// Number of connections that were opened, including failed attempts.
     opened: u64,
-    /// Length of the bodies that are being collected, bytes.
-    collected: usize,
+    /// Number of connections that are open, idle ones included.
+    open: usize,
+}
+
+/// Counts an open connection until it is dropped with its socket.
+struct OpenCount(Rc<RefCell<PoolState>>);
+
+impl OpenCount {
+    fn new(state: Rc<RefCell<PoolState>>) -> Self {
+        state.borrow_mut().open += 1;
+        Self(state)
+    }
+}
+
+impl Drop for OpenCount {
+    fn drop(&mut self) {
+        self.0.borrow_mut().open -= 1;
+    }
 }
 
 /// Pool of idle connections; clones share it.
 #[derive(Clone)]
 pub struct ConnPool {
     limits: PoolLimits,
+    /// Largest number of open connections.
+    max_open: usize,
+    /// Memory for the bodies that are collected.
+    budget: IntakeBudget,
     state: Rc<RefCell<PoolState>>,
 }
 
@@ -143,20 +169,60 @@
 impl ConnPool {
     /// Creates an empty pool.
     pub fn new(limits: PoolLimits) -> Self {
+        let budget = IntakeBudget::new(IntakeLimits {
+            total_bytes: MAX_COLLECTED_BYTES,
+            small_reserve_bytes: 0,
+            ..IntakeLimits::for_memory(0)
+        });
         Self {
             limits,
+            max_open: usize::MAX,
+            budget,
             state: Rc::default(),
         }
     }
 
+    /// Charges the bodies that are collected to the budget of the process.
+    #[must_use]
+    pub fn with_budget(mut self, budget: IntakeBudget) -> Self {
+        self.budget = budget;
+        self
+    }
+
+    /// Limits the number of open connections.
+    #[must_use]
+    pub fn with_max_open(mut self, max_open: usize) -> Self {
+        self.max_open = max_open;
+        self
+    }
+
     /// Returns the number of connections opened so far, including failed attempts.
     pub fn opened_count(&self) -> u64 {
         self.state.borrow().opened
     }
 
-    /// Returns the length of the bodies that are being collected, bytes.
+    /// Returns the charge of the bodies that are being collected or in use, bytes.
     pub fn collected_bytes(&self) -> usize {
-        self.state.borrow().collected
+        self.budget.counts().held_bytes
+    }
+
+    /// Closes an idle connection if no further one may be opened; fails if there is none.
+    fn make_room(&self) -> Result<(), SendError> {
+        let mut state = self.state.borrow_mut();
+        if state.open < self.max_open {
+            return Ok(());
+        }
+        let oldest = state.idle.iter().filter(|(_, conns)| !conns.is_empty());
+        let oldest = oldest.min_by_key(|(_, conns)| conns[0].idle_since);
+        let Some(address) = oldest.map(|(address, _)| *address) else {
+            let reason = format!("{} connections are open", state.open);
+            return Err(SendError::NoConnection { reason });
+        };
+        let closed = state.idle.get_mut(&address).map(|conns| conns.remove(0));
+        // A connection that is dropped changes the state.
+        drop(state);
+        drop(closed);
+        Ok(())
     }
 
     /// Returns the idle connection that was used last, or opens a new one.
@@ -197,7 +263,9 @@
     /// Fails if the peer refuses or does not answer in time.
     pub async fn open(&self, address: SocketAddr) -> Result<PooledConn, SendError> {
         let no_connection = |reason: String| SendError::NoConnection { reason };
+        self.make_room()?;
         self.state.borrow_mut().opened += 1;
+        let counted = OpenCount::new(self.state.clone());
         let stream = timeout(self.limits.connect_timeout, TcpStream::connect(address))
             .await
             .map_err(|_| no_connection("timed out".to_owned()))?
@@ -209,6 +277,7 @@
             .await
             .map_err(|error| no_connection(error.to_string()))?;
         let driver = actix_rt::spawn(async move {
+            let _counted = counted;
             // The error is also returned to the task that waits for the answer.
             let _ = driver.await;
         });
@@ -298,21 +367,35 @@
     ///
     /// Fails if the body is cut off or too long.
     pub async fn read_body(&self, mut body: Incoming) -> Result<Bytes, SendError> {
-        let mut collected = CollectedBody {
-            bytes: BytesMut::new(),
-            length: 0,
-            pool: self.pool.clone(),
-        };
+        let announced = body.size_hint().exact().unwrap_or(0);
+        let announced = usize::try_from(announced).unwrap_or(usize::MAX);
+        if announced > MAX_BODY_BYTES {
+            return Err(too_long(announced));
+        }
+        if body.is_end_stream() {
+            return Ok(Bytes::new());
+        }
+        let budget = &self.pool.budget;
+        // The budget reads no clock for charges of this kind.
+        let now = ClockTime::ZERO;
+        let open = || BodyIntake::open(budget, IntakeUse::Held, announced, now);
+        let mut waited = Duration::ZERO;
+        let mut intake = wait_for_room(&mut waited, open).await?;
         while let Some(frame) = body.frame().await {
             let frame = frame.map_err(|error| SendError::Lost {
                 reason: error.to_string(),
                 malformed: is_malformed(&error),
             })?;
-            if let Some(data) = frame.data_ref() {
-                collected.push(data)?;
+            let Some(data) = frame.data_ref() else {
+                continue;
+            };
+            let length = intake.len() + data.len();
+            if length > MAX_BODY_BYTES {
+                return Err(too_long(length));
             }
+            wait_for_room(&mut waited, || intake.push(data, now)).await?;
         }
-        Ok(mem::take(&mut collected.bytes).freeze())
+        intake.finish().map_err(|_| no_room())
     }
 
     /// Records that the peer closes the connection after this answer, so that it is not reused.
@@ -341,37 +424,35 @@
     }
 }
 
-/// Body that is being collected; its length counts towards the limit of its pool.
-struct CollectedBody {
-    bytes: BytesMut,
-    /// Length of the body so far.
-    length: usize,
-    pool: ConnPool,
+fn too_long(length: usize) -> SendError {
+    SendError::Lost {
+        reason: format!("the body is too long: {length} bytes"),
+        malformed: true,
+    }
 }
 
-impl CollectedBody {
-    /// Adds bytes, unless the body or all bodies of the pool would get too long.
-    fn push(&mut self, data: &[u8]) -> Result<(), SendError> {
-        let mut state = self.pool.state.borrow_mut();
-        let length = self.length + data.len();
-        let total = state.collected + data.len();
-        if length > MAX_BODY_BYTES || total > MAX_COLLECTED_BYTES {
-            return Err(SendError::Lost {
-                reason: format!(
-                    "the body is too long: {length} bytes, {total} bytes in all bodies"
-                ),
-                malformed: true,
-            });
-        }
-        state.collected = total;
-        self.length = length;
-        self.bytes.extend_from_slice(data);
-        Ok(())
+fn no_room() -> SendError {
+    SendError::Lost {
+        reason: "no memory is left for the body".to_owned(),
+        malformed: true,
     }
 }
 
-impl Drop for CollectedBody {
-    fn drop(&mut self) {
-        self.pool.state.borrow_mut().collected -= self.length;
+/// Repeats an operation while the budget is full; meanwhile the peer is not read any further.
+/// `waited` is the time that the body has waited so far.
+async fn wait_for_room<T>(
+    waited: &mut Duration,
+    mut operation: impl FnMut() -> Result<T, IntakeRefusal>,
+) -> Result<T, SendError> {
+    let start = Instant::now();
+    let waited_before = *waited;
+    loop {
+        match operation() {
+            Err(IntakeRefusal::Full) if *waited < ROOM_TIMEOUT => {
+                tokio::time::sleep(ROOM_INTERVAL).await;
+                *waited = waited_before + start.elapsed();
+            }
+            result => return result.map_err(|_| no_room()),
+        }
     }
 }
--- a/crates/intake/src/body.rs
+++ b/crates/intake/src/body.rs
@@ -3,22 +3,29 @@
 use crate::budget::{IntakeBudget, IntakeGuard, IntakeRefusal, IntakeUse};
 use bytes::{Bytes, BytesMut};
 use crocusyard_base::prelude::*;
+use std::mem;
 
 /// Memory that a body takes besides its bytes: its task and the objects of its call.
 const CALL_OVERHEAD_BYTES: usize = 4 * 1_024;
-/// Smallest capacity of the buffer of a body that arrives in several parts, bytes.
-const MIN_BUFFER_BYTES: usize = 1_024;
+/// Length from which on a body has its connection read into large buffers, bytes.
+const LONG_BODY_BYTES: usize = 16 * 1_024;
+/// Time without a byte after which a body gives way to one that has been announced.
+const IDLE_BODY_TIME: ClockTime = ClockTime::from_secs(1);
+/// Smallest and largest capacity of a segment, bytes. Segments of few sizes are reused after other
+/// bodies; one buffer that grows leaves holes of many sizes behind.
+const SEGMENT_BYTES: std::ops::RangeInclusive<usize> = 1_024..=65_536;
 
-/// A body that is being read into one buffer, whose capacity is charged before it grows. The bytes
-/// of tiny chunks are copied there, so that the buffers they arrived in are free again.
+/// A body that is being read into segments, whose capacity is charged before they are allocated. The
+/// bytes of tiny chunks are copied there, so that the buffers they arrived in are free again.
 #[derive(Debug)]
 pub struct BodyIntake {
     guard: IntakeGuard,
-    buffer: BytesMut,
+    segments: Vec<BytesMut>,
+    length: usize,
     /// Length that was announced; 0 if there was none.
     announced: usize,
-    /// Memory that has been charged, bytes.
-    charged: usize,
+    /// Memory that is charged for the buffers of its connection once it is long.
+    read_buffer_bytes: usize,
 }
 
 impl BodyIntake {
@@ -34,26 +41,34 @@
         now: ClockTime,
     ) -> Result<Self, IntakeRefusal> {
         if !budget.has_room(announced + CALL_OVERHEAD_BYTES) {
+            // A body of which nothing has arrived yet must not displace one that arrives.
+            budget.evict_idle(IDLE_BODY_TIME, now);
             return Err(IntakeRefusal::Full);
         }
+        let limits = budget.limits();
         let mut guard = budget.open(kind, now);
         guard.charge_memory(CALL_OVERHEAD_BYTES, 0, now)?;
         Ok(Self {
             guard,
-            buffer: BytesMut::new(),
+            segments: Vec::new(),
+            length: 0,
             announced,
-            charged: CALL_OVERHEAD_BYTES,
+            read_buffer_bytes: if announced > 0 {
+                limits.read_buffer_bytes
+            } else {
+                limits.chunk_buffer_bytes
+            },
         })
     }
 
     /// Returns the length of the body so far, bytes.
     pub fn len(&self) -> usize {
-        self.buffer.len()
+        self.length
     }
 
     /// Returns whether no byte has arrived.
     pub fn is_empty(&self) -> bool {
-        self.buffer.is_empty()
+        self.length == 0
     }
 
     /// Adds bytes that have arrived.
@@ -63,27 +78,43 @@
     /// Nothing is added. After `Full` the same bytes may be added later; the other refusals are
     /// final.
     pub fn push(&mut self, data: &[u8], now: ClockTime) -> Result<(), IntakeRefusal> {
-        let length = self.buffer.len() + data.len();
-        // The pages of an announced length take memory only once they are written.
-        let needed = if length <= self.announced {
-            length
-        } else if length <= self.buffer.capacity() {
-            self.buffer.capacity()
+        let length = self.length + data.len();
+        let last = self.segments.last();
+        let free = last.map_or(0, |segment| segment.capacity() - segment.len());
+        let (head, rest) = data.split_at(free.min(data.len()));
+        let new_bytes = if rest.is_empty() {
+            0
         } else {
-            length.max(2 * self.buffer.len()).max(MIN_BUFFER_BYTES)
+            rest.len().max(self.next_segment_bytes())
         };
-        let memory = needed + CALL_OVERHEAD_BYTES;
-        let added = memory.saturating_sub(self.charged);
-        self.guard.charge_memory(added, data.len(), now)?;
-        self.charged += added;
-        if self.buffer.capacity() < length {
-            let capacity = needed.max(self.announced);
-            self.buffer.reserve(capacity - self.buffer.len());
+        let is_long = self.length <= LONG_BODY_BYTES && length > LONG_BODY_BYTES;
+        let read_buffer = if is_long { self.read_buffer_bytes } else { 0 };
+        self.guard
+            .charge_memory(new_bytes + read_buffer, data.len(), now)?;
+        if let Some(last) = self.segments.last_mut() {
+            last.extend_from_slice(head);
         }
-        self.buffer.extend_from_slice(data);
+        if !rest.is_empty() {
+            let mut segment = BytesMut::with_capacity(new_bytes);
+            segment.extend_from_slice(rest);
+            self.segments.push(segment);
+        }
+        self.length = length;
         Ok(())
     }
 
+    /// Returns the capacity of the next segment, bytes: as much as is still announced, or twice that
+    /// of the last one.
+    fn next_segment_bytes(&self) -> usize {
+        let wanted = if self.announced > self.length {
+            self.announced - self.length
+        } else {
+            let last = self.segments.last();
+            last.map_or(0, |segment| 2 * segment.capacity())
+        };
+        wanted.clamp(*SEGMENT_BYTES.start(), *SEGMENT_BYTES.end())
+    }
+
     /// Returns whether the body may still be read.
     ///
     /// # Errors
@@ -100,6 +131,20 @@
     /// Fails if it was evicted.
     pub fn finish(mut self) -> Result<Bytes, IntakeRefusal> {
         self.guard.complete()?;
-        Ok(self.guard.attach(self.buffer.freeze()))
+        if self.length > LONG_BODY_BYTES {
+            self.guard.release(self.read_buffer_bytes);
+        }
+        if self.segments.len() <= 1 {
+            let bytes = self.segments.pop().unwrap_or_default().freeze();
+            return Ok(self.guard.attach(bytes));
+        }
+        let mut bytes = Vec::with_capacity(self.length);
+        for segment in mem::take(&mut self.segments) {
+            bytes.extend_from_slice(&segment);
+        }
+        let excess = self.guard.bytes().saturating_sub(self.length);
+        self.guard
+            .release(excess.saturating_sub(CALL_OVERHEAD_BYTES));
+        Ok(self.guard.attach(bytes))
     }
 }
--- a/crates/intake/src/budget.rs
+++ b/crates/intake/src/budget.rs
@@ -110,8 +110,12 @@
         sum + reserve <= self.limits.total_bytes
     }
 
-    /// Evicts the first body to evict if no byte of it has arrived for `idle`.
+    /// Evicts the first body to evict if no byte of it has arrived for `idle`. None is evicted while
+    /// another one is about to be released.
     fn evict_idle(&mut self, idle: ClockTime, now: ClockTime) -> bool {
+        if self.evicted_bytes > 0 {
+            return true;
+        }
         let Some(id) = self.victim(now) else {
             return false;
         };
@@ -155,7 +159,7 @@
         let Some(charge) = self.charges.get(&id) else {
             return Err(IntakeRefusal::Evicted);
         };
-        charge.check(&self.limits, now)?;
+        charge.check_rate(arrived, &self.limits, now)?;
         let bytes = charge.bytes + added;
         if !self.fits(bytes, added) {
             self.make_room(id, bytes, added, now)?;
@@ -220,13 +224,26 @@
         if self.kind == IntakeUse::Held {
             return Ok(());
         }
-        let age = now.since(self.opened);
-        let due = age
-            .since(limits.grace)
-            .as_ms()
-            .saturating_mul(limits.min_rate)
-            / 1_000;
-        if self.arrived < due || now.since(self.progress) > limits.stall_limit {
+        if now.since(self.progress) > limits.stall_limit {
+            return Err(IntakeRefusal::TooSlow);
+        }
+        self.check_rate(0, limits, now)
+    }
+
+    /// Returns whether the body may still be read when `arriving` bytes arrive. A pause before them
+    /// is over and no reason to refuse it: this process may have been suspended.
+    fn check_rate(
+        &self,
+        arriving: usize,
+        limits: &IntakeLimits,
+        now: ClockTime,
+    ) -> Result<(), IntakeRefusal> {
+        if self.evicted {
+            return Err(IntakeRefusal::Evicted);
+        }
+        let age_ms = now.since(self.opened).since(limits.grace).as_ms();
+        let due = age_ms.saturating_mul(limits.min_rate) / 1_000;
+        if self.kind == IntakeUse::Incoming && self.arrived + (arriving as u64) < due {
             return Err(IntakeRefusal::TooSlow);
         }
         Ok(())
@@ -275,7 +292,7 @@
     }
 
     /// Evicts the slowest and largest body for another reason than its memory, unless bytes of it
-    /// have arrived within the last `idle`; returns whether one was evicted.
+    /// have arrived within the last `idle`; returns whether one was evicted or is about to be released.
     pub fn evict_idle(&self, idle: ClockTime, now: ClockTime) -> bool {
         lock(&self.state).evict_idle(idle, now)
     }
--- a/crates/intake/src/limits.rs
+++ b/crates/intake/src/limits.rs
@@ -17,6 +17,12 @@
 const MIN_RATE: u64 = 512;
 /// Time for which the bytes of a body may stop.
 const STALL_LIMIT: ClockTime = ClockTime::from_secs(10);
+/// Memory of the buffers of a connection that carries a long body, bytes: the largest read buffer of
+/// the connections of `crocusyard entry`.
+const READ_BUFFER_BYTES: usize = 64 * 1_024;
+/// Number of the longest bodies that fit into a budget that covers them. One of unknown length takes
+/// up to twice its length, and its answer may be as long.
+const BODIES_COVERED: usize = 4;
 /// Descriptors that are kept for files.
 const FILE_DESCRIPTORS: usize = 200;
 /// Descriptors for the listeners, the store, peers and the operator; a host in calm has 20 of them.
@@ -40,6 +46,10 @@
     pub min_rate: u64,
     /// Time for which the bytes of a body may stop.
     pub stall_limit: ClockTime,
+    /// Memory of the buffers of a connection that carries a long body of announced length, bytes.
+    pub read_buffer_bytes: usize,
+    /// The same for a body in chunks, which the HTTP library may hold in tiny parts.
+    pub chunk_buffer_bytes: usize,
 }
 
 impl IntakeLimits {
@@ -53,8 +63,19 @@
             grace: GRACE,
             min_rate: MIN_RATE,
             stall_limit: STALL_LIMIT,
+            read_buffer_bytes: READ_BUFFER_BYTES,
+            chunk_buffer_bytes: READ_BUFFER_BYTES,
         }
     }
+
+    /// Makes the budget large enough for bodies of this length, if the memory is too small for them.
+    #[must_use]
+    pub fn covering(mut self, body_bytes: usize) -> Self {
+        self.total_bytes = self
+            .total_bytes
+            .max(body_bytes.saturating_mul(BODIES_COVERED));
+        self
+    }
 }
 
 /// Limits on the connections of a host.
