host: bound what `crocusyard serve` buffers for callers

An announced length over the limit is refused before the body is read; an evicted body gets 503 with the code no_memory; refusals that leave a body unread close the connection, which actix-web otherwise kept open with up to 160 KB. Callers' connections are bounded by limits.descriptors as well.

--- a/crates/host/src/answer.rs
+++ b/crates/host/src/answer.rs
@@ -2,10 +2,11 @@
 
 use bytes::Bytes;
 use crocusyard_base::prelude::*;
+use crocusyard_intake::prelude::*;
 use crocusyard_requests::prelude::*;
 use crocusyard_targets::prelude::*;
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use tokio::sync::mpsc;
 
 /// One part of an answer. Parts are sent in the order in which the caller receives them.
@@ -35,6 +36,7 @@
 pub struct AnswerSender {
     parts: mpsc::UnboundedSender<AnswerPart>,
     unread: Arc<AtomicUsize>,
+    charge: Arc<Mutex<IntakeGuard>>,
 }
 
 /// Receiving half of an answer channel.
@@ -42,30 +44,38 @@
 pub struct AnswerReceiver {
     parts: mpsc::UnboundedReceiver<AnswerPart>,
     unread: Arc<AtomicUsize>,
+    charge: Arc<Mutex<IntakeGuard>>,
 }
 
-/// Creates the channel of one answer.
-pub fn answer_channel() -> (AnswerSender, AnswerReceiver) {
+/// Creates the channel of one answer, whose unread bytes are charged to the memory budget.
+pub fn answer_channel(budget: &IntakeBudget) -> (AnswerSender, AnswerReceiver) {
     let (sender, receiver) = mpsc::unbounded_channel();
     let unread = Arc::new(AtomicUsize::new(0));
+    // The budget reads no clock for charges of this kind.
+    let charge = budget.open(IntakeUse::Held, ClockTime::ZERO);
+    let charge = Arc::new(Mutex::new(charge));
     let sender = AnswerSender {
         parts: sender,
         unread: unread.clone(),
+        charge: charge.clone(),
     };
     (
         sender,
         AnswerReceiver {
             parts: receiver,
             unread,
+            charge,
         },
     )
 }
 
 impl AnswerSender {
     /// Sends a part and returns the number of unread bytes, or `None` if the caller has
-    /// disconnected.
+    /// disconnected or there is no memory for the part.
     pub fn send(&self, part: AnswerPart) -> Option<usize> {
         let size = part_bytes(&part);
+        let charged = lock(&self.charge).charge(size, ClockTime::ZERO);
+        charged.ok()?;
         let unread = self.unread.fetch_add(size, Ordering::Relaxed) + size;
         self.parts.send(part).ok().map(|()| unread)
     }
@@ -75,11 +85,17 @@
     /// Waits for the next part; returns `None` if the actor dropped the request.
     pub async fn next(&mut self) -> Option<AnswerPart> {
         let part = self.parts.recv().await?;
-        self.unread.fetch_sub(part_bytes(&part), Ordering::Relaxed);
+        let size = part_bytes(&part);
+        self.unread.fetch_sub(size, Ordering::Relaxed);
+        lock(&self.charge).release(size);
         Some(part)
     }
 }
 
+fn lock(charge: &Mutex<IntakeGuard>) -> MutexGuard<'_, IntakeGuard> {
+    charge.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 fn part_bytes(part: &AnswerPart) -> usize {
     match part {
         AnswerPart::Chunk { data, .. } => data.len(),
--- a/crates/host/src/callers.rs
+++ b/crates/host/src/callers.rs
@@ -6,8 +6,9 @@
 use crate::completion::CompletionRequest;
 use crate::delivery::{forward_answer, join_answer, stopping, stream_answer, CallerAnswer};
 use crate::intake::{
-    call_digest, find_class, find_tenant, forwarded_headers, header, idempotency_key,
-    parse_deadline, read_body, request_id, target_idempotency_key, BodyLimits, IDEMPOTENCY_KEY,
+    call_digest, find_class, find_tenant, forwarded_headers, header, hold_bytes, idempotency_key,
+    parse_deadline, read_body, request_id, target_idempotency_key, BodyLimits, CallerIntake,
+    IDEMPOTENCY_KEY,
 };
 use crate::problem::CallerProblem;
 use crate::resume::ResumeKey;
@@ -36,6 +37,8 @@
     pub keepalive_interval: Duration,
     /// Limits on reading a request body.
     pub(crate) body_limits: BodyLimits,
+    /// Memory for bodies and answers.
+    pub(crate) intake: CallerIntake,
 }
 
 /// Handles `POST /v1/chat/completions`.
@@ -92,8 +95,10 @@
 ) -> Result<HttpResponse, CallerProblem> {
     let view = state.catalog.current();
     let tenant = find_tenant(state, &view, request.headers())?;
-    let body = read_body(body, state.body_limits).await?;
-    let completion = CompletionRequest::parse(&body)?;
+    let body = read_body(body, request.headers(), state.body_limits, &state.intake).await?;
+    let mut completion = CompletionRequest::parse(&body)?;
+    drop(body);
+    completion.body = hold_bytes(&state.intake, completion.body)?;
     let work = view
         .work_kind(&completion.model)
         .ok_or_else(|| unknown_model(&completion.model))?;
@@ -161,7 +166,7 @@
         max_bytes: limit.min(state.body_limits.max_bytes),
         ..state.body_limits
     };
-    let body = read_body(body, limits).await?;
+    let body = read_body(body, request.headers(), limits, &state.intake).await?;
     let id = request_id(request.headers())?;
     let key = idempotency_key(request.headers())?;
     let query = request
@@ -210,7 +215,7 @@
     spec: RequestSpec,
     payload: RequestPayload,
 ) -> Result<CallerAnswer, CallerProblem> {
-    let (sender, receiver) = answer_channel();
+    let (sender, receiver) = answer_channel(&state.intake.budget);
     let request = SubmitRequest {
         spec,
         payload,
--- a/crates/host/src/intake.rs
+++ b/crates/host/src/intake.rs
@@ -7,13 +7,27 @@
 use actix_web::http::header::{HeaderMap, HeaderName, HeaderValue};
 use actix_web::http::StatusCode;
 use actix_web::web::Payload;
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use crocusyard_base::prelude::*;
 use crocusyard_catalog::prelude::*;
+use crocusyard_intake::prelude::*;
+use crocusyard_metrics::prelude::MetricSet;
 use crocusyard_settings::prelude::TenantSource;
 use futures_util::StreamExt;
-use std::sync::Arc;
-use std::time::Duration;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, OnceLock};
+use std::time::{Duration, Instant};
+
+/// Longest wait for room in the memory budget, far longer than evicted bodies take to be released.
+const ROOM_TIMEOUT: ClockTime = ClockTime::from_secs(3);
+/// Interval at which a body that waits for room tries again.
+const ROOM_INTERVAL: Duration = Duration::from_millis(10);
+/// Interval at which a body that makes no progress is checked. An evicted one is released within it.
+const CHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// Wait after which a request for whose body there was no memory may be repeated.
+const NO_MEMORY_RETRY: ClockTime = ClockTime::from_secs(1);
+/// Shortest time between two log lines about refused bodies.
+const LINE_INTERVAL: ClockTime = ClockTime::from_secs(1);
 
 /// Longest deadline that a caller may set.
 const MAX_DEADLINE: ClockTime = ClockTime::from_secs(3600);
@@ -200,23 +214,138 @@
     pub(crate) part_timeout: Duration,
 }
 
-/// Reads a request body within limits of size and time.
+/// The memory budget for bodies and answers, and the report of what it refuses.
+#[derive(Clone)]
+pub(crate) struct CallerIntake {
+    pub(crate) budget: IntakeBudget,
+    metrics: Arc<MetricSet>,
+    /// When the last line about refusals was written, ms, and their number since.
+    last_line_ms: Arc<AtomicU64>,
+    unreported: Arc<AtomicU64>,
+}
+
+impl CallerIntake {
+    pub(crate) fn new(budget: IntakeBudget, metrics: Arc<MetricSet>) -> Self {
+        Self {
+            budget,
+            metrics,
+            last_line_ms: Arc::default(),
+            unreported: Arc::default(),
+        }
+    }
+
+    /// Counts a refused body, and writes a line about such refusals once a second at most.
+    fn report(&self, problem: CallerProblem) -> CallerProblem {
+        self.metrics.record_refusal(problem.code);
+        let count = self.unreported.fetch_add(1, Ordering::Relaxed) + 1;
+        let now_ms = intake_time().as_ms();
+        let last_ms = self.last_line_ms.load(Ordering::Relaxed);
+        if last_ms == 0 || now_ms.saturating_sub(last_ms) >= LINE_INTERVAL.as_ms() {
+            self.last_line_ms.store(now_ms.max(1), Ordering::Relaxed);
+            self.unreported.store(0, Ordering::Relaxed);
+            let held = self.budget.counts().held_bytes;
+            log::warn!(
+                "{count} bodies were refused, the last one as {}; {held} bytes are buffered",
+                problem.code
+            );
+        }
+        problem
+    }
+}
+
+/// Returns the time since the first call of this function, which is all that the budget needs.
+fn intake_time() -> ClockTime {
+    static START: OnceLock<Instant> = OnceLock::new();
+    let elapsed = START.get_or_init(Instant::now).elapsed();
+    ClockTime::from_ms(u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX))
+}
+
+/// Reads a request body within limits of size, time and memory. `headers` are those of the request,
+/// which may announce the length.
 pub(crate) async fn read_body(
+    payload: Payload,
+    headers: &HeaderMap,
+    limits: BodyLimits,
+    intake: &CallerIntake,
+) -> Result<Bytes, CallerProblem> {
+    let announced = header(headers, "content-length").and_then(|text| text.parse().ok());
+    let announced = announced.unwrap_or(0);
+    let read = if announced > limits.max_bytes {
+        Err(body_too_large(limits.max_bytes))
+    } else {
+        read_parts(payload, announced, limits, &intake.budget).await
+    };
+    read.map_err(|problem| intake.report(problem))
+}
+
+async fn read_parts(
     mut payload: Payload,
+    announced: usize,
     limits: BodyLimits,
+    budget: &IntakeBudget,
 ) -> Result<Bytes, CallerProblem> {
-    let mut body = BytesMut::new();
+    let kind = IntakeUse::Incoming;
+    let open = |now| BodyIntake::open(budget, kind, announced, now);
+    let mut body = wait_for_room(open).await?;
+    let mut last_part = intake_time();
     loop {
-        let part = match actix_rt::time::timeout(limits.part_timeout, payload.next()).await {
-            Err(_) => return Err(body_too_slow()),
-            Ok(None) => return Ok(body.freeze()),
+        let part = match actix_rt::time::timeout(CHECK_INTERVAL, payload.next()).await {
+            Err(_) => {
+                body.check(intake_time()).map_err(budget_problem)?;
+                let limit_ms = u64::try_from(limits.part_timeout.as_millis()).unwrap_or(u64::MAX);
+                if intake_time().since(last_part).as_ms() >= limit_ms {
+                    return Err(body_too_slow());
+                }
+                continue;
+            }
+            Ok(None) => return body.finish().map_err(budget_problem),
             Ok(Some(Err(error))) => return Err(body_unreadable(&error)),
             Ok(Some(Ok(part))) => part,
         };
+        last_part = intake_time();
         if body.len() + part.len() > limits.max_bytes {
             return Err(body_too_large(limits.max_bytes));
         }
-        body.extend_from_slice(&part);
+        wait_for_room(|now| body.push(&part, now)).await?;
+    }
+}
+
+/// Repeats an operation while the budget is full.
+async fn wait_for_room<T>(
+    mut operation: impl FnMut(ClockTime) -> Result<T, IntakeRefusal>,
+) -> Result<T, CallerProblem> {
+    let start = intake_time();
+    loop {
+        let now = intake_time();
+        match operation(now) {
+            Err(IntakeRefusal::Full) if now.since(start) < ROOM_TIMEOUT => {
+                actix_rt::time::sleep(ROOM_INTERVAL).await;
+            }
+            result => return result.map_err(budget_problem),
+        }
+    }
+}
+
+/// Charges bytes that were made from a body, and joins them with their charge.
+pub(crate) fn hold_bytes(intake: &CallerIntake, bytes: Bytes) -> Result<Bytes, CallerProblem> {
+    let now = intake_time();
+    let mut guard = intake.budget.open(IntakeUse::Held, now);
+    match guard.charge(bytes.len(), now) {
+        Ok(()) => Ok(guard.attach(bytes)),
+        Err(refusal) => Err(intake.report(budget_problem(refusal))),
+    }
+}
+
+fn budget_problem(refusal: IntakeRefusal) -> CallerProblem {
+    if refusal == IntakeRefusal::TooSlow {
+        return body_too_slow();
+    }
+    let detail = "the host has no memory left for the body";
+    let status = StatusCode::SERVICE_UNAVAILABLE;
+    let problem = CallerProblem::refused(status, "no_memory", detail);
+    CallerProblem {
+        retry_after: Some(NO_MEMORY_RETRY),
+        ..problem
     }
 }
 
--- a/crates/host/src/problem.rs
+++ b/crates/host/src/problem.rs
@@ -10,6 +10,10 @@
 /// Media type of problem documents.
 const PROBLEM_CONTENT_TYPE: &str = "application/problem+json";
 
+/// Codes of refusals that leave a part of the body unread. The connection is closed, since reading the
+/// rest would take memory for nothing.
+const UNREAD_BODY_CODES: [&str; 3] = ["body_too_large", "body_too_slow", "no_memory"];
+
 /// A refusal that is answered to a caller or operator.
 #[derive(Clone, Debug)]
 pub struct CallerProblem {
@@ -118,6 +122,9 @@
     fn error_response(&self) -> HttpResponse {
         let mut response = HttpResponse::build(self.status);
         response.content_type(PROBLEM_CONTENT_TYPE);
+        if UNREAD_BODY_CODES.contains(&self.code) {
+            response.force_close();
+        }
         if let Some(wait) = self.retry_after {
             // The header has whole seconds. Rounding up prevents retries before the wait is over.
             response.insert_header(("retry-after", wait.as_ms().div_ceil(1000).to_string()));
--- a/crates/host/src/serve.rs
+++ b/crates/host/src/serve.rs
@@ -6,7 +6,7 @@
 use crate::catalog_view::SharedCatalog;
 use crate::feature_settings::{feature_settings, unix_ms};
 use crate::gossip::GossipLink;
-use crate::intake::BodyLimits;
+use crate::intake::{BodyLimits, CallerIntake};
 use crate::operators::{self, OperatorState, PlatformOptions};
 use crate::problem::CallerProblem;
 use crate::resume::ResumeKey;
@@ -19,6 +19,7 @@
 use crocusyard_base::invariants::violation_counts;
 use crocusyard_catalog::prelude::*;
 use crocusyard_core::prelude::{HostEvent, HostState};
+use crocusyard_intake::prelude::*;
 use crocusyard_metrics::prelude::*;
 use crocusyard_platform::prelude::*;
 use crocusyard_settings::prelude::{HostSettings, SecretText};
@@ -31,6 +32,13 @@
 /// Interval between checks whether a planned stop is complete.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Memory of the buffers of a connection that carries a long body, bytes: actix-web reads up to 128 KB
+/// ahead and queues 32 KB for the handler.
+const READ_BUFFER_BYTES: usize = 160 * 1_024;
+/// The same for a body in chunks: actix-web queues all chunks that it has read ahead, in 128 KB up to
+/// 14,000 of 4 bytes with 32 bytes each for their place.
+const CHUNK_BUFFER_BYTES: usize = 640 * 1_024;
+
 /// The error of an entry host that cannot be started.
 #[derive(Debug, Snafu)]
 pub enum HostError {
@@ -131,14 +139,21 @@
         peer_key,
         platform,
     };
+    let body_bytes = usize::try_from(settings.limits.body_bytes).unwrap_or(usize::MAX);
+    let memory = IntakeLimits {
+        read_buffer_bytes: READ_BUFFER_BYTES,
+        chunk_buffer_bytes: CHUNK_BUFFER_BYTES,
+        ..IntakeLimits::for_memory(settings.limits.memory_mb).covering(body_bytes)
+    };
     let state = CallerState {
+        intake: CallerIntake::new(IntakeBudget::new(memory), metrics.clone()),
         actor: actor.clone(),
         catalog: shared,
         resume_key: ResumeKey::derive(keys.gossip.reveal()),
         tenant_from: settings.requests.tenant_from,
         keepalive_interval: Duration::from_millis(settings.requests.keepalive_ms.as_ms()),
         body_limits: BodyLimits {
-            max_bytes: usize::try_from(settings.limits.body_bytes).unwrap_or(usize::MAX),
+            max_bytes: body_bytes,
             part_timeout: Duration::from_millis(settings.limits.header_read_ms.as_ms()),
         },
     };
@@ -256,7 +271,7 @@
     .client_request_timeout(Duration::from_millis(
         settings.limits.header_read_ms.as_ms(),
     ))
-    .max_connections(settings.limits.connections as usize)
+    .max_connections(max_connections(settings))
     .shutdown_timeout(30)
     .listen(listener)
     .context(ListenSnafu { address: listen })?;
@@ -267,6 +282,14 @@
     Ok((address, handle))
 }
 
+/// Returns the largest number of open connections from callers: the one of the settings, unless the
+/// descriptors allow fewer.
+fn max_connections(settings: &HostSettings) -> usize {
+    let descriptors = settings.limits.descriptors as usize;
+    let limit = ConnLimits::for_descriptors(descriptors).callers;
+    limit.min(settings.limits.connections as usize)
+}
+
 /// Largest total size of a request's header names and values, bytes.
 struct HeaderLimit(u64);
 
