--- a/crates/edge/src/control.rs
+++ b/crates/edge/src/control.rs
@@ -40,6 +40,9 @@
     shell.metrics.set_blamed(blamed);
     let usage = shell.serving.borrow_mut().limits.usage(clock::now());
     shell.metrics.set_tenants(&usage);
+    let held_bytes = shell.intake.counts().held_bytes;
+    let connections = shell.caller_conns.count();
+    shell.metrics.set_intake(held_bytes, connections);
     let text = shell
         .metrics
         .text(shell.request_count(), waiting, opened_count);
