edge: a host that was suspended reads the configuration before it serves calls

A process that was stopped for more than 3 s while a key was revoked served the calls with this key that had arrived meanwhile, before it learned of the new configuration: the first of 8 calls got 200. After 2 s without a turn, a host with tenants refuses calls (503) until the store has answered a call for the configuration that was sent afterwards, for 1.5 s at most.

--- a/crates/edge/src/entry.rs
+++ b/crates/edge/src/entry.rs
@@ -186,6 +186,10 @@
     request: Request<Incoming>,
 ) -> Result<Response<AnswerBody>, AnswerAborted> {
     let arrived = clock::now();
+    shell.record_turn();
+    if shell.may_lack_revocations() {
+        return Ok(unavailable(HeaderValue::from_static(STARTING_RETRY_S)));
+    }
     let rules = shell.serving.borrow().rules().cloned();
     let Some(rules) = rules else {
         return Ok(unavailable(HeaderValue::from_static(STARTING_RETRY_S)));
--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -274,6 +274,13 @@
 /// they hear nothing of the reader.
 async fn next_configuration_read(shell: &EdgeShell, is_failing: bool) -> ChangeRead {
     loop {
+        if shell.may_lack_revocations() {
+            return ChangeRead::immediate(if shell.awaits_configuration() {
+                CallReason::Wait
+            } else {
+                CallReason::NewerVersion
+            });
+        }
         if shell.awaits_configuration() {
             return ChangeRead::waiting(is_failing);
         }
@@ -330,6 +337,9 @@
                 Ok(changes) => {
                     health.record_answer();
                     followed.apply(shell, &changes.rows, changes.version);
+                    if matches!(followed, FollowedTable::Configuration) {
+                        shell.finish_configuration_read(sent_at);
+                    }
                     if read.reason != CallReason::NewerVersion {
                         followed.relay(shell, &changes.rows);
                     }
--- a/crates/edge/src/shell.rs
+++ b/crates/edge/src/shell.rs
@@ -37,6 +37,13 @@
 /// Part of the stop time that is reserved for the last answers and the exit of the process itself.
 const EXIT_MARGIN: ClockTime = ClockTime::from_ms(500);
 
+/// Time without a turn of the event loop from which the process counts as having been suspended. Shorter
+/// suspensions leave time to learn of a configuration within the 3 s that it has.
+const SUSPENSION_LIMIT: ClockTime = ClockTime::from_ms(2_000);
+/// Longest time after a suspension for which requests are refused until the store has been asked for the
+/// configuration; if it does not answer, the one in force stays.
+const STALE_LIMIT: ClockTime = ClockTime::from_ms(1_500);
+
 /// Next step of a request, as decided by the reducer.
 #[derive(Clone, Debug)]
 pub(crate) enum RequestStep {
@@ -76,6 +83,10 @@
     heard_configuration: Cell<u64>,
     /// Wakes the task that follows the configuration, which may have to read it.
     pub(crate) configuration_news: Notify,
+    /// Last known turn of the event loop.
+    alive_at: Cell<ClockTime>,
+    /// End of the last suspension, until the configuration has been read after it.
+    stale_since: Cell<Option<ClockTime>>,
     /// When the process received the stop signal, if it did.
     pub(crate) stopping_since: Cell<Option<ClockTime>>,
     /// Version of the lease row with which this host released the lease, if it did.
@@ -129,6 +140,8 @@
             configuration_read: Cell::new(0),
             heard_configuration: Cell::new(0),
             configuration_news: Notify::new(),
+            alive_at: Cell::new(now),
+            stale_since: Cell::new(None),
             stopping_since: Cell::new(None),
             released_version: Cell::new(None),
             rng: RefCell::new(seeded_rng(RandomState::new().build_hasher().finish())),
@@ -262,6 +275,33 @@
         }
     }
 
+    /// Records a turn of the event loop; detects that the process was suspended before it.
+    pub(crate) fn record_turn(&self) {
+        let now = clock::now();
+        let gap = now.since(self.alive_at.replace(now));
+        if gap >= SUSPENSION_LIMIT {
+            self.stale_since.set(Some(now));
+            self.configuration_news.notify_one();
+            let gap_ms = gap.as_ms();
+            decision_log::log_change("process", "suspended", json!({"gap_ms": gap_ms}));
+        }
+    }
+
+    /// Returns whether keys may have been revoked while the process was suspended, so that requests are
+    /// refused until the configuration has been read.
+    pub(crate) fn may_lack_revocations(&self) -> bool {
+        let since = self.stale_since.get();
+        since.is_some_and(|since| clock::now().since(since) < STALE_LIMIT)
+            && self.serving.borrow().has_tenants()
+    }
+
+    /// Records that the store has answered a call for the configuration that was sent at `sent_at`.
+    pub(crate) fn finish_configuration_read(&self, sent_at: ClockTime) {
+        if self.stale_since.get().is_some_and(|since| sent_at >= since) {
+            self.stale_since.set(None);
+        }
+    }
+
     /// Returns whether another host has read a newer configuration.
     pub(crate) fn lacks_configuration(&self) -> bool {
         self.heard_configuration.get() > self.configuration_read.get()
--- a/tests/tenant_keys.rs
+++ b/tests/tenant_keys.rs
@@ -9,7 +9,7 @@
 use hyper::{Request, StatusCode};
 use std::fs::File;
 use std::io::Read;
-use std::process::Stdio;
+use std::process::{Command, Stdio};
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
@@ -345,6 +345,48 @@
     deployment.check_arrivals("restarted", 0, None);
 }
 
+/// Sends a signal to the process of a host.
+fn signal(host: &EntryHost, name: &str) {
+    let status = Command::new("kill")
+        .args([name, &host.child.id().to_string()])
+        .status()
+        .expect("the command `kill` cannot start");
+    assert!(status.success());
+}
+
+/// Guards against a host that was suspended while a key was revoked and serves the calls with this key
+/// that have arrived meanwhile, before it has read the configuration again.
+#[actix_rt::test]
+async fn suspended_host_refuses_a_key_that_was_revoked_meanwhile() {
+    let deployment = Deployment::start(&tenants_configuration(1)).await;
+    let address = deployment.host.addresses.entry;
+    signal(&deployment.host, "-STOP");
+    let without_a = with_tenants(configuration(2, &ROUTES), &[TENANT_B], &ANONYMOUS);
+    deployment.store.put_configuration(&without_a);
+    actix_rt::time::sleep(APPLY_LIMIT).await;
+    let calls: Vec<_> = (0..8)
+        .map(|number| {
+            let call = request("/once/1", &format!("stopped{number}"), &[KEY_A]);
+            actix_rt::spawn(exchange(address, call))
+        })
+        .collect();
+    actix_rt::time::sleep(POLL_INTERVAL).await;
+    signal(&deployment.host, "-CONT");
+    for (number, call) in calls.into_iter().enumerate() {
+        let answer = call.await.expect("the task ends");
+        let (status, _) = answer.expect("the call got no answer");
+        let expected = [StatusCode::UNAUTHORIZED, StatusCode::SERVICE_UNAVAILABLE];
+        assert!(expected.contains(&status), "call {number} got {status}");
+        deployment.check_arrivals(&format!("stopped{number}"), 0, None);
+    }
+    deployment
+        .wait_for("/once/1", &[KEY_B], StatusCode::OK)
+        .await;
+    let status = deployment.call("/once/1", "later", &[KEY_A]).await;
+    assert_eq!(status, StatusCode::UNAUTHORIZED);
+    assert!(deployment.output().contains("suspended"));
+}
+
 /// Guards against an invalid list of tenants that replaces a valid one, wholly or in part, and
 /// against keys in the log line about it.
 #[actix_rt::test]
