--- a/crates/serving/tests/common/uneven.rs
+++ b/crates/serving/tests/common/uneven.rs
@@ -192,6 +192,9 @@
             start_deadline: now + new.route.start_timeout,
             digest: CallDigest(number as u64),
             route: new.route,
+            key: None,
+            tenant: None,
+            cost: 1,
         };
         self.calls.push(OpenCall {
             info,
