serving: index of targets by service and model

A choice went through all targets of the host, twice. With 1,400 targets and 1,900 models, all busy, it took 74 us at p99 (88 us with paces); the limit is 20 us.

Targets are now indexed by service and by the models that they hold, and the target that calls with the same prompt prefer is found in the same pass.

--- a/crates/serving/src/choose.rs
+++ b/crates/serving/src/choose.rs
@@ -120,30 +120,31 @@
     own: OwnHost<'_>,
     now: ClockTime,
 ) -> Result<TargetName, NoTarget> {
-    let mut best: Option<(f64, &TargetState)> = None;
     let mut reason = NoTarget::NoneKnown;
-    let preferred = preferred_target(table, call, now);
     let failures = ServiceFailures::of(table, call, now);
     let has_model = call.need.is_some() && table.is_paced(&call.service, now);
     let engines = has_model.then(|| table.figures(&call.service));
-    for state in table.of_service(&call.service) {
-        let holds_model = call.model().is_none_or(|model| state.holds(model, None));
-        if holds_model && state.pause_left(now).is_some() {
+    let mut preferred: Option<(u64, &TargetName)> = None;
+    let mut candidates: Vec<&TargetState> = Vec::new();
+    for state in table.for_call(call) {
+        if state.pause_left(now).is_some() {
             reason = reason.max_with(NoTarget::AllPaused);
             continue;
         }
+        let holds_adapter = call.adapter().is_none_or(|adapter| {
+            call.model()
+                .is_some_and(|model| state.holds(model, Some(adapter)))
+        });
+        if holds_adapter && call.need.is_some() && !state.is_avoided(now) {
+            let weight = affinity_weight(state, call);
+            preferred = preferred.max(weight.map(|weight| (weight, &state.record.name)));
+        }
         if tried.contains(&state.record.name) {
             continue;
         }
-        if let Some(need) = &call.need {
-            if !holds_model {
-                reason = reason.max_with(NoTarget::ModelAbsent);
-                continue;
-            }
-            if !state.holds(&need.model, need.adapter.as_ref()) {
-                reason = reason.max_with(NoTarget::AdapterAbsent);
-                continue;
-            }
+        if !holds_adapter {
+            reason = reason.max_with(NoTarget::AdapterAbsent);
+            continue;
         }
         if !state.has_free_slot(call.model(), now) {
             reason = reason.max_with(NoTarget::AllFull);
@@ -157,16 +158,29 @@
                 continue;
             }
         }
+        candidates.push(state);
+    }
+    let preferred = preferred.map(|(_, name)| name);
+    let cost = |state: &TargetState| {
         let mut cost = target_cost(state, call, preferred, engines.as_ref(), own, now);
         if let Some(failures) = &failures {
             cost += failures.cost(state, call, !tried.is_empty(), own, now);
         }
-        if best.as_ref().is_none_or(|(lowest, _)| cost < *lowest) {
-            best = Some((cost, state));
-        }
+        cost
+    };
+    let costs = candidates.into_iter().map(|state| (cost(state), state));
+    if let Some((_, best)) = costs.min_by(|a, b| a.0.total_cmp(&b.0)) {
+        return Ok(best.record.name.clone());
     }
-    best.map(|(_, state)| state.record.name.clone())
-        .ok_or(reason)
+    let is_model_absent = reason == NoTarget::NoneKnown
+        && table
+            .of_service(&call.service)
+            .any(|state| !tried.contains(&state.record.name));
+    Err(if is_model_absent && call.need.is_some() {
+        NoTarget::ModelAbsent
+    } else {
+        reason
+    })
 }
 
 impl NoTarget {
@@ -280,8 +294,7 @@
         }
         let holders = || {
             table
-                .of_service(&call.service)
-                .filter(|state| call.model().is_none_or(|model| state.holds(model, None)))
+                .for_call(call)
                 .map(|state| (state, state.failure_rate(now)))
         };
         let highest = holders().map(|(_, rate)| rate).fold(0.0, f64::max);
@@ -331,23 +344,6 @@
     }
 }
 
-/// Returns the target that calls with the same prompt prefer: the one with the highest affinity
-/// weight among those that hold what the call needs.
-fn preferred_target<'a>(
-    table: &'a TargetTable,
-    call: &'a CallInfo,
-    now: ClockTime,
-) -> Option<&'a TargetName> {
-    let need = call.need.as_ref()?;
-    table
-        .of_service(&call.service)
-        .filter(|state| state.holds(&need.model, need.adapter.as_ref()) && !state.is_avoided(now))
-        .filter(|state| state.pause_left(now).is_none())
-        .filter_map(|state| Some((affinity_weight(state, call)?, &state.record.name)))
-        .max()
-        .map(|(_, name)| name)
-}
-
 /// Weight of a target for calls with the same prompt (rendezvous hashing).
 fn affinity_weight(state: &TargetState, call: &CallInfo) -> Option<u64> {
     let mut hasher = DefaultHasher::new();
--- a/crates/serving/src/state.rs
+++ b/crates/serving/src/state.rs
@@ -661,10 +661,7 @@
     /// if one takes requests now, or if no target could run the call.
     fn pause_left(&self, call: &CallInfo, now: ClockTime) -> Option<ClockTime> {
         let mut shortest = None;
-        for state in self.targets.of_service(&call.service) {
-            if call.model().is_some_and(|model| !state.holds(model, None)) {
-                continue;
-            }
+        for state in self.targets.for_call(call) {
             let left = state.pause_left(now)?;
             shortest = Some(shortest.map_or(left, |least: ClockTime| least.min(left)));
         }
--- a/crates/serving/src/state/estimate.rs
+++ b/crates/serving/src/state/estimate.rs
@@ -245,8 +245,8 @@
             .filter(|other| other.same_queue(call))
             .count();
         let (mut free, mut busy) = (0, 0);
-        for state in self.targets.of_service(&call.service) {
-            if state.holds(model, None) && state.has_free_slot(Some(model), now) {
+        for state in self.targets.for_call(call) {
+            if state.has_free_slot(Some(model), now) {
                 let load = state.load(now);
                 free += state.slots().saturating_sub(load);
                 busy += load;
--- a/crates/serving/src/targets.rs
+++ b/crates/serving/src/targets.rs
@@ -12,7 +12,7 @@
 use crate::target_reports::{LoadReport, PromptRate, PromptReport, TargetReports};
 use crocusyard_base::prelude::*;
 use serde::{Deserialize, Serialize};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 
 /// Age up to which a load that a target reported is used; about one heartbeat interval of the
@@ -299,6 +299,27 @@
             .is_some_and(|until| now < *until)
     }
 
+    /// Replaces the record by a newer one.
+    fn replace_record(&mut self, record: TargetRecord, now: ClockTime) {
+        if record.incarnation > self.record.incarnation {
+            let former = std::mem::replace(self, Self::new(record));
+            self.in_flight = former.in_flight;
+            self.others = former.others;
+            self.own_prefilling = former.own_prefilling;
+            self.own_tokens = former.own_tokens;
+            return;
+        }
+        if self
+            .holdings_at
+            .is_none_or(|at| now.since(at) >= HOLDINGS_PRECEDENCE)
+        {
+            self.models = record.models.clone();
+        }
+        let leaving = self.record.leaving;
+        self.record = record;
+        self.record.leaving |= leaving;
+    }
+
     fn record_failure(&mut self, now: ClockTime) {
         if now.since(self.last_failure) > AVOID_RESET_TIME {
             self.avoid_time = MIN_AVOID_TIME;
@@ -351,10 +372,60 @@
     removed_at: ClockTime,
 }
 
+/// Names of the targets by service, and by the models that they hold. A choice among all targets
+/// took longer than the planned number of them allows.
+#[derive(Clone, Debug, Default)]
+struct TargetIndex {
+    services: HashMap<ServiceName, BTreeSet<TargetName>>,
+    holders: HashMap<ServiceName, HashMap<ModelName, BTreeSet<TargetName>>>,
+}
+
+impl TargetIndex {
+    fn add(&mut self, state: &TargetState) {
+        let (name, service) = (&state.record.name, &state.record.service);
+        let names = self.services.entry(service.clone()).or_default();
+        names.insert(name.clone());
+        let holders = self.holders.entry(service.clone()).or_default();
+        for model in state.models.keys() {
+            let names = holders.entry(model.clone()).or_default();
+            names.insert(name.clone());
+        }
+    }
+
+    fn remove(&mut self, state: &TargetState) {
+        let (name, service) = (&state.record.name, &state.record.service);
+        if let Some(names) = self.services.get_mut(service) {
+            names.remove(name);
+            if names.is_empty() {
+                self.services.remove(service);
+            }
+        }
+        let Some(holders) = self.holders.get_mut(service) else {
+            return;
+        };
+        for model in state.models.keys() {
+            if let Some(names) = holders.get_mut(model) {
+                names.remove(name);
+                if names.is_empty() {
+                    holders.remove(model);
+                }
+            }
+        }
+        if holders.is_empty() {
+            self.holders.remove(service);
+        }
+    }
+
+    fn holders(&self, service: &ServiceName, model: &ModelName) -> Option<&BTreeSet<TargetName>> {
+        self.holders.get(service)?.get(model)
+    }
+}
+
 /// All targets that one host knows.
 #[derive(Clone, Debug, Default)]
 pub struct TargetTable {
     states: BTreeMap<TargetName, TargetState>,
+    index: TargetIndex,
     /// Names of the targets by the keys that other hosts send.
     names: BTreeMap<TargetKey, TargetName>,
     /// Targets that were removed recently.
@@ -387,7 +458,9 @@
             }
             let name = record.name.clone();
             self.names.insert(TargetKey::of(&name), name.clone());
-            self.states.insert(name, TargetState::new(record));
+            let state = TargetState::new(record);
+            self.index.add(&state);
+            self.states.insert(name, state);
             return;
         };
         let older = (record.incarnation, record.sequence)
@@ -395,27 +468,15 @@
         if older {
             return;
         }
-        if record.incarnation > state.record.incarnation {
-            let (in_flight, others) = (state.in_flight, state.others);
-            let (own_prefilling, own_tokens) = (state.own_prefilling, state.own_tokens);
-            *state = TargetState::new(record);
-            state.in_flight = in_flight;
-            state.others = others;
-            state.own_prefilling = own_prefilling;
-            state.own_tokens = own_tokens;
-            return;
+        let is_moved = record.service != state.record.service || record.models != state.models;
+        if is_moved {
+            self.index.remove(state);
         }
-        if state
-            .holdings_at
-            .is_none_or(|at| now.since(at) >= HOLDINGS_PRECEDENCE)
-        {
-            state.models = record.models.clone();
+        state.replace_record(record, now);
+        if is_moved {
+            self.index.add(state);
         }
-        let leaving = state.record.leaving;
-        state.record = record;
-        state.record.leaving |= leaving;
     }
-
     /// Updates the holdings of a target from the lease holder, which knows them before the target's
     /// record shows them.
     pub fn update_holdings(
@@ -427,8 +488,10 @@
     ) {
         if let Some(state) = self.states.get_mut(name) {
             if state.record.incarnation == incarnation {
+                self.index.remove(state);
                 state.models = models;
                 state.holdings_at = Some(now);
+                self.index.add(state);
             }
         }
     }
@@ -439,6 +502,7 @@
             .retain(|_, departed| now.since(departed.removed_at) < DEPARTED_LIFETIME);
         self.names.remove(&TargetKey::of(name));
         if let Some(state) = self.states.remove(name) {
+            self.index.remove(&state);
             let departed = DepartedTarget {
                 incarnation: state.record.incarnation,
                 sequence: state.record.sequence,
@@ -514,13 +578,28 @@
     }
 
     /// Iterates over the targets of a service that are not leaving.
-    pub fn of_service<'a>(
+    pub fn of_service(&self, service: &ServiceName) -> impl Iterator<Item = &TargetState> {
+        self.present(self.index.services.get(service))
+    }
+
+    /// Iterates over the targets that could run a call, in the order of their names: those of its
+    /// service that hold its model, if it needs one, and are not leaving.
+    pub fn for_call(&self, call: &CallInfo) -> impl Iterator<Item = &TargetState> {
+        self.present(match call.model() {
+            Some(model) => self.index.holders(&call.service, model),
+            None => self.index.services.get(&call.service),
+        })
+    }
+
+    fn present<'a>(
         &'a self,
-        service: &'a ServiceName,
+        names: Option<&'a BTreeSet<TargetName>>,
     ) -> impl Iterator<Item = &'a TargetState> {
-        self.states
-            .values()
-            .filter(move |state| state.record.service == *service && !state.is_leaving())
+        names
+            .into_iter()
+            .flatten()
+            .filter_map(|name| self.states.get(name))
+            .filter(|state| !state.is_leaving())
     }
 
     /// Counts a request of this host that is sent to a target.
@@ -826,7 +905,9 @@
                 }
             }
             None => {
+                self.index.remove(state);
                 state.models.remove(model);
+                self.index.add(state);
             }
         }
     }
