--- a/crates/serving/tests/target_index.rs
+++ b/crates/serving/tests/target_index.rs
@@ -24,6 +24,9 @@
         start_deadline: ms(100_000),
         digest: CallDigest(1),
         route,
+        key: None,
+        tenant: None,
+        cost: 1,
     }
 }
 
