--- a/crates/serving/examples/choice_cost.rs
+++ b/crates/serving/examples/choice_cost.rs
@@ -85,6 +85,7 @@
         priority: 1,
         services: vec![(ServiceName::new("engines"), 1.0)],
         max_attempts: 1,
+        anonymous: false,
     };
     CallInfo {
         id: format!("call-{number}").into(),
@@ -108,6 +109,9 @@
         deadline: NOW + route.timeout,
         start_deadline: NOW + route.start_timeout,
         digest: CallDigest(number as u64),
+        key: None,
+        tenant: None,
+        cost: 1,
         route,
     }
 }
