--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -126,9 +126,7 @@
     connections: Gauge,
     crashes: Counter,
     blamed: Gauge,
-    tenant_credit: TenantGauge,
-    tenant_rate: TenantGauge,
-    tenant_usage: TenantGauge,
+    limits: LimitMetrics,
     intake: IntakeMetrics,
     /// Calls to the store by table and reason.
     pub(crate) store_calls: StoreCalls,
@@ -169,27 +167,51 @@
     Histogram::new(LATENCY_BOUNDS_S)
 }
 
-/// Registers the gauges of tenants with limits: credit, rate and usage.
-fn register_tenants(registry: &mut Registry) -> [TenantGauge; 3] {
-    [
-        (
-            "tenant_credit",
-            "Credit of a tenant over all hosts, as this host knows it",
-        ),
-        (
-            "tenant_usage_per_second",
-            "Usage of a tenant per second over all hosts",
-        ),
-        (
-            "tenant_usage",
-            "Usage of a tenant over all hosts since their processes started",
-        ),
-    ]
-    .map(|(name, help)| {
-        let gauge = TenantGauge::default();
-        registry.register(name, help, gauge.clone());
-        gauge
-    })
+/// Gauges of the usage and the credit of tenants with limits.
+struct LimitMetrics {
+    credit: TenantGauge,
+    rate: TenantGauge,
+    total: TenantGauge,
+}
+
+impl LimitMetrics {
+    fn register(registry: &mut Registry) -> Self {
+        let mut gauge = |name, help| {
+            let gauge = TenantGauge::default();
+            registry.register(name, help, gauge.clone());
+            gauge
+        };
+        Self {
+            credit: gauge(
+                "tenant_credit",
+                "Credit of a tenant over all hosts, as this host knows it",
+            ),
+            rate: gauge(
+                "tenant_usage_per_second",
+                "Usage of a tenant per second over all hosts",
+            ),
+            total: gauge(
+                "tenant_usage",
+                "Usage of a tenant over all hosts since their processes started",
+            ),
+        }
+    }
+
+    /// Replaces the figures of all tenants.
+    fn set(&self, usages: &[NamedUsage]) {
+        for gauge in [&self.credit, &self.rate, &self.total] {
+            gauge.clear();
+        }
+        for NamedUsage { name, usage } in usages.iter().take(MAX_TENANT_LABELS) {
+            let labels = LimitLabels {
+                tenant: name.as_str().to_owned(),
+            };
+            let set = |gauge: &TenantGauge, value| gauge.get_or_create(&labels).set(value);
+            set(&self.credit, usage.credit);
+            set(&self.rate, usage.usage_per_s);
+            set(&self.total, usage.total as f64);
+        }
+    }
 }
 
 impl EdgeMetrics {
@@ -247,7 +269,7 @@
             blamed.clone(),
         );
         let tenants = TenantMetrics::register(&mut registry);
-        let [tenant_credit, tenant_rate, tenant_usage] = register_tenants(&mut registry);
+        let limits = LimitMetrics::register(&mut registry);
         let intake = IntakeMetrics::register(&mut registry);
         let store_calls = StoreCalls::default();
         registry.register(
@@ -270,9 +292,7 @@
             crashes,
             blamed,
             intake,
-            tenant_credit,
-            tenant_rate,
-            tenant_usage,
+            limits,
             tenants,
             routes: BoundedLabels::new(MAX_ROUTE_LABELS),
         }
@@ -343,18 +363,7 @@
 
     /// Sets the gauges of the tenants with limits; further tenants have none.
     pub(crate) fn set_tenants(&self, usages: &[NamedUsage]) {
-        for gauge in [&self.tenant_credit, &self.tenant_rate, &self.tenant_usage] {
-            gauge.clear();
-        }
-        for NamedUsage { name, usage } in usages.iter().take(MAX_TENANT_LABELS) {
-            let labels = LimitLabels {
-                tenant: name.as_str().to_owned(),
-            };
-            let set = |gauge: &TenantGauge, value| gauge.get_or_create(&labels).set(value);
-            set(&self.tenant_credit, usage.credit);
-            set(&self.tenant_rate, usage.usage_per_s);
-            set(&self.tenant_usage, usage.total as f64);
-        }
+        self.limits.set(usages);
     }
 
     pub(crate) fn count_attempt(&self) {
