--- a/crates/edge/src/decision_log.rs
+++ b/crates/edge/src/decision_log.rs
@@ -8,8 +8,21 @@
 use log::info;
 use serde_json::{json, Value};
 
+/// Longest part of a value that a caller chose in a line, bytes; the log's queue is bounded in lines.
+const MAX_SHOWN_BYTES: usize = 128;
+
+/// Shortens a value that a caller chose.
+pub(crate) fn shorten(value: &str) -> &str {
+    let mut end = value.len().min(MAX_SHOWN_BYTES);
+    while !value.is_char_boundary(end) {
+        end -= 1;
+    }
+    &value[..end]
+}
+
 /// Logs a decision about a request.
 pub(crate) fn log_decision(id: &str, decision: &str, inputs: Value) {
+    let id = shorten(id);
     let clock_ms = clock::now().as_ms();
     info!(target: DECISION_TARGET, "{}", json!({"clock_ms": clock_ms, "request": id, "decision": decision, "inputs": inputs}));
 }
--- a/crates/edge/src/entry.rs
+++ b/crates/edge/src/entry.rs
@@ -21,6 +21,7 @@
 use crocusyard_serving::prelude::*;
 use hyper::body::Incoming;
 use hyper::header::{HeaderMap, HeaderValue, CONNECTION, CONTENT_LENGTH, HOST, RETRY_AFTER};
+use hyper::http::request::Parts;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
@@ -59,8 +60,10 @@
 pub(crate) enum ListenerRole {
     /// Callers' requests.
     Requests,
-    /// Requests to the host itself: readiness, addresses and metrics.
-    Control,
+    /// Callers' requests for the addresses of hosts.
+    Addresses,
+    /// Requests of the platform and the operators: readiness and metrics.
+    Operator,
 }
 
 /// Accepts connections until the process ends.
@@ -73,11 +76,12 @@
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                if !shell.caller_conns.make_room().await {
+                let conns = shell.conns(role);
+                if !conns.make_room().await {
                     shell.count_intake_refusal("no_connection_left");
                     continue;
                 }
-                let entry = shell.caller_conns.add();
+                let entry = conns.add();
                 actix_rt::spawn(serve(shell.clone(), stream, entry, role, stop.clone()));
             }
             Err(error) => {
@@ -156,7 +160,7 @@
         AnswerAborted
     })?;
     let track = |body| TrackedBody::new(body, Some(in_progress));
-    if role == ListenerRole::Control {
+    if role != ListenerRole::Requests {
         return Ok(answer_control_request(&shell, &request).map(track));
     }
     let mut response = answer_request(&shell, request).await?;
@@ -223,12 +227,15 @@
         .and_then(|value| value.to_str().ok());
     let host = host.or(parts.uri.host()).unwrap_or_default();
     let path = parts.uri.path();
+    if head_bytes(&parts) > rules.limits.head_bytes {
+        return Ok(refuse_unread(StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE));
+    }
     let headers = read_call(&parts.headers);
     let Some(route) = rules.find_route(host, path).cloned() else {
         decision_log::log_decision(
             &headers.id,
             "no_route",
-            json!({"path": path, "version": rules.version}),
+            json!({"path": decision_log::shorten(path), "version": rules.version}),
         );
         return Ok(empty_response(StatusCode::NOT_FOUND));
     };
@@ -296,10 +303,28 @@
                 "version_age_ms": rules_age.as_ms(),
             }),
         );
-        Box::new(empty_response(StatusCode::UNAUTHORIZED))
+        Box::new(refuse_unread(StatusCode::UNAUTHORIZED))
     })
 }
 
+/// Returns the size of a head, apart from the separators.
+fn head_bytes(parts: &Parts) -> usize {
+    let headers = parts.headers.iter();
+    let headers: usize = headers
+        .map(|(name, value)| name.as_str().len() + value.len())
+        .sum();
+    headers + parts.uri.path().len() + parts.uri.query().map_or(0, str::len)
+}
+
+/// Makes an answer to a request whose body is not read. The connection is closed, which the answer
+/// says, so that the caller does not send its next request on it.
+fn refuse_unread(status: StatusCode) -> Response<AnswerBody> {
+    let mut response = empty_response(status);
+    let close = HeaderValue::from_static("close");
+    response.headers_mut().insert(CONNECTION, close);
+    response
+}
+
 /// Answers a request whose body was not read. It was not sent to any target. The connection is closed,
 /// since the rest of the body is not read either.
 fn refuse_body(
--- a/crates/edge/src/gossip.rs
+++ b/crates/edge/src/gossip.rs
@@ -21,6 +21,10 @@
 /// Longest message, bytes; it fits into one UDP datagram.
 const MAX_MESSAGE_BYTES: usize = 60_000;
 
+/// Largest number of demands in a message, those with the highest rates; names of usual length fit
+/// into one datagram.
+const MAX_REPORTED_DEMANDS: usize = 800;
+
 /// Pause after a failure to wait for messages.
 const RECEIVE_RETRY_DELAY: Duration = Duration::from_millis(20);
 
@@ -197,7 +201,12 @@
     let now = clock::now();
     let share = shell.hosts.borrow().share(now);
     shell.dispatch(ServingEvent::Hosts(share));
-    let demands = shell.serving.borrow_mut().demand_report(now);
+    let mut demands = shell.serving.borrow_mut().demand_report(now);
+    if demands.len() > MAX_REPORTED_DEMANDS {
+        // Callers choose the names of adapters; a message that is too long would be dropped whole.
+        demands.sort_by(|a, b| b.rate.total_cmp(&a.rate));
+        demands.truncate(MAX_REPORTED_DEMANDS);
+    }
     let own = shell.settings.name.clone();
     if shell.lease.borrow().is_holder() {
         shell.demands.borrow_mut().update(&own, demands, now);
--- a/crates/edge/src/run.rs
+++ b/crates/edge/src/run.rs
@@ -102,9 +102,9 @@
     let settings = &shell.settings;
     let addresses = [
         (settings.entry, ListenerRole::Requests),
-        (settings.ready, ListenerRole::Control),
-        (settings.directory, ListenerRole::Control),
-        (settings.metrics, ListenerRole::Control),
+        (settings.ready, ListenerRole::Operator),
+        (settings.directory, ListenerRole::Addresses),
+        (settings.metrics, ListenerRole::Operator),
     ];
     for (address, role) in addresses {
         let listener = listen_on(address).context(AddressSnafu { address })?;
@@ -160,8 +160,10 @@
             .borrow()
             .rules()
             .map_or(INITIAL_HEAD_TIMEOUT, |rules| rules.limits.head_timeout);
-        for reason in shell.caller_conns.sweep(head_timeout) {
-            shell.count_intake_refusal(reason);
+        for conns in [&shell.caller_conns, &shell.operator_conns] {
+            for reason in conns.sweep(head_timeout) {
+                shell.count_intake_refusal(reason);
+            }
         }
         let held_bytes = shell.intake.counts().held_bytes;
         shell
--- a/crates/edge/src/shell.rs
+++ b/crates/edge/src/shell.rs
@@ -4,6 +4,7 @@
 use crate::clock;
 use crate::crash_log;
 use crate::decision_log;
+use crate::entry::ListenerRole;
 use crate::gossip::{self, PeerSocket};
 use crate::intake_log::IntakeLog;
 use crate::message::HostMessage;
@@ -47,6 +48,10 @@
 /// configuration; if it does not answer, the one in force stays.
 const STALE_LIMIT: ClockTime = ClockTime::from_ms(1_500);
 
+/// Largest number of connections for readiness and metrics. They are part of the descriptors that
+/// are set aside for the host itself.
+const MAX_OPERATOR_CONNS: usize = 16;
+
 /// Next step of a request, as decided by the reducer.
 #[derive(Clone, Debug)]
 pub(crate) enum RequestStep {
@@ -78,6 +83,8 @@
     pub(crate) intake: IntakeBudget,
     pub(crate) intake_log: IntakeLog,
     pub(crate) caller_conns: Rc<CallerConns>,
+    /// Connections of the platform and the operators, which callers cannot use up.
+    pub(crate) operator_conns: Rc<CallerConns>,
     pub(crate) store: StoreClient,
     pub(crate) peers: PeerSocket,
     /// Whether the rows of the entry hosts have been read from the store.
@@ -149,6 +156,7 @@
             .with_budget(intake.clone())
             .with_max_open(conn_limits.targets),
             caller_conns: CallerConns::new(conn_limits.callers, intake.clone()),
+            operator_conns: CallerConns::new(MAX_OPERATOR_CONNS, intake.clone()),
             intake,
             intake_log: IntakeLog::default(),
             store: StoreClient::new(settings.store),
@@ -178,6 +186,14 @@
         self.weak_self.upgrade()
     }
 
+    /// Returns the table of the connections that a listener accepts.
+    pub(crate) fn conns(&self, role: ListenerRole) -> &Rc<CallerConns> {
+        match role {
+            ListenerRole::Requests | ListenerRole::Addresses => &self.caller_conns,
+            ListenerRole::Operator => &self.operator_conns,
+        }
+    }
+
     /// Registers a request; returns its key and the receiver of its steps.
     pub(crate) fn register_request(&self) -> (RequestKey, UnboundedReceiver<RequestStep>) {
         let key = RequestKey(self.next_key.get());
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -6,6 +6,7 @@
 use crate::entry::{deliver, log_attempt_ended, log_attempt_sent, AnswerAborted, OpenRequest};
 use crate::exchange::{attempt, AttemptResult};
 use crate::shell::RequestStep;
+use bytes::Bytes;
 use crocusyard_base::prelude::*;
 use crocusyard_httpconn::prelude::{is_malformed, PooledConn};
 use crocusyard_intake::prelude::*;
@@ -51,6 +52,11 @@
     answer: Response<Incoming>,
     conn: PooledConn,
 ) -> Result<Response<AnswerBody>, AnswerAborted> {
+    let mut open = open;
+    if !open.request.call.route.kind.may_repeat() {
+        // The body is not needed for a second attempt.
+        open.request.body = Bytes::new();
+    }
     let (head, source) = StreamSource::open(answer, conn);
     let (sender, answer_body) = AnswerBody::stream();
     let response = deliver(&open, head, answer_body);
--- a/crates/serving/src/state.rs
+++ b/crates/serving/src/state.rs
@@ -80,6 +80,8 @@
     causes: Rc<[CrashCause]>,
     /// Whether the call runs although it contains a blamed cause.
     is_trial: bool,
+    /// Whether the call is part of the demand for its model.
+    counts_demand: bool,
     arrived: ClockTime,
     /// Attempts that may have reached a target.
     sends: u32,
@@ -449,7 +451,11 @@
             }
         };
         self.budget.count_request(&call.service, now);
-        self.demand.count_arrival(&call, now);
+        // Callers may ask for any name; demand for unknown models is no demand.
+        let counts_demand = self.is_known_model(&call);
+        if counts_demand {
+            self.demand.count_arrival(&call, now);
+        }
         let causes: Rc<[CrashCause]> = call.crash_causes().into();
         let verdict = self.crashes.judge(&causes, now);
         let request = RequestState {
@@ -459,6 +465,7 @@
             charge: None,
             call,
             is_trial: verdict == CauseVerdict::Trial,
+            counts_demand,
             arrived: now,
             sends: 0,
             tried: Vec::new(),
@@ -671,7 +678,9 @@
             self.targets
                 .count_tokens_ended(target, &request.call, request.has_begun);
         }
-        self.demand.count_end(&request.call);
+        if request.counts_demand {
+            self.demand.count_end(&request.call);
+        }
     }
 
     /// Handles the end of an attempt: the request ends, is sent again or waits.
--- a/crates/serving/src/state/estimate.rs
+++ b/crates/serving/src/state/estimate.rs
@@ -98,7 +98,8 @@
     pub(super) fn record_no_target(&mut self, call: &CallInfo, reason: NoTarget, now: ClockTime) {
         let key = queue_key(call);
         match reason {
-            NoTarget::ModelAbsent => {
+            // Callers may ask for any name; only models of the configuration are recorded.
+            NoTarget::ModelAbsent if self.is_known_model(call) => {
                 let absence = self.absent.entry(key).or_insert(ModelAbsence {
                     since: now,
                     followed_from: now,
@@ -117,6 +118,16 @@
         }
     }
 
+    /// Returns whether the configuration has the model that a call needs.
+    pub(super) fn is_known_model(&self, call: &CallInfo) -> bool {
+        let engine = self
+            .rules
+            .as_ref()
+            .and_then(|rules| rules.engine(&call.service));
+        let model = call.model();
+        engine.is_some_and(|engine| model.is_some_and(|model| engine.models.contains_key(model)))
+    }
+
     /// Returns why a waiting call has no target now, if `reason` is why it had none when it was last
     /// judged. A call behind others is not judged again when a target comes or loads the model.
     pub(super) fn present_reason(&self, call: &CallInfo, reason: NoTarget) -> NoTarget {
