--- a/crates/edge/src/moves.rs
+++ b/crates/edge/src/moves.rs
@@ -15,7 +15,7 @@
 use crocusyard_adapter::prelude::*;
 use crocusyard_base::prelude::*;
 use crocusyard_httpconn::prelude::*;
-use crocusyard_serving::adapters::{adapter_rates, next_adapter_step, plan_adapters, AdapterStep};
+use crocusyard_serving::adapters::{adapter_rates, next_adapter_step, AdapterStep};
 use crocusyard_serving::copies::EngineView;
 use crocusyard_serving::orders::apply_order;
 use crocusyard_serving::prelude::*;
@@ -145,7 +145,7 @@
         let models = rule.models.keys();
         models.map(|model| (model.clone(), time(model))).collect()
     };
-    let mut input = PlanInput {
+    let input = PlanInput {
         rule,
         engines: engine_views,
         demand: &demand,
@@ -155,12 +155,7 @@
         loads_left: shell.orders.borrow_mut().loads_left(service, rule, now),
     };
     drop(trend);
-    let orders = plan_orders(&input);
-    for (name, action) in &orders {
-        mark_ordered(&mut input.engines, name, action);
-    }
-    let adapter_orders = plan_adapters(rule, &input.engines, &demand, &input.forecast);
-    for (name, action) in orders.into_iter().chain(adapter_orders) {
+    for (name, action) in plan_orders(&input) {
         let Some(engine) = engines.get(&name) else {
             continue;
         };
--- a/crates/serving/tests/common/placement.rs
+++ b/crates/serving/tests/common/placement.rs
@@ -6,9 +6,7 @@
 
 use super::{engine_rule, model, ms, service};
 use crocusyard_base::prelude::*;
-use crocusyard_serving::adapters::{adapter_rates, next_adapter_step, plan_adapters, AdapterStep};
 use crocusyard_serving::copies::EngineView;
-use crocusyard_serving::orders::apply_order;
 use crocusyard_serving::prelude::*;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
@@ -52,10 +50,6 @@
     pub run_ms: u64,
     /// Time before which calls are not counted, ms.
     pub warm_up_ms: u64,
-    /// Adapters of each model, asked for by Zipf's law; 0 if calls need none.
-    pub adapters: usize,
-    /// Whether further copies of adapters are planned.
-    pub with_adapter_plan: bool,
     /// Whether hosts report the tokens of calls.
     pub with_tokens: bool,
     /// Seed of the random numbers.
@@ -97,8 +91,6 @@
     /// Loads from the weight store, from the disk and from the memory of engines.
     pub loads: [u32; 3],
     pub unloads: u32,
-    /// Loads and unloads of adapters.
-    pub adapter_orders: u32,
     /// Copies of each model at the end of each second.
     pub copies: Vec<Vec<usize>>,
     /// Mean over time of the number of requests at the engine with the most.
@@ -129,10 +121,6 @@
 
 struct Request {
     model: usize,
-    /// Adapter of the model that the call needs.
-    adapter: Option<AdapterName>,
-    /// Number of the model and adapter together.
-    kind: usize,
     arrived: u64,
     sent: u64,
     prompt_left: f64,
@@ -157,11 +145,6 @@
     fn load(&self) -> usize {
         self.running.len() + self.queue.len()
     }
-
-    fn holds(&self, model: &ModelName, adapter: Option<&AdapterName>) -> bool {
-        let held = self.holdings.models.get(model);
-        held.is_some_and(|held| adapter.is_none_or(|adapter| held.contains(adapter)))
-    }
 }
 
 pub struct PlacementFleet {
@@ -174,7 +157,7 @@
     tracker: OrderTracker,
     trend: DemandTrend,
     waiting: Vec<Request>,
-    /// Rates of arrivals by model and adapter with a time constant of 1 s: calls and prompt tokens.
+    /// Rates of arrivals by model with a time constant of 1 s: calls and prompt tokens.
     rates: Vec<(f64, f64)>,
     run_ms: Vec<Option<f64>>,
     /// Demand with the time as of which it holds.
@@ -217,7 +200,7 @@
             slots: 24,
             kv_tokens: 56_483,
             weights_mb: size.places as f64 * 60_000.0 + 5_000.0,
-            adapter_slots: 8,
+            adapter_slots: 4,
             loads_per_s: size.loads_per_s,
             ..engine_rule(&names)
         };
@@ -252,7 +235,7 @@
             tracker.receive_report(target, &report(engine), ms(0));
         }
         Self {
-            rates: vec![(0.0, 0.0); load.models * load.adapters.max(1)],
+            rates: vec![(0.0, 0.0); load.models],
             run_ms: vec![None; load.models],
             seed: load.seed,
             size,
@@ -280,7 +263,6 @@
             let now = step * STEP_MS;
             self.end_orders(now);
             self.receive_calls(now);
-            self.serve_copy_requests(now);
             self.send_calls(now);
             for engine in 0..self.engines.len() {
                 self.run_engine(engine, now);
@@ -320,22 +302,17 @@
 
     fn receive_calls(&mut self, now: u64) {
         let decay = (-(STEP_MS as f64) / 1_000.0).exp();
-        let shares = zipf(self.load.adapters.max(1), 0.7);
-        for kind in 0..self.rates.len() {
-            let (index, share) = (kind / shares.len(), shares[kind % shares.len()]);
-            let adapter = self.adapter(kind);
+        for index in 0..self.load.models {
             let (prompt, output) = (self.load.tokens)(index);
-            let mean = (self.load.rate)(index, now) * share * STEP_MS as f64 / 1_000.0;
+            let mean = (self.load.rate)(index, now) * STEP_MS as f64 / 1_000.0;
             let arrivals = self.draw_count(mean);
-            let (calls, tokens) = &mut self.rates[kind];
+            let (calls, tokens) = &mut self.rates[index];
             *calls = *calls * decay + f64::from(arrivals);
             *tokens = *tokens * decay + f64::from(arrivals) * f64::from(prompt);
             for _ in 0..arrivals {
                 let size = 0.5 + draw(&mut self.seed);
                 let request = Request {
                     model: index,
-                    adapter: adapter.clone(),
-                    kind,
                     arrived: now,
                     sent: now,
                     prompt_left: f64::from(prompt) * size,
@@ -344,19 +321,13 @@
                     begun: false,
                 };
                 if now >= self.load.warm_up_ms {
-                    self.count_arrival(index, adapter.as_ref());
+                    self.count_arrival(index);
                 }
                 self.waiting.push(request);
             }
         }
     }
 
-    /// Adapter of a kind of calls.
-    fn adapter(&self, kind: usize) -> Option<AdapterName> {
-        let number = kind.checked_rem(self.load.adapters)?;
-        Some(AdapterName::new(&format!("a{number}")))
-    }
-
     /// Draws the number of arrivals from the Poisson distribution with the given mean.
     fn draw_count(&mut self, mean: f64) -> u32 {
         let limit = (-mean).exp();
@@ -369,13 +340,13 @@
         count
     }
 
-    fn count_arrival(&mut self, index: usize, adapter: Option<&AdapterName>) {
+    fn count_arrival(&mut self, index: usize) {
         let slots = self.rule.slots as usize;
         let name = &self.names[index];
         let mut holders = self
             .engines
             .iter()
-            .filter(|engine| engine.holds(name, adapter))
+            .filter(|engine| engine.holdings.models.contains_key(name))
             .peekable();
         let absent = holders.peek().is_none();
         let full = !absent && holders.all(|engine| engine.load() >= slots);
@@ -392,7 +363,7 @@
             let best = self
                 .engines
                 .iter_mut()
-                .filter(|engine| engine.holds(name, request.adapter.as_ref()))
+                .filter(|engine| engine.holdings.models.contains_key(name))
                 .filter(|engine| engine.load() < slots)
                 .min_by_key(|engine| engine.load());
             if let Some(engine) = best {
@@ -454,34 +425,34 @@
 
     /// Demand as the hosts report it now.
     fn demand(&self) -> Vec<ModelDemand> {
-        let mut counts = vec![(0_u32, 0_u32, 0_u32); self.rates.len()];
+        let mut counts = vec![(0_u32, 0_u32, 0_u32); self.load.models];
         let running = self
             .engines
             .iter()
             .flat_map(|engine| engine.running.iter().chain(&engine.queue));
         for request in running {
-            counts[request.kind].0 += 1;
-            counts[request.kind].2 += request.tokens;
+            counts[request.model].0 += 1;
+            counts[request.model].2 += request.tokens;
         }
         for request in &self.waiting {
-            counts[request.kind].0 += 1;
-            counts[request.kind].1 += 1;
-            counts[request.kind].2 += request.tokens;
+            counts[request.model].0 += 1;
+            counts[request.model].1 += 1;
+            counts[request.model].2 += request.tokens;
         }
         let demands = counts.iter().zip(&self.rates).enumerate();
         demands
             .filter(|(_, ((in_progress, ..), (rate, _)))| *in_progress > 0 || *rate > 0.02)
             .map(
-                |(kind, ((in_progress, waiting, tokens), rate))| ModelDemand {
+                |(index, ((in_progress, waiting, tokens), rate))| ModelDemand {
                     service: service(),
                     need: CallNeed {
-                        model: self.names[kind / self.load.adapters.max(1)].clone(),
-                        adapter: self.adapter(kind),
+                        model: self.names[index].clone(),
+                        adapter: None,
                     },
                     in_progress: *in_progress,
                     waiting: *waiting,
                     rate: rate.0,
-                    run_ms: self.run_ms[kind / self.load.adapters.max(1)].map(|run| run as u32),
+                    run_ms: self.run_ms[index].map(|run| run as u32),
                     work: if self.load.with_tokens {
                         TokenWork {
                             tokens: *tokens,
@@ -536,45 +507,9 @@
             missed_for: of_models(&|model| trend.missed_for(&service(), model, clock)),
             loads_left: self.tracker.loads_left(&service(), &self.rule, clock),
         };
-        let orders = plan_orders(&input);
-        let forecast = input.forecast;
-        for (target, action) in orders {
+        for (target, action) in plan_orders(&input) {
             self.give_order(&target, action, now);
         }
-        if self.load.with_adapter_plan {
-            let views = self.views(clock);
-            for (target, action) in plan_adapters(&self.rule, &views, &demand, &forecast) {
-                self.give_order(&target, action, now);
-            }
-        }
-    }
-
-    /// Gives orders for the adapters that calls wait for.
-    fn serve_copy_requests(&mut self, now: u64) {
-        let clock = ms(now);
-        let requests: BTreeSet<CallNeed> = self
-            .waiting
-            .iter()
-            .filter_map(|request| {
-                let name = &self.names[request.model];
-                let adapter = request.adapter.as_ref()?;
-                let mut engines = self.engines.iter();
-                let is_absent = !engines.any(|engine| engine.holds(name, Some(adapter)));
-                is_absent.then(|| CallNeed::adapter(name, adapter))
-            })
-            .collect();
-        let rates = adapter_rates(&self.demand());
-        for need in requests {
-            let views = self.views(clock);
-            let load = |name: &TargetName| {
-                let number = self.targets.iter().position(|target| target == name);
-                number.map_or(0, |number| self.engines[number].load() as u32)
-            };
-            let step = next_adapter_step(&self.rule, &views, &rates, &need, load);
-            if let AdapterStep::Order(target, action) = step {
-                self.give_order(&target, action, now);
-            }
-        }
     }
 
     fn views(&self, now: ClockTime) -> Vec<EngineView> {
@@ -589,8 +524,6 @@
                 loading_model: orders.loading_model(name).cloned(),
                 unloading: orders.is_unloading(name),
                 held_for: orders.held_for(name, now),
-                loading_adapter: orders.loading_adapter(name),
-                recent_adapters: orders.recent_adapters(name, now),
                 accepts_orders: orders.accepts_orders(name, now),
                 ..super::engine_view(name.as_str(), &[])
             }
@@ -635,18 +568,7 @@
             _ => now,
         };
         engine.holdings.accepted_orders += 1;
-        let is_adapter_order = matches!(
-            action,
-            OrderAction::LoadAdapter(..) | OrderAction::UnloadAdapter(..)
-        );
-        if is_adapter_order {
-            apply_order(&mut engine.holdings, &action);
-            self.result.adapter_orders += 1;
-            let held: usize = engine.holdings.models.values().map(BTreeSet::len).sum();
-            assert!(held <= self.rule.adapter_slots, "too many adapters");
-        } else {
-            engine.order = Some((action.clone(), done_at));
-        }
+        engine.order = Some((action.clone(), done_at));
         let answer = OrderAnswer::Accepted;
         let warm = ms(LOAD_MS[2]);
         self.tracker
--- a/crates/serving/tests/copy_moves.rs
+++ b/crates/serving/tests/copy_moves.rs
@@ -253,8 +253,6 @@
         tokens: Box::new(|_| (250, 150)),
         run_ms: 60_000,
         warm_up_ms: 10_000,
-        adapters: 0,
-        with_adapter_plan: false,
         with_tokens: true,
         seed: 1,
     };
--- a/crates/serving/tests/work_placement.rs
+++ b/crates/serving/tests/work_placement.rs
@@ -30,8 +30,6 @@
         tokens: Box::new(tokens),
         run_ms: 60_000,
         warm_up_ms: 10_000,
-        adapters: 0,
-        with_adapter_plan: false,
         with_tokens: true,
         seed: 7,
     }
