--- a/crates/edge/src/moves.rs
+++ b/crates/edge/src/moves.rs
@@ -206,7 +206,6 @@
                 accepts_orders: orders.accepts_orders(name, now)
                     && !state.is_avoided(now)
                     && state.pause_left(now).is_none(),
-                pace: None,
             }
         })
         .collect()
--- a/crates/serving/src/copies.rs
+++ b/crates/serving/src/copies.rs
@@ -31,16 +31,11 @@
 const UNLOAD_COST_MS: f64 = 1_500.0;
 /// Cost of unloading a copy that runs none, ms; the load is ordered in the next plan.
 const IDLE_UNLOAD_COST_MS: f64 = 100.0;
-/// Cost of each further copy in the same failure domain, ms. Copies in one domain are lost together,
-/// but a load from the memory of an engine there is worth more to a model in rising demand.
-const SAME_DOMAIN_COST_MS: f64 = 1_000.0;
-/// Cost of an engine whose slots are all used by the requests of its models at its usual pace, ms.
-const FULL_ENGINE_COST_MS: f64 = 2_000.0;
-/// Cost of taking a copy from a model, for each slot that the copy uses, ms. Its calls go to other
-/// copies, where their prompts are not cached.
-const USED_SLOT_COST_MS: f64 = 200.0;
-/// Pace of an engine that works as fast as usual, percent.
-const USUAL_PACE: u32 = 100;
+/// Cost of a second copy in the same failure domain, ms.
+const SAME_DOMAIN_COST_MS: f64 = 200.0;
+/// Cost of each other model in demand on the same engine, ms; its requests share the engine's
+/// batch.
+const SHARED_ENGINE_COST_MS: f64 = 300.0;
 
 /// Time without requests after which the only copy of a model may give way to a model that has no
 /// copy and is asked for, in load times of the model that gives way.
@@ -59,7 +54,7 @@
 const GIVE_AWAY_MARGIN: f64 = 0.75;
 /// Ratio of the loads per copy from which a copy moves from one model in demand to another; the
 /// demand has to change by the square of it before the copy moves back.
-const MIN_LOAD_RATIO: f64 = 2.0;
+const MIN_LOAD_RATIO: f64 = 1.5;
 /// Fraction of the slots of its engines that the requests of a model may use after it has given a copy
 /// away; the engines have other models as well. A model whose copies are fuller loses as many calls
 /// as another would gain.
@@ -94,9 +89,6 @@
     pub recent_adapters: BTreeSet<CallNeed>,
     /// Whether the engine can be given an order now.
     pub accepts_orders: bool,
-    /// Time that work takes on the engine in percent of the usual time, as a mean over seconds;
-    /// `None` if it is not known.
-    pub pace: Option<u32>,
 }
 
 /// Input of [`plan_orders`] for one service.
@@ -138,8 +130,6 @@
     wanted: usize,
     /// Copies that the model keeps although it should have fewer, as its demand may rise again.
     kept: usize,
-    /// Whether the engines have no room for a copy of each model.
-    is_crowded: bool,
     /// Load of a copy up to which it may take over the requests of another, slots.
     carried_load: f64,
     /// Time since the last request.
@@ -158,11 +148,6 @@
         self.in_progress + self.rate
     }
 
-    /// Returns the slots that a copy is expected to use.
-    fn load_per_copy(&self) -> f64 {
-        self.in_progress / self.copies.max(1) as f64
-    }
-
     /// Returns the urgency of a further copy: the demand per copy, which counts more the longer
     /// the model has had no copy, so that rarely used models get their turn.
     fn urgency(&self) -> f64 {
@@ -213,11 +198,7 @@
         if self.held > 1 && has_served && self.can_spare_for(claimant) {
             return true;
         }
-        if self.is_crowded
-            && self.copies == 1
-            && self.is_idle(LONG_IDLE_LOADS)
-            && claimant.demand() > 0.0
-        {
+        if self.copies == 1 && self.is_idle(LONG_IDLE_LOADS) && claimant.demand() > 0.0 {
             return true;
         }
         let has_stayed = held_for >= self.rule.load_time.scale(MIN_STAY_LOADS);
@@ -240,14 +221,13 @@
 
 /// Plans the orders to give now, the most urgent first and at most one for each engine.
 pub fn plan_orders(input: &PlanInput<'_>) -> Vec<(TargetName, OrderAction)> {
-    let mut spread = CopySpread::new(&input.engines);
-    let mut plans = plan_copies(input, &spread);
+    let mut plans = plan_copies(input);
     let mut ordered: BTreeSet<TargetName> = BTreeSet::new();
     let mut loads_left = input.loads_left;
     let mut places_coming = input.engines.iter().filter(|e| e.unloading).count();
     let mut orders = Vec::new();
     while let Some(model) = next_model(&plans) {
-        let choice = best_engine(input, &plans, &spread, &model, &ordered);
+        let choice = best_engine(input, &plans, &model, &ordered);
         let Some((name, action)) = choice else {
             skip_model(&mut plans, &model);
             continue;
@@ -274,7 +254,6 @@
             }
         }
         count_copy(&mut plans, &model);
-        spread.apply(&input.engines, &name, &action);
         ordered.insert(name.clone());
         orders.push((name, action));
     }
@@ -295,71 +274,6 @@
     }
 }
 
-/// Copies of each model, by failure domain.
-#[derive(Clone, Debug, Default)]
-struct CopySpread {
-    /// Copies that engines hold.
-    held: HashMap<ModelName, usize>,
-    /// Copies that engines hold or are loading, with the orders planned so far.
-    in_domain: HashMap<ModelName, HashMap<DomainName, usize>>,
-}
-
-impl CopySpread {
-    fn new(engines: &[EngineView]) -> Self {
-        let mut spread = Self::default();
-        for engine in engines {
-            for model in engine.holdings.models.keys() {
-                *spread.held.entry(model.clone()).or_default() += 1;
-                spread.add(model, &engine.domain);
-            }
-            let loading = engine.loading_model.as_ref();
-            if let Some(model) =
-                loading.filter(|model| !engine.holdings.models.contains_key(*model))
-            {
-                spread.add(model, &engine.domain);
-            }
-        }
-        spread
-    }
-
-    fn add(&mut self, model: &ModelName, domain: &DomainName) {
-        let domains = self.in_domain.entry(model.clone()).or_default();
-        *domains.entry(domain.clone()).or_default() += 1;
-    }
-
-    /// Returns the copies of a model in a failure domain.
-    fn in_domain(&self, model: &ModelName, domain: &DomainName) -> usize {
-        let domains = self.in_domain.get(model);
-        domains
-            .and_then(|domains| domains.get(domain))
-            .copied()
-            .unwrap_or(0)
-    }
-
-    /// Returns the copies of a model that are held or being loaded.
-    fn copies(&self, model: &ModelName) -> usize {
-        let domains = self.in_domain.get(model);
-        domains.map_or(0, |domains| domains.values().sum())
-    }
-
-    /// Counts an order to an engine.
-    fn apply(&mut self, engines: &[EngineView], name: &TargetName, action: &OrderAction) {
-        let Some(engine) = engines.iter().find(|engine| engine.name == *name) else {
-            return;
-        };
-        match action {
-            OrderAction::LoadModel(model) => self.add(model, &engine.domain),
-            OrderAction::UnloadModel(model) => {
-                let domains = self.in_domain.get_mut(model);
-                if let Some(count) = domains.and_then(|domains| domains.get_mut(&engine.domain)) {
-                    *count = count.saturating_sub(1);
-                }
-            }
-            _ => {}
-        }
-    }
-}
-
 /// Demand for a model with all its adapters.
 #[derive(Clone, Copy, Debug, Default)]
 struct DemandSum {
@@ -370,10 +284,7 @@
 }
 
 /// Compares the copies that each model has with those that its demand calls for.
-fn plan_copies<'a>(
-    input: &PlanInput<'a>,
-    spread: &CopySpread,
-) -> BTreeMap<ModelName, CopyPlan<'a>> {
+fn plan_copies<'a>(input: &PlanInput<'a>) -> BTreeMap<ModelName, CopyPlan<'a>> {
     let mut sums: HashMap<&ModelName, DemandSum> = HashMap::new();
     for demand in input.demand {
         let sum = sums.entry(&demand.need.model).or_default();
@@ -385,12 +296,17 @@
     }
     let slots = f64::from(input.rule.slots.max(1));
     let most = input.engines.len().max(1);
-    let is_crowded = place_count(input) < input.rule.models.len();
     input
         .rule
         .models
         .values()
         .map(|rule| {
+            let holds = |engine: &&EngineView| engine.holdings.models.contains_key(&rule.name);
+            let held = input.engines.iter().filter(holds).count();
+            let loads = |engine: &&EngineView| {
+                engine.loading_model.as_ref() == Some(&rule.name) && !holds(engine)
+            };
+            let copies = held + input.engines.iter().filter(loads).count();
             let sum = sums.get(&rule.name).copied().unwrap_or_default();
             let in_progress = input
                 .forecast
@@ -406,11 +322,10 @@
                 in_progress,
                 running: sum.in_progress,
                 rate: sum.rate,
-                copies: spread.copies(&rule.name),
-                held: spread.held.get(&rule.name).copied().unwrap_or(0),
+                copies,
+                held,
                 wanted: copies_for(planned_load),
                 kept: copies_for(planned_load * GIVE_AWAY_MARGIN),
-                is_crowded,
                 carried_load: slots * CARRIED_SLOTS,
                 idle: input.idle.get(&rule.name).copied().unwrap_or_default(),
                 missed_for: input
@@ -424,16 +339,6 @@
         .collect()
 }
 
-/// Returns the number of models that the engines have room for, if the models are of mean size.
-fn place_count(input: &PlanInput<'_>) -> usize {
-    let models = input.rule.models.values();
-    let total_mb: f64 = models.map(|model| model.weights_mb).sum();
-    let mean_mb = total_mb / input.rule.models.len().max(1) as f64;
-    let usable_mb = input.rule.weights_mb - ADAPTER_RESERVE_MB;
-    let places = usable_mb / mean_mb.max(f64::MIN_POSITIVE);
-    input.engines.len().saturating_mul(places.max(0.0) as usize)
-}
-
 /// Returns the model to which a further copy is most urgent among those that lack copies.
 fn next_model(plans: &BTreeMap<ModelName, CopyPlan<'_>>) -> Option<ModelName> {
     plans
@@ -448,7 +353,6 @@
 fn best_engine(
     input: &PlanInput<'_>,
     plans: &BTreeMap<ModelName, CopyPlan<'_>>,
-    spread: &CopySpread,
     model: &ModelName,
     ordered: &BTreeSet<TargetName>,
 ) -> Option<(TargetName, OrderAction)> {
@@ -466,13 +370,11 @@
         let Some(action) = next_action(input.rule, engine, plans, claimant) else {
             continue;
         };
-        let cost = engine_cost(input, engine, plans, spread, claimant, &action);
+        let cost = engine_cost(input, engine, plans, claimant.rule, &action);
         let rank = match &action {
             OrderAction::UnloadModel(victim) => match plans.get(victim).map(CopyPlan::yield_rank) {
                 // Spare copies cost only the time of their unload.
                 Some((0, _)) | None => (0, cost),
-                // Of two copies of models in demand, the less used one goes, unless it costs more.
-                Some((2, load)) => (2, cost + load * USED_SLOT_COST_MS),
                 Some(rank) => rank,
             },
             _ => (0, cost),
@@ -490,11 +392,9 @@
     input: &PlanInput<'_>,
     engine: &EngineView,
     plans: &BTreeMap<ModelName, CopyPlan<'_>>,
-    spread: &CopySpread,
-    claimant: &CopyPlan<'_>,
+    rule: &ModelRule,
     action: &OrderAction,
 ) -> f64 {
-    let rule = claimant.rule;
     let load_time = if engine.in_memory.contains(&rule.name) {
         rule.warm_time
     } else if engine.on_disk.contains(&rule.name) {
@@ -503,29 +403,24 @@
         rule.load_time
     };
     let mut cost = load_time.as_ms() as f64;
-    let mut victim_name = None;
     if let OrderAction::UnloadModel(victim) = action {
-        victim_name = Some(victim);
         cost += plans
             .get(victim)
             .map_or(UNLOAD_COST_MS, CopyPlan::unload_cost);
-        let others = spread.copies(victim) - spread.in_domain(victim, &engine.domain);
-        if spread.in_domain(victim, &engine.domain) == 1 && others > 1 {
-            // The copies that remain are in fewer domains.
-            cost += SAME_DOMAIN_COST_MS;
-        }
     }
-    cost += SAME_DOMAIN_COST_MS * spread.in_domain(&rule.name, &engine.domain) as f64;
-    let remaining = engine.holdings.models.keys();
-    let own_load = claimant.in_progress / (claimant.copies + 1) as f64;
-    let load: f64 = remaining
-        .filter(|held| Some(*held) != victim_name)
-        .filter_map(|held| plans.get(held))
-        .map(CopyPlan::load_per_copy)
-        .sum();
-    let slots = f64::from(input.rule.slots.max(1));
-    let pace = f64::from(engine.pace.unwrap_or(USUAL_PACE)) / f64::from(USUAL_PACE);
-    cost + FULL_ENGINE_COST_MS * pace * (load + own_load) / slots
+    let same_domain = input.engines.iter().any(|other| {
+        other.domain == engine.domain && other.holdings.models.contains_key(&rule.name)
+    });
+    if same_domain {
+        cost += SAME_DOMAIN_COST_MS;
+    }
+    let shared = engine
+        .holdings
+        .models
+        .keys()
+        .filter(|held| plans.get(*held).is_some_and(|plan| plan.in_progress > 1.0))
+        .count();
+    cost + shared as f64 * SHARED_ENGINE_COST_MS
 }
 
 /// Returns the order to load a model if it fits, or else the order to unload a model that gives way
--- a/crates/serving/tests/common/mod.rs
+++ b/crates/serving/tests/common/mod.rs
@@ -139,7 +139,6 @@
         held_for: BTreeMap::new(),
         recent_adapters: BTreeSet::new(),
         accepts_orders: true,
-        pace: None,
     }
 }
 
--- a/crates/serving/tests/common/placement.rs
+++ b/crates/serving/tests/common/placement.rs
@@ -99,9 +99,6 @@
     pub fewest_copies: usize,
     /// Largest number of loads from the weight store in a window of 5 s.
     pub loads_in_window: usize,
-    /// Models with several copies at the end, and those of them whose copies are in one domain.
-    pub several: usize,
-    pub one_domain: usize,
     /// Copies that were unloaded within 20 s after their load.
     pub short_stays: u32,
 }
@@ -279,13 +276,6 @@
             }
         }
         self.result.busiest = busiest as f64 / steps as f64;
-        for name in &self.names {
-            let holds = |number: &usize| self.engines[*number].holdings.models.contains_key(name);
-            let holders: Vec<usize> = (0..self.engines.len()).filter(holds).collect();
-            let domains: BTreeSet<usize> = holders.iter().map(|number| number % DOMAINS).collect();
-            self.result.several += usize::from(holders.len() > 1);
-            self.result.one_domain += usize::from(holders.len() > 1 && domains.len() == 1);
-        }
         self.result
     }
 
