--- a/tests/entry_bodies.rs
+++ b/tests/entry_bodies.rs
@@ -123,3 +123,15 @@
     stream.write_all(b"body").await.expect("the body");
     assert_eq!(first_line(&mut stream).await, "HTTP/1.1 200 OK");
 }
+
+/// Guards against heads over the limit of the configuration, which take memory for as long as their
+/// calls last.
+#[actix_rt::test]
+async fn head_over_the_limit_is_refused() {
+    let deployment = Deployment::start().await;
+    let filler = format!("x-filler: {}\r\n", "x".repeat(20_000));
+    let mut stream = deployment.open("long", &filler).await;
+    let line = first_line(&mut stream).await;
+    assert_eq!(line, "HTTP/1.1 431 Request Header Fields Too Large");
+    assert_eq!(deployment.target.runs("long"), 0);
+}
