quota: a host that starts takes 0.3 of the burst for the common credit

Change: the estimate starts at 0.3 of the burst. A host that restarts alone still spends nothing before it hears the others, and its share afterwards.

--- a/crates/quota/src/tenant.rs
+++ b/crates/quota/src/tenant.rs
@@ -17,6 +17,10 @@
 const BUSY_TO: f64 = 0.78;
 /// Length of the window of the bound, s.
 const WINDOW_S: usize = 8;
+/// Part of the burst that a host which has just started takes for the credit of all hosts. After a
+/// loss of all hosts, callers come back at once; without this credit their calls were refused for 2 s.
+/// It is not spent before most other hosts are heard, nor beyond the share of the host.
+const START_LEVEL: f64 = 0.3;
 /// Part of the burst above which calls are admitted freely.
 const FREE_LEVEL: f64 = 0.41;
 /// Share of the hosts that have to be heard for that.
@@ -199,7 +203,7 @@
     pub(crate) fn new(limit: UsageLimit, view: FleetView) -> Self {
         Self {
             limit,
-            level: 0.0,
+            level: limit.burst * START_LEVEL,
             heard_s: view.heard_s,
             credit: 0.0,
             free_used: 0.0,
