soak: tenants, keys and limits

The soak covered no tenants, so that faults that bring a revoked key back or let a tenant exceed its limit over several hosts went unnoticed.

Callers send valid, unknown and revoked keys, keys are revoked and a limit is lowered among the faults, and the callers of one tenant send several times its limit. New promises: ValidKey, KeyHidden, TenantRefusal, UsageBound. NotDenied and Recovery allow a 401 only for a key that is unknown or revoked.

--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -2,10 +2,11 @@
 
 use crate::history::{CallKind, CallOutcome, CallRecord};
 use crate::run::RunState;
+use crate::tenants::{draw_key, LIMITED_TENANT};
 use bytes::{Bytes, BytesMut};
 use crocusyard_httpconn::prelude::*;
 use crocusyard_platform_standin::prelude::{
-    caller_request, read_addresses, read_answer, ADDRESS_PATH, STREAM_PATH,
+    claim_tenant, keyed_request, read_addresses, read_answer, ADDRESS_PATH, STREAM_PATH,
 };
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
@@ -32,6 +33,8 @@
 const MAX_LEAVE_MS: u64 = 900;
 /// One call in this many is cancelled.
 const LEAVE_ONE_IN: u32 = 12;
+/// One call in this many with a key claims to be of the limited tenant.
+const CLAIM_ONE_IN: u32 = 10;
 /// One call in this many uses a new connection.
 const NEW_CONN_ONE_IN: u32 = 4;
 /// Upper bound of the pause between two calls of a caller, ms.
@@ -123,7 +126,14 @@
             _ => (CallKind::Stream, STREAM_PATH, STREAM_CALLER_TIMEOUT_MS),
         };
         let path = format!("{prefix}{id}?part={}", self.number);
-        let request = caller_request(&path, &id, timeout_ms).ok()?;
+        let key = state
+            .has_tenants
+            .then(|| draw_key(&mut self.rng, self.number));
+        let keys: Vec<&str> = key.iter().map(|key| key.text).collect();
+        let mut request = keyed_request(&path, &id, timeout_ms, &keys).ok()?;
+        if key.is_some() && self.rng.random_ratio(1, CLAIM_ONE_IN) {
+            claim_tenant(&mut request, LIMITED_TENANT);
+        }
         let leaves = self.rng.random_ratio(1, LEAVE_ONE_IN);
         let limit_ms = if leaves {
             self.rng.random_range(MIN_LEAVE_MS..MAX_LEAVE_MS)
@@ -144,6 +154,7 @@
             id,
             kind,
             path,
+            key,
             host,
             reused,
             timeout_ms,
--- a/crates/soak/src/checker.rs
+++ b/crates/soak/src/checker.rs
@@ -6,6 +6,7 @@
 use crate::history::{
     ArrivalRecord, CallKind, CallOutcome, CallRecord, RunHistory, SoakPart, TargetLifetime,
 };
+use crate::tenants::CALL_COST;
 use crocusyard_base::prelude::*;
 use crocusyard_platform_standin::prelude::{
     answer_text, event_text, AnswerFacts, EVENT_COUNT, STREAM_TIMEOUT_MS, TIMEOUT_MS,
@@ -16,6 +17,14 @@
 pub const STABLE_TIME: ClockTime = ClockTime::from_ms(3_000);
 /// Time in which hosts must apply a new configuration; `config_apply_ms`.
 const APPLY_BOUND: ClockTime = ClockTime::from_ms(2_000);
+/// Time in which hosts must apply a changed tenant, stated by the rules for tenants.
+const TENANT_APPLY_BOUND: ClockTime = ClockTime::from_ms(3_000);
+/// Time window in which the usage of a tenant is bounded; `quota_window_s`.
+const QUOTA_WINDOW: ClockTime = ClockTime::from_secs(8);
+/// Usage of a window beyond its limit, as a part of that; `quota_excess`.
+const QUOTA_EXCESS: f64 = 0.1;
+/// Usage of a window beyond its limit and that part, tokens; `quota_slack`.
+const QUOTA_SLACK: f64 = 7_400.0;
 /// Time after which a leaving target must get no request; `drain_ms`.
 const DRAIN_BOUND: ClockTime = ClockTime::from_ms(2_000);
 /// Time after the last fault from which all calls must be answered; `recovery_s`.
@@ -66,6 +75,14 @@
     RefusedNotRun,
     /// Valid requests are not rejected as invalid.
     NotDenied,
+    /// A call without a valid key does not reach a target.
+    ValidKey,
+    /// A target learns the tenant of a call and not its key.
+    KeyHidden,
+    /// A call that is refused for its key or the limit of its tenant has not run.
+    TenantRefusal,
+    /// The usage of a tenant over all hosts is within the bound of its limit.
+    UsageBound,
     /// Only targets of the route's services execute a request.
     AllowedService,
     /// A new configuration is applied in time.
@@ -127,10 +144,14 @@
     for call in &history.calls {
         checker.check_answer(call);
         checker.check_runs(call);
+        checker.check_key(call);
+        checker.check_key_hidden(call);
+        checker.check_tenant_refusal(call);
         checker.check_service(call);
         checker.check_leaving_targets(call);
         checker.check_recovery(call);
     }
+    checker.check_usage();
     checker.check_requests();
     checker.check_retries();
     checker.check_pauses();
@@ -174,7 +195,11 @@
             self.report(PromiseKind::WholeAnswer, detail);
         }
         let status = facts.status.as_u16();
-        if facts.seal.is_none() && matches!(status, 300..=407 | 409..=420 | 422..=428 | 430..=499) {
+        let expected = status == 401 && self.is_invalid_key(call, call.ended);
+        if !expected
+            && facts.seal.is_none()
+            && matches!(status, 300..=407 | 409..=420 | 422..=428 | 430..=499)
+        {
             self.report(PromiseKind::NotDenied, format!("{}: got {status}", call.id));
         }
         if !facts.status.is_success() {
@@ -233,6 +258,166 @@
         }
     }
 
+    /// Returns whether the key of a call was never valid or had been revoked by a time.
+    fn is_invalid_key(&self, call: &CallRecord, at: ClockTime) -> bool {
+        call.key.is_some_and(|key| {
+            let mut revocations = self.history.revocations.iter();
+            key.tenant.is_none()
+                || revocations.any(|revoked| revoked.key == key.text && revoked.at <= at)
+        })
+    }
+
+    /// Returns when a host must have applied the tenants published at a time, after which they must
+    /// not return to an older state; `None` if the host or its store was always disturbed.
+    fn applied_at(&self, host: usize, published: ClockTime) -> Option<ClockTime> {
+        let parts = [
+            SoakPart::Host(host),
+            SoakPart::Store,
+            SoakPart::StoreLink(host),
+        ];
+        let ends = self.history.disruptions.iter();
+        let settled = ends
+            .filter(|disruption| parts.contains(&disruption.part))
+            .filter_map(|disruption| disruption.to)
+            .map(|end| end + STABLE_TIME + ClockTime::from_ms(1));
+        settled
+            .chain([published])
+            .filter(|begin| *begin >= published)
+            .filter(|begin| {
+                let (from, to) = (begin.since(STABLE_TIME), *begin + TENANT_APPLY_BOUND);
+                let mut parts = parts.iter();
+                parts.all(|part| self.history.is_undisturbed(*part, from, to))
+            })
+            .min()
+            .map(|begin| begin + TENANT_APPLY_BOUND)
+    }
+
+    /// Checks that no call with an unknown key reached a target, nor one with a key whose
+    /// revocation the host must have applied. The first attempt counts from its arrival, as a queued
+    /// call is refused too; later ones count from the begin of the call, which was admitted.
+    fn check_key(&mut self, call: &CallRecord) {
+        let Some(key) = call.key else {
+            return;
+        };
+        let mut revocations = self.history.revocations.iter();
+        let revoked = revocations.find(|revoked| revoked.key == key.text);
+        let applied = revoked.and_then(|revoked| self.applied_at(call.host, revoked.at));
+        let mut details = Vec::new();
+        for (index, arrival) in self.arrivals_of(&call.id).iter().enumerate() {
+            let from = arrival.at.since(STABLE_TIME);
+            let undisturbed = self
+                .history
+                .target_undisturbed(&arrival.target, from, arrival.at);
+            // A disturbed connection may have held up the request.
+            let sent = if index == 0 && undisturbed {
+                arrival.at
+            } else {
+                call.started
+            };
+            if key.tenant.is_none() {
+                details.push(format!(
+                    "{}: reached {} with an unknown key",
+                    call.id, arrival.target
+                ));
+            } else if applied.is_some_and(|applied| sent > applied) {
+                details.push(format!(
+                    "{}: reached {} through host {} at {} with a key revoked at {:?}, \
+                     applied at {applied:?}",
+                    call.id,
+                    arrival.target,
+                    call.host,
+                    arrival.at,
+                    revoked.map(|revoked| revoked.at)
+                ));
+            }
+        }
+        for detail in details {
+            self.report(PromiseKind::ValidKey, detail);
+        }
+    }
+
+    /// Checks that targets learned the tenant of the call, and no key.
+    fn check_key_hidden(&mut self, call: &CallRecord) {
+        let tenant = call.key.and_then(|key| key.tenant);
+        let wrong = self.arrivals_of(&call.id).iter().find(|arrival| {
+            arrival.key_count > 0 || !arrival.tenants.iter().map(String::as_str).eq(tenant)
+        });
+        if let Some(arrival) = wrong {
+            let detail = format!(
+                "{}: {} got {} keys and the tenants {:?} for a call of tenant {tenant:?}",
+                call.id, arrival.target, arrival.key_count, arrival.tenants
+            );
+            self.report(PromiseKind::KeyHidden, detail);
+        }
+    }
+
+    /// Checks that a call of any kind that is refused for its key or a limit has not run.
+    fn check_tenant_refusal(&mut self, call: &CallRecord) {
+        let (Some(_), CallOutcome::Answered(facts, _)) = (call.key, &call.outcome) else {
+            return;
+        };
+        let status = facts.status.as_u16();
+        let runs: Vec<&str> = self
+            .runs_of(&call.id)
+            .map(|run| run.target.as_str())
+            .collect();
+        if facts.seal.is_none() && matches!(status, 401 | 429) && !runs.is_empty() {
+            let detail = format!("{}: got {status}, but ran at {runs:?}", call.id);
+            self.report(PromiseKind::TenantRefusal, detail);
+        }
+    }
+
+    /// Checks the usage that was sent in each window and ran, against the highest limit that a host
+    /// may have applied in it.
+    fn check_usage(&mut self) {
+        let limits = &self.history.limits;
+        let Some(tenant) = limits.first().map(|limit| limit.tenant) else {
+            return;
+        };
+        let hosts: HashSet<usize> = self.history.calls.iter().map(|call| call.host).collect();
+        // An older limit ends when all hosts must have applied the next one.
+        let ends: Vec<Option<ClockTime>> = (1..=limits.len())
+            .map(|next| {
+                let next = limits.get(next)?;
+                let applied = hosts.iter().map(|host| self.applied_at(*host, next.at));
+                applied.collect::<Option<Vec<_>>>()?.into_iter().max()
+            })
+            .collect();
+        let calls = self.history.calls.iter();
+        let mut sent: Vec<ClockTime> = calls
+            .filter(|call| call.key.and_then(|key| key.tenant) == Some(tenant))
+            .filter(|call| self.runs_of(&call.id).next().is_some())
+            .map(|call| call.started)
+            .collect();
+        sent.sort();
+        let mut largest: Option<(f64, String)> = None;
+        for (index, begin) in sent.iter().enumerate() {
+            let end = *begin + QUOTA_WINDOW;
+            let count = sent[index..].partition_point(|at| *at < end);
+            let bound = limits
+                .iter()
+                .zip(&ends)
+                .filter(|(limit, ended)| limit.at < end && ended.is_none_or(|to| to > *begin))
+                .map(|(limit, _)| {
+                    let usage = limit.rate_per_s * QUOTA_WINDOW.as_ms() as f64 / 1_000.0;
+                    (usage + limit.burst) * (1.0 + QUOTA_EXCESS) + QUOTA_SLACK
+                })
+                .fold(0.0, f64::max);
+            let usage = count as f64 * CALL_COST as f64;
+            if usage > bound
+                && largest
+                    .as_ref()
+                    .is_none_or(|(most, _)| usage / bound > *most)
+            {
+                let detail = format!("{tenant}: {usage} tokens from {begin} on, at most {bound}");
+                largest = Some((usage / bound, detail));
+            }
+        }
+        if let Some((_, detail)) = largest {
+            self.report(PromiseKind::UsageBound, detail);
+        }
+    }
+
     /// Checks that only services of the route ran the call, and no outdated ones.
     fn check_service(&mut self, call: &CallRecord) {
         let runs: Vec<_> = self.runs_of(&call.id).collect();
@@ -319,11 +504,20 @@
         }
     }
 
-    /// Checks that a call which began after the recovery bound succeeded or was cancelled.
+    /// Checks that a call which began after the recovery bound succeeded or was cancelled. Calls with
+    /// an invalid key must be refused for it, and those of a tenant with a limit may be over that.
     fn check_recovery(&mut self, call: &CallRecord) {
         let recovered = self.history.faults_ended + RECOVERY_BOUND;
         let answered = match &call.outcome {
-            CallOutcome::Answered(facts, _) => facts.status.is_success(),
+            CallOutcome::Answered(facts, _) => match facts.status.as_u16() {
+                status if self.is_invalid_key(call, call.started) => status == 401,
+                429 => {
+                    let tenant = call.key.and_then(|key| key.tenant);
+                    let mut limits = self.history.limits.iter();
+                    limits.any(|limit| tenant == Some(limit.tenant))
+                }
+                _ => facts.status.is_success(),
+            },
             CallOutcome::Left => true,
             CallOutcome::Broken(..)
             | CallOutcome::Unsent
--- a/crates/soak/src/history.rs
+++ b/crates/soak/src/history.rs
@@ -33,6 +33,15 @@
     Unanswered,
 }
 
+/// The key of a call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CallKey {
+    /// The key itself.
+    pub text: &'static str,
+    /// Tenant that has or had the key; `None` for a key that was in no configuration.
+    pub tenant: Option<&'static str>,
+}
+
 /// A call as its caller observed it.
 #[derive(Clone, Debug)]
 pub struct CallRecord {
@@ -42,6 +51,8 @@
     pub kind: CallKind,
     /// Path and query of the request.
     pub path: String,
+    /// Key; `None` in a run without tenants.
+    pub key: Option<CallKey>,
     /// Index of the called host.
     pub host: usize,
     /// Whether the connection had carried an earlier call.
@@ -67,6 +78,10 @@
     pub path: String,
     /// Whether the body equals the one that the caller sent.
     pub body_unchanged: bool,
+    /// Names of tenants that the request stated to the target.
+    pub tenants: Vec<String>,
+    /// Number of keys that the request brought to the target.
+    pub key_count: usize,
     /// Timeout that the request stated to the target, ms; `None` without one.
     pub timeout_ms: Option<u64>,
     /// Whether the target began to execute the request.
@@ -101,6 +116,28 @@
     pub service: &'static str,
 }
 
+/// The revocation of a key.
+#[derive(Clone, Copy, Debug)]
+pub struct KeyRevocation {
+    /// When the store accepted it.
+    pub at: ClockTime,
+    /// The key.
+    pub key: &'static str,
+}
+
+/// A published version of the limit of a tenant.
+#[derive(Clone, Copy, Debug)]
+pub struct LimitVersion {
+    /// When the store accepted it.
+    pub at: ClockTime,
+    /// Name of the tenant.
+    pub tenant: &'static str,
+    /// Tokens per second.
+    pub rate_per_s: f64,
+    /// Tokens at once.
+    pub burst: f64,
+}
+
 /// Part of the deployment that a fault can disturb.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum SoakPart {
@@ -155,6 +192,10 @@
     pub targets: Vec<TargetLifetime>,
     /// Versions of the routes, oldest first.
     pub versions: Vec<RouteVersion>,
+    /// Keys that were revoked.
+    pub revocations: Vec<KeyRevocation>,
+    /// Versions of the limit of the limited tenant, oldest first.
+    pub limits: Vec<LimitVersion>,
     /// Disruptions, in the order of their begin.
     pub disruptions: Vec<Disruption>,
     /// Exits of host processes, except those that the fault `HostKilled` causes.
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -15,15 +15,17 @@
 pub mod proxy;
 pub mod report;
 pub mod run;
+pub mod tenants;
 
 /// The common names of this crate.
 pub mod prelude {
     pub use crate::checker::{check_history, PromiseKind, PromiseViolation};
     pub use crate::history::{
-        ArrivalRecord, CallKind, CallOutcome, CallRecord, Disruption, HostExit, RouteVersion,
-        RunHistory, SoakPart, TargetLifetime,
+        ArrivalRecord, CallKey, CallKind, CallOutcome, CallRecord, Disruption, HostExit,
+        KeyRevocation, LimitVersion, RouteVersion, RunHistory, SoakPart, TargetLifetime,
     };
     pub use crate::plan::{plan_faults, LinkFault, PlannedFault, SoakFault, SoakSettings};
     pub use crate::report::SoakReport;
     pub use crate::run::run_seed;
+    pub use crate::tenants::{has_tenants, plan_tenant_changes, TenantChange, CALL_COST};
 }
--- a/crates/soak/src/report.rs
+++ b/crates/soak/src/report.rs
@@ -17,6 +17,8 @@
     pub answered: usize,
     /// Calls that a host refused without any target having run them.
     pub refused: usize,
+    /// Calls that a host refused for their key.
+    pub unauthorized: usize,
     /// Calls that failed in another way.
     pub failed: usize,
     /// Calls that their callers cancelled.
@@ -48,6 +50,9 @@
         );
         let refused =
             count(&|outcome| matches!(outcome, CallOutcome::Answered(facts, _) if facts.refused));
+        let unauthorized = count(
+            &|outcome| matches!(outcome, CallOutcome::Answered(facts, _) if facts.status.as_u16() == 401),
+        );
         let left = count(&|outcome| *outcome == CallOutcome::Left);
         let ids: HashSet<&str> = history.arrivals.iter().map(|run| run.id.as_str()).collect();
         let mut faults = BTreeMap::new();
@@ -59,7 +64,8 @@
             calls: history.calls.len(),
             answered,
             refused,
-            failed: history.calls.len() - answered - refused - left,
+            unauthorized,
+            failed: history.calls.len() - answered - refused - unauthorized - left,
             left,
             arrivals: history.arrivals.len(),
             repeats: history.arrivals.len() - ids.len(),
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -3,12 +3,14 @@
 use crate::callers::{is_ready, SoakCaller, ONCE_PATH, REPEATABLE_PATH};
 use crate::checker::{check_history, POLL_INTERVAL, RECOVERY_BOUND};
 use crate::history::{
-    ArrivalRecord, Disruption, HostExit, RouteVersion, RunHistory, SoakPart, TargetLifetime,
+    ArrivalRecord, Disruption, HostExit, KeyRevocation, RouteVersion, RunHistory, SoakPart,
+    TargetLifetime,
 };
 use crate::hosts::SoakHost;
 use crate::plan::{plan_faults, LinkFault, PlannedFault, SoakFault, SoakSettings};
 use crate::proxy::LoopbackProxy;
 use crate::report::SoakReport;
+use crate::tenants::{has_tenants, plan_tenant_changes, TenantChange, TenantState};
 use crocusyard_base::prelude::*;
 use crocusyard_platform_standin::prelude::*;
 use snafu::{ResultExt, Whatever};
@@ -58,6 +60,9 @@
     pub history: RefCell<RunHistory>,
     /// Whether callers go on to send calls.
     pub callers_active: Cell<bool>,
+    /// Whether the configuration has tenants.
+    pub has_tenants: bool,
+    tenants: Cell<TenantState>,
     started: Instant,
     store: StoreStandin,
     targets: Vec<SoakTarget>,
@@ -106,8 +111,11 @@
             route(REPEATABLE_PATH, repeatable, REPEATABLE_ATTEMPTS, service),
             route(STREAM_PATH, RouteKind::Resumable, 2, MAIN_SERVICE),
         ];
-        self.store
-            .put_configuration(&configuration(self.version.get(), &routes));
+        let mut text = configuration(self.version.get(), &routes);
+        if self.has_tenants {
+            text = self.tenants.get().configure(text);
+        }
+        self.store.put_configuration(&text);
         let at = self.now();
         self.history
             .borrow_mut()
@@ -115,6 +123,29 @@
             .push(RouteVersion { at, service });
     }
 
+    /// Publishes a version with a change of the tenants and the routes that are in force.
+    fn change_tenants(&self, change: TenantChange) {
+        let mut tenants = self.tenants.get();
+        let revoked = tenants.apply(change);
+        self.tenants.set(tenants);
+        let service = self.current_service();
+        self.publish_routes(service);
+        let at = self.now();
+        let mut history = self.history.borrow_mut();
+        let revocation = revoked.map(|key| KeyRevocation { at, key });
+        history.revocations.extend(revocation);
+        if change == TenantChange::LimitLowered {
+            history.limits.push(tenants.limit(at));
+        }
+    }
+
+    /// Returns the service of the route for repeatable calls in the last version.
+    fn current_service(&self) -> &'static str {
+        let history = self.history.borrow();
+        let last = history.versions.last();
+        last.map_or(MAIN_SERVICE, |version| version.service)
+    }
+
     /// Starts a target under a new name and writes its record to the store.
     fn start_target(&self, place: usize) {
         let target = &self.targets[place];
@@ -197,6 +228,21 @@
         .iter()
         .map(|planned| actix_rt::spawn(inject(state.clone(), first_call + WARM_UP_TIME, *planned)))
         .collect();
+    let changes: Vec<_> = plan_tenant_changes(settings)
+        .into_iter()
+        .map(|(at, change)| {
+            let state = state.clone();
+            actix_rt::spawn(async move {
+                sleep_until(&state, first_call + WARM_UP_TIME + at).await;
+                state.change_tenants(change);
+            })
+        })
+        .collect();
+    for change in changes {
+        change
+            .await
+            .whatever_context("the task of a change of the tenants ended early")?;
+    }
     for fault in faults {
         fault
             .await
@@ -262,11 +308,17 @@
         hosts,
         history: RefCell::default(),
         callers_active: Cell::new(true),
+        has_tenants: has_tenants(settings.seed),
+        tenants: Cell::default(),
         started: Instant::now(),
         store,
         targets,
         version: Cell::new(0),
     };
+    if state.has_tenants {
+        let limit = state.tenants.get().limit(state.now());
+        state.history.borrow_mut().limits.push(limit);
+    }
     state.publish_routes(MAIN_SERVICE);
     for place in 0..settings.targets {
         state.start_target(place);
@@ -388,13 +440,7 @@
             Ok(())
         }
         SoakFault::RouteMoved => {
-            let history = &state.history;
-            let current = history
-                .borrow()
-                .versions
-                .last()
-                .map(|version| version.service);
-            state.publish_routes(if current == Some(MAIN_SERVICE) {
+            state.publish_routes(if state.current_service() == MAIN_SERVICE {
                 OTHER_SERVICE
             } else {
                 MAIN_SERVICE
@@ -535,6 +581,8 @@
             target: arrival.target.clone(),
             path: arrival.path.clone(),
             body_unchanged: arrival.body.as_ref() == BODY,
+            tenants: arrival.tenants.clone(),
+            key_count: arrival.keys.len(),
             timeout_ms: arrival.timeout_ms,
             executed: arrival.run,
             pause: arrival.pause_ms.map(ClockTime::from_ms),
--- a/crates/soak/tests/checker.rs
+++ b/crates/soak/tests/checker.rs
@@ -33,6 +33,7 @@
         id: "c0-0".to_owned(),
         kind,
         path: "/p".to_owned(),
+        key: None,
         host: 0,
         reused: true,
         timeout_ms: 2_500,
@@ -48,6 +49,8 @@
         target: target.to_owned(),
         path: "/p".to_owned(),
         body_unchanged: true,
+        tenants: Vec::new(),
+        key_count: 0,
         timeout_ms: Some(1_500),
         executed: true,
         pause: None,
@@ -488,3 +491,221 @@
     assert!(!reports(&history(4, 10_300)), "these may be on their way");
     assert!(!reports(&history(4, 13_100)), "the pause is over");
 }
+
+const KEY: CallKey = CallKey {
+    text: "k",
+    tenant: Some("a"),
+};
+
+fn keyed(outcome: CallOutcome, key: CallKey) -> CallRecord {
+    CallRecord {
+        key: Some(key),
+        ..call(CallKind::Repeatable, outcome)
+    }
+}
+
+fn tenant_arrival(at: u64) -> ArrivalRecord {
+    ArrivalRecord {
+        tenants: vec!["a".to_owned()],
+        ..arrival("i-0", at)
+    }
+}
+
+/// Returns the history of a call with [`KEY`] that ran, started at 10 s and arrived at 10.01 s.
+fn tenant_history() -> RunHistory {
+    let outcome = answered(&answer_text("i-0", "c0-0"));
+    history_of(vec![keyed(outcome, KEY)], vec![tenant_arrival(10_010)])
+}
+
+fn disrupted(part: SoakPart, from: u64, to: u64) -> Disruption {
+    Disruption {
+        part,
+        planned: false,
+        from: ms(from),
+        to: Some(ms(to)),
+    }
+}
+
+/// Guards against calls with unknown keys that reach a target, also if it does not run them.
+#[test]
+fn unknown_keys_at_targets_are_reported() {
+    let unknown = CallKey {
+        text: "u",
+        tenant: None,
+    };
+    let mut refused = arrival("i-0", 10_010);
+    refused.executed = false;
+    let history = history_of(vec![keyed(own_answer(503), unknown)], vec![refused]);
+    assert_eq!(violated(&history), [PromiseKind::ValidKey]);
+    let history = history_of(vec![keyed(own_answer(401), unknown)], Vec::new());
+    assert_eq!(violated(&history), []);
+}
+
+/// Guards against revoked keys that still work after the time in which hosts apply changes, or
+/// again later, and against reports of hosts that could not learn of the revocation.
+#[test]
+fn revoked_keys_at_targets_are_reported() {
+    let revoked = |at| {
+        let mut history = tenant_history();
+        history.revocations = vec![KeyRevocation {
+            at: ms(at),
+            key: "k",
+        }];
+        history
+    };
+    assert_eq!(violated(&revoked(7_009)), [PromiseKind::ValidKey]);
+    assert_eq!(violated(&revoked(7_011)), []);
+    for part in [SoakPart::Host(0), SoakPart::Store, SoakPart::StoreLink(0)] {
+        let mut history = revoked(4_000);
+        history.disruptions = vec![disrupted(part, 3_000, 5_000)];
+        assert_eq!(violated(&history), []);
+        // The host has applied the revocation before a fault.
+        let mut history = revoked(4_000);
+        history.disruptions = vec![disrupted(part, 8_000, 9_000)];
+        assert_eq!(violated(&history), [PromiseKind::ValidKey]);
+    }
+    let mut history = revoked(4_000);
+    history.disruptions = vec![disrupted(SoakPart::StoreLink(1), 3_000, 5_000)];
+    assert_eq!(violated(&history), [PromiseKind::ValidKey]);
+    // A later attempt of a call that began before the revocation.
+    let mut history = revoked(7_100);
+    history.calls[0].ended = ms(10_300);
+    history.arrivals.push(tenant_arrival(10_200));
+    assert_eq!(violated(&history), []);
+}
+
+/// Guards against targets that get a key, no tenant, or one that the key does not belong to.
+#[test]
+fn keys_and_foreign_tenants_at_targets_are_reported() {
+    assert_eq!(violated(&tenant_history()), []);
+    let mut history = tenant_history();
+    history.arrivals[0].key_count = 1;
+    assert_eq!(violated(&history), [PromiseKind::KeyHidden]);
+    for tenants in [vec![], vec!["b"], vec!["a", "a"], vec!["a", "b"]] {
+        let mut history = tenant_history();
+        history.arrivals[0].tenants = tenants.into_iter().map(str::to_owned).collect();
+        assert_eq!(violated(&history), [PromiseKind::KeyHidden]);
+    }
+}
+
+/// Guards against runs of calls that are refused for their key or the limit of their tenant, also
+/// of calls that may be repeated.
+#[test]
+fn runs_of_calls_refused_for_tenants_are_reported() {
+    for status in [401, 429] {
+        let mut history = tenant_history();
+        history.calls[0].outcome = own_answer(status);
+        history.revocations = vec![KeyRevocation {
+            at: ms(9_000),
+            key: "k",
+        }];
+        assert_eq!(violated(&history), [PromiseKind::TenantRefusal]);
+        history.arrivals[0].executed = false;
+        assert_eq!(violated(&history), []);
+    }
+}
+
+/// Guards against valid keys that are refused as unknown.
+#[test]
+fn refused_valid_keys_are_reported() {
+    let mut history = history_of(vec![keyed(own_answer(401), KEY)], Vec::new());
+    assert_eq!(violated(&history), [PromiseKind::NotDenied]);
+    history.revocations = vec![KeyRevocation {
+        at: ms(10_060),
+        key: "k",
+    }];
+    assert_eq!(violated(&history), [PromiseKind::NotDenied]);
+}
+
+/// Guards against hosts that keep revoked keys after recovery, and against recovery that is denied
+/// to a tenant without a limit.
+#[test]
+fn tenants_have_recovered_in_the_end() {
+    let revocation = KeyRevocation {
+        at: ms(5_000),
+        key: "k",
+    };
+    for (status, revoked, limited, expected) in [
+        (401, true, false, vec![]),
+        (503, true, false, vec![PromiseKind::Recovery]),
+        (429, false, true, vec![]),
+        (429, false, false, vec![PromiseKind::Recovery]),
+    ] {
+        let mut history = history_of(vec![keyed(own_answer(status), KEY)], Vec::new());
+        history.faults_ended = ms(0);
+        history.calls[0].started = ms(20_000);
+        history.calls[0].ended = ms(20_010);
+        history.revocations.extend(revoked.then_some(revocation));
+        history.limits.extend(limited.then_some(limit(0, 1_000.0)));
+        assert_eq!(violated(&history), expected, "{status}");
+    }
+}
+
+fn limit(at: u64, tokens: f64) -> LimitVersion {
+    LimitVersion {
+        at: ms(at),
+        tenant: "a",
+        rate_per_s: tokens,
+        burst: tokens,
+    }
+}
+
+/// Returns the history of `count` calls that run at two hosts, one each 10 ms from 20 s on.
+fn usage_history(count: u64) -> RunHistory {
+    let mut history = history_of(Vec::new(), Vec::new());
+    for number in 0..count {
+        let id = format!("c{number}-0");
+        let at = 20_000 + 10 * number;
+        history.calls.push(CallRecord {
+            id: id.clone(),
+            host: (number % 2) as usize,
+            started: ms(at),
+            ended: ms(at + 5),
+            ..keyed(CallOutcome::Left, KEY)
+        });
+        history.arrivals.push(ArrivalRecord {
+            id,
+            ended: Some(ms(at + 3)),
+            ..tenant_arrival(at + 2)
+        });
+    }
+    history
+}
+
+/// Guards against usage over all hosts beyond the bound, a lowered limit that is not applied, and
+/// reports of calls that did not run or were admitted under the earlier limit.
+#[test]
+fn usage_beyond_the_bound_is_reported() {
+    // (8 x 10,000 + 10,000) x 1.1 + 7,400 tokens are 106 calls, with half of that limit 56.
+    let within = |count, limits: &[LimitVersion]| {
+        let mut history = usage_history(count);
+        history.limits = limits.to_vec();
+        history
+    };
+    let full = [limit(0, 10_000.0)];
+    assert_eq!(violated(&within(106, &full)), []);
+    assert_eq!(violated(&within(107, &full)), [PromiseKind::UsageBound]);
+    let mut history = within(107, &full);
+    history.arrivals[0].executed = false;
+    assert_eq!(violated(&history), []);
+    let lowered = |at| [limit(0, 10_000.0), limit(at, 5_000.0)];
+    assert_eq!(
+        violated(&within(57, &lowered(17_000))),
+        [PromiseKind::UsageBound]
+    );
+    assert_eq!(violated(&within(56, &lowered(17_000))), []);
+    // Of 57 calls, the first was sent before the lower limit had to be applied.
+    assert_eq!(violated(&within(57, &lowered(17_001))), []);
+    assert_eq!(
+        violated(&within(107, &lowered(17_001))),
+        [PromiseKind::UsageBound]
+    );
+    for (part, expected) in [
+        (SoakPart::StoreLink(1), vec![]),
+        (SoakPart::StoreLink(2), vec![PromiseKind::UsageBound]),
+    ] {
+        let mut history = within(57, &lowered(17_000));
+        history.disruptions = vec![disrupted(part, 16_000, 18_000)];
+        assert_eq!(violated(&history), expected);
+    }
+}
--- a/crates/soak/tests/plan.rs
+++ b/crates/soak/tests/plan.rs
@@ -54,3 +54,19 @@
     );
     assert!(overlaps > 50, "only {overlaps} faults overlap");
 }
+
+/// Guards against tenants that do not change while faults are active, and against seeds without
+/// tenants that have changes.
+#[test]
+fn tenants_change_in_the_time_of_faults() {
+    for seed in 0..50 {
+        let changes = plan_tenant_changes(&settings(seed));
+        assert_eq!(changes.is_empty(), !has_tenants(seed));
+        assert_eq!(has_tenants(seed), seed % 2 == 1);
+        assert!(changes.iter().all(|(at, _)| *at < ClockTime::from_secs(20)));
+        let lowered = changes
+            .iter()
+            .any(|(_, change)| *change == TenantChange::LimitLowered);
+        assert_eq!(lowered, has_tenants(seed));
+    }
+}
