platform: relayed configurations contain digests of keys

Cause: beyond 24 hosts, the reader of a failure domain relays the operators' configuration as it stands in the store, with the keys of all tenants, in unencrypted datagrams. Found by reading.

Change: the relayed form has the first 128 bits of the BLAKE3 hash of each key and only the known fields of a tenant. A host reads digests from other hosts and keys from the store, never the other way round. An invalid version is not relayed; each host reads it from the store and logs what is wrong. Configurations without tenants are relayed as before.

--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -218,10 +218,14 @@
 /// Builds the message that relays the configuration among the rows that were read.
 fn configuration_message(rows: &[StoreRow]) -> HostMessage {
     let row = rows.iter().rfind(|row| row.key == CONFIGURATION_KEY);
-    let value = row.and_then(|row| row.value.as_deref()).unwrap_or_default();
-    let compressed = compress(value).unwrap_or_else(|error| {
-        warn!("the configuration cannot be compressed: {error}");
-        Vec::new()
+    let value = row.and_then(|row| row.value.as_deref());
+    // The other hosts read a version that is not relayed from the store, and log what is invalid.
+    let relayed = value.and_then(|value| write_relayed_rules(value).ok());
+    let compressed = relayed.map_or_else(Vec::new, |value| {
+        compress(&value).unwrap_or_else(|error| {
+            warn!("the configuration cannot be compressed: {error}");
+            Vec::new()
+        })
     });
     let fits = compressed.len() <= MAX_RELAYED_BYTES;
     HostMessage::Configuration {
@@ -260,7 +264,7 @@
     if shell.serving.borrow().rules().is_some() {
         return true;
     }
-    let rules = row.value.as_deref().map(read_rules);
+    let rules = row.value.as_deref().map(read_relayed_rules);
     let is_open = matches!(rules, Some(Ok(rules)) if rules.tenants.is_none());
     if !is_open {
         decision_log::log_change(
@@ -374,6 +378,13 @@
 }
 
 impl ConfigurationSource {
+    fn read(self, value: &[u8]) -> Result<RuleSet, ConfigurationError> {
+        match self {
+            Self::Store => read_rules(value),
+            Self::Relay => read_relayed_rules(value),
+        }
+    }
+
     /// Returns the name in the decision log.
     fn label(self) -> &'static str {
         match self {
@@ -395,7 +406,7 @@
             continue;
         }
         shell.configuration_version.set(known.max(row.version));
-        match read_rules(value) {
+        match source.read(value) {
             Ok(rules) => {
                 decision_log::log_change(
                     "configuration",
--- a/crates/serving/src/tenants.rs
+++ b/crates/serving/src/tenants.rs
@@ -8,14 +8,29 @@
 use std::fmt;
 use std::rc::Rc;
 
-/// Digest of a caller's key.
+/// Digest of a caller's key: the first half of its BLAKE3 hash.
 #[derive(Clone, Copy, PartialEq, Eq, Hash)]
-pub struct KeyDigest([u8; 32]);
+pub struct KeyDigest(u128);
 
 impl KeyDigest {
     /// Computes the digest of a key.
     pub fn of(key: &[u8]) -> Self {
-        Self(*blake3::hash(key).as_bytes())
+        let mut bytes = [0; 16];
+        blake3::Hasher::new()
+            .update(key)
+            .finalize_xof()
+            .fill(&mut bytes);
+        Self(u128::from_le_bytes(bytes))
+    }
+
+    /// Reads a digest that [`to_hex`](Self::to_hex) has written.
+    pub fn from_hex(text: &str) -> Option<Self> {
+        u128::from_str_radix(text, 16).ok().map(Self)
+    }
+
+    /// Writes the digest for another host.
+    pub fn to_hex(self) -> String {
+        format!("{:032x}", self.0)
     }
 }
 
