serving: a host that is short of connections or memory blames no target

Cause: an attempt for which the host had no connection left counted as a failure to reach the target, so that the call went through all targets and each was avoided afterwards; an answer for which there was no memory counted as malformed, with the same effect, and idempotent calls were sent again. Found by reading.

Change: both have outcomes of their own. Without a connection the call is refused at once, since other hosts may have one; without memory for the answer it fails, as it has run.

--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -143,10 +143,19 @@
                 body,
             }
         }
+        Err(SendError::NoRoom) => AttemptResult::Ended(AttemptOutcome::Dropped),
         Err(error) => AttemptResult::Ended(lost(!error.is_malformed())),
     }
 }
 
+/// Outcome of an attempt of which nothing reached the target.
+fn unsent(error: &SendError) -> AttemptOutcome {
+    match error {
+        SendError::NoSlot { .. } => AttemptOutcome::NoSlot,
+        _ => AttemptOutcome::Unsent,
+    }
+}
+
 /// Outcome of an attempt that may have been run and got no valid answer.
 fn lost(broken: bool) -> AttemptOutcome {
     AttemptOutcome::Lost {
@@ -176,7 +185,7 @@
         .pool
         .acquire(plan.address)
         .await
-        .map_err(|_| AttemptOutcome::Unsent)?;
+        .map_err(|error| unsent(&error))?;
     loop {
         // The target may have left while the connection was opened.
         if !shell.serving.borrow().targets.takes_calls(&plan.target) {
@@ -192,9 +201,9 @@
                     .pool
                     .open(plan.address)
                     .await
-                    .map_err(|_| AttemptOutcome::Unsent)?;
+                    .map_err(|error| unsent(&error))?;
             }
-            Err(error) if error.is_unsent() => return Err(AttemptOutcome::Unsent),
+            Err(error) if error.is_unsent() => return Err(unsent(&error)),
             Err(error) => return Err(lost(!error.is_malformed())),
         }
     }
--- a/crates/httpconn/src/pool.rs
+++ b/crates/httpconn/src/pool.rs
@@ -45,6 +45,12 @@
         /// Error of the operating system or of the handshake.
         reason: String,
     },
+    /// This process has no connection left, and none that is idle; nothing was sent.
+    #[snafu(display("{open} connections are open, which is the limit"))]
+    NoSlot {
+        /// Number of open connections.
+        open: usize,
+    },
     /// The connection closed before the request was written, or was not used; nothing was sent.
     #[snafu(display("the request was not sent: {reason}"))]
     Unsent {
@@ -59,12 +65,15 @@
         /// Whether bytes arrived that are not a valid HTTP answer, or more than an answer may have.
         malformed: bool,
     },
+    /// The peer answers, and this process has no memory for the answer.
+    #[snafu(display("no memory is left for the answer"))]
+    NoRoom,
 }
 
 impl SendError {
     /// Returns whether the peer cannot have seen the request.
     pub fn is_unsent(&self) -> bool {
-        !matches!(self, Self::Lost { .. })
+        !matches!(self, Self::Lost { .. } | Self::NoRoom)
     }
 
     /// Returns whether the peer sent bytes that are no valid answer, rather than breaking off.
@@ -215,8 +224,7 @@
         let oldest = state.idle.iter().filter(|(_, conns)| !conns.is_empty());
         let oldest = oldest.min_by_key(|(_, conns)| conns[0].idle_since);
         let Some(address) = oldest.map(|(address, _)| *address) else {
-            let reason = format!("{} connections are open", state.open);
-            return Err(SendError::NoConnection { reason });
+            return Err(SendError::NoSlot { open: state.open });
         };
         let closed = state.idle.get_mut(&address).map(|conns| conns.remove(0));
         // A connection that is dropped changes the state.
@@ -395,7 +403,7 @@
             }
             wait_for_room(&mut waited, || intake.push(data, now)).await?;
         }
-        intake.finish().map_err(|_| no_room())
+        intake.finish().map_err(|_| SendError::NoRoom)
     }
 
     /// Records that the peer closes the connection after this answer, so that it is not reused.
@@ -431,13 +439,6 @@
     }
 }
 
-fn no_room() -> SendError {
-    SendError::Lost {
-        reason: "no memory is left for the body".to_owned(),
-        malformed: true,
-    }
-}
-
 /// Repeats an operation while the budget is full; meanwhile the peer is not read any further.
 /// `waited` is the time that the body has waited so far.
 async fn wait_for_room<T>(
@@ -452,7 +453,7 @@
                 tokio::time::sleep(ROOM_INTERVAL).await;
                 *waited = waited_before + start.elapsed();
             }
-            result => return result.map_err(|_| no_room()),
+            result => return result.map_err(|_| SendError::NoRoom),
         }
     }
 }
--- a/crates/httpconn/tests/ends.rs
+++ b/crates/httpconn/tests/ends.rs
@@ -329,3 +329,21 @@
     let body = exchange(&pool, address).await.expect("a complete answer");
     assert_eq!(body.len(), LENGTH);
 }
+
+/// Guards against more open connections than a pool may have, and against idle ones that keep others
+/// from being opened.
+#[actix_rt::test]
+async fn open_connections_are_limited() {
+    const ANSWER: &str = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc";
+    let first = start_peer(&[ANSWER]).await;
+    let second = start_peer(&[ANSWER]).await;
+    let pool = ConnPool::new(LIMITS).with_max_open(1);
+    let held = pool.acquire(first).await.expect("the first connection");
+    let error = pool.acquire(second).await.map(|_| ());
+    let error = error.expect_err("a connection beyond the limit");
+    assert!(matches!(error, SendError::NoSlot { open: 1 }), "{error}");
+    assert!(error.is_unsent());
+    held.release().await;
+    let body = exchange(&pool, second).await;
+    assert_eq!(body.expect("the idle connection gives way"), "abc");
+}
--- a/crates/serving/src/call.rs
+++ b/crates/serving/src/call.rs
@@ -181,6 +181,10 @@
     },
     /// No part of the call reached the target.
     Unsent,
+    /// This host has no connection left for the call; no part of it reached the target.
+    NoSlot,
+    /// The target ran the call, and this host had no memory for the answer.
+    Dropped,
     /// The call was sent, and whether it ran is unknown.
     Lost {
         /// The target reset or closed the connection.
--- a/crates/serving/src/event.rs
+++ b/crates/serving/src/event.rs
@@ -163,6 +163,8 @@
     TargetsPaused,
     /// The retry budget is used up.
     NoBudget,
+    /// This host has no connection left for the call.
+    NoConnection,
     /// The deadline came while the request waited.
     Expired,
     /// The host is stopping.
--- a/crates/serving/src/state.rs
+++ b/crates/serving/src/state.rs
@@ -723,6 +723,16 @@
                 self.uncount_send(key);
                 self.send_or_wait(key, now, out);
             }
+            AttemptOutcome::NoSlot => {
+                // Other targets need a connection as well; other hosts may have one.
+                self.uncount_send(key);
+                self.refuse_or_fail(key, RefusalReason::NoConnection, MIN_RETRY_DELAY, out);
+            }
+            AttemptOutcome::Dropped => {
+                // The target is sound, and a second answer would need as much memory.
+                self.mark_maybe_ran(key);
+                self.fail(key, false, out);
+            }
             AttemptOutcome::Lost { broken, .. } => {
                 let sent_at = request.sent_at;
                 let causes = request.causes.clone();
--- a/crates/serving/src/state/fairness.rs
+++ b/crates/serving/src/state/fairness.rs
@@ -357,7 +357,7 @@
         };
         let has_not_run = matches!(
             outcome,
-            Some(AttemptOutcome::NotRun { .. } | AttemptOutcome::Unsent)
+            Some(AttemptOutcome::NotRun { .. } | AttemptOutcome::Unsent | AttemptOutcome::NoSlot)
         );
         let cost = if has_not_run {
             0
