edge: callers get an answer when the memory budget has no room for their heads

Cause: while unfinished heads filled the budget, the connection of an ordinary caller was reset without an answer, and so was that of the readiness check, which shared the budget. Found by reading.

Change: one read without room is let through, so that a complete head gets a 503 with Retry-After; readiness and metrics have a small budget of their own. All answers to requests whose bodies are not read announce that the connection closes. What builds the answers of the host itself is a module of its own (refusals.rs), as are the lines about attempts (attempt_log.rs); a key is not looked up twice and the clock is read once for an arrival.

--- a/crates/edge/src/caller_conns.rs
+++ b/crates/edge/src/caller_conns.rs
@@ -61,6 +61,8 @@
     is_closing: Cell<bool>,
     close: Notify,
     charge: RefCell<Option<IntakeGuard>>,
+    /// Whether there was no room for bytes of the head. The caller gets an answer if they complete it.
+    lacks_room: Cell<bool>,
     budget: IntakeBudget,
 }
 
@@ -71,18 +73,21 @@
     }
 
     /// Records that a whole head has been read; its bytes stay charged until the request ends.
-    pub(crate) fn begin_request(self: &Rc<Self>) -> Result<RequestInProgress, IntakeRefusal> {
+    pub(crate) fn begin_request(self: &Rc<Self>) -> RequestInProgress {
         self.enter(Phase::Request);
-        if let Some(charge) = self.charge.borrow_mut().as_mut() {
-            charge.complete()?;
-            // From here on the memory of the connection is part of what connections take.
-            charge.release(CONN_BYTES);
-        }
-        Ok(RequestInProgress { conn: self.clone() })
+        RequestInProgress { conn: self.clone() }
     }
 
-    /// Charges the bytes of a head.
+    /// Charges the bytes of a head. One read without room is let through, which is bounded by the
+    /// buffer of the connection: most heads are complete with it, so that they can be answered.
     fn record_read(&self, count: usize) -> Result<(), IntakeRefusal> {
+        match self.charge_read(count) {
+            Err(IntakeRefusal::Full) if !self.lacks_room.replace(true) => Ok(()),
+            result => result,
+        }
+    }
+
+    fn charge_read(&self, count: usize) -> Result<(), IntakeRefusal> {
         if self.phase.get() == Phase::Request {
             return Ok(());
         }
@@ -143,9 +148,29 @@
     conn: Rc<ConnState>,
 }
 
+impl RequestInProgress {
+    /// Keeps the head of the request in the memory budget.
+    ///
+    /// # Errors
+    ///
+    /// Fails if there was no room for it, or if it has given way to others.
+    pub(crate) fn hold_head(&self) -> Result<(), IntakeRefusal> {
+        if self.conn.lacks_room.get() {
+            return Err(IntakeRefusal::Full);
+        }
+        if let Some(charge) = self.conn.charge.borrow_mut().as_mut() {
+            charge.complete()?;
+            // From here on the memory of the connection is part of what connections take.
+            charge.release(CONN_BYTES);
+        }
+        Ok(())
+    }
+}
+
 impl Drop for RequestInProgress {
     fn drop(&mut self) {
         self.conn.charge.borrow_mut().take();
+        self.conn.lacks_room.set(false);
         self.conn.enter(Phase::Idle);
     }
 }
@@ -153,11 +178,11 @@
 /// Body of an answer whose connection is idle again once the body has been taken.
 pub(crate) struct TrackedBody {
     body: AnswerBody,
-    _request: Option<RequestInProgress>,
+    _request: RequestInProgress,
 }
 
 impl TrackedBody {
-    pub(crate) fn new(body: AnswerBody, request: Option<RequestInProgress>) -> Self {
+    pub(crate) fn new(body: AnswerBody, request: RequestInProgress) -> Self {
         Self {
             body,
             _request: request,
@@ -233,6 +258,7 @@
             is_closing: Cell::new(false),
             close: Notify::new(),
             charge: RefCell::default(),
+            lacks_room: Cell::default(),
             budget: self.budget.clone(),
         });
         self.conns.borrow_mut().insert(id, state.clone());
--- a/crates/edge/src/entry.rs
+++ b/crates/edge/src/entry.rs
@@ -3,13 +3,18 @@
 //! A request is registered with the reducer, which decides at each step whether to send it to a
 //! target, refuse it or fail it.
 
+use crate::attempt_log::{log_attempt_ended, log_attempt_sent};
 use crate::body::AnswerBody;
-use crate::body_reader::{read_body, BodyRefusal};
+use crate::body_reader::read_body;
 use crate::caller_conns::{ConnEntry, ConnState, GuardedStream, TrackedBody};
 use crate::clock;
 use crate::control::{answer_control_request, empty_response};
 use crate::decision_log;
 use crate::exchange::{attempt, AttemptResult, CallerRequest};
+use crate::refusals::{
+    announce_close, close_unless_read, fail, log_unauthorized, refuse, refuse_body,
+    refuse_for_memory, unavailable, STARTING_RETRY_S, STOPPING_RETRY_S,
+};
 use crate::shell::{EdgeShell, RequestStep};
 use crate::stream;
 use bytes::Bytes;
@@ -17,10 +22,9 @@
 use crocusyard_adapter::prelude::*;
 use crocusyard_base::prelude::*;
 use crocusyard_httpconn::prelude::set_stream_options;
-use crocusyard_intake::prelude::IntakeRefusal;
 use crocusyard_serving::prelude::*;
 use hyper::body::Incoming;
-use hyper::header::{HeaderMap, HeaderValue, CONNECTION, CONTENT_LENGTH, HOST, RETRY_AFTER};
+use hyper::header::{CONTENT_LENGTH, HOST};
 use hyper::http::request::Parts;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -28,7 +32,7 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use log::{debug, warn};
 use rand::Rng;
-use serde_json::{json, Value};
+use serde_json::json;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
@@ -41,17 +45,9 @@
 /// Size of the read buffer of a connection, bytes; it bounds the head of a request, also before the
 /// configuration is known.
 const MAX_HEAD_BYTES: usize = 64 * 1_024;
-/// `Retry-After` of answers to requests for whose bodies there is no memory, s.
-const NO_MEMORY_RETRY_S: &str = "1";
-/// `Retry-After` of answers while no configuration is known, s.
-const STARTING_RETRY_S: &str = "0.5";
-/// `Retry-After` of answers while the host stops, s; the other hosts take the work at once.
-const STOPPING_RETRY_S: &str = "0.05";
 /// Time after the stop signal, or after its start, for which a connection without a request yet is
 /// kept open.
 const FIRST_REQUEST_TIME: Duration = Duration::from_millis(1_000);
-/// Largest number of prompt parts in a log line.
-const MAX_LOGGED_PARTS: usize = 16;
 /// Pause after a failed accept, since the process may have run out of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
@@ -155,18 +151,18 @@
     request: Request<Incoming>,
     role: ListenerRole,
 ) -> Result<Response<TrackedBody>, AnswerAborted> {
-    let in_progress = conn.begin_request().map_err(|refusal| {
-        shell.count_intake_refusal(refusal.label());
-        AnswerAborted
-    })?;
-    let track = |body| TrackedBody::new(body, Some(in_progress));
+    let in_progress = conn.begin_request();
+    let held = in_progress.hold_head();
+    let track = |body| TrackedBody::new(body, in_progress);
+    if let Err(refusal) = held {
+        return Ok(refuse_for_memory(&shell, refusal).map(track));
+    }
     if role != ListenerRole::Requests {
         return Ok(answer_control_request(&shell, &request).map(track));
     }
     let mut response = answer_request(&shell, request).await?;
     if shell.is_stopping() {
-        let close = HeaderValue::from_static("close");
-        response.headers_mut().insert(CONNECTION, close);
+        response = announce_close(response);
     }
     Ok(response.map(track))
 }
@@ -212,15 +208,16 @@
     request: Request<Incoming>,
 ) -> Result<Response<AnswerBody>, AnswerAborted> {
     let arrived = clock::now();
-    shell.record_turn();
+    shell.record_turn(arrived);
+    let (parts, body) = request.into_parts();
+    let refuse_unread = |response| Ok(close_unless_read(response, &body));
     if shell.may_lack_revocations() {
-        return Ok(unavailable(HeaderValue::from_static(STARTING_RETRY_S)));
+        return refuse_unread(unavailable(STARTING_RETRY_S));
     }
     let rules = shell.serving.borrow().rules().cloned();
     let Some(rules) = rules else {
-        return Ok(unavailable(HeaderValue::from_static(STARTING_RETRY_S)));
+        return refuse_unread(unavailable(STARTING_RETRY_S));
     };
-    let (parts, body) = request.into_parts();
     let host = parts
         .headers
         .get(HOST)
@@ -228,7 +225,8 @@
     let host = host.or(parts.uri.host()).unwrap_or_default();
     let path = parts.uri.path();
     if head_bytes(&parts) > rules.limits.head_bytes {
-        return Ok(refuse_unread(StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE));
+        let status = StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE;
+        return refuse_unread(empty_response(status));
     }
     let headers = read_call(&parts.headers);
     let Some(route) = rules.find_route(host, path).cloned() else {
@@ -237,21 +235,24 @@
             "no_route",
             json!({"path": decision_log::shorten(path), "version": rules.version}),
         );
-        return Ok(empty_response(StatusCode::NOT_FOUND));
+        return refuse_unread(empty_response(StatusCode::NOT_FOUND));
     };
-    let identity = match identify(shell, &rules, &route, &parts.headers, &headers.id) {
+    let identity = match rules.identify(&route, read_key(&parts.headers)) {
         Ok(identity) => identity,
-        Err(refusal) => return Ok(*refusal),
+        Err(fault) => {
+            log_unauthorized(shell, &rules, &route, &headers.id, fault);
+            return refuse_unread(empty_response(StatusCode::UNAUTHORIZED));
+        }
     };
     let body = match read_body(&shell.intake, body, rules.limits.body_bytes).await {
         Ok(body) => body,
-        Err(refusal) => return refuse_body(shell, &headers, refusal),
+        Err(refusal) => return refuse_body(shell, refusal),
     };
     let timeout = call_timeout(&headers, &route);
     if shell.refuses_new(&route, timeout) {
         decision_log::log_decision(&headers.id, "refused", json!({"reason": "Stopping"}));
         // The other hosts take work at once.
-        return Ok(unavailable(HeaderValue::from_static(STOPPING_RETRY_S)));
+        return Ok(unavailable(STOPPING_RETRY_S));
     }
     let call = call_info(shell, &headers, route, identity, path, &body, arrived);
     let call = Rc::new(call);
@@ -278,35 +279,6 @@
     run_request(open).await
 }
 
-/// Identifies the caller of a request from its head, before its body is read; `None` if it needs no
-/// key. Returns the refusal if its key does not admit it.
-fn identify(
-    shell: &EdgeShell,
-    rules: &RuleSet,
-    route: &RouteRule,
-    headers: &HeaderMap,
-    id: &str,
-) -> Result<Option<CallerIdentity>, Box<Response<AnswerBody>>> {
-    if rules.tenants.is_none() {
-        return Ok(None);
-    }
-    rules.identify(route, read_key(headers)).map_err(|fault| {
-        shell.metrics.tenants.count_unauthorized(fault);
-        let rules_age = shell.serving.borrow().rules_age(clock::now());
-        decision_log::log_decision(
-            id,
-            "unauthorized",
-            json!({
-                "reason": fault.label(),
-                "route": route.name.as_str(),
-                "version": rules.version,
-                "version_age_ms": rules_age.as_ms(),
-            }),
-        );
-        Box::new(refuse_unread(StatusCode::UNAUTHORIZED))
-    })
-}
-
 /// Returns the size of a head, apart from the separators.
 fn head_bytes(parts: &Parts) -> usize {
     let headers = parts.headers.iter();
@@ -316,44 +288,6 @@
     headers + parts.uri.path().len() + parts.uri.query().map_or(0, str::len)
 }
 
-/// Makes an answer to a request whose body is not read. The connection is closed, which the answer
-/// says, so that the caller does not send its next request on it.
-fn refuse_unread(status: StatusCode) -> Response<AnswerBody> {
-    let mut response = empty_response(status);
-    let close = HeaderValue::from_static("close");
-    response.headers_mut().insert(CONNECTION, close);
-    response
-}
-
-/// Answers a request whose body was not read. It was not sent to any target. The connection is closed,
-/// since the rest of the body is not read either.
-fn refuse_body(
-    shell: &EdgeShell,
-    headers: &CallHeaders,
-    refusal: BodyRefusal,
-) -> Result<Response<AnswerBody>, AnswerAborted> {
-    let (reason, mut response) = match refusal {
-        BodyRefusal::Broken => return Err(AnswerAborted),
-        BodyRefusal::TooLarge => (
-            "body_too_large",
-            empty_response(StatusCode::PAYLOAD_TOO_LARGE),
-        ),
-        BodyRefusal::Budget(IntakeRefusal::TooSlow) => (
-            IntakeRefusal::TooSlow.label(),
-            empty_response(StatusCode::REQUEST_TIMEOUT),
-        ),
-        BodyRefusal::Budget(refusal) => (
-            refusal.label(),
-            unavailable(HeaderValue::from_static(NO_MEMORY_RETRY_S)),
-        ),
-    };
-    shell.count_intake_refusal(reason);
-    debug!("the body of request {} was refused: {reason}", headers.id);
-    let close = HeaderValue::from_static("close");
-    response.headers_mut().insert(CONNECTION, close);
-    Ok(response)
-}
-
 /// Returns the time until the caller stops waiting or the timeout of the route ends.
 fn call_timeout(headers: &CallHeaders, route: &RouteRule) -> ClockTime {
     headers.timeout.unwrap_or(route.timeout).min(route.timeout)
@@ -452,7 +386,7 @@
 
 impl OpenRequest {
     /// Counts the request in the metrics.
-    fn count(&self, outcome: &'static str) {
+    pub(crate) fn count(&self, outcome: &'static str) {
         let elapsed = clock::now().since(self.arrived);
         let metrics = &self.shell.metrics;
         metrics.count_request(&self.request.call, outcome, elapsed);
@@ -491,134 +425,3 @@
     }
     Response::from_parts(parts, body)
 }
-
-/// Makes a 503 answer that asks the caller to try again; the request was not run.
-fn unavailable(retry_after_s: HeaderValue) -> Response<AnswerBody> {
-    let mut response = empty_response(StatusCode::SERVICE_UNAVAILABLE);
-    response.headers_mut().insert(RETRY_AFTER, retry_after_s);
-    response
-}
-
-/// Answers a request that the reducer refused; it was not run.
-fn refuse(open: &OpenRequest, refusal: &RequestRefusal) -> Response<AnswerBody> {
-    let retry_after_s = refusal.retry_after.as_ms() as f64 / 1_000.0;
-    let call = &open.request.call;
-    open.count("refused");
-    open.shell
-        .metrics
-        .count_refusal(&call.route.name, refusal.reason);
-    open.shell
-        .metrics
-        .tenants
-        .count_refused(call, refusal.reason);
-    let mut inputs = json!({
-        "reason": format!("{:?}", refusal.reason),
-        "retry_after_s": retry_after_s,
-        "route": call.route.name.as_str(),
-        "model": call.model().map(ModelName::as_str),
-        "age_ms": clock::now().since(open.arrived).as_ms(),
-    });
-    add_tenant(&mut inputs, open);
-    if let Some(quota) = refusal.quota {
-        inputs["cost"] = json!(call.cost);
-        inputs["credit"] = json!(quota.credit.round());
-        inputs["figures_age_ms"] = json!(quota.oldest_figure.as_ms());
-    }
-    decision_log::log_decision(&call.id, "refused", inputs);
-    let status = match refusal.reason {
-        RefusalReason::OverLimit => StatusCode::TOO_MANY_REQUESTS,
-        RefusalReason::KeyRevoked => StatusCode::UNAUTHORIZED,
-        _ => StatusCode::SERVICE_UNAVAILABLE,
-    };
-    let mut response = empty_response(status);
-    // The caller of a revoked key gains nothing by trying again.
-    if refusal.reason != RefusalReason::KeyRevoked {
-        if let Ok(value) = HeaderValue::from_str(&format!("{retry_after_s:.2}")) {
-            response.headers_mut().insert(RETRY_AFTER, value);
-        }
-    }
-    response
-}
-
-/// Answers a request that may have been run and got no answer.
-fn fail(open: &OpenRequest, expired: bool) -> Response<AnswerBody> {
-    let status = if expired {
-        StatusCode::GATEWAY_TIMEOUT
-    } else {
-        StatusCode::BAD_GATEWAY
-    };
-    open.count("failed");
-    decision_log::log_decision(
-        &open.request.call.id,
-        "failed",
-        json!({"status": status.as_u16(), "route": open.request.call.route.name.as_str()}),
-    );
-    empty_response(status)
-}
-
-/// Counts an attempt and logs why its target was chosen.
-pub(crate) fn log_attempt_sent(open: &OpenRequest, plan: &AttemptPlan) {
-    open.shell.metrics.count_attempt();
-    if plan.attempt == 1 {
-        let waited = plan.sent_at.since(open.arrived);
-        let tenants = &open.shell.metrics.tenants;
-        tenants.count_admitted(&open.request.call, waited);
-    }
-    let age = plan.load_age.map(ClockTime::as_ms);
-    let call = &open.request.call;
-    let waited_for = plan.waited_for.map(|reason| format!("{reason:?}"));
-    let mut inputs = json!({
-        "target": plan.target.as_str(),
-        "model": call.model().map(ModelName::as_str),
-        "adapter": call.adapter().map(AdapterName::as_str),
-        "attempt": plan.attempt,
-        "load": plan.load,
-        "load_age_ms": age,
-        "age_ms": clock::now().since(open.arrived).as_ms(),
-        "waited_for": waited_for,
-        "left_ms": call.deadline.since(clock::now()).as_ms(),
-    });
-    if call.tenant.is_some() {
-        inputs["rank"] = json!(plan.rank);
-    }
-    add_tenant(&mut inputs, open);
-    decision_log::log_decision(&call.id, "sent", inputs);
-}
-
-/// Adds the tenant of a call to the inputs of a decision, with the figures by which its calls are
-/// ordered.
-fn add_tenant(inputs: &mut Value, open: &OpenRequest) {
-    let Some(tenant) = &open.request.call.tenant else {
-        return;
-    };
-    let serving = open.shell.serving.borrow();
-    let usage = serving.tenant_usage(&tenant.name, clock::now());
-    inputs["tenant"] = json!(tenant.name.as_str());
-    inputs["tenant_priority"] = json!(tenant.priority);
-    inputs["tenant_usage_ms"] = json!(usage.recent);
-    inputs["mean_usage_ms"] = json!(usage.mean);
-    inputs["usage_age_ms"] = json!(usage.age.as_ms());
-}
-
-/// Logs how an attempt ended without an answer. A lost call may have crashed its target; the parts
-/// of its prompt and its run time show what the lost calls of several targets have in common.
-pub(crate) fn log_attempt_ended(open: &OpenRequest, plan: &AttemptPlan, outcome: AttemptOutcome) {
-    let call = &open.request.call;
-    let mut inputs = json!({
-        "target": plan.target.as_str(),
-        "outcome": format!("{outcome:?}"),
-    });
-    if matches!(outcome, AttemptOutcome::Lost { .. }) {
-        let parts: Vec<String> = call
-            .prompt
-            .iter()
-            .take(MAX_LOGGED_PARTS)
-            .map(|part| format!("{:x}", part.id))
-            .collect();
-        inputs["incarnation"] = json!(plan.incarnation);
-        inputs["model"] = json!(call.model().map(ModelName::as_str));
-        inputs["parts"] = json!(parts);
-        inputs["ran_ms"] = json!(clock::now().since(plan.sent_at).as_ms());
-    }
-    decision_log::log_decision(&call.id, "attempt_ended", inputs);
-}
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -9,6 +9,7 @@
 //! `crocusyard serve`, which has an HTTP interface, catalogue and presets of its own, is
 //! `crates/host`.
 
+mod attempt_log;
 mod body;
 mod body_reader;
 mod caller_conns;
@@ -27,6 +28,7 @@
 mod metrics;
 mod moves;
 mod notices;
+mod refusals;
 pub mod run;
 mod shell;
 mod store_calls;
--- a/crates/edge/src/run.rs
+++ b/crates/edge/src/run.rs
@@ -133,7 +133,7 @@
 async fn tick(shell: Rc<EdgeShell>) {
     loop {
         actix_rt::time::sleep(TICK_INTERVAL).await;
-        shell.record_turn();
+        shell.record_turn(clock::now());
         let needs_tick = {
             let serving = shell.serving.borrow();
             serving.waiting_count() > 0 || serving.has_crash_work()
--- a/crates/edge/src/shell.rs
+++ b/crates/edge/src/shell.rs
@@ -51,6 +51,9 @@
 /// Largest number of connections for readiness and metrics. They are part of the descriptors that
 /// are set aside for the host itself.
 const MAX_OPERATOR_CONNS: usize = 16;
+/// Memory from which the budget for the heads of these connections is derived, MB; callers cannot use
+/// it up.
+const OPERATOR_MEMORY_MB: u64 = 4;
 
 /// Next step of a request, as decided by the reducer.
 #[derive(Clone, Debug)]
@@ -156,7 +159,10 @@
             .with_budget(intake.clone())
             .with_max_open(conn_limits.targets),
             caller_conns: CallerConns::new(conn_limits.callers, intake.clone()),
-            operator_conns: CallerConns::new(MAX_OPERATOR_CONNS, intake.clone()),
+            operator_conns: CallerConns::new(
+                MAX_OPERATOR_CONNS,
+                IntakeBudget::new(IntakeLimits::for_memory(OPERATOR_MEMORY_MB)),
+            ),
             intake,
             intake_log: IntakeLog::default(),
             store: StoreClient::new(settings.store),
@@ -317,8 +323,7 @@
     }
 
     /// Records a turn of the event loop; detects that the process was suspended before it.
-    pub(crate) fn record_turn(&self) {
-        let now = clock::now();
+    pub(crate) fn record_turn(&self, now: ClockTime) {
         let gap = now.since(self.alive_at.replace(now));
         if gap >= SUSPENSION_LIMIT {
             self.stale_since.set(Some(now));
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -1,9 +1,10 @@
 //! Forwards streams of events from targets to callers.
 
+use crate::attempt_log::{log_attempt_ended, log_attempt_sent};
 use crate::body::{AnswerBody, StreamSender, LONG_CHUNK_BYTES};
 use crate::clock;
 use crate::decision_log;
-use crate::entry::{deliver, log_attempt_ended, log_attempt_sent, AnswerAborted, OpenRequest};
+use crate::entry::{deliver, AnswerAborted, OpenRequest};
 use crate::exchange::{attempt, AttemptResult};
 use crate::shell::RequestStep;
 use bytes::Bytes;
@@ -47,12 +48,11 @@
 
 /// Answers a request with a stream, which is resumed at other targets if the route allows it.
 pub(crate) async fn deliver_stream(
-    open: OpenRequest,
+    mut open: OpenRequest,
     plan: AttemptPlan,
     answer: Response<Incoming>,
     conn: PooledConn,
 ) -> Result<Response<AnswerBody>, AnswerAborted> {
-    let mut open = open;
     if !open.request.call.route.kind.may_repeat() {
         // The body is not needed for a second attempt.
         open.request.body = Bytes::new();
--- a/tests/entry_bodies.rs
+++ b/tests/entry_bodies.rs
@@ -3,7 +3,8 @@
 mod entry_support;
 
 use crocusyard_platform_standin::prelude::*;
-use entry_support::{request_head, route, EntryHost};
+use entry_support::{get, request_head, route, EntryHost};
+use hyper::StatusCode;
 use serde_json::json;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -26,6 +27,11 @@
 impl Deployment {
     /// Starts one target and a host of the smallest size.
     async fn start() -> Self {
+        Self::start_with("limits.memory_mb=120\nlimits.max_fds=3075\n").await
+    }
+
+    /// Starts one target and a host with further lines in its settings.
+    async fn start_with(further: &str) -> Self {
         let store = StoreStandin::start()
             .await
             .expect("the store stand-in cannot start");
@@ -38,7 +44,6 @@
             .await
             .expect("the target stand-in cannot start");
         store.put_target(&target.name(), &target.record("s"));
-        let further = "limits.memory_mb=120\nlimits.max_fds=3075\n";
         let host = EntryHost::start_with("edge-1", store.address, further);
         host.wait_ready().await;
         Self {
@@ -135,3 +140,28 @@
     assert_eq!(line, "HTTP/1.1 431 Request Header Fields Too Large");
     assert_eq!(deployment.target.runs("long"), 0);
 }
+
+/// Guards against ordinary callers whose connections are reset while unfinished heads fill the memory
+/// budget, and against a readiness check that fails for it.
+#[actix_rt::test]
+async fn full_budget_refuses_heads_with_an_answer() {
+    // The budget is 30 % of the memory, and each unfinished head takes 8 KB.
+    let deployment = Deployment::start_with("limits.memory_mb=1\nlimits.max_fds=3075\n").await;
+    let mut unfinished = Vec::new();
+    for _ in 0..40 {
+        let stream = TcpStream::connect(deployment.host.addresses.entry).await;
+        let mut stream = stream.expect("the host does not accept the connection");
+        stream.write_all(b"P").await.expect("a byte of a head");
+        unfinished.push(stream);
+    }
+    for number in 0..10 {
+        let mut stream = deployment.open(&format!("call-{number}"), "").await;
+        let line = first_line(&mut stream).await;
+        assert!(
+            line == "HTTP/1.1 200 OK" || line == "HTTP/1.1 503 Service Unavailable",
+            "call {number} got {line:?}"
+        );
+        let ready = get(deployment.host.addresses.ready, READY_PATH).await.0;
+        assert_eq!(ready, StatusCode::OK);
+    }
+}
