edge: hosts do less for limits between calls

Cause: each host, also one without tenants, woke 40 times a second to look whether a usage report is due, and with limits it rebuilt the list of all hosts each time, with a hash of every name; each heartbeat that arrived was hashed as well. Found by reading.

Change: the tick that runs anyway looks for due reports. The list of hosts is given to the limits when hosts or the configuration change, and with each heartbeat. Without limits nothing is counted.

--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -3,6 +3,7 @@
 use crate::clock;
 use crate::compression::{compress, decompress};
 use crate::decision_log;
+use crate::gossip::update_limit_hosts;
 use crate::message::HostMessage;
 use crate::shell::EdgeShell;
 use crate::store_calls::CallReason;
@@ -190,8 +191,8 @@
                 shell.configuration_read.set(known.max(version));
             }
             Self::Hosts => {
-                apply_hosts(shell, rows);
                 shell.hosts_read.set(true);
+                apply_hosts(shell, rows);
             }
         }
     }
@@ -414,6 +415,7 @@
                     json!({"version": rules.version, "routes": rules.route_count(), "row_version": row.version, "source": source.label()}),
                 );
                 shell.dispatch(ServingEvent::Rules(Rc::new(rules)));
+                update_limit_hosts(shell);
             }
             Err(error) => warn!(
                 "the configuration of row version {} is not put in force: {error}",
@@ -483,6 +485,8 @@
     for name in removed {
         hosts.remove(name);
     }
+    drop(hosts);
+    update_limit_hosts(shell);
 }
 
 /// Decodes rows of the entry hosts into the records of hosts and the names of removed ones.
--- a/crates/edge/src/gossip.rs
+++ b/crates/edge/src/gossip.rs
@@ -34,8 +34,6 @@
 /// Time after the start in which a host hears all live hosts, also if it cannot read their rows from
 /// the store.
 const HOSTS_HEARD_TIME: ClockTime = ClockTime::from_secs(10);
-/// Interval at which a host checks whether other hosts need new figures about the usage of tenants.
-const USAGE_CHECK_INTERVAL: Duration = Duration::from_millis(25);
 
 /// Pause between two rounds of confirmation requests of the lease holder; a lost request is
 /// repeated several times while the last confirmation is still valid.
@@ -94,6 +92,7 @@
             report_fair_shares(&shell);
         }
         report_demand(&shell);
+        update_limit_hosts(&shell);
         let pause = shell.hosts.borrow().heartbeat_interval();
         actix_rt::time::sleep(Duration::from_millis(pause.as_ms())).await;
     }
@@ -145,26 +144,26 @@
     }
 }
 
-/// Reports the usage of tenants to all other hosts while there are tenants with limits.
-pub(crate) async fn report_usage(shell: Rc<EdgeShell>) {
-    let started = clock::now();
-    loop {
-        actix_rt::time::sleep(USAGE_CHECK_INTERVAL).await;
-        if !shell.serving.borrow().limits.has_limits() {
-            continue;
-        }
-        let now = clock::now();
-        let knows_hosts = shell.hosts_read.get() || now.since(started) >= HOSTS_HEARD_TIME;
-        let report = {
-            let mut serving = shell.serving.borrow_mut();
-            if knows_hosts {
-                serving.limits.set_hosts(&shell.hosts.borrow(), now);
-            }
-            serving.limits.report(now)
-        };
-        if let Some(report) = report {
-            shell.broadcast(&HostMessage::Usage(report));
-        }
+/// Tells the limits of tenants which hosts there are, while there are limits.
+pub(crate) fn update_limit_hosts(shell: &EdgeShell) {
+    let now = clock::now();
+    let knows_hosts = shell.hosts_read.get() || now.since(shell.started) >= HOSTS_HEARD_TIME;
+    let mut serving = shell.serving.borrow_mut();
+    if knows_hosts && serving.limits.has_limits() {
+        serving.limits.set_hosts(&shell.hosts.borrow(), now);
+    }
+}
+
+/// Reports the usage of tenants to all other hosts if they need new figures.
+pub(crate) fn report_usage(shell: &EdgeShell) {
+    let mut serving = shell.serving.borrow_mut();
+    if !serving.limits.has_limits() {
+        return;
+    }
+    let report = serving.limits.report(clock::now());
+    drop(serving);
+    if let Some(report) = report {
+        shell.broadcast(&HostMessage::Usage(report));
     }
 }
 
--- a/crates/edge/src/run.rs
+++ b/crates/edge/src/run.rs
@@ -120,7 +120,6 @@
     actix_rt::spawn(receive(shell.clone()));
     actix_rt::spawn(send_heartbeats(shell.clone()));
     actix_rt::spawn(spread_news(shell.clone()));
-    actix_rt::spawn(report_usage(shell.clone()));
     actix_rt::spawn(request_confirmations(shell.clone()));
     actix_rt::spawn(keep_lease(shell.clone()));
     actix_rt::spawn(give_orders(shell.clone()));
@@ -134,6 +133,7 @@
     loop {
         actix_rt::time::sleep(TICK_INTERVAL).await;
         shell.record_turn(clock::now());
+        report_usage(&shell);
         let needs_tick = {
             let serving = shell.serving.borrow();
             serving.waiting_count() > 0 || serving.has_crash_work()
--- a/crates/edge/src/shell.rs
+++ b/crates/edge/src/shell.rs
@@ -102,6 +102,8 @@
     heard_configuration: Cell<u64>,
     /// Wakes the task that follows the configuration, which may have to read it.
     pub(crate) configuration_news: Notify,
+    /// Start of the process.
+    pub(crate) started: ClockTime,
     /// Last known turn of the event loop.
     alive_at: Cell<ClockTime>,
     /// End of the last suspension, until the configuration has been read after it.
@@ -173,6 +175,7 @@
             configuration_read: Cell::new(0),
             heard_configuration: Cell::new(0),
             configuration_news: Notify::new(),
+            started: now,
             alive_at: Cell::new(now),
             stale_since: Cell::new(None),
             stopping_since: Cell::new(None),
--- a/crates/serving/src/limits.rs
+++ b/crates/serving/src/limits.rs
@@ -112,7 +112,9 @@
 
     /// Records that a heartbeat of another host arrived.
     pub fn hear(&mut self, host: &HostName, now: ClockTime) {
-        self.quota.hear(HostId::of(host.as_str()), now);
+        if self.has_limits() {
+            self.quota.hear(HostId::of(host.as_str()), now);
+        }
     }
 
     /// Applies the report of another host.
