intake: one wait for room and one tally of refusals for both programs

Cause: `crocusyard entry`, `crocusyard serve` and the connections to targets each had a loop of their own that waits for room, and the two programs each a count of refusals for the log. They differed: a caller's body could wait for 3 s with each of its parts, where the design says 3 s in all. Bodies that wait each searched all charges for one to displace, every 10 ms.

Change: RoomWait and RefusalTally in crates/intake, used by all of them and by streams; the parts of a body share its wait. The search runs once in 10 ms for all bodies together.

--- a/crates/edge/src/body_reader.rs
+++ b/crates/edge/src/body_reader.rs
@@ -11,10 +11,8 @@
 use hyper::body::{Body, Incoming};
 use std::time::Duration;
 
-/// Longest wait for room in the budget, far longer than evicted bodies take to be released.
+/// Longest wait of a body for room in the budget, far longer than evicted bodies take to be released.
 const ROOM_TIMEOUT: ClockTime = ClockTime::from_secs(3);
-/// Interval at which a body that waits for room tries again.
-const ROOM_INTERVAL: Duration = Duration::from_millis(10);
 /// Interval at which a body that makes no progress is checked. An evicted one is released within it.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -44,8 +42,10 @@
     if body.is_end_stream() {
         return Ok(Bytes::new());
     }
-    let mut intake =
-        wait_for_room(|now| BodyIntake::open(budget, IntakeUse::Incoming, announced, now)).await?;
+    let mut wait = RoomWait::new(ROOM_TIMEOUT);
+    let open = |now| BodyIntake::open(budget, IntakeUse::Incoming, announced, now);
+    let opened = wait.retry(clock::now, open).await;
+    let mut intake = opened.map_err(BodyRefusal::Budget)?;
     loop {
         let frame = match actix_rt::time::timeout(CHECK_INTERVAL, body.frame()).await {
             Err(_) => {
@@ -62,22 +62,7 @@
         if intake.len() + data.len() > limit {
             return Err(BodyRefusal::TooLarge);
         }
-        wait_for_room(|now| intake.push(&data, now)).await?;
-    }
-}
-
-/// Repeats an operation while the budget is full.
-async fn wait_for_room<T>(
-    mut operation: impl FnMut(ClockTime) -> Result<T, IntakeRefusal>,
-) -> Result<T, BodyRefusal> {
-    let start = clock::now();
-    loop {
-        let now = clock::now();
-        match operation(now) {
-            Err(IntakeRefusal::Full) if now.since(start) < ROOM_TIMEOUT => {
-                actix_rt::time::sleep(ROOM_INTERVAL).await;
-            }
-            result => return result.map_err(BodyRefusal::Budget),
-        }
+        let pushed = wait.retry(clock::now, |now| intake.push(&data, now)).await;
+        pushed.map_err(BodyRefusal::Budget)?;
     }
 }
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -19,9 +19,6 @@
 use std::io;
 use std::time::Duration;
 
-/// Interval at which a stream that waits for room in the memory budget tries again.
-const ROOM_INTERVAL: Duration = Duration::from_millis(20);
-
 /// A target's stream that is being read.
 struct StreamSource {
     body: Incoming,
@@ -256,17 +253,14 @@
     /// Charges bytes of the stream to the memory budget, and waits for room if necessary; meanwhile
     /// the target is not read. Returns the end of the stream if it ends instead.
     async fn charge(&mut self, length: usize) -> Option<SourceEnd> {
-        let deadline = self.open.request.call.deadline;
-        while self.partial.charge(length, clock::now()).is_err() {
-            if clock::now() >= deadline {
-                return Some(SourceEnd::Expired);
-            }
-            tokio::select! {
-                () = self.sender.closed() => return Some(SourceEnd::CallerLeft),
-                () = actix_rt::time::sleep(ROOM_INTERVAL) => {}
+        let time_left = self.open.request.call.deadline.since(clock::now());
+        let mut wait = RoomWait::new(time_left);
+        tokio::select! {
+            () = self.sender.closed() => Some(SourceEnd::CallerLeft),
+            charged = wait.retry(clock::now, |now| self.partial.charge(length, now)) => {
+                charged.err().map(|_| SourceEnd::Expired)
             }
         }
-        None
     }
 
     /// Sends complete events to the caller. Their charge moves from the incomplete event to them.
--- a/crates/host/src/intake.rs
+++ b/crates/host/src/intake.rs
@@ -14,20 +14,15 @@
 use crocusyard_metrics::prelude::MetricSet;
 use crocusyard_settings::prelude::TenantSource;
 use futures_util::StreamExt;
-use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, OnceLock};
+use std::sync::{Arc, Mutex, OnceLock, PoisonError};
 use std::time::{Duration, Instant};
 
-/// Longest wait for room in the memory budget, far longer than evicted bodies take to be released.
+/// Longest wait of a body for room in the memory budget, far longer than evicted bodies take to be released.
 const ROOM_TIMEOUT: ClockTime = ClockTime::from_secs(3);
-/// Interval at which a body that waits for room tries again.
-const ROOM_INTERVAL: Duration = Duration::from_millis(10);
 /// Interval at which a body that makes no progress is checked. An evicted one is released within it.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Wait after which a request for whose body there was no memory may be repeated.
 const NO_MEMORY_RETRY: ClockTime = ClockTime::from_secs(1);
-/// Shortest time between two log lines about refused bodies.
-const LINE_INTERVAL: ClockTime = ClockTime::from_secs(1);
 
 /// Longest deadline that a caller may set.
 const MAX_DEADLINE: ClockTime = ClockTime::from_secs(3600);
@@ -219,9 +214,7 @@
 pub(crate) struct CallerIntake {
     pub(crate) budget: IntakeBudget,
     metrics: Arc<MetricSet>,
-    /// When the last line about refusals was written, ms, and their number since.
-    last_line_ms: Arc<AtomicU64>,
-    unreported: Arc<AtomicU64>,
+    refusals: Arc<Mutex<RefusalTally>>,
 }
 
 impl CallerIntake {
@@ -229,25 +222,22 @@
         Self {
             budget,
             metrics,
-            last_line_ms: Arc::default(),
-            unreported: Arc::default(),
+            refusals: Arc::default(),
         }
     }
 
     /// Counts a refused body, and writes a line about such refusals once a second at most.
     fn report(&self, problem: CallerProblem) -> CallerProblem {
         self.metrics.record_refusal(problem.code);
-        let count = self.unreported.fetch_add(1, Ordering::Relaxed) + 1;
-        let now_ms = intake_time().as_ms();
-        let last_ms = self.last_line_ms.load(Ordering::Relaxed);
-        if last_ms == 0 || now_ms.saturating_sub(last_ms) >= LINE_INTERVAL.as_ms() {
-            self.last_line_ms.store(now_ms.max(1), Ordering::Relaxed);
-            self.unreported.store(0, Ordering::Relaxed);
+        let due = {
+            let tally = self.refusals.lock();
+            let mut tally = tally.unwrap_or_else(PoisonError::into_inner);
+            tally.count(problem.code);
+            tally.take_due(intake_time())
+        };
+        if let Some(counts) = due {
             let held = self.budget.counts().held_bytes;
-            log::warn!(
-                "{count} bodies were refused, the last one as {}; {held} bytes are buffered",
-                problem.code
-            );
+            log::warn!("bodies were refused: {counts:?}; {held} bytes are buffered");
         }
         problem
     }
@@ -286,7 +276,9 @@
 ) -> Result<Bytes, CallerProblem> {
     let kind = IntakeUse::Incoming;
     let open = |now| BodyIntake::open(budget, kind, announced, now);
-    let mut body = wait_for_room(open).await?;
+    let mut wait = RoomWait::new(ROOM_TIMEOUT);
+    let opened = wait.retry(intake_time, open).await;
+    let mut body = opened.map_err(budget_problem)?;
     let mut last_part = intake_time();
     loop {
         let part = match actix_rt::time::timeout(CHECK_INTERVAL, payload.next()).await {
@@ -306,23 +298,8 @@
         if body.len() + part.len() > limits.max_bytes {
             return Err(body_too_large(limits.max_bytes));
         }
-        wait_for_room(|now| body.push(&part, now)).await?;
-    }
-}
-
-/// Repeats an operation while the budget is full.
-async fn wait_for_room<T>(
-    mut operation: impl FnMut(ClockTime) -> Result<T, IntakeRefusal>,
-) -> Result<T, CallerProblem> {
-    let start = intake_time();
-    loop {
-        let now = intake_time();
-        match operation(now) {
-            Err(IntakeRefusal::Full) if now.since(start) < ROOM_TIMEOUT => {
-                actix_rt::time::sleep(ROOM_INTERVAL).await;
-            }
-            result => return result.map_err(budget_problem),
-        }
+        let pushed = wait.retry(intake_time, |now| body.push(&part, now)).await;
+        pushed.map_err(budget_problem)?;
     }
 }
 
--- a/crates/httpconn/src/pool.rs
+++ b/crates/httpconn/src/pool.rs
@@ -32,9 +32,7 @@
 const MAX_COLLECTED_BYTES: usize = 32 * 1024 * 1024;
 /// Longest wait of one body for room in the memory budget; answers that are waiting for slow callers are given up
 /// after 15 s at most.
-const ROOM_TIMEOUT: Duration = Duration::from_secs(2);
-/// Interval at which a body that waits for room tries again.
-const ROOM_INTERVAL: Duration = Duration::from_millis(10);
+const ROOM_TIMEOUT: ClockTime = ClockTime::from_secs(2);
 
 /// Failure to send a request or to receive its answer.
 #[derive(Debug, Snafu)]
@@ -384,11 +382,13 @@
             return Ok(Bytes::new());
         }
         let budget = &self.pool.budget;
-        // The budget reads no clock for charges of this kind.
-        let now = ClockTime::ZERO;
-        let open = || BodyIntake::open(budget, IntakeUse::Held, announced, now);
-        let mut waited = Duration::ZERO;
-        let mut intake = wait_for_room(&mut waited, open).await?;
+        // The budget compares no times of charges of this kind.
+        let start = Instant::now();
+        let clock = || ClockTime::from_ms(start.elapsed().as_millis() as u64);
+        let no_room = |_| SendError::NoRoom;
+        let mut wait = RoomWait::new(ROOM_TIMEOUT);
+        let open = |now| BodyIntake::open(budget, IntakeUse::Held, announced, now);
+        let mut intake = wait.retry(clock, open).await.map_err(no_room)?;
         while let Some(frame) = body.frame().await {
             let frame = frame.map_err(|error| SendError::Lost {
                 reason: error.to_string(),
@@ -401,9 +401,10 @@
             if length > MAX_BODY_BYTES {
                 return Err(too_long(length));
             }
-            wait_for_room(&mut waited, || intake.push(data, now)).await?;
+            let pushed = wait.retry(clock, |now| intake.push(data, now)).await;
+            pushed.map_err(no_room)?;
         }
-        intake.finish().map_err(|_| SendError::NoRoom)
+        intake.finish().map_err(no_room)
     }
 
     /// Records that the peer closes the connection after this answer, so that it is not reused.
@@ -438,22 +439,3 @@
         malformed: true,
     }
 }
-
-/// Repeats an operation while the budget is full; meanwhile the peer is not read any further.
-/// `waited` is the time that the body has waited so far.
-async fn wait_for_room<T>(
-    waited: &mut Duration,
-    mut operation: impl FnMut() -> Result<T, IntakeRefusal>,
-) -> Result<T, SendError> {
-    let start = Instant::now();
-    let waited_before = *waited;
-    loop {
-        match operation() {
-            Err(IntakeRefusal::Full) if *waited < ROOM_TIMEOUT => {
-                tokio::time::sleep(ROOM_INTERVAL).await;
-                *waited = waited_before + start.elapsed();
-            }
-            result => return result.map_err(|_| SendError::NoRoom),
-        }
-    }
-}
--- a/crates/intake/src/budget.rs
+++ b/crates/intake/src/budget.rs
@@ -10,6 +10,10 @@
 /// bodies that both arrive quickly is evicted.
 const SCORE_OFFSET_MS: u64 = 100;
 
+/// Shortest time between two searches for an idle body. Many bodies may wait for room, and each looks
+/// for one to displace.
+const SEARCH_INTERVAL: ClockTime = ClockTime::from_ms(10);
+
 /// What a charge is for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum IntakeUse {
@@ -75,6 +79,8 @@
     /// Bytes of charges that were evicted and are not released yet.
     evicted_bytes: usize,
     evicted: u64,
+    /// When an idle body was last searched for, without one being found.
+    searched_at: Option<ClockTime>,
 }
 
 /// A memory budget; clones share it.
@@ -116,15 +122,18 @@
         if self.evicted_bytes > 0 {
             return true;
         }
-        let Some(id) = self.victim(now) else {
+        let is_recent = |at: ClockTime| now.since(at) < SEARCH_INTERVAL;
+        if self.searched_at.is_some_and(is_recent) {
             return false;
-        };
-        let charge = self.charges.get(&id);
-        let is_idle = charge.is_some_and(|charge| now.since(charge.progress) >= idle);
-        if is_idle {
-            self.evict(id);
         }
-        is_idle
+        let is_idle = |charge: &Charge| now.since(charge.progress) >= idle;
+        let found = self.victim(now);
+        let found = found.filter(|id| self.charges.get(id).is_some_and(is_idle));
+        match found {
+            Some(id) => self.evict(id),
+            None => self.searched_at = Some(now),
+        }
+        found.is_some()
     }
 
     /// Returns the charge that is evicted first: the one that is largest and has made no progress
@@ -260,6 +269,7 @@
             held_bytes: 0,
             evicted_bytes: 0,
             evicted: 0,
+            searched_at: None,
         };
         Self {
             state: Arc::new(Mutex::new(state)),
