Code that stood twice is called from one place

- keys of hosts and tenants in messages: one short_key (crates/base) and one TenantKey (crates/quota); fair shares had another one of three bytes;
- the interval between heartbeats: crates/base, was copied into the limits;
- what halves with time: ClockTime::decay_factor, was written five times;
- the prefill rate of engines: the planner uses that of the target model;
- the rule of a call's model, and the tokens of parts of its prompt.

Measured: the tests of base, serving, quota, routing and the adapter pass, and tenant_limits, operator_view and operator_reports.

--- a/crates/base/src/clock.rs
+++ b/crates/base/src/clock.rs
@@ -42,6 +42,11 @@
         Self(self.0.saturating_sub(earlier.0))
     }
 
+    /// Returns the fraction that is left after this duration of what halves in each `half_life`.
+    pub fn decay_factor(self, half_life: Self) -> f64 {
+        0.5_f64.powf(self.0 as f64 / half_life.0.max(1) as f64)
+    }
+
     /// Returns the time multiplied by a factor, rounded down to milliseconds.
     pub fn scale(self, factor: f64) -> Self {
         Self((self.0 as f64 * factor) as u64)
--- a/crates/base/src/ids.rs
+++ b/crates/base/src/ids.rs
@@ -55,6 +55,13 @@
     BodyDigest,
 }
 
+/// First four bytes of a hash of names, used as a key in messages between hosts.
+pub fn short_key(names: &[&str]) -> u32 {
+    let hash = blake3::hash(names.join("\0").as_bytes());
+    let bytes = hash.as_bytes();
+    u32::from_le_bytes([bytes[0], bytes[1], bytes[2], bytes[3]])
+}
+
 /// Fencing number of a lease; it only rises, so that orders of a former lease holder can be refused.
 #[derive(
     Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -6,6 +6,7 @@
 //! parameter, so that a run can be repeated exactly.
 
 pub mod clock;
+pub mod heartbeat;
 pub mod ids;
 pub mod invariants;
 pub mod names;
--- a/crates/edge/src/control.rs
+++ b/crates/edge/src/control.rs
@@ -39,7 +39,7 @@
     let blamed = shell.serving.borrow().blamed_count();
     shell.metrics.set_blamed(blamed);
     let usage = shell.serving.borrow_mut().limits.usage(clock::now());
-    shell.metrics.set_tenants(&usage);
+    shell.metrics.tenants.set_usage(&usage);
     let held_bytes = shell.intake.counts().held_bytes;
     let connections = shell.caller_conns.count();
     shell.metrics.set_intake(held_bytes, connections);
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -11,11 +11,10 @@
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::Histogram;
-use prometheus_client::registry::Registry;
+use prometheus_client::registry::{Metric, Registry};
 use std::cell::RefCell;
 use std::collections::BTreeSet;
 use std::fmt::Display;
-use std::sync::atomic::AtomicU64;
 
 /// Bucket bounds of the latency histograms, s; the latency objectives of the routes lie between
 /// them.
@@ -23,8 +22,6 @@
 /// Number of routes with a label of their own; all further routes share one, so that a large
 /// configuration does not take unbounded memory.
 const MAX_ROUTE_LABELS: usize = 64;
-/// Number of tenants whose usage and credit are metrics.
-const MAX_TENANT_LABELS: usize = 64;
 /// Label of what has no label of its own.
 const OTHER_LABEL: &str = "other";
 
@@ -69,15 +66,6 @@
     answer: String,
 }
 
-/// Labels of the gauges of tenants with limits.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
-struct LimitLabels {
-    tenant: String,
-}
-
-/// Gauge of a figure of a tenant.
-type TenantGauge = Family<LimitLabels, Gauge<f64, AtomicU64>>;
-
 /// Metrics of the memory budget and of callers' connections.
 struct IntakeMetrics {
     refusals: Family<IntakeLabels, Counter>,
@@ -87,31 +75,37 @@
 
 impl IntakeMetrics {
     fn register(registry: &mut Registry) -> Self {
-        let refusals = Family::default();
-        registry.register(
-            "intake_refusals",
-            "Bodies, heads and connections that were refused or closed to protect the host",
-            Family::clone(&refusals),
-        );
-        let (bytes, connections) = (Gauge::default(), Gauge::default());
-        registry.register(
-            "intake_bytes",
-            "Bytes that the memory budget holds",
-            bytes.clone(),
-        );
-        registry.register(
-            "caller_connections",
-            "Open connections of callers",
-            connections.clone(),
-        );
         Self {
-            refusals,
-            bytes,
-            connections,
+            refusals: registered(
+                registry,
+                "intake_refusals",
+                "Bodies, heads and connections that were refused or closed to protect the host",
+            ),
+            bytes: registered(
+                registry,
+                "intake_bytes",
+                "Bytes that the memory budget holds",
+            ),
+            connections: registered(
+                registry,
+                "caller_connections",
+                "Open connections of callers",
+            ),
         }
     }
 }
 
+/// Creates a metric and adds it to the registry.
+pub(crate) fn registered<M: Metric + Clone + Default>(
+    registry: &mut Registry,
+    name: &str,
+    help: &str,
+) -> M {
+    let metric = M::default();
+    registry.register(name, help, metric.clone());
+    metric
+}
+
 /// All metrics of the process.
 pub(crate) struct EdgeMetrics {
     registry: Registry,
@@ -126,7 +120,6 @@
     connections: Gauge,
     crashes: Counter,
     blamed: Gauge,
-    limits: LimitMetrics,
     intake: IntakeMetrics,
     /// Calls to the store by table and reason.
     pub(crate) store_calls: StoreCalls,
@@ -167,53 +160,6 @@
     Histogram::new(LATENCY_BOUNDS_S)
 }
 
-/// Gauges of the usage and the credit of tenants with limits.
-struct LimitMetrics {
-    credit: TenantGauge,
-    rate: TenantGauge,
-    total: TenantGauge,
-}
-
-impl LimitMetrics {
-    fn register(registry: &mut Registry) -> Self {
-        let mut gauge = |name, help| {
-            let gauge = TenantGauge::default();
-            registry.register(name, help, gauge.clone());
-            gauge
-        };
-        Self {
-            credit: gauge(
-                "tenant_credit",
-                "Credit of a tenant over all hosts, as this host knows it",
-            ),
-            rate: gauge(
-                "tenant_usage_per_second",
-                "Usage of a tenant per second over all hosts",
-            ),
-            total: gauge(
-                "tenant_usage",
-                "Usage of a tenant over all hosts since their processes started",
-            ),
-        }
-    }
-
-    /// Replaces the figures of all tenants.
-    fn set(&self, usages: &[NamedUsage]) {
-        for gauge in [&self.credit, &self.rate, &self.total] {
-            gauge.clear();
-        }
-        for NamedUsage { name, usage } in usages.iter().take(MAX_TENANT_LABELS) {
-            let labels = LimitLabels {
-                tenant: name.as_str().to_owned(),
-            };
-            let set = |gauge: &TenantGauge, value| gauge.get_or_create(&labels).set(value);
-            set(&self.credit, usage.credit);
-            set(&self.rate, usage.usage_per_s);
-            set(&self.total, usage.total as f64);
-        }
-    }
-}
-
 impl EdgeMetrics {
     pub(crate) fn new() -> Self {
         let mut registry = Registry::with_prefix("crocusyard_entry");
@@ -269,7 +215,6 @@
             blamed.clone(),
         );
         let tenants = TenantMetrics::register(&mut registry);
-        let limits = LimitMetrics::register(&mut registry);
         let intake = IntakeMetrics::register(&mut registry);
         let store_calls = StoreCalls::default();
         registry.register(
@@ -292,7 +237,6 @@
             crashes,
             blamed,
             intake,
-            limits,
             tenants,
             routes: BoundedLabels::new(MAX_ROUTE_LABELS),
         }
@@ -361,11 +305,6 @@
         self.blamed.set(i64::try_from(count).unwrap_or(i64::MAX));
     }
 
-    /// Sets the gauges of the tenants with limits; further tenants have none.
-    pub(crate) fn set_tenants(&self, usages: &[NamedUsage]) {
-        self.limits.set(usages);
-    }
-
     pub(crate) fn count_attempt(&self) {
         self.attempts.inc();
     }
--- a/crates/edge/src/tenant_metrics.rs
+++ b/crates/edge/src/tenant_metrics.rs
@@ -1,13 +1,15 @@
 //! Metrics by tenant.
 
-use crate::metrics::BoundedLabels;
+use crate::metrics::{registered, BoundedLabels};
 use crocusyard_base::prelude::*;
 use crocusyard_serving::prelude::*;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
+use std::sync::atomic::AtomicU64;
 
 /// Bucket bounds of the histogram of queueing times, s; most calls do not wait at all.
 const QUEUE_BOUNDS_S: [f64; 9] = [0.001, 0.01, 0.03, 0.1, 0.3, 1.0, 3.0, 8.0, 20.0];
@@ -34,12 +36,18 @@
     reason: &'static str,
 }
 
+/// Gauge of a figure of a tenant.
+type TenantGauge = Family<TenantLabels, Gauge<f64, AtomicU64>>;
+
 fn queue_histogram() -> Histogram {
     Histogram::new(QUEUE_BOUNDS_S)
 }
 
 /// Metrics by tenant; those of calls without a tenant are not counted here.
 pub(crate) struct TenantMetrics {
+    credit: TenantGauge,
+    usage_rate: TenantGauge,
+    usage: TenantGauge,
     requested: Family<TenantLabels, Counter>,
     admitted: Family<TenantLabels, Counter>,
     refused: Family<RefusalLabels, Counter>,
@@ -54,46 +62,71 @@
     pub(crate) fn register(registry: &mut Registry) -> Self {
         let queueing: Family<TenantLabels, Histogram, fn() -> Histogram> =
             Family::new_with_constructor(queue_histogram);
-        let metrics = Self {
-            requested: Family::default(),
-            admitted: Family::default(),
-            refused: Family::default(),
-            tokens: Family::default(),
-            queueing,
-            unauthorized: Family::default(),
-            labels: BoundedLabels::new(MAX_TENANT_LABELS),
-        };
-        registry.register(
-            "tenant_requests",
-            "Requests with a valid key by tenant",
-            metrics.requested.clone(),
-        );
-        registry.register(
-            "tenant_admitted",
-            "Requests sent to a target by tenant",
-            metrics.admitted.clone(),
-        );
-        registry.register(
-            "tenant_refusals",
-            "Refused requests by tenant and reason",
-            metrics.refused.clone(),
-        );
-        registry.register(
-            "tenant_tokens",
-            "Tokens of prompts and answers, as stated, of requests sent to a target",
-            metrics.tokens.clone(),
-        );
         registry.register(
             "tenant_queueing_seconds",
             "Time from the arrival to the first send to a target",
-            metrics.queueing.clone(),
-        );
-        registry.register(
-            "unauthorized",
-            "Requests that were not admitted for their keys",
-            metrics.unauthorized.clone(),
+            queueing.clone(),
         );
-        metrics
+        Self {
+            credit: registered(
+                registry,
+                "tenant_credit",
+                "Credit of a tenant over all hosts, as this host knows it",
+            ),
+            usage_rate: registered(
+                registry,
+                "tenant_usage_per_second",
+                "Usage of a tenant per second over all hosts",
+            ),
+            usage: registered(
+                registry,
+                "tenant_usage",
+                "Usage of a tenant over all hosts since their processes started",
+            ),
+            requested: registered(
+                registry,
+                "tenant_requests",
+                "Requests with a valid key by tenant",
+            ),
+            admitted: registered(
+                registry,
+                "tenant_admitted",
+                "Requests sent to a target by tenant",
+            ),
+            refused: registered(
+                registry,
+                "tenant_refusals",
+                "Refused requests by tenant and reason",
+            ),
+            tokens: registered(
+                registry,
+                "tenant_tokens",
+                "Tokens of prompts and answers, as stated, of requests sent to a target",
+            ),
+            queueing,
+            unauthorized: registered(
+                registry,
+                "unauthorized",
+                "Requests that were not admitted for their keys",
+            ),
+            labels: BoundedLabels::new(MAX_TENANT_LABELS),
+        }
+    }
+
+    /// Replaces the usage and the credit of the tenants with limits.
+    pub(crate) fn set_usage(&self, usages: &[NamedUsage]) {
+        for gauge in [&self.credit, &self.usage_rate, &self.usage] {
+            gauge.clear();
+        }
+        for NamedUsage { name, usage } in usages.iter().take(MAX_TENANT_LABELS) {
+            let labels = TenantLabels {
+                tenant: name.as_str().to_owned(),
+            };
+            let set = |gauge: &TenantGauge, value| gauge.get_or_create(&labels).set(value);
+            set(&self.credit, usage.credit);
+            set(&self.usage_rate, usage.usage_per_s);
+            set(&self.usage, usage.total as f64);
+        }
     }
 
     fn labels(&self, tenant: &TenantRule) -> TenantLabels {
--- a/crates/quota/src/hosts.rs
+++ b/crates/quota/src/hosts.rs
@@ -1,20 +1,16 @@
 //! The other hosts, and for how much of each limit they have been heard.
 
 use crate::report::HostId;
+use crocusyard_base::heartbeat::{heartbeat_interval, HEARTBEAT_HOSTS};
 use crocusyard_base::prelude::*;
 use std::collections::BTreeMap;
 
-/// Number of hosts from which on a host receives about 96 heartbeats per second, as in
-/// `crocusyard_serving::hosts`; with fewer hosts it receives fewer.
-const HEARTBEAT_HOSTS: usize = 24;
 /// Time constant of the share of the hosts that are heard, with many hosts and with few. It decides
 /// how soon a partition is noticed; with few hosts the messages of each count for more.
 const FRESH_TIME_S: f64 = 0.5;
 const FRESH_TIME_FEW_S: f64 = 1.0;
 /// Factor for the measured share, which is lower than the true one half of the time.
 const FRESH_MARGIN: f64 = 1.1;
-/// Interval between heartbeats with few hosts, as in `crocusyard_serving::hosts`.
-const HEARTBEAT_INTERVAL: ClockTime = ClockTime::from_ms(250);
 /// Longest silence of a host, in heartbeat intervals, whose share is credited afterwards; one or two
 /// messages may get lost. After a longer one, all hosts that hear each other again would spend the
 /// shares of the silent ones several times.
@@ -87,7 +83,7 @@
     /// Records that a message of another host arrived.
     pub(crate) fn hear(&mut self, host: HostId, now: ClockTime) {
         let fresh = self.faded(now);
-        let interval = self.heartbeat_interval();
+        let interval = heartbeat_interval(self.count());
         if let Some(peer) = self.peers.get_mut(&host) {
             let silence = peer.heard_at.map_or(ClockTime::ZERO, |at| now.since(at));
             let credited = if silence <= interval.scale(CREDITED_INTERVALS) {
@@ -127,11 +123,6 @@
         (self.own_share + self.faded(now) * FRESH_MARGIN).min(1.0)
     }
 
-    fn heartbeat_interval(&self) -> ClockTime {
-        let factor = self.count() as f64 / HEARTBEAT_HOSTS as f64;
-        HEARTBEAT_INTERVAL.scale(factor.max(1.0))
-    }
-
     fn faded(&self, now: ClockTime) -> f64 {
         let elapsed_s = seconds(now.since(self.fresh_at));
         self.fresh * (-elapsed_s / self.fresh_time_s()).exp()
--- a/crates/quota/src/report.rs
+++ b/crates/quota/src/report.rs
@@ -1,14 +1,8 @@
 //! What hosts report to each other about the usage of tenants.
 
+use crocusyard_base::ids::short_key;
 use serde::{Deserialize, Serialize};
 
-/// First four bytes of a hash of a name.
-fn short_key(name: &str) -> [u8; 4] {
-    let hash = blake3::hash(name.as_bytes());
-    let bytes = hash.as_bytes();
-    [bytes[0], bytes[1], bytes[2], bytes[3]]
-}
-
 /// Short key of a host, used in reports.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct HostId([u8; 4]);
@@ -16,7 +10,7 @@
 impl HostId {
     /// Computes the key of a host.
     pub fn of(name: &str) -> Self {
-        Self(short_key(name))
+        Self(short_key(&[name]).to_le_bytes())
     }
 }
 
@@ -28,7 +22,7 @@
     /// Computes the key of a tenant. Two tenants with the same key would count as one; with 1,000
     /// tenants the probability is about 1 in 10,000.
     pub fn of(name: &str) -> Self {
-        Self(short_key(name))
+        Self(short_key(&[name]).to_le_bytes())
     }
 }
 
--- a/crates/quota/src/tenant.rs
+++ b/crates/quota/src/tenant.rs
@@ -2,7 +2,7 @@
 
 use crate::hosts::seconds;
 use crate::limit::UsageLimit;
-use crate::report::{HostId, UsageEntry};
+use crate::report::{HostId, TenantKey, UsageEntry};
 use crocusyard_base::prelude::*;
 use std::collections::HashMap;
 
@@ -549,11 +549,7 @@
     }
 
     /// Makes the entry of a report and records that it was sent.
-    pub(crate) fn report(
-        &mut self,
-        tenant: crate::report::TenantKey,
-        now: ClockTime,
-    ) -> UsageEntry {
+    pub(crate) fn report(&mut self, tenant: TenantKey, now: ClockTime) -> UsageEntry {
         let demand = self.demand.get(DEMAND_TIME_S, now);
         let rate = if !self.was_free && demand >= self.call_cost * STEADY_CALLS_PER_S {
             self.admitted_rate
--- a/crates/routing/src/choose.rs
+++ b/crates/routing/src/choose.rs
@@ -291,6 +291,5 @@
 
 /// Returns the number of failures of a target, halved for each half-life since the last failure.
 pub(crate) fn decayed_failures(entry: &TargetEntry, now: ClockTime, half_life: ClockTime) -> f64 {
-    let age = now.since(entry.failed_at).as_ms() as f64;
-    entry.failures * 0.5_f64.powf(age / half_life.as_ms().max(1) as f64)
+    entry.failures * now.since(entry.failed_at).decay_factor(half_life)
 }
--- a/crates/serving/src/call.rs
+++ b/crates/serving/src/call.rs
@@ -115,11 +115,14 @@
     /// Returns the tokens of the prompt that no other call shares. The parts before the last are
     /// mostly cached by the engine that calls with the same prompt prefer.
     pub fn own_prompt_tokens(&self) -> u32 {
-        let shared = self.prompt.len().saturating_sub(1);
-        let shared_tokens = self.prompt[..shared]
-            .iter()
-            .fold(0_u32, |sum, part| sum.saturating_add(part.tokens));
-        self.prompt_tokens.saturating_sub(shared_tokens)
+        let shared = self.part_tokens(self.prompt.len().saturating_sub(1));
+        self.prompt_tokens.saturating_sub(shared)
+    }
+
+    /// Returns the size of the first `count` parts of the prompt, tokens.
+    fn part_tokens(&self, count: usize) -> u32 {
+        let parts = self.prompt.iter().take(count);
+        parts.fold(0, |sum, part| sum.saturating_add(part.tokens))
     }
 
     /// Returns what the call contains that may crash targets: itself, and the parts that other calls
@@ -147,9 +150,7 @@
     /// Returns the size of the parts of the prompt that the prompts of other calls may share, tokens:
     /// those up to the part by which calls prefer targets.
     pub fn shared_tokens(&self) -> u32 {
-        let shared = self.prompt.len().saturating_sub(1).max(1);
-        let parts = self.prompt.iter().take(shared);
-        parts.fold(0, |sum, part| sum.saturating_add(part.tokens))
+        self.part_tokens(self.prompt.len().saturating_sub(1).max(1))
     }
 
     /// Returns the key by which calls with a common prompt prefer the same target, or `None`
--- a/crates/serving/src/failures.rs
+++ b/crates/serving/src/failures.rs
@@ -16,7 +16,7 @@
 use serde::{Deserialize, Serialize};
 
 /// Time after which calls count half.
-const HALF_LIFE_MS: f64 = 3_000.0;
+const HALF_LIFE: ClockTime = ClockTime::from_secs(3);
 /// Sound calls that are assumed in addition to the counted ones, so that a single failure does not
 /// look like a rate of 1.
 const ASSUMED_CALLS: f64 = 2.0;
@@ -44,7 +44,7 @@
 
 impl FadingCounts {
     fn at(&self, now: ClockTime) -> (f64, f64) {
-        let left = 0.5_f64.powf(now.since(self.at).as_ms() as f64 / HALF_LIFE_MS);
+        let left = now.since(self.at).decay_factor(HALF_LIFE);
         (self.calls * left, self.failures * left)
     }
 
--- a/crates/serving/src/host_news.rs
+++ b/crates/serving/src/host_news.rs
@@ -15,7 +15,7 @@
 
 use crate::hashing::unit_hash;
 use crate::hosts::HostRecord;
-use crate::targets::short_key;
+use crocusyard_base::ids::short_key;
 use crocusyard_base::prelude::*;
 use serde::{Deserialize, Serialize};
 use std::hash::Hash;
--- a/crates/serving/src/hosts.rs
+++ b/crates/serving/src/hosts.rs
@@ -7,17 +7,13 @@
 use crate::hashing::unit_hash;
 use crate::host_news::{draw_receivers, HostKey, HostNews, NewsStamp, NEWS_WINDOW, SILENCE_LIMIT};
 use crate::relay::ReaderRank;
+use crocusyard_base::heartbeat::{heartbeat_interval, HEARTBEAT_HOSTS};
 use crocusyard_base::prelude::*;
 use serde::{Deserialize, Serialize};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 
-/// Interval between heartbeats with few hosts.
-const HEARTBEAT_INTERVAL: ClockTime = ClockTime::from_ms(250);
-/// Number of hosts up to which that interval holds. With more hosts the interval grows, so that
-/// each host receives about the same number of heartbeats per second.
-const HEARTBEAT_HOSTS: usize = 24;
 /// Heartbeat intervals without a heartbeat after which a host no longer counts as live and is left
 /// out of address answers; single datagrams may get lost.
 const SILENCE_INTERVALS: f64 = 6.0;
@@ -139,12 +135,6 @@
     }
 }
 
-/// Returns the interval between the heartbeats of each host in a system of `count` hosts.
-pub(crate) fn heartbeat_interval(count: usize) -> ClockTime {
-    let factor = count as f64 / HEARTBEAT_HOSTS as f64;
-    HEARTBEAT_INTERVAL.scale(factor.max(1.0))
-}
-
 /// Returns the age at which reports of a host about its requests are dropped, in a system of
 /// `count` hosts.
 pub(crate) fn report_lifetime(count: usize) -> ClockTime {
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -67,7 +67,7 @@
     pub use crate::rules::{
         CallKind, CallerLimits, EngineRule, ModelRule, RouteRule, RuleSet, ServiceRule,
     };
-    pub use crate::shares::{TenantKey, TenantShares, UsageLevel, UsageReport};
+    pub use crate::shares::{TenantShares, UsageLevel, UsageReport};
     pub use crate::state::{ServingConfig, ServingState, MAX_PAUSE};
     pub use crate::stream_timing::{StreamResult, StreamTiming};
     pub use crate::target_reports::{LoadReport, PromptReport, TargetReports};
--- a/crates/serving/src/pace.rs
+++ b/crates/serving/src/pace.rs
@@ -8,9 +8,9 @@
 use crocusyard_base::prelude::*;
 
 /// Time after which half of the difference between an observation and the average is left.
-const OBSERVATION_HALF_LIFE_MS: f64 = 100.0;
+const OBSERVATION_HALF_LIFE: ClockTime = ClockTime::from_ms(100);
 /// Time after which half of the difference between the average and the usual pace is left.
-const AVERAGE_HALF_LIFE_MS: f64 = 2_000.0;
+const AVERAGE_HALF_LIFE: ClockTime = ClockTime::from_secs(2);
 /// Time by whose passing an observation counts in full for the average; observations of the same
 /// moment count once.
 const AVERAGE_WINDOW_MS: f64 = 2_000.0;
@@ -55,16 +55,11 @@
     /// Returns the expected pace at `now`.
     pub fn expected(&self, now: ClockTime) -> f64 {
         let average = self.average_at(now);
-        average
-            + (self.last - average) * fraction_left(now.since(self.at), OBSERVATION_HALF_LIFE_MS)
+        let left = now.since(self.at).decay_factor(OBSERVATION_HALF_LIFE);
+        average + (self.last - average) * left
     }
 
     fn average_at(&self, now: ClockTime) -> f64 {
-        1.0 + (self.average - 1.0) * fraction_left(now.since(self.at), AVERAGE_HALF_LIFE_MS)
+        1.0 + (self.average - 1.0) * now.since(self.at).decay_factor(AVERAGE_HALF_LIFE)
     }
 }
-
-/// Fraction that is left after `age` of what halves in each `half_life_ms`.
-fn fraction_left(age: ClockTime, half_life_ms: f64) -> f64 {
-    0.5_f64.powf(age.as_ms() as f64 / half_life_ms)
-}
--- a/crates/serving/src/served_ratio.rs
+++ b/crates/serving/src/served_ratio.rs
@@ -32,8 +32,7 @@
     }
 
     fn decay(&mut self, now: ClockTime) {
-        let half_lives = now.since(self.at).as_ms() as f64 / COUNT_HALF_LIFE.as_ms() as f64;
-        let factor = (-half_lives).exp2();
+        let factor = now.since(self.at).decay_factor(COUNT_HALF_LIFE);
         self.arrived *= factor;
         self.sent *= factor;
         self.at = now;
--- a/crates/serving/src/shares.rs
+++ b/crates/serving/src/shares.rs
@@ -4,9 +4,9 @@
 //! usage over seconds, and reports the largest usages to the other hosts with its heartbeats.
 
 use crate::peer_reports::PeerReports;
-use crate::targets::short_key;
 use crocusyard_admission::prelude::UsageTable;
 use crocusyard_base::prelude::*;
+use crocusyard_quota::prelude::TenantKey;
 use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
 
@@ -23,18 +23,6 @@
 const MIN_REPORTED: u64 = 64;
 /// Steps of a reported usage within a factor of two; the error is below 5 %.
 const LEVELS_PER_DOUBLING: f64 = 8.0;
-/// Short key of a tenant, used in messages between hosts.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-pub struct TenantKey([u8; 3]);
-
-impl TenantKey {
-    /// Computes the key of a tenant; two tenants with the same key share the usage that other hosts
-    /// report.
-    pub fn of(tenant: &TenantName) -> Self {
-        let [first, second, third, _] = short_key(&[tenant.as_str()]).to_le_bytes();
-        Self([first, second, third])
-    }
-}
 
 /// Usage on a logarithmic scale, which takes one byte in a message.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -116,7 +104,7 @@
         if self.others.is_empty() {
             return own;
         }
-        let others = self.others.get(&TenantKey::of(tenant)).copied();
+        let others = self.others.get(&TenantKey::of(tenant.as_str())).copied();
         own.saturating_add(others.unwrap_or(0))
     }
 
@@ -145,7 +133,7 @@
     pub fn update_mean(&mut self, now: ClockTime) {
         let mut usages = self.others.clone();
         for (tenant, usage) in self.own.usages(now) {
-            *usages.entry(TenantKey::of(tenant)).or_default() += usage;
+            *usages.entry(TenantKey::of(tenant.as_str())).or_default() += usage;
         }
         let counted = usages.values().filter(|usage| **usage >= MIN_REPORTED);
         let (count, sum) = counted.fold((0_u32, 0.0), |(count, sum), usage| {
@@ -160,7 +148,7 @@
         let usages = self.own.usages(now);
         let mut usages: Vec<(u64, TenantKey)> = usages
             .filter(|(_, usage)| *usage >= MIN_REPORTED)
-            .map(|(tenant, usage)| (usage, TenantKey::of(tenant)))
+            .map(|(tenant, usage)| (usage, TenantKey::of(tenant.as_str())))
             .collect();
         usages.sort_unstable_by(|a, b| b.cmp(a));
         usages.truncate(MAX_REPORTED);
--- a/crates/serving/src/state.rs
+++ b/crates/serving/src/state.rs
@@ -14,7 +14,7 @@
 use crate::demand::{DemandCounter, ModelDemand};
 use crate::engine_rank::{engine_rank, AttemptStart};
 use crate::event::{AttemptPlan, RefusalReason, RequestRefusal, ServingEffect, ServingEvent};
-use crate::hosts::{heartbeat_interval, report_lifetime, HostShare};
+use crate::hosts::{report_lifetime, HostShare};
 use crate::limits::TenantLimits;
 use crate::retries::{RetryBudget, RetryLimits};
 use crate::rules::RuleSet;
@@ -23,6 +23,7 @@
 use crate::targets::{TargetRecord, TargetTable};
 use crate::turns::{HostWaiting, ModelKey, TurnTracker};
 use crate::waiting::{WaitingCall, WaitingCalls};
+use crocusyard_base::heartbeat::heartbeat_interval;
 use crocusyard_base::prelude::*;
 use crocusyard_crashes::prelude::{CauseVerdict, CrashCause, CrashTracker};
 use estimate::{ModelAbsence, QueueKey};
@@ -452,7 +453,7 @@
         };
         self.budget.count_request(&call.service, now);
         // Callers may ask for any name; demand for unknown models is no demand.
-        let counts_demand = self.is_known_model(&call);
+        let counts_demand = self.model_rule(&call).is_some();
         if counts_demand {
             self.demand.count_arrival(&call, now);
         }
--- a/crates/serving/src/state/estimate.rs
+++ b/crates/serving/src/state/estimate.rs
@@ -5,8 +5,10 @@
 use super::ServingState;
 use crate::call::CallInfo;
 use crate::choose::NoTarget;
-use crate::hosts::{heartbeat_interval, HostShare};
+use crate::hosts::HostShare;
+use crate::rules::ModelRule;
 use crate::turns::TurnInput;
+use crocusyard_base::heartbeat::heartbeat_interval;
 use crocusyard_base::prelude::*;
 use std::collections::HashSet;
 
@@ -76,11 +78,7 @@
     /// Estimates the time until a model that no target holds is loaded. A load that is overdue is
     /// expected to take as long again as it is overdue: other models may have taken its place.
     fn estimate_load(&self, call: &CallInfo, now: ClockTime) -> ClockTime {
-        let rule = self.rules.as_ref().and_then(|rules| {
-            let need = call.need.as_ref()?;
-            rules.engine(&call.service)?.models.get(&need.model)
-        });
-        let Some(rule) = rule else {
+        let Some(rule) = self.model_rule(call) else {
             return ClockTime::NEVER;
         };
         let (waited, followed) = self
@@ -99,7 +97,7 @@
         let key = queue_key(call);
         match reason {
             // Callers may ask for any name; only models of the configuration are recorded.
-            NoTarget::ModelAbsent if self.is_known_model(call) => {
+            NoTarget::ModelAbsent if self.model_rule(call).is_some() => {
                 let absence = self.absent.entry(key).or_insert(ModelAbsence {
                     since: now,
                     followed_from: now,
@@ -118,14 +116,10 @@
         }
     }
 
-    /// Returns whether the configuration has the model that a call needs.
-    pub(super) fn is_known_model(&self, call: &CallInfo) -> bool {
-        let engine = self
-            .rules
-            .as_ref()
-            .and_then(|rules| rules.engine(&call.service));
-        let model = call.model();
-        engine.is_some_and(|engine| model.is_some_and(|model| engine.models.contains_key(model)))
+    /// Returns the rule of the model that a call needs, if the configuration has the model.
+    pub(super) fn model_rule(&self, call: &CallInfo) -> Option<&ModelRule> {
+        let engine = self.rules.as_ref()?.engine(&call.service)?;
+        engine.models.get(call.model()?)
     }
 
     /// Returns why a waiting call has no target now, if `reason` is why it had none when it was last
--- a/crates/serving/src/target_model.rs
+++ b/crates/serving/src/target_model.rs
@@ -15,8 +15,8 @@
 const STEP_MS: f64 = 5.47;
 /// Increase of that duration for each request in the batch, ms.
 const STEP_PER_REQUEST_MS: f64 = 0.1;
-/// Prompt tokens that are prefilled per ms.
-const PREFILL_PER_MS: f64 = 38.7;
+/// Prompt tokens that are prefilled per ms; the configuration does not state it.
+pub(crate) const PREFILL_PER_MS: f64 = 38.7;
 /// Steps from one event of a stream to the next.
 const STEPS_PER_EVENT: f64 = 8.0;
 /// Tokens of a prompt that are prefilled with one step.
--- a/crates/serving/src/target_reports.rs
+++ b/crates/serving/src/target_reports.rs
@@ -12,7 +12,7 @@
 /// Number of prompt tokens in one unit of a report.
 const PROMPT_UNIT: u32 = 32;
 /// Time after which a prompt counts half in the rate of prompts.
-const RATE_HALF_LIFE_MS: f64 = 1_500.0;
+const RATE_HALF_LIFE: ClockTime = ClockTime::from_ms(1_500);
 
 /// Prompts that a host has sent to a target.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -84,11 +84,10 @@
 
     /// Returns the tokens per ms.
     pub(crate) fn per_ms(&self, now: ClockTime) -> f64 {
-        self.tokens_left(now) * std::f64::consts::LN_2 / RATE_HALF_LIFE_MS
+        self.tokens_left(now) * std::f64::consts::LN_2 / RATE_HALF_LIFE.as_ms() as f64
     }
 
     fn tokens_left(&self, now: ClockTime) -> f64 {
-        let age = now.since(self.at).as_ms() as f64;
-        self.tokens * 0.5_f64.powf(age / RATE_HALF_LIFE_MS)
+        self.tokens * now.since(self.at).decay_factor(RATE_HALF_LIFE)
     }
 }
--- a/crates/serving/src/targets.rs
+++ b/crates/serving/src/targets.rs
@@ -10,6 +10,7 @@
 use crate::rules::CallKind;
 use crate::target_model::{EngineFigures, EngineLoad};
 use crate::target_reports::{LoadReport, PromptRate, PromptReport, TargetReports};
+use crocusyard_base::ids::short_key;
 use crocusyard_base::prelude::*;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -352,13 +353,6 @@
     }
 }
 
-/// First four bytes of a hash of names, used as a key in messages between hosts.
-pub(crate) fn short_key(names: &[&str]) -> u32 {
-    let hash = blake3::hash(names.join("\0").as_bytes());
-    let bytes = hash.as_bytes();
-    u32::from_le_bytes([bytes[0], bytes[1], bytes[2], bytes[3]])
-}
-
 /// Number of requests of one host in progress, by target.
 pub type HostLoad = BTreeMap<TargetKey, u16>;
 
--- a/crates/serving/src/turns.rs
+++ b/crates/serving/src/turns.rs
@@ -8,7 +8,7 @@
 
 use crate::call::CallInfo;
 use crate::peer_reports::PeerReports;
-use crate::targets::short_key;
+use crocusyard_base::ids::short_key;
 use crocusyard_base::prelude::*;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, HashMap};
--- a/crates/serving/src/work.rs
+++ b/crates/serving/src/work.rs
@@ -5,6 +5,7 @@
 //! its calls use most. Calls without token counts use slots only.
 
 use crate::rules::EngineRule;
+use crate::target_model::PREFILL_PER_MS;
 use serde::{Deserialize, Deserializer, Serialize};
 use std::ops::AddAssign;
 
@@ -18,10 +19,6 @@
 /// Fraction of the time of a model's engines that reading its prompts is planned to take; streams
 /// pause while a prompt is read.
 pub const PLANNED_READING: f64 = 0.3;
-/// Rate at which an engine reads prompts, tokens/s. The configuration does not state it; 38.7 tokens
-/// per ms were measured.
-pub const READING_RATE: f64 = 38_700.0;
-
 /// Tokens of the calls for a model. Calls without token counts add nothing.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TokenWork {
@@ -56,7 +53,7 @@
     pub fn slots(&self, rule: &EngineRule) -> f64 {
         let slots = f64::from(rule.slots.max(1));
         let by_memory = self.tokens / (rule.kv_tokens.max(1) as f64 * PLANNED_MEMORY);
-        let by_reading = self.prompt_rate / (READING_RATE * PLANNED_READING);
+        let by_reading = self.prompt_rate / (PREFILL_PER_MS * 1_000.0 * PLANNED_READING);
         self.requests
             .max(by_memory.max(by_reading) * slots * PLANNED_SLOTS)
     }
