Counters survive a limit that comes back; unknown hosts answer 503

Cause: a tenant whose limit was removed and set again while the process ran started its usage counters at zero. Other hosts take the maximum of what they have seen, so they ignored the new usage until it had caught up with the old, and the tenant could use more than its limit. A host that knew no other hosts refused with the reason "over limit" and status 429, although the caller had used nothing.

Change: counters of removed limits are kept until the process ends and continue when the limit returns. A host that has not yet heard which other hosts share the limits refuses with its own reason and 503.

--- a/crates/quota/src/state.rs
+++ b/crates/quota/src/state.rs
@@ -3,7 +3,7 @@
 use crate::hosts::{HostWeights, QuotaHost};
 use crate::limit::UsageLimit;
 use crate::report::{HostId, QuotaReport, TenantKey};
-use crate::tenant::{FleetView, TenantState};
+use crate::tenant::{FleetView, TenantState, UsageCounters};
 use crocusyard_base::prelude::*;
 use crocusyard_base::random::seeded_rng;
 use rand::Rng;
@@ -82,6 +82,9 @@
     config: QuotaConfig,
     hosts: HostWeights,
     tenants: HashMap<TenantKey, TenantState>,
+    /// Counters of tenants that have no limit any more. Other hosts may have skipped the versions
+    /// without it, and ignore counters that fall.
+    retired: HashMap<TenantKey, UsageCounters>,
     rng: SeededRng,
     /// Interval between reports of this host.
     interval: ClockTime,
@@ -97,6 +100,7 @@
             config,
             hosts: HostWeights::new(config.host, now),
             tenants: HashMap::new(),
+            retired: HashMap::new(),
             rng: seeded_rng(config.seed),
             interval: MIN_INTERVAL,
             reported_at: None,
@@ -128,14 +132,17 @@
         let view = self.view(now);
         let mut old = std::mem::take(&mut self.tenants);
         for (key, limit) in limits {
-            let mut state = old
-                .remove(&key)
-                .unwrap_or_else(|| TenantState::new(limit, view));
+            let mut state = old.remove(&key).unwrap_or_else(|| {
+                let counters = self.retired.remove(&key).unwrap_or_default();
+                TenantState::new(limit, counters, view)
+            });
             if state.limit != limit {
                 state.set_limit(limit, view);
             }
             self.tenants.insert(key, state);
         }
+        let retired = old.iter().map(|(key, state)| (*key, state.counters));
+        self.retired.extend(retired);
     }
 
     fn view(&mut self, now: ClockTime) -> FleetView {
--- a/crates/quota/src/tenant.rs
+++ b/crates/quota/src/tenant.rs
@@ -132,11 +132,23 @@
     }
 }
 
+/// Usage of a tenant at this host since the start of its process; the counters never fall.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct UsageCounters {
+    pub(crate) charged: u64,
+    pub(crate) refunded: u64,
+}
+
+impl UsageCounters {
+    fn net(self) -> f64 {
+        self.charged as f64 - self.refunded as f64
+    }
+}
+
 /// Last report about the tenant by this host.
 #[derive(Clone, Copy, Debug, Default)]
 struct OwnReport {
-    charged: u64,
-    refunded: u64,
+    counters: UsageCounters,
     rate: f64,
     demand: f64,
     at: ClockTime,
@@ -171,8 +183,7 @@
     asked_since: ClockTime,
     /// Since when most other hosts have been heard.
     whole_since: ClockTime,
-    pub(crate) charged: u64,
-    pub(crate) refunded: u64,
+    pub(crate) counters: UsageCounters,
     reported: OwnReport,
     /// Whether the last report had new usage and is to be repeated, as messages may get lost.
     repeat_due: bool,
@@ -200,7 +211,8 @@
 }
 
 impl TenantState {
-    pub(crate) fn new(limit: UsageLimit, view: FleetView) -> Self {
+    /// Creates the state of a tenant that gets a limit; `counters` are those of an earlier limit.
+    pub(crate) fn new(limit: UsageLimit, counters: UsageCounters, view: FleetView) -> Self {
         Self {
             limit,
             level: limit.burst * START_LEVEL,
@@ -216,9 +228,11 @@
             asked_at: view.now,
             asked_since: view.now,
             whole_since: view.now,
-            charged: 0,
-            refunded: 0,
-            reported: OwnReport::default(),
+            counters,
+            reported: OwnReport {
+                counters,
+                ..OwnReport::default()
+            },
             repeat_due: false,
             demand: UsageRate::default(),
             used: UsageRate::default(),
@@ -382,7 +396,7 @@
             return Err(wait_time(missing, credit.rate));
         }
         self.debit(amount, now);
-        self.charged += cost;
+        self.counters.charged += cost;
         self.used.add(amount, RATE_TIME_S, now);
         Ok(())
     }
@@ -403,22 +417,20 @@
 
     /// Returns the usage beyond what the other hosts expect.
     fn unexpected(&self, view: FleetView) -> f64 {
-        let net = self.charged as f64 - self.refunded as f64;
-        let reported = self.reported.charged as f64 - self.reported.refunded as f64;
         let age = view.now.since(self.reported.at);
         let expected = if age < view.entry_lifetime() {
             self.reported.rate * seconds(age)
         } else {
             0.0
         };
-        net - reported - expected
+        self.counters.net() - self.reported.counters.net() - expected
     }
 
     /// Returns usage of a call that did not run.
     pub(crate) fn refund(&mut self, cost: u64, view: FleetView) {
         let amount = cost as f64;
         let capacity = self.capacity(view.hosts);
-        self.refunded += cost;
+        self.counters.refunded += cost;
         self.debit(-amount, view.now);
         self.credit = (self.credit + amount).min(capacity);
         self.free_used = (self.free_used - amount).max(0.0);
@@ -528,8 +540,7 @@
             0.0
         };
         let expires = age >= view.entry_lifetime().scale(0.8) && self.reported.rate > 0.0;
-        let has_changed =
-            self.charged != self.reported.charged || self.refunded != self.reported.refunded;
+        let has_changed = self.counters != self.reported.counters;
         // Many hosts that each admit a first call at the same time are not expected by any.
         let is_expected = self.reported.rate * RATE_TIME_S >= self.call_cost;
         let allowance = if is_expected {
@@ -558,19 +569,18 @@
         };
         // Callers that have moved to another host use nothing here any more.
         let rate = rate.min(demand);
-        let recent = self.charged - self.reported.charged;
+        let recent = self.counters.charged - self.reported.counters.charged;
         self.repeat_due = recent > 0;
         self.reported = OwnReport {
-            charged: self.charged,
-            refunded: self.refunded,
+            counters: self.counters,
             rate: rate.floor(),
             demand,
             at: now,
         };
         UsageEntry {
             tenant,
-            charged: self.charged,
-            refunded: self.refunded,
+            charged: self.counters.charged,
+            refunded: self.counters.refunded,
             recent: u32::try_from(recent).unwrap_or(u32::MAX),
             rate: rate as u32,
             demand: demand as u32,
@@ -588,7 +598,8 @@
         let peers: u64 = peers
             .map(|peer| peer.charged.saturating_sub(peer.refunded))
             .sum();
-        self.charged.saturating_sub(self.refunded) + peers
+        let own = self.counters;
+        own.charged.saturating_sub(own.refunded) + peers
     }
 
     /// Returns the age of the oldest figure of another host that is in use.
--- a/crates/serving/src/event.rs
+++ b/crates/serving/src/event.rs
@@ -169,6 +169,8 @@
     Expired,
     /// The host is stopping.
     Stopping,
+    /// The host has just started and does not know yet among which hosts limits are divided.
+    HostsUnknown,
     /// The tenant has used up its limit; answered as 429.
     OverLimit,
     /// The key is no longer in the configuration in force; answered as 401.
--- a/crates/serving/src/limits.rs
+++ b/crates/serving/src/limits.rs
@@ -9,12 +9,21 @@
 
 /// Retry delay sent to callers while this host does not know the other hosts, which it learns from
 /// the store or from their heartbeats.
-const STARTING_RETRY_DELAY: ClockTime = ClockTime::from_ms(500);
+pub(crate) const STARTING_RETRY_DELAY: ClockTime = ClockTime::from_ms(500);
 
 /// Time for which the share of a host stays reserved after its row was removed without its leaving.
 /// The rows of hosts that are cut off are removed after 30 s, while callers may still reach them.
 const RESERVED_TIME: ClockTime = ClockTime::from_secs(600);
 
+/// Why a call is not charged and must not run.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) enum ChargeRefusal {
+    /// The tenant is over its limit.
+    OverLimit(QuotaRefusal),
+    /// This host does not know yet among which hosts the limit is divided.
+    HostsUnknown,
+}
+
 /// Share that is kept for a host.
 #[derive(Clone, Copy, Debug)]
 struct ReservedShare {
@@ -144,23 +153,22 @@
         self.keys.get(&tenant.name).copied()
     }
 
-    /// Charges a call to its tenant; returns whether it was charged, or its refusal if it is over
-    /// the limit. Calls without a tenant or a limit are not charged.
-    pub(crate) fn charge(&mut self, call: &CallInfo, now: ClockTime) -> Result<bool, QuotaRefusal> {
+    /// Charges a call to its tenant; returns whether it was charged, or why it must not run. Calls without a tenant or a limit are not charged.
+    pub(crate) fn charge(
+        &mut self,
+        call: &CallInfo,
+        now: ClockTime,
+    ) -> Result<bool, ChargeRefusal> {
         let Some(key) = self.key_of(call) else {
             return Ok(false);
         };
         if self.hosts.is_empty() {
             // Alone, this host would admit the whole limit.
-            return Err(QuotaRefusal {
-                retry_after: STARTING_RETRY_DELAY,
-                credit: 0.0,
-                oldest_figure: ClockTime::ZERO,
-            });
+            return Err(ChargeRefusal::HostsUnknown);
         }
         match self.quota.charge(key, call.cost, now) {
             QuotaDecision::Admit => Ok(true),
-            QuotaDecision::Refuse(refusal) => Err(refusal),
+            QuotaDecision::Refuse(refusal) => Err(ChargeRefusal::OverLimit(refusal)),
         }
     }
 
--- a/crates/serving/src/state.rs
+++ b/crates/serving/src/state.rs
@@ -15,7 +15,7 @@
 use crate::engine_rank::{engine_rank, AttemptStart};
 use crate::event::{AttemptPlan, RefusalReason, RequestRefusal, ServingEffect, ServingEvent};
 use crate::hosts::{report_lifetime, HostShare};
-use crate::limits::TenantLimits;
+use crate::limits::{ChargeRefusal, TenantLimits, STARTING_RETRY_DELAY};
 use crate::retries::{RetryBudget, RetryLimits};
 use crate::rules::RuleSet;
 use crate::served_ratio::ServedRatios;
@@ -442,12 +442,7 @@
         let charged = match self.limits.charge(&call, now) {
             Ok(charged) => charged,
             Err(refusal) => {
-                out.push(ServingEffect::Refuse(RequestRefusal {
-                    key,
-                    reason: RefusalReason::OverLimit,
-                    retry_after: refusal.retry_after,
-                    quota: Some(refusal),
-                }));
+                out.push(ServingEffect::Refuse(limit_refusal(key, refusal)));
                 return;
             }
         };
@@ -923,6 +918,24 @@
     }
 }
 
+/// Refusal of a call that was not charged.
+fn limit_refusal(key: RequestKey, refusal: ChargeRefusal) -> RequestRefusal {
+    match refusal {
+        ChargeRefusal::OverLimit(refusal) => RequestRefusal {
+            key,
+            reason: RefusalReason::OverLimit,
+            retry_after: refusal.retry_after,
+            quota: Some(refusal),
+        },
+        ChargeRefusal::HostsUnknown => RequestRefusal {
+            key,
+            reason: RefusalReason::HostsUnknown,
+            retry_after: STARTING_RETRY_DELAY,
+            quota: None,
+        },
+    }
+}
+
 /// Effect that asks the lease holder for a copy that a call needs.
 fn copy_request(call: &CallInfo, need: &CallNeed) -> ServingEffect {
     ServingEffect::RequestCopy {
--- a/crates/serving/tests/tenant_limits.rs
+++ b/crates/serving/tests/tenant_limits.rs
@@ -130,3 +130,17 @@
         host.state.reduce(ServingEvent::CallerLeft { key }, FULL_AT);
     }
 }
+
+/// Guards against callers that are told that their tenant is over its limit by a host that does not
+/// know the other hosts.
+#[test]
+fn host_that_knows_no_others_says_so() {
+    let (mut host, tenant) = limited_host(vec![record("t1", "a", &[("m", &[])])]);
+    let mut fresh = TestHost::new(&["m"], vec![record("t1", "a", &[("m", &[])])]);
+    let rules = host.state.rules().expect("rules").clone();
+    fresh.state.reduce(ServingEvent::Rules(rules), ms(0));
+    let refusals = refusals(&arrive(&mut fresh, 1, &tenant, ms(100)));
+    assert_eq!(refusals[0].reason, RefusalReason::HostsUnknown);
+    assert!(refusals[0].retry_after > ClockTime::ZERO);
+    assert!(sent_to(&arrive(&mut host, 2, &tenant, FULL_AT)).len() == 1);
+}
