--- a/crates/serving/tests/common/mod.rs
+++ b/crates/serving/tests/common/mod.rs
@@ -106,6 +106,18 @@
         .collect()
 }
 
+/// Report of an engine in its first incarnation.
+pub fn engine_report(accepted_orders: u64, models: &[(&str, &[&str])], busy: bool) -> EngineReport {
+    EngineReport {
+        incarnation: Some(1),
+        holdings: TargetHoldings {
+            accepted_orders,
+            models: held(models),
+        },
+        busy,
+    }
+}
+
 pub fn record(name: &str, domain: &str, models: &[(&str, &[&str])]) -> TargetRecord {
     TargetRecord {
         name: TargetName::new(name),
--- a/crates/serving/tests/orders.rs
+++ b/crates/serving/tests/orders.rs
@@ -11,17 +11,6 @@
     TargetName::new("t1")
 }
 
-fn report(accepted_orders: u64, models: &[(&str, &[&str])], busy: bool) -> EngineReport {
-    EngineReport {
-        incarnation: Some(1),
-        holdings: TargetHoldings {
-            accepted_orders,
-            models: held(models),
-        },
-        busy,
-    }
-}
-
 /// A tracker with one engine that has accepted 4 orders and holds `models`.
 fn tracker(models: &[(&str, &[&str])]) -> OrderTracker {
     let mut orders = OrderTracker::default();
@@ -31,7 +20,7 @@
         "an engine without a known report accepts orders"
     );
     assert_eq!(orders.reports_due(ms(0)), [t1()]);
-    orders.receive_report(&t1(), &report(4, models, false), ms(0));
+    orders.receive_report(&t1(), &engine_report(4, models, false), ms(0));
     orders
 }
 
@@ -75,8 +64,11 @@
     let unload = OrderAction::UnloadModel(model("m"));
     orders.begin(&service(), &t1(), &unload, ms(0));
     orders.receive_answer(&t1(), &unload, OrderAnswer::Accepted, ms(0), ms(5));
-    let reported =
-        orders.receive_report(&t1(), &report(5, &[("m", &[]), ("n", &[])], true), ms(10));
+    let reported = orders.receive_report(
+        &t1(),
+        &engine_report(5, &[("m", &[]), ("n", &[])], true),
+        ms(10),
+    );
     let models = reported.expect("the report is not outdated").models;
     assert!(
         !models.contains_key(&model("m")),
@@ -94,7 +86,7 @@
     orders.begin(&service(), &t1(), &load, ms(0));
     orders.receive_answer(&t1(), &load, OrderAnswer::Accepted, ms(0), ms(5));
     assert!(orders
-        .receive_report(&t1(), &report(4, &[("m", &[])], false), ms(20))
+        .receive_report(&t1(), &engine_report(4, &[("m", &[])], false), ms(20))
         .is_none());
     let held = &orders
         .holdings(&t1())
@@ -111,7 +103,7 @@
     let names: Vec<TargetName> = (0..60).map(|n| TargetName::new(&format!("t{n}"))).collect();
     orders.sync_engines(&names.iter().map(|name| (name.clone(), 1)).collect());
     for name in &names {
-        orders.receive_report(name, &report(0, &[], false), ms(0));
+        orders.receive_report(name, &engine_report(0, &[], false), ms(0));
     }
     let mut begun = Vec::new();
     for step in 0..200 {
--- a/crates/serving/tests/work_placement.rs
+++ b/crates/serving/tests/work_placement.rs
@@ -331,17 +331,6 @@
     orders
 }
 
-fn engine_report(accepted_orders: u64, models: &[(&str, &[&str])], busy: bool) -> EngineReport {
-    EngineReport {
-        incarnation: Some(1),
-        holdings: TargetHoldings {
-            accepted_orders,
-            models: held(models),
-        },
-        busy,
-    }
-}
-
 /// Guards against loads from the memory or disk of engines that use up the limit of the weight
 /// store, and against a load from the store that is not counted because the engine once listed the
 /// weights as its own.
