--- a/review/standin-2/case_adapters.rs
+++ b/review/standin-2/case_adapters.rs
@@ -37,12 +37,30 @@
         is_dark: false,
     };
     let store = Store::start(&standin_ip());
-    let route = Route { prefix: "/chat/", kind: "streaming", timeout_ms: 12_000, target_ms: 300, attempts: 1 };
+    let route = Route {
+        prefix: "/chat/",
+        kind: "streaming",
+        timeout_ms: 12_000,
+        target_ms: 300,
+        attempts: 1,
+    };
     store.put("op", "config", &configuration(7, &[route], &service));
     // The models were placed at startup, as far as there is room.
-    let held: Held = models.iter().map(|model| ((*model).to_owned(), Default::default())).collect();
+    let held: Held = models
+        .iter()
+        .map(|model| ((*model).to_owned(), Default::default()))
+        .collect();
     let servers: Vec<Server> = (0..2)
-        .map(|number| Server::start(number, &standin_ip(), &service, held.clone(), &store, record))
+        .map(|number| {
+            Server::start(
+                number,
+                &standin_ip(),
+                &service,
+                held.clone(),
+                &store,
+                record,
+            )
+        })
         .collect();
     let hosts = start_hosts(3, store.address, &setup.folder);
     if !hosts.iter().all(|host| host.wait_ready(record)) {
@@ -53,12 +71,21 @@
     for number in 0..6 {
         let hosts = fronts(&hosts);
         let model = models[number % 3].to_owned();
-        threads.push(clients.repeat(hosts, "base", Duration::from_millis(100), move |_| ask(model.clone())));
+        threads.push(
+            clients.repeat(hosts, "base", Duration::from_millis(100), move |_| {
+                ask(model.clone())
+            }),
+        );
     }
     // Usual demand: two adapters for each server.
     for number in 1..=4 {
         let model = format!("m1/a{number}");
-        threads.push(clients.repeat(fronts(&hosts), "usual", Duration::from_millis(100), move |_| ask(model.clone())));
+        threads.push(clients.repeat(
+            fronts(&hosts),
+            "usual",
+            Duration::from_millis(100),
+            move |_| ask(model.clone()),
+        ));
     }
     sleep_ms(10_000);
     let burst = Clients::new(record);
@@ -66,7 +93,12 @@
         record.add("rare adapters are asked for at once");
         for number in 5..=10 {
             let model = format!("m1/a{number}");
-            threads.push(burst.repeat(fronts(&hosts), "rare", Duration::from_millis(100), move |_| ask(model.clone())));
+            threads.push(burst.repeat(
+                fronts(&hosts),
+                "rare",
+                Duration::from_millis(100),
+                move |_| ask(model.clone()),
+            ));
         }
     }
     sleep_ms(3_000);
@@ -80,13 +112,24 @@
     let excess = record.matching(" LIMIT ");
     let cut = record.matching(", cut after ").len();
     let lost: usize = record.matching(" crashes with ").iter().map(|_| 1).sum();
-    let complete = record.matching("answer usual-").iter().filter(|line| line.ends_with(" 200")).count();
+    let complete = record
+        .matching("answer usual-")
+        .iter()
+        .filter(|line| line.ends_with(" 200"))
+        .count();
     if complete == 0 {
         return Verdict::NotRun("no request for an adapter was answered".to_owned());
     }
-    record.say(&format!("orders beyond what the server holds: {}; server crashes: {lost}; streams cut: {cut}", excess.len()));
+    record.say(&format!(
+        "orders beyond what the server holds: {}; server crashes: {lost}; streams cut: {cut}",
+        excess.len()
+    ));
     for line in excess.iter().take(5) {
         record.say(&format!("  {line}"));
     }
-    if excess.is_empty() { Verdict::Held } else { Verdict::Broken }
+    if excess.is_empty() {
+        Verdict::Held
+    } else {
+        Verdict::Broken
+    }
 }
--- a/review/standin-2/case_budget.rs
+++ b/review/standin-2/case_budget.rs
@@ -30,7 +30,13 @@
         is_dark: false,
     };
     let store = Store::start(&standin_ip());
-    let route = Route { prefix: "/stock/", kind: "idempotent", timeout_ms: 800, target_ms: 100, attempts: 3 };
+    let route = Route {
+        prefix: "/stock/",
+        kind: "idempotent",
+        timeout_ms: 800,
+        target_ms: 100,
+        attempts: 3,
+    };
     store.put("op", "config", &configuration(7, &[route], &service));
     let servers: Vec<Server> = (0..3)
         .map(|number| Server::start(number, &standin_ip(), &service, Held::new(), &store, record))
@@ -44,12 +50,17 @@
     for number in 0..40 {
         let host = hosts[number % 3].front;
         sleep_ms(10);
-        threads.push(clients.repeat(vec![host], "stock", Duration::from_millis(400), move |round| Ask {
-            method: "GET",
-            path: format!("/stock/{number}-{round}"),
-            deadline_ms: 1_500,
-            ..Ask::default()
-        }));
+        threads.push(clients.repeat(
+            vec![host],
+            "stock",
+            Duration::from_millis(400),
+            move |round| Ask {
+                method: "GET",
+                path: format!("/stock/{number}-{round}"),
+                deadline_ms: 1_500,
+                ..Ask::default()
+            },
+        ));
     }
     sleep_ms(11_000);
     record.add("the servers fail a part of their requests from here on");
@@ -88,7 +99,10 @@
         }
     }
     let count = |times: &[u64], from: i64, to: i64| {
-        times.iter().filter(|at| (from..to).contains(&(**at as i64))).count() as f64
+        times
+            .iter()
+            .filter(|at| (from..to).contains(&(**at as i64)))
+            .count() as f64
     };
     let end = record.now() as i64;
     let window = WINDOW_MS as i64;
@@ -97,11 +111,16 @@
     while from + window <= end + window / 2 {
         let more = count(&repeated, from, from + window);
         let starts = [from, from - window, from - window / 2];
-        let requests = starts.map(|from| count(&sent, from, from + window)).into_iter().fold(0.0, f64::max);
+        let requests = starts
+            .map(|from| count(&sent, from, from + window))
+            .into_iter()
+            .fold(0.0, f64::max);
         let limit = RATIO * requests + SLACK;
         if more - limit > worst {
             worst = more - limit;
-            worst_text = format!("from {from} ms: {more} repeated arrivals, {requests} requests, limit {limit}");
+            worst_text = format!(
+                "from {from} ms: {more} repeated arrivals, {requests} requests, limit {limit}"
+            );
         }
         from += 100;
     }
@@ -109,5 +128,9 @@
         return Verdict::NotRun("no request arrived".to_owned());
     }
     record.say(&format!("worst window {worst_text}"));
-    if worst > 0.0 { Verdict::Broken } else { Verdict::Held }
+    if worst > 0.0 {
+        Verdict::Broken
+    } else {
+        Verdict::Held
+    }
 }
--- a/review/standin-2/case_crashing.rs
+++ b/review/standin-2/case_crashing.rs
@@ -53,11 +53,25 @@
 }
 
 pub fn run_restarts(setup: &Setup) -> Verdict {
-    run(setup, if setup.trouble { Trouble::Restarts } else { Trouble::None })
+    run(
+        setup,
+        if setup.trouble {
+            Trouble::Restarts
+        } else {
+            Trouble::None
+        },
+    )
 }
 
 pub fn run_dark(setup: &Setup) -> Verdict {
-    run(setup, if setup.trouble { Trouble::Dark } else { Trouble::None })
+    run(
+        setup,
+        if setup.trouble {
+            Trouble::Dark
+        } else {
+            Trouble::None
+        },
+    )
 }
 
 fn run(setup: &Setup, trouble: Trouble) -> Verdict {
@@ -74,7 +88,13 @@
         is_dark: trouble == Trouble::Dark,
     };
     let store = Store::start(&standin_ip());
-    let route = Route { prefix: "/order/", kind: "non_idempotent", timeout_ms: 800, target_ms: 100, attempts: 1 };
+    let route = Route {
+        prefix: "/order/",
+        kind: "non_idempotent",
+        timeout_ms: 800,
+        target_ms: 100,
+        attempts: 1,
+    };
     store.put("op", "config", &configuration(7, &[route], &service));
     let servers: Vec<Server> = (0..4)
         .map(|number| Server::start(number, &standin_ip(), &service, Held::new(), &store, record))
@@ -88,9 +108,11 @@
     for number in 0..9 {
         sleep_ms(30);
         let hosts = fronts(&hosts);
-        threads.push(clients.repeat(hosts, "order", Duration::from_millis(300), move |round| {
-            ask(format!("order {number}-{round}"))
-        }));
+        threads.push(
+            clients.repeat(hosts, "order", Duration::from_millis(300), move |round| {
+                ask(format!("order {number}-{round}"))
+            }),
+        );
     }
     sleep_ms(4_000);
     let first = hosts[0].front;
@@ -121,7 +143,11 @@
     drop(servers);
     let crashes: Vec<u64> = record.times(" crashes with ");
     let runs = record.matching(" crashing: runs");
-    let complete = record.matching("answer order-").iter().filter(|line| line.ends_with(" 200")).count();
+    let complete = record
+        .matching("answer order-")
+        .iter()
+        .filter(|line| line.ends_with(" 200"))
+        .count();
     if complete == 0 || crashes.is_empty() {
         return Verdict::NotRun("no request ran".to_owned());
     }
@@ -136,5 +162,9 @@
         "the request crashed {} servers; retries that reached servers later than {STABLE_MS} ms after the third crash: {late} (3 are allowed)",
         crashes.len()
     ));
-    if late > 3 { Verdict::Broken } else { Verdict::Held }
+    if late > 3 {
+        Verdict::Broken
+    } else {
+        Verdict::Held
+    }
 }
--- a/review/standin-2/case_drain.rs
+++ b/review/standin-2/case_drain.rs
@@ -24,11 +24,28 @@
         is_dark: false,
     };
     let store = Store::start(&standin_ip());
-    let route = Route { prefix: "/chat/", kind: "streaming", timeout_ms: 12_000, target_ms: 300, attempts: 1 };
+    let route = Route {
+        prefix: "/chat/",
+        kind: "streaming",
+        timeout_ms: 12_000,
+        target_ms: 300,
+        attempts: 1,
+    };
     store.put("op", "config", &configuration(7, &[route], &service));
-    let held: Held = [("m1".to_owned(), Default::default())].into_iter().collect();
+    let held: Held = [("m1".to_owned(), Default::default())]
+        .into_iter()
+        .collect();
     let servers: Vec<Server> = (0..3)
-        .map(|number| Server::start(number, &standin_ip(), &service, held.clone(), &store, record))
+        .map(|number| {
+            Server::start(
+                number,
+                &standin_ip(),
+                &service,
+                held.clone(),
+                &store,
+                record,
+            )
+        })
         .collect();
     let hosts = start_hosts(3, store.address, &setup.folder);
     if !hosts.iter().all(|host| host.wait_ready(record)) {
@@ -39,14 +56,18 @@
     for number in 0..12 {
         let hosts = fronts(&hosts);
         sleep_ms(20);
-        threads.push(clients.repeat(hosts, "chat", Duration::from_millis(100), move |round| Ask {
-            method: "POST",
-            path: "/chat/1".to_owned(),
-            model: "m1".to_owned(),
-            prompt: format!("5c1e07a2:300,{number:x}{round:04x}:243"),
-            body: format!("question {number}-{round}"),
-            deadline_ms: 12_000,
-        }));
+        threads.push(
+            clients.repeat(hosts, "chat", Duration::from_millis(100), move |round| {
+                Ask {
+                    method: "POST",
+                    path: "/chat/1".to_owned(),
+                    model: "m1".to_owned(),
+                    prompt: format!("5c1e07a2:300,{number:x}{round:04x}:243"),
+                    body: format!("question {number}-{round}"),
+                    deadline_ms: 12_000,
+                }
+            }),
+        );
     }
     sleep_ms(4_000);
     let leaving = &servers[0];
@@ -59,7 +80,9 @@
              \"state\":\"ready\",\"models\":[{{\"name\":\"m1\",\"version\":1,\"adapters\":[]}}],\"born\":{born},\"seq_no\":900000}}"
         );
         let version = store.put("servers", &id, &text);
-        record.add(&format!("another writer: store row servers/{id} version {version}: {text}"));
+        record.add(&format!(
+            "another writer: store row servers/{id} version {version}: {text}"
+        ));
     }
     sleep_ms(4_000);
     leaving.drain();
@@ -73,7 +96,10 @@
     }
     let id = leaving.id();
     let late = record.times(&format!(" at {id}: runs"));
-    let late: Vec<u64> = late.into_iter().filter(|at| *at > acknowledged + DRAIN_MS).collect();
+    let late: Vec<u64> = late
+        .into_iter()
+        .filter(|at| *at > acknowledged + DRAIN_MS)
+        .collect();
     let before = record.matching(&format!(" at {id}: runs")).len() - late.len();
     if before == 0 {
         return Verdict::NotRun("the server got no request before".to_owned());
@@ -84,5 +110,9 @@
         "requests that reached the server later than {DRAIN_MS} ms after its report: {}, the last after {last} ms; streams cut when it left: {cut}",
         late.len()
     ));
-    if late.is_empty() { Verdict::Held } else { Verdict::Broken }
+    if late.is_empty() {
+        Verdict::Held
+    } else {
+        Verdict::Broken
+    }
 }
--- a/review/standin-2/hosts.rs
+++ b/review/standin-2/hosts.rs
@@ -51,7 +51,12 @@
 /// Returns an address of the loopback network that only this run uses.
 fn own_ip(number: usize) -> String {
     let process = std::process::id();
-    format!("127.{}.{}.{}", 1 + process % 200, 1 + process / 200 % 200, number)
+    format!(
+        "127.{}.{}.{}",
+        1 + process % 200,
+        1 + process / 200 % 200,
+        number
+    )
 }
 
 /// Returns the address of a stand-in.
@@ -69,7 +74,10 @@
 /// Returns the command of the entry role in the deploy file.
 fn deploy_command() -> Vec<String> {
     let text = std::fs::read_to_string("deploy/system.toml").expect("the deploy file");
-    let line = text.lines().find(|line| line.starts_with("run = ")).expect("a command");
+    let line = text
+        .lines()
+        .find(|line| line.starts_with("run = "))
+        .expect("a command");
     let command = line.trim_start_matches("run = ").trim_matches('"');
     command.split(' ').map(str::to_owned).collect()
 }
@@ -91,10 +99,18 @@
             break first;
         }
     };
-    let ports = Ports { front, ready, directory, control, first };
+    let ports = Ports {
+        front,
+        ready,
+        directory,
+        control,
+        first,
+    };
     let seeds: Vec<String> = ips.iter().map(|ip| format!("{ip}:{control}")).collect();
     let hosts = ips.iter().enumerate();
-    hosts.map(|(number, ip)| start_host(number, ip, ports, &seeds, store, folder)).collect()
+    hosts
+        .map(|(number, ip)| start_host(number, ip, ports, &seeds, store, folder))
+        .collect()
 }
 
 fn start_host(
@@ -107,7 +123,13 @@
 ) -> Host {
     let name = format!("edge-zone-{number}-1");
     let settings = folder.join(format!("{name}.conf"));
-    let Ports { front, ready, directory, control, first } = ports;
+    let Ports {
+        front,
+        ready,
+        directory,
+        control,
+        first,
+    } = ports;
     let last = first + 15;
     let seeds = seeds.join(",");
     let text = format!(
@@ -151,7 +173,11 @@
 impl Host {
     /// Starts a process of the host.
     pub fn start(&mut self) {
-        let log = File::options().create(true).append(true).open(&self.log).expect("a log");
+        let log = File::options()
+            .create(true)
+            .append(true)
+            .open(&self.log)
+            .expect("a log");
         let errors = log.try_clone().expect("a log");
         let child = Command::new(&self.command[0])
             .args(&self.command[1..])
@@ -220,7 +246,10 @@
 }
 
 fn forget(process: u32) {
-    RUNNING.lock().expect("the processes").retain(|known| *known != process);
+    RUNNING
+        .lock()
+        .expect("the processes")
+        .retain(|known| *known != process);
 }
 
 impl Drop for Host {
--- a/review/standin-2/http.rs
+++ b/review/standin-2/http.rs
@@ -30,7 +30,10 @@
     pub fn query(&self, name: &str) -> Option<String> {
         let (_, query) = self.target.split_once('?')?;
         let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-        pairs.into_iter().find(|(known, _)| *known == name).map(|(_, value)| unescape(value))
+        pairs
+            .into_iter()
+            .find(|(known, _)| *known == name)
+            .map(|(_, value)| unescape(value))
     }
 }
 
@@ -38,8 +41,13 @@
     let bytes = text.as_bytes();
     let (mut out, mut at) = (Vec::new(), 0);
     while at < bytes.len() {
-        let code = bytes.get(at + 1..at + 3).and_then(|digits| std::str::from_utf8(digits).ok());
-        match (bytes[at], code.and_then(|digits| u8::from_str_radix(digits, 16).ok())) {
+        let code = bytes
+            .get(at + 1..at + 3)
+            .and_then(|digits| std::str::from_utf8(digits).ok());
+        match (
+            bytes[at],
+            code.and_then(|digits| u8::from_str_radix(digits, 16).ok()),
+        ) {
             (b'%', Some(byte)) => {
                 out.push(byte);
                 at += 3;
@@ -58,7 +66,10 @@
     if reader.read_until(b'\n', &mut line)? == 0 {
         return Ok(None);
     }
-    while line.last().is_some_and(|byte| matches!(byte, b'\n' | b'\r')) {
+    while line
+        .last()
+        .is_some_and(|byte| matches!(byte, b'\n' | b'\r'))
+    {
         line.pop();
     }
     Ok(Some(String::from_utf8_lossy(&line).into_owned()))
@@ -76,7 +87,9 @@
             return Ok(headers);
         }
         if let Some((name, value)) = line.split_once(':') {
-            headers.0.push((name.trim().to_ascii_lowercase(), value.trim().to_owned()));
+            headers
+                .0
+                .push((name.trim().to_ascii_lowercase(), value.trim().to_owned()));
         }
     }
 }
@@ -108,11 +121,18 @@
     let mut body = Vec::new();
     if headers.get("transfer-encoding").is_some() {
         read_chunks(reader, |chunk| body.extend_from_slice(chunk))?;
-    } else if let Some(length) = headers.get("content-length").and_then(|text| text.parse().ok()) {
+    } else if let Some(length) = headers
+        .get("content-length")
+        .and_then(|text| text.parse().ok())
+    {
         body = vec![0; length];
         reader.read_exact(&mut body)?;
     }
-    Ok(Some(Request { target, headers, body }))
+    Ok(Some(Request {
+        target,
+        headers,
+        body,
+    }))
 }
 
 pub fn reason(status: u16) -> &'static str {
@@ -136,7 +156,11 @@
     headers: &[(&str, &str)],
     body: &[u8],
 ) -> io::Result<()> {
-    let mut head = format!("HTTP/1.1 {status} {}\r\nContent-Length: {}\r\n", reason(status), body.len());
+    let mut head = format!(
+        "HTTP/1.1 {status} {}\r\nContent-Length: {}\r\n",
+        reason(status),
+        body.len()
+    );
     for (name, value) in headers {
         head.push_str(&format!("{name}: {value}\r\n"));
     }
@@ -195,17 +219,30 @@
     bytes.extend_from_slice(body);
     stream.write_all(&bytes).map_err(text)?;
     let mut reader = BufReader::new(stream);
-    let line = read_line(&mut reader).map_err(text)?.ok_or("closed without an answer")?;
-    let status = line.split(' ').nth(1).and_then(|word| word.parse().ok()).ok_or("no status")?;
+    let line = read_line(&mut reader)
+        .map_err(text)?
+        .ok_or("closed without an answer")?;
+    let status = line
+        .split(' ')
+        .nth(1)
+        .and_then(|word| word.parse().ok())
+        .ok_or("no status")?;
     let headers = read_headers(&mut reader).map_err(text)?;
-    let mut answer = Answer { status, headers, ..Answer::default() };
+    let mut answer = Answer {
+        status,
+        headers,
+        ..Answer::default()
+    };
     if answer.headers.get("transfer-encoding").is_some() {
         let mut got = Vec::new();
         let read = read_chunks(&mut reader, |chunk| got.extend_from_slice(chunk));
         answer.complete = read.is_ok() && Instant::now() < end;
         answer.body = got;
     } else {
-        let length = answer.headers.get("content-length").and_then(|text| text.parse().ok());
+        let length = answer
+            .headers
+            .get("content-length")
+            .and_then(|text| text.parse().ok());
         answer.body = vec![0; length.unwrap_or(0)];
         answer.complete = reader.read_exact(&mut answer.body).is_ok();
     }
--- a/review/standin-2/json.rs
+++ b/review/standin-2/json.rs
@@ -42,7 +42,10 @@
 
 /// Parses a text; `None` if it is not JSON.
 pub fn parse(text: &str) -> Option<Json> {
-    let mut reader = Reader { bytes: text.as_bytes(), at: 0 };
+    let mut reader = Reader {
+        bytes: text.as_bytes(),
+        at: 0,
+    };
     let value = reader.value()?;
     reader.space();
     (reader.at == reader.bytes.len()).then_some(value)
@@ -55,7 +58,11 @@
 
 impl Reader<'_> {
     fn space(&mut self) {
-        while self.bytes.get(self.at).is_some_and(|byte| byte.is_ascii_whitespace()) {
+        while self
+            .bytes
+            .get(self.at)
+            .is_some_and(|byte| byte.is_ascii_whitespace())
+        {
             self.at += 1;
         }
     }
@@ -120,7 +127,11 @@
             b'n' => self.word("null", Json::Null),
             _ => {
                 let start = self.at;
-                while self.bytes.get(self.at).is_some_and(|byte| b"+-.eE0123456789".contains(byte)) {
+                while self
+                    .bytes
+                    .get(self.at)
+                    .is_some_and(|byte| b"+-.eE0123456789".contains(byte))
+                {
                     self.at += 1;
                 }
                 let text = std::str::from_utf8(&self.bytes[start..self.at]).ok()?;
@@ -148,7 +159,8 @@
                         b'r' => out.push(b'\r'),
                         b'u' => {
                             let digits = self.bytes.get(self.at..self.at + 4)?;
-                            let code = u32::from_str_radix(std::str::from_utf8(digits).ok()?, 16).ok()?;
+                            let code =
+                                u32::from_str_radix(std::str::from_utf8(digits).ok()?, 16).ok()?;
                             self.at += 4;
                             let mut buffer = [0; 4];
                             let letter = char::from_u32(code).unwrap_or('?');
@@ -174,7 +186,9 @@
         }
         for place in 0..4 {
             if place <= chunk.len() {
-                out.push(char::from(LETTERS[(word >> (18 - 6 * place)) as usize & 63]));
+                out.push(char::from(
+                    LETTERS[(word >> (18 - 6 * place)) as usize & 63],
+                ));
             } else {
                 out.push('=');
             }
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -2,8 +2,8 @@
 //! repository; `TROUBLE=0` leaves the disruption out. It exits with 1 if the rule was broken, 0 if it
 //! held, and 2 if the case could not run.
 
-mod http;
 mod hosts;
+mod http;
 mod json;
 mod record;
 mod server;
@@ -46,7 +46,11 @@
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let folder = std::env::temp_dir().join(format!("crocusyard-review-{}", std::process::id()));
     std::fs::create_dir_all(&folder).expect("a temporary folder");
-    let setup = Setup { record: Record::new(), trouble, folder: folder.clone() };
+    let setup = Setup {
+        record: Record::new(),
+        trouble,
+        folder: folder.clone(),
+    };
     let case: fn(&Setup) -> Verdict = match name.as_str() {
         "adapters" => case_adapters::run,
         "restarts" => case_crashing::run_restarts,
@@ -55,7 +59,9 @@
         "drain" => case_drain::run,
         _ => |_| Verdict::NotRun("no such case".to_owned()),
     };
-    setup.record.add(&format!("case {name}, disruption: {trouble}"));
+    setup
+        .record
+        .add(&format!("case {name}, disruption: {trouble}"));
     std::thread::spawn(|| {
         std::thread::sleep(LIMIT);
         hosts::end_all();
@@ -73,7 +79,9 @@
             1
         }
         Verdict::NotRun(cause) => {
-            setup.record.say(&format!("the case could not run: {cause}"));
+            setup
+                .record
+                .say(&format!("the case could not run: {cause}"));
             2
         }
     };
--- a/review/standin-2/record.rs
+++ b/review/standin-2/record.rs
@@ -12,7 +12,10 @@
 
 impl Record {
     pub fn new() -> Self {
-        Self { started: Instant::now(), lines: Arc::default() }
+        Self {
+            started: Instant::now(),
+            lines: Arc::default(),
+        }
     }
     /// Returns the ms since the start.
     pub fn now(&self) -> u64 {
--- a/review/standin-2/server.rs
+++ b/review/standin-2/server.rs
@@ -74,7 +74,9 @@
 }
 
 fn unix_ms() -> u64 {
-    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |time| time.as_millis() as u64)
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .map_or(0, |time| time.as_millis() as u64)
 }
 
 impl Server {
@@ -144,7 +146,8 @@
             state.last_record = content;
             let version = self.store.put("servers", &state.id, &text);
             let id = &state.id;
-            self.record.add(&format!("store row servers/{id} version {version}: {text}"));
+            self.record
+                .add(&format!("store row servers/{id} version {version}: {text}"));
         }
     }
 
@@ -153,10 +156,18 @@
     }
 
     fn describe(&self, state: &State) -> String {
-        let on_disk: Vec<String> = state.on_disk.iter().map(|name| format!("\"{name}\"")).collect();
+        let on_disk: Vec<String> = state
+            .on_disk
+            .iter()
+            .map(|name| format!("\"{name}\""))
+            .collect();
         let on_disk = on_disk.join(",");
         let Service { name, slots, .. } = &self.service;
-        let word = if state.is_draining { "draining" } else { "ready" };
+        let word = if state.is_draining {
+            "draining"
+        } else {
+            "ready"
+        };
         let models = held_text(&state.held);
         let (address, zone, born) = (self.address, self.number % 3, state.born);
         format!(
@@ -171,7 +182,8 @@
     pub fn drain(&self) {
         self.state.lock().expect("a server").is_draining = true;
         self.beat();
-        self.record.add(&format!("server {} is draining", self.id()));
+        self.record
+            .add(&format!("server {} is draining", self.id()));
     }
 
     /// The process of the server ends: all its connections break, and it is back after some
@@ -182,7 +194,8 @@
             return;
         }
         let (id, running) = (state.id.clone(), state.running);
-        self.record.add(&format!("server {id} crashes with {running} runs: {cause}"));
+        self.record
+            .add(&format!("server {id} crashes with {running} runs: {cause}"));
         state.is_down = true;
         if !self.service.is_dark {
             close_all(&mut state);
@@ -338,7 +351,11 @@
                 if state.held.contains_key(&model) {
                     200
                 } else {
-                    let time = if state.on_disk.contains(&model) { 1_000 } else { 5_000 };
+                    let time = if state.on_disk.contains(&model) {
+                        1_000
+                    } else {
+                        5_000
+                    };
                     state.loading = Some((model, Instant::now() + Duration::from_millis(time)));
                     202
                 }
@@ -350,16 +367,25 @@
             _ => match state.held.get_mut(&model) {
                 None => 421,
                 Some(held) => {
-                    let is_change = if is_load { held.insert(adapter) } else { held.remove(&adapter) };
+                    let is_change = if is_load {
+                        held.insert(adapter)
+                    } else {
+                        held.remove(&adapter)
+                    };
                     state.orders += u64::from(is_change && !is_load);
-                    if is_change && is_load { 202 } else { 200 }
+                    if is_change && is_load {
+                        202
+                    } else {
+                        200
+                    }
                 }
             },
         };
         state.orders += u64::from(status == 202);
         let excess = self.excess(&state);
         drop(state);
-        self.record.add(&format!("order to {id}: {text} -> {status}"));
+        self.record
+            .add(&format!("order to {id}: {text} -> {status}"));
         if let Some(excess) = excess {
             self.record.add(&format!("LIMIT {id}: {excess}"));
             self.crash("it was ordered to load more than it holds");
@@ -392,17 +418,23 @@
         let echo = ("Crocusyard-Request-Id", request_id.as_str());
         let own = ("Crocusyard-Instance-Id", id);
         let body = String::from_utf8_lossy(&request.body).into_owned();
-        let mark = if body.contains(CRASHING) { " crashing" } else { "" };
+        let mark = if body.contains(CRASHING) {
+            " crashing"
+        } else {
+            ""
+        };
         let is_full = {
             let mut state = self.state.lock().expect("a server");
             state.end_load();
             let need = get("crocusyard-model");
             let (model, adapter) = need.split_once('/').unwrap_or((need.as_str(), ""));
             let held = state.held.get(model);
-            let lacks_adapter = !adapter.is_empty() && held.is_some_and(|held| !held.contains(adapter));
+            let lacks_adapter =
+                !adapter.is_empty() && held.is_some_and(|held| !held.contains(adapter));
             if self.service.weights_mb > 0 && (held.is_none() || lacks_adapter) {
                 drop(state);
-                self.record.add(&format!("arrived {request_id} at {id}{mark}: 421"));
+                self.record
+                    .add(&format!("arrived {request_id} at {id}{mark}: 421"));
                 return write_answer(writer, 421, &[echo, own], &[]);
             }
             let is_full = state.running >= self.service.slots;
@@ -410,11 +442,13 @@
             is_full
         };
         if is_full {
-            self.record.add(&format!("arrived {request_id} at {id}{mark}: full"));
+            self.record
+                .add(&format!("arrived {request_id} at {id}{mark}: full"));
             let not_run = ("Crocusyard-Not-Executed", "1");
             return write_answer(writer, 503, &[echo, own, not_run], &[]);
         }
-        self.record.add(&format!("arrived {request_id} at {id}{mark}: runs"));
+        self.record
+            .add(&format!("arrived {request_id} at {id}{mark}: runs"));
         if !mark.is_empty() {
             self.crash("a request");
             return self.give_no_answer();
@@ -435,7 +469,12 @@
         Err(std::io::ErrorKind::ConnectionReset.into())
     }
 
-    fn make_answer(&self, request_id: &str, headers: &Headers, writer: &mut TcpStream) -> std::io::Result<()> {
+    fn make_answer(
+        &self,
+        request_id: &str,
+        headers: &Headers,
+        writer: &mut TcpStream,
+    ) -> std::io::Result<()> {
         let (running, failing) = {
             let state = self.state.lock().expect("a server");
             (state.running, state.failing)
@@ -457,16 +496,24 @@
             for byte in name.bytes() {
                 digest = (digest ^ u64::from(byte)).wrapping_mul(0x100_0000_01b3);
             }
-            let status = if (digest >> 16) % 100 < failing { 500 } else { 200 };
+            let status = if (digest >> 16) % 100 < failing {
+                500
+            } else {
+                200
+            };
             return write_answer(writer, status, &common, &[b'x'; 800]);
         }
-        let mut head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n".to_owned();
+        let mut head =
+            "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"
+                .to_owned();
         for (name, value) in common {
             head.push_str(&format!("{name}: {value}\r\n"));
         }
         head.push_str("\r\n");
         writer.write_all(head.as_bytes())?;
-        let first = headers.get("last-event-id").and_then(|text| text.parse::<u64>().ok());
+        let first = headers
+            .get("last-event-id")
+            .and_then(|text| text.parse::<u64>().ok());
         for number in first.map_or(1, |id| id + 1)..=self.service.events {
             std::thread::sleep(Duration::from_millis(self.service.gap_ms));
             let event = format!("id: {number}\ndata: token {number} of {request_id}\n\n");
@@ -486,7 +533,10 @@
 impl State {
     /// Ends a load whose time is over.
     fn end_load(&mut self) {
-        let is_over = self.loading.as_ref().is_some_and(|(_, end)| Instant::now() >= *end);
+        let is_over = self
+            .loading
+            .as_ref()
+            .is_some_and(|(_, end)| Instant::now() >= *end);
         if let (true, Some((name, _))) = (is_over, self.loading.clone()) {
             self.held.insert(name.clone(), BTreeSet::new());
             self.on_disk.insert(name);
@@ -497,8 +547,14 @@
 
 fn held_text(held: &Held) -> String {
     let models = held.iter().map(|(name, adapters)| {
-        let adapters: Vec<String> = adapters.iter().map(|adapter| format!("\"{adapter}\"")).collect();
-        format!("{{\"name\":\"{name}\",\"version\":1,\"adapters\":[{}]}}", adapters.join(","))
+        let adapters: Vec<String> = adapters
+            .iter()
+            .map(|adapter| format!("\"{adapter}\""))
+            .collect();
+        format!(
+            "{{\"name\":\"{name}\",\"version\":1,\"adapters\":[{}]}}",
+            adapters.join(",")
+        )
     });
     format!("[{}]", models.collect::<Vec<_>>().join(","))
 }
--- a/review/standin-2/store.rs
+++ b/review/standin-2/store.rs
@@ -58,7 +58,9 @@
         let mut state = self.state.0.lock().expect("the rows");
         state.version += 1;
         let version = state.version;
-        state.rows.insert((table.to_owned(), key.to_owned()), Row { value, version });
+        state
+            .rows
+            .insert((table.to_owned(), key.to_owned()), Row { value, version });
         self.state.1.notify_all();
         version
     }
@@ -79,7 +81,11 @@
 
     fn answer(&self, request: &Request) -> (u16, String) {
         std::thread::sleep(TX_TIME);
-        let number = |name| request.query(name).and_then(|text| text.parse::<u64>().ok());
+        let number = |name| {
+            request
+                .query(name)
+                .and_then(|text| text.parse::<u64>().ok())
+        };
         let table = request.query("table").unwrap_or_default();
         match request.path() {
             "/crocusyard/rows-tx" => self.transact(&request.body),
@@ -89,7 +95,9 @@
                 let rows = state.rows.iter().filter(|((name, key), row)| {
                     *name == table && *key >= from && row.value.is_some()
                 });
-                let rows = rows.map(|((name, key), row)| row_text(name, key, row)).collect();
+                let rows = rows
+                    .map(|((name, key), row)| row_text(name, key, row))
+                    .collect();
                 (200, self.page(rows, state.version))
             }
             "/crocusyard/rows-feed" => {
@@ -98,12 +106,15 @@
                 let mut state = self.state.0.lock().expect("the rows");
                 loop {
                     let changed = state.rows.iter();
-                    let changed = changed.filter(|((name, _), row)| *name == table && row.version > after);
+                    let changed =
+                        changed.filter(|((name, _), row)| *name == table && row.version > after);
                     let mut changed: Vec<_> = changed.collect();
                     changed.sort_by_key(|(_, row)| row.version);
                     let left = end.saturating_duration_since(Instant::now());
                     if !changed.is_empty() || left.is_zero() {
-                        let rows = changed.into_iter().map(|((name, key), row)| row_text(name, key, row));
+                        let rows = changed
+                            .into_iter()
+                            .map(|((name, key), row)| row_text(name, key, row));
                         return (200, self.page(rows.collect(), state.version));
                     }
                     state = self.state.1.wait_timeout(state, left).expect("the rows").0;
@@ -116,7 +127,9 @@
     fn page(&self, rows: Vec<String>, version: u64) -> String {
         let now = self.started.elapsed().as_millis();
         let rows = rows.join(",");
-        format!("{{\"rows\":[{rows}],\"has_more\":false,\"row_version\":{version},\"now_ms\":{now}}}")
+        format!(
+            "{{\"rows\":[{rows}],\"has_more\":false,\"row_version\":{version},\"now_ms\":{now}}}"
+        )
     }
 
     fn transact(&self, body: &[u8]) -> (u16, String) {
@@ -150,7 +163,13 @@
             state.rows.insert(place(entry), Row { value, version });
         }
         for entry in call.get("remove").list() {
-            state.rows.insert(place(entry), Row { value: None, version });
+            state.rows.insert(
+                place(entry),
+                Row {
+                    value: None,
+                    version,
+                },
+            );
         }
         self.state.1.notify_all();
         (200, self.page(Vec::new(), version))
--- a/review/standin-2/traffic.rs
+++ b/review/standin-2/traffic.rs
@@ -81,7 +81,11 @@
 
 impl Clients {
     pub fn new(record: &Record) -> Self {
-        Self { record: record.clone(), next: Arc::default(), stop: Arc::default() }
+        Self {
+            record: record.clone(),
+            next: Arc::default(),
+            stop: Arc::default(),
+        }
     }
 
     pub fn stop(&self) {
@@ -109,7 +113,14 @@
         }
         self.record.add(&format!("sent {id} to {host}"));
         let limit = Duration::from_millis(ask.deadline_ms);
-        let answer = call(host, ask.method, &ask.path, &headers, ask.body.as_bytes(), limit);
+        let answer = call(
+            host,
+            ask.method,
+            &ask.path,
+            &headers,
+            ask.body.as_bytes(),
+            limit,
+        );
         let text = match &answer {
             Ok(answer) if answer.complete => format!("{}", answer.status),
             Ok(answer) => format!("{}, cut after {} bytes", answer.status, answer.body.len()),
@@ -141,7 +152,9 @@
                     Some(Duration::from_millis((wait * 1_000.0) as u64))
                 });
                 let left = pause.saturating_sub(begun.elapsed());
-                std::thread::sleep(left.max(wanted.unwrap_or_default().min(Duration::from_secs(1))));
+                std::thread::sleep(
+                    left.max(wanted.unwrap_or_default().min(Duration::from_secs(1))),
+                );
             }
         };
         thread.spawn(work).expect("a client")
