edge: crash lines tell how many crashes count against each cause

A call that crashes its targets goes on reaching them when the hosts are stopped and started in turn. Three hypotheses: hosts forget the crashes at a restart; the digest of the call differs between hosts or processes, so that crashes are never added up; the call is blamed and let through all the same. The log told of blame only.

Change: a `target crashed` line names the causes with the most crashes, with the count of this host, this crash included.

--- a/crates/crashes/src/tracker.rs
+++ b/crates/crashes/src/tracker.rs
@@ -96,6 +96,12 @@
         self.suspects.len()
     }
 
+    /// Returns the number of crashes that count against a cause.
+    pub fn crash_count(&self, cause: CrashCause) -> usize {
+        let suspect = self.suspects.get(&cause);
+        suspect.map_or(0, |suspect| suspect.crashes.len())
+    }
+
     /// Returns whether one of the causes is blamed.
     pub fn is_blamed(&self, causes: &[CrashCause]) -> bool {
         !self.blamed.is_empty() && causes.iter().any(|cause| self.blamed.contains(cause))
--- a/crates/edge/src/control.rs
+++ b/crates/edge/src/control.rs
@@ -36,8 +36,11 @@
 fn metrics(shell: &EdgeShell) -> Response<AnswerBody> {
     let waiting = shell.serving.borrow().waiting_count();
     let opened_count = shell.pool.opened_count();
-    let blamed = shell.serving.borrow().blamed_count();
-    shell.metrics.set_blamed(blamed);
+    let (suspected, blamed) = {
+        let serving = shell.serving.borrow();
+        (serving.suspect_count(), serving.blamed_count())
+    };
+    shell.metrics.set_causes(suspected, blamed);
     let usage = shell.serving.borrow_mut().limits.usage(clock::now());
     shell.metrics.tenants.set_usage(&usage);
     let held_bytes = shell.intake.counts().held_bytes;
--- a/crates/edge/src/crash_log.rs
+++ b/crates/edge/src/crash_log.rs
@@ -15,8 +15,16 @@
     }
 }
 
-/// Logs which parts the lost calls of this host contained when a target crashed.
-pub(crate) fn log_crash(report: &CrashReport) {
+/// Logs what the lost calls of this host contained when a target crashed. `crash_count` tells how many
+/// crashes this host counts against a cause, this one included.
+pub(crate) fn log_crash(report: &CrashReport, crash_count: impl Fn(CrashCause) -> usize) {
+    let mut counts: Vec<(String, usize)> = report
+        .causes
+        .iter()
+        .map(|lost| (cause_text(lost.cause), crash_count(lost.cause)))
+        .collect();
+    counts.sort_by_key(|(_, count)| std::cmp::Reverse(*count));
+    counts.truncate(MAX_LOGGED_CAUSES);
     let parts: Vec<String> = report
         .causes
         .iter()
@@ -27,7 +35,7 @@
     log_change(
         "target",
         "crashed",
-        json!({"target": report.target.as_str(), "incarnation": report.incarnation, "age_ms": report.age.as_ms(), "causes": report.causes.len(), "parts": parts}),
+        json!({"target": report.target.as_str(), "incarnation": report.incarnation, "age_ms": report.age.as_ms(), "causes": report.causes.len(), "parts": parts, "counts": counts}),
     );
 }
 
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -95,6 +95,35 @@
     }
 }
 
+/// Metrics of crashes of targets and their causes.
+struct CrashMetrics {
+    reported: Counter,
+    suspected: Gauge,
+    blamed: Gauge,
+}
+
+impl CrashMetrics {
+    fn register(registry: &mut Registry) -> Self {
+        Self {
+            reported: registered(
+                registry,
+                "crashes_reported",
+                "Crashes of targets that broke calls of this host",
+            ),
+            suspected: registered(
+                registry,
+                "suspected_causes",
+                "Calls and prompt parts against which crashes of targets count",
+            ),
+            blamed: registered(
+                registry,
+                "blamed_causes",
+                "Calls and prompt parts that are refused because they crash targets",
+            ),
+        }
+    }
+}
+
 /// Creates a metric and adds it to the registry.
 pub(crate) fn registered<M: Metric + Clone + Default>(
     registry: &mut Registry,
@@ -118,8 +147,7 @@
     in_progress: Gauge,
     waiting: Gauge,
     connections: Gauge,
-    crashes: Counter,
-    blamed: Gauge,
+    crashes: CrashMetrics,
     intake: IntakeMetrics,
     /// Calls to the store by table and reason.
     pub(crate) store_calls: StoreCalls,
@@ -203,17 +231,7 @@
             "Refused requests by reason",
             Family::clone(&refusals),
         );
-        let (crashes, blamed) = (Counter::default(), Gauge::default());
-        registry.register(
-            "crashes_reported",
-            "Crashes of targets that broke calls of this host",
-            crashes.clone(),
-        );
-        registry.register(
-            "blamed_causes",
-            "Calls and prompt parts that are refused because they crash targets",
-            blamed.clone(),
-        );
+        let crashes = CrashMetrics::register(&mut registry);
         let tenants = TenantMetrics::register(&mut registry);
         let intake = IntakeMetrics::register(&mut registry);
         let store_calls = StoreCalls::default();
@@ -235,7 +253,6 @@
             waiting,
             connections,
             crashes,
-            blamed,
             intake,
             tenants,
             routes: BoundedLabels::new(MAX_ROUTE_LABELS),
@@ -298,11 +315,17 @@
     }
 
     pub(crate) fn count_crash(&self) {
-        self.crashes.inc();
+        self.crashes.reported.inc();
     }
 
-    pub(crate) fn set_blamed(&self, count: usize) {
-        self.blamed.set(i64::try_from(count).unwrap_or(i64::MAX));
+    /// Sets the gauges of the causes of crashes.
+    pub(crate) fn set_causes(&self, suspected: usize, blamed: usize) {
+        self.crashes
+            .suspected
+            .set(i64::try_from(suspected).unwrap_or(i64::MAX));
+        self.crashes
+            .blamed
+            .set(i64::try_from(blamed).unwrap_or(i64::MAX));
     }
 
     pub(crate) fn count_attempt(&self) {
--- a/crates/edge/src/shell.rs
+++ b/crates/edge/src/shell.rs
@@ -270,7 +270,9 @@
             ServingEffect::Fail { key, expired } => self.push(key, RequestStep::Fail { expired }),
             ServingEffect::RequestCopy { service, need } => self.request_copy(service, need),
             ServingEffect::ReportCrash(report) => {
-                crash_log::log_crash(&report);
+                let serving = self.serving.borrow();
+                crash_log::log_crash(&report, |cause| serving.crash_count(cause));
+                drop(serving);
                 self.metrics.count_crash();
                 self.broadcast(&HostMessage::Crash(report));
             }
--- a/crates/serving/src/state/crash_evidence.rs
+++ b/crates/serving/src/state/crash_evidence.rs
@@ -20,6 +20,16 @@
         (!evidence.is_empty()).then_some(evidence)
     }
 
+    /// Returns the number of crashes that count against a cause.
+    pub fn crash_count(&self, cause: CrashCause) -> usize {
+        self.crashes.crash_count(cause)
+    }
+
+    /// Returns the number of causes that are suspected, blamed ones included.
+    pub fn suspect_count(&self) -> usize {
+        self.crashes.suspect_count()
+    }
+
     /// Returns the number of causes that are blamed.
     pub fn blamed_count(&self) -> usize {
         self.crashes.blamed().count()
