crashes: hosts that start later learn which crashes still count

Cause: one or two crashes were told once, when they happened, to the hosts that ran then. Heartbeats and the lease row carry blamed causes only, those with three crashes. A process that starts later began each count at zero, so that one round of restarts forgot up to two crashes of each cause.

Ruled out: digests that differ between processes; a blamed call that is let through.

Change: a host that starts asks two others, three times, for the crashes that count, with their causes and what is known of sound ones. The lease holder keeps the same history in a row of the lease table, written only when other crashes count than before, at most twice a second; hosts read it with the lease, without a further call. Both work alone: the peers while the store is away, the row when all hosts end at once. Ages include the time for which the row was stored; crashes older than their lifetime are ignored. Why it works: the count is now the union of what hosts and store know, keyed by target and incarnation, so that learning it twice changes nothing.

--- a/crates/crashes/src/lib.rs
+++ b/crates/crashes/src/lib.rs
@@ -14,7 +14,10 @@
 //! A cause with enough crashes left is blamed: calls that contain it are refused. After a while one
 //! of them is let through as a trial, which is announced to the other hosts. A complete answer ends
 //! the blame.
+//!
+//! Reports reach the hosts that run at the time. Hosts that start later get a [`CrashHistory`].
 
+mod history;
 mod pending;
 mod report;
 mod suspect;
@@ -22,6 +25,7 @@
 
 /// The types that other crates use.
 pub mod prelude {
+    pub use crate::history::{CountedCrash, CrashHistory};
     pub use crate::report::{
         CauseEvidence, CrashCause, CrashPoint, CrashReport, EvidenceReport, LostCause,
     };
--- a/crates/crashes/src/suspect.rs
+++ b/crates/crashes/src/suspect.rs
@@ -5,7 +5,7 @@
 use std::collections::BTreeMap;
 
 /// Time for which a crash counts against a cause, up to the last one with the cause.
-const CRASH_LIFETIME: ClockTime = ClockTime::from_secs(600);
+pub(crate) const CRASH_LIFETIME: ClockTime = ClockTime::from_secs(600);
 /// Number of crashes for which a cause is blamed.
 const BLAME_CRASHES: usize = 3;
 /// Number of crashes for which a part is blamed that was in complete answers before.
@@ -116,7 +116,7 @@
         times.min().unwrap_or_default()
     }
 
-    fn last_crash(&self) -> ClockTime {
+    pub(crate) fn last_crash(&self) -> ClockTime {
         let times = self.crashes.values().map(|times| times.crashed_at);
         times.max().unwrap_or_default()
     }
@@ -136,11 +136,17 @@
         }
     }
 
-    /// Returns what is known against the cause.
-    pub(crate) fn evidence(&self, cause: CrashCause, now: ClockTime) -> CauseEvidence {
+    /// Returns the newest crashes, which are told to other hosts.
+    pub(crate) fn newest_crashes(&self) -> Vec<(&TargetRun, &CrashTimes)> {
         let mut newest: Vec<(&TargetRun, &CrashTimes)> = self.crashes.iter().collect();
         newest.sort_unstable_by_key(|(_, times)| std::cmp::Reverse(times.crashed_at));
         newest.truncate(MAX_CRASHES_SENT);
+        newest
+    }
+
+    /// Returns what is known against the cause.
+    pub(crate) fn evidence(&self, cause: CrashCause, now: ClockTime) -> CauseEvidence {
+        let newest = self.newest_crashes();
         let crashes = newest.into_iter().map(|((target, incarnation), times)| {
             let (age, sent_age) = (now.since(times.crashed_at), now.since(times.sent_at));
             CrashPoint {
--- a/crates/crashes/src/tracker.rs
+++ b/crates/crashes/src/tracker.rs
@@ -1,9 +1,11 @@
 //! Adds up evidence of crashes and decides which calls may run.
 
+use crate::history::{CrashHistory, MAX_COUNTED, MAX_OTHER_CRASHES};
 use crate::pending::PendingCrashes;
 use crate::report::{CauseEvidence, CrashCause, CrashReport, EvidenceReport, LostCause};
-use crate::suspect::{CrashSuspect, CrashTimes, TargetRun, SOUND_GRACE};
+use crate::suspect::{CrashSuspect, CrashTimes, TargetRun, CRASH_LIFETIME, SOUND_GRACE};
 use crocusyard_base::prelude::*;
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 /// Time for which evidence is kept, counted from the last lost or refused call.
@@ -225,8 +227,8 @@
         }
         self.make_room(now);
         let crashed_at = now - report.age;
-        self.reported.retain(|_, at| now.since(*at) < RUN_LIFETIME);
         self.reported.entry(run.clone()).or_insert(crashed_at);
+        self.reported.retain(|_, at| now.since(*at) < RUN_LIFETIME);
         for lost in &report.causes {
             let times = CrashTimes {
                 crashed_at,
@@ -328,6 +330,66 @@
         }
     }
 
+    /// Returns the crashes that count against causes, for hosts that start later.
+    pub fn history(&self, now: ClockTime) -> CrashHistory {
+        let mut suspects: Vec<(CrashCause, &CrashSuspect)> = self
+            .suspects
+            .iter()
+            .filter(|(_, suspect)| !suspect.crashes.is_empty())
+            .filter(|(_, suspect)| now.since(suspect.last_crash()) < CRASH_LIFETIME)
+            .map(|(cause, suspect)| (*cause, suspect))
+            .collect();
+        suspects.sort_unstable_by_key(|(cause, suspect)| {
+            Reverse((suspect.crashes.len(), suspect.last_crash(), *cause))
+        });
+        let mut reports: BTreeMap<&TargetRun, CrashReport> = BTreeMap::new();
+        let mut sound = Vec::new();
+        let mut counted = 0;
+        for (cause, suspect) in suspects {
+            let crashes = suspect.newest_crashes();
+            counted += crashes.len();
+            if counted > MAX_COUNTED {
+                break;
+            }
+            for (run, times) in crashes {
+                let report = reports.entry(run);
+                let report = report.or_insert_with(|| empty_report(run, times.crashed_at, now));
+                report.causes.push(LostCause {
+                    cause,
+                    sent_age: now.since(times.sent_at),
+                });
+            }
+            let sent_at = self.sound.get(&cause);
+            sound.extend(sent_at.map(|sent_at| (cause, now.since(*sent_at))));
+        }
+        // Blame also depends on the number of crashes without the cause.
+        let mut others: Vec<(&TargetRun, ClockTime)> = self
+            .reported
+            .iter()
+            .filter(|(run, _)| !reports.contains_key(run))
+            .map(|(run, at)| (run, *at))
+            .collect();
+        others.sort_unstable_by_key(|(_, at)| Reverse(*at));
+        others.truncate(MAX_OTHER_CRASHES);
+        let others = others
+            .into_iter()
+            .map(|(run, at)| empty_report(run, at, now));
+        let crashes = reports.into_values().chain(others).collect();
+        CrashHistory { crashes, sound }
+    }
+
+    /// Records the history that another host has collected.
+    pub fn receive_history(&mut self, history: &CrashHistory, now: ClockTime) {
+        for (cause, age) in &history.sound {
+            self.record_sound(*cause, now - *age, now);
+        }
+        for report in &history.crashes {
+            if report.age < CRASH_LIFETIME {
+                self.receive_report(report, now);
+            }
+        }
+    }
+
     /// Adds a crash to a cause, unless the cause was sound in a later call.
     fn add_crash(&mut self, cause: CrashCause, run: TargetRun, times: CrashTimes) {
         let sound_at = self.sound.get(&cause).copied();
@@ -452,6 +514,17 @@
     }
 }
 
+/// Returns the report of a crash without causes.
+fn empty_report(run: &TargetRun, crashed_at: ClockTime, now: ClockTime) -> CrashReport {
+    let (target, incarnation) = run.clone();
+    CrashReport {
+        target,
+        incarnation,
+        age: now.since(crashed_at),
+        causes: Vec::new(),
+    }
+}
+
 /// Returns how many hosts send the same news in a round, on average.
 fn news_senders(rounds: u32) -> f64 {
     NEWS_SENDERS * f64::from(1_u32 << rounds.min(MAX_NEWS_ROUNDS))
--- a/crates/edge/src/clock.rs
+++ b/crates/edge/src/clock.rs
@@ -14,6 +14,12 @@
     ClockTime::from_ms(secs * 1_000 + nanos / 1_000_000)
 }
 
+/// Returns the time of day in Unix ms, or 0 before 1970.
+pub(crate) fn unix_ms() -> u64 {
+    let unix = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    unix.map_or(0, |time| u64::try_from(time.as_millis()).unwrap_or(0))
+}
+
 /// Returns the time of day in Unix s; it tells a process of a host from the one before it.
 pub(crate) fn start_s() -> u32 {
     let unix = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
@@ -23,8 +29,6 @@
 /// Returns the stamp that news had at the origin of the clock. It comes from the time of day, so that
 /// the stamps of the next process on this machine or at its name are later.
 pub(crate) fn first_stamp(now: ClockTime) -> NewsStamp {
-    let unix = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
     // A time of day before 1970 cannot be told from 1970; hosts then pass on fewer news of this one.
-    let unix_ms = unix.map_or(0, |time| u64::try_from(time.as_millis()).unwrap_or(0));
-    NewsStamp::from_unix_ms(unix_ms.saturating_sub(now.as_ms()))
+    NewsStamp::from_unix_ms(unix_ms().saturating_sub(now.as_ms()))
 }
--- a/crates/edge/src/crash_log.rs
+++ b/crates/edge/src/crash_log.rs
@@ -75,3 +75,22 @@
     let change = if is_blamed { "blamed" } else { "cleared" };
     log_change("cause", change, json!({"cause": cause_text(cause)}));
 }
+
+/// Logs that this host has been told of crashes before its start.
+pub(crate) fn log_history(history: &CrashHistory, source: &str) {
+    let ages = history.crashes.iter().map(|report| report.age.as_ms());
+    log_change(
+        "cause",
+        "history_received",
+        json!({"source": source, "crashes": history.crashes.len(), "counted": history.counted().len(), "newest_age_ms": ages.min()}),
+    );
+}
+
+/// Logs that the store has the crashes that count.
+pub(crate) fn log_stored_history(counted: usize, version: u64) {
+    log_change(
+        "cause",
+        "history_stored",
+        json!({"counted": counted, "version": version}),
+    );
+}
--- a/crates/edge/src/gossip.rs
+++ b/crates/edge/src/gossip.rs
@@ -1,6 +1,7 @@
 //! Sends and receives the messages between entry hosts.
 
 use crate::clock;
+use crate::crash_history::{receive_history, send_history, HistorySource};
 use crate::follow::{apply_relayed_configuration, update_hosts};
 use crate::message::HostMessage;
 use crate::moves;
@@ -317,6 +318,10 @@
             compressed,
         } => apply_relayed_configuration(shell, version, &compressed),
         HostMessage::Hosts { upserts, removed } => update_hosts(shell, upserts, &removed),
+        HostMessage::CrashHistoryRequest { reply_to } => send_history(shell, reply_to),
+        HostMessage::CrashHistory(history) => {
+            receive_history(shell, history, HistorySource::Host);
+        }
         HostMessage::Usage(report) => shell.serving.borrow_mut().limits.receive(&report, now),
     }
 }
--- a/crates/edge/src/lease_keeper.rs
+++ b/crates/edge/src/lease_keeper.rs
@@ -3,6 +3,7 @@
 //! Only the holder of the lease gives orders to engines.
 
 use crate::clock;
+use crate::crash_history::receive_stored_history;
 use crate::decision_log;
 use crate::gossip::send_heartbeat;
 use crate::shell::EdgeShell;
@@ -19,7 +20,7 @@
 /// Key of the lease row in the lease table.
 const LEASE_KEY: &str = "moves";
 /// Longest time for the store's answer to a read or write of the lease.
-const LEASE_TIMEOUT: Duration = Duration::from_millis(800);
+pub(crate) const LEASE_TIMEOUT: Duration = Duration::from_millis(800);
 /// Interval at which the host decides whether to read or write the lease row.
 const LEASE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -55,8 +56,8 @@
     }
 }
 
-/// Lease row as it is stored, with the evidence of crashes that its holder knows. The evidence lasts
-/// there when all hosts start again at the same time.
+/// Lease row as it is stored, with the evidence against the causes that its holder blames. The evidence
+/// lasts there when all hosts start again at the same time.
 #[derive(Serialize)]
 struct StoredLease {
     #[serde(flatten)]
@@ -79,6 +80,7 @@
             let row = page.rows.iter().find_map(decode_lease);
             shell.lease.borrow_mut().receive_row(row, clock::now());
             receive_stored_evidence(shell, &page.rows);
+            receive_stored_history(shell, &page.rows);
         }
         Err(error) => {
             shell.lease.borrow_mut().read_failed();
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -16,6 +16,7 @@
 mod clock;
 mod compression;
 mod control;
+mod crash_history;
 mod crash_log;
 mod decision_log;
 mod entry;
--- a/crates/edge/src/message.rs
+++ b/crates/edge/src/message.rs
@@ -7,6 +7,7 @@
 use crocusyard_serving::prelude::*;
 use crocusyard_serving::targets::{HeldModels, HostLoad};
 use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
 
 /// Message from one entry host to another.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -116,4 +117,11 @@
     },
     /// Reports the usage of tenants with limits at the sender.
     Usage(QuotaReport),
+    /// Asks for the crashes that the sender missed before its start.
+    CrashHistoryRequest {
+        /// Address of the sender for the answer.
+        reply_to: SocketAddr,
+    },
+    /// Answers a request for the crashes that still count.
+    CrashHistory(CrashHistory),
 }
--- a/crates/edge/src/run.rs
+++ b/crates/edge/src/run.rs
@@ -2,6 +2,7 @@
 
 use crate::caller_conns::SWEEP_INTERVAL;
 use crate::clock;
+use crate::crash_history::{keep_history, learn_history, store_history};
 use crate::decision_log;
 use crate::entry::{accept, ListenerRole};
 use crate::follow::{follow_hosts, follow_rules};
@@ -122,6 +123,8 @@
     actix_rt::spawn(spread_news(shell.clone()));
     actix_rt::spawn(request_confirmations(shell.clone()));
     actix_rt::spawn(keep_lease(shell.clone()));
+    actix_rt::spawn(learn_history(shell.clone()));
+    actix_rt::spawn(keep_history(shell.clone()));
     actix_rt::spawn(give_orders(shell.clone()));
     actix_rt::spawn(tick(shell.clone()));
     actix_rt::spawn(prune(shell.clone()));
@@ -187,6 +190,7 @@
     let limit = shell.stop_limit();
     // This closes idle connections; their callers open new ones to other hosts.
     stop.send_replace(true);
+    store_history(shell).await;
     release_lease(shell).await;
     remove_own_row(shell).await;
     loop {
--- a/crates/edge/src/shell.rs
+++ b/crates/edge/src/shell.rs
@@ -2,6 +2,7 @@
 
 use crate::caller_conns::CallerConns;
 use crate::clock;
+use crate::crash_history::StoredHistory;
 use crate::crash_log;
 use crate::decision_log;
 use crate::entry::ListenerRole;
@@ -112,6 +113,8 @@
     pub(crate) stopping_since: Cell<Option<ClockTime>>,
     /// Version of the lease row with which this host released the lease, if it did.
     pub(crate) released_version: Cell<Option<u64>>,
+    /// Crashes that are in the store.
+    pub(crate) stored_history: RefCell<StoredHistory>,
     pub(crate) rng: RefCell<SeededRng>,
     pub(crate) complaints: RefCell<ComplaintLog>,
     /// Copies that hosts wait for, with the time of the last request; recorded only while this host
@@ -180,6 +183,7 @@
             stale_since: Cell::new(None),
             stopping_since: Cell::new(None),
             released_version: Cell::new(None),
+            stored_history: RefCell::default(),
             rng: RefCell::new(seeded_rng(RandomState::new().build_hasher().finish())),
             complaints: RefCell::default(),
             copy_requests: RefCell::default(),
--- a/crates/edge/src/store_calls.rs
+++ b/crates/edge/src/store_calls.rs
@@ -36,6 +36,8 @@
     SilentHolder,
     /// The host takes the lease, renews it or gives it up.
     LeaseWrite,
+    /// The holder of the lease stores which crashes still count.
+    CrashHistory,
     /// The host writes or removes its row.
     OwnRow,
 }
@@ -51,6 +53,7 @@
             Self::Wait => "wait",
             Self::SilentHolder => "silent_holder",
             Self::LeaseWrite => "lease_write",
+            Self::CrashHistory => "crash_history",
             Self::OwnRow => "own_row",
         }
     }
--- a/crates/serving/src/event.rs
+++ b/crates/serving/src/event.rs
@@ -9,7 +9,7 @@
 use crate::targets::{HeldModels, HostLoad, LeavingNotice, TargetLoad, TargetRecord};
 use crate::turns::HostWaiting;
 use crocusyard_base::prelude::*;
-use crocusyard_crashes::prelude::{CrashCause, CrashReport, EvidenceReport};
+use crocusyard_crashes::prelude::{CrashCause, CrashHistory, CrashReport, EvidenceReport};
 use crocusyard_quota::prelude::QuotaRefusal;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -74,6 +74,8 @@
     },
     /// Another host reported calls that were lost when a target crashed.
     Crash(CrashReport),
+    /// Another host, or the store, told this host of crashes before its start.
+    CrashHistory(CrashHistory),
     /// Another host reported what it knows of the causes of crashes.
     Evidence(EvidenceReport),
     /// Another host reported its requests in progress.
--- a/crates/serving/src/host_news.rs
+++ b/crates/serving/src/host_news.rs
@@ -133,6 +133,18 @@
     receivers
 }
 
+/// Draws a host of the failure domain and one of another, where there are any.
+pub(crate) fn draw_near_and_far(
+    hosts: &[&HostRecord],
+    domain: &DomainName,
+    salt: u64,
+) -> Vec<SocketAddr> {
+    let (near, far): (Vec<&HostRecord>, Vec<&HostRecord>) =
+        hosts.iter().partition(|host| host.domain == *domain);
+    let drawn = [draw(&near, &(salt, "near")), draw(&far, &(salt, "far"))];
+    drawn.into_iter().flatten().collect()
+}
+
 /// Draws one host.
 fn draw<K: Hash>(hosts: &[&HostRecord], key: &K) -> Option<SocketAddr> {
     let index = (unit_hash(key) * hosts.len() as f64) as usize;
--- a/crates/serving/src/hosts.rs
+++ b/crates/serving/src/hosts.rs
@@ -5,7 +5,9 @@
 //! all hosts follow it.
 
 use crate::hashing::unit_hash;
-use crate::host_news::{draw_receivers, HostKey, HostNews, NewsStamp, NEWS_WINDOW, SILENCE_LIMIT};
+use crate::host_news::{
+    draw_near_and_far, draw_receivers, HostKey, HostNews, NewsStamp, NEWS_WINDOW, SILENCE_LIMIT,
+};
 use crate::relay::ReaderRank;
 use crocusyard_base::heartbeat::{heartbeat_interval, HEARTBEAT_HOSTS};
 use crocusyard_base::prelude::*;
@@ -220,11 +222,7 @@
         if self.is_small() {
             return None;
         }
-        let mut live: Vec<&HostRecord> = self.live(now).collect();
-        if live.is_empty() {
-            live = self.others.values().map(|state| &state.record).collect();
-        }
-        let receivers = draw_receivers(&live, &self.own.domain, salt);
+        let receivers = draw_receivers(&self.live_or_all(now), &self.own.domain, salt);
         let mut news = vec![HostNews::new(
             HostKey::of(&self.own.name),
             self.first_stamp.at(now),
@@ -243,6 +241,21 @@
         Some((receivers, news))
     }
 
+    /// Draws the hosts that this one asks for what it missed before its start: one of its failure
+    /// domain and one of another, where there are any. `salt` has to differ between draws.
+    pub fn draw_sources(&self, salt: u64, now: ClockTime) -> Vec<SocketAddr> {
+        draw_near_and_far(&self.live_or_all(now), &self.own.domain, salt)
+    }
+
+    /// Returns the live hosts, or all other hosts if none is known to be live.
+    fn live_or_all(&self, now: ClockTime) -> Vec<&HostRecord> {
+        let live: Vec<&HostRecord> = self.live(now).collect();
+        if live.is_empty() {
+            return self.others.values().map(|state| &state.record).collect();
+        }
+        live
+    }
+
     /// Applies news that another host passed on and that arrived at `at`. News of unknown hosts are
     /// ignored: their records come with their heartbeats.
     pub fn receive_news(&mut self, news: &[HostNews], at: ClockTime) {
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -81,6 +81,8 @@
     pub use crate::trend::DemandTrend;
     pub use crate::turns::{HostWaiting, ModelKey, TurnInput, TurnTracker};
     pub use crate::work::TokenWork;
-    pub use crocusyard_crashes::prelude::{CrashCause, CrashReport, EvidenceReport};
+    pub use crocusyard_crashes::prelude::{
+        CountedCrash, CrashCause, CrashHistory, CrashReport, EvidenceReport,
+    };
     pub use crocusyard_quota::prelude::{QuotaRefusal, QuotaReport, UsageLimit};
 }
--- a/crates/serving/src/state.rs
+++ b/crates/serving/src/state.rs
@@ -308,6 +308,9 @@
                 self.send_waiting(now, &mut out);
             }
             ServingEvent::Crash(report) => self.receive_crash(&report, now, &mut out),
+            ServingEvent::CrashHistory(history) => {
+                self.receive_crash_history(&history, now, &mut out);
+            }
             ServingEvent::Evidence(evidence) => self.receive_evidence(&evidence, now, &mut out),
             ServingEvent::PeerLoad { host, load } => self.targets.update_peer(&host, load, now),
             ServingEvent::FirstEvent { key } => self.begin_answer(key, now, &mut out),
--- a/crates/serving/src/state/crash_evidence.rs
+++ b/crates/serving/src/state/crash_evidence.rs
@@ -4,7 +4,9 @@
 use crate::event::{RefusalReason, ServingEffect};
 use crate::hashing::unit_hash;
 use crocusyard_base::prelude::*;
-use crocusyard_crashes::prelude::{CrashCause, CrashReport, EvidenceReport, LostCall};
+use crocusyard_crashes::prelude::{
+    CrashCause, CrashHistory, CrashReport, EvidenceReport, LostCall,
+};
 use std::collections::BTreeSet;
 
 impl ServingState {
@@ -20,6 +22,11 @@
         (!evidence.is_empty()).then_some(evidence)
     }
 
+    /// Returns the crashes that count against causes, for hosts that start later.
+    pub fn crash_history(&self, now: ClockTime) -> CrashHistory {
+        self.crashes.history(now)
+    }
+
     /// Returns the number of crashes that count against a cause.
     pub fn crash_count(&self, cause: CrashCause) -> usize {
         self.crashes.crash_count(cause)
@@ -110,6 +117,17 @@
         self.apply_blame(&before, out);
     }
 
+    pub(super) fn receive_crash_history(
+        &mut self,
+        history: &CrashHistory,
+        now: ClockTime,
+        out: &mut Effects,
+    ) {
+        let before = self.blamed();
+        self.crashes.receive_history(history, now);
+        self.apply_blame(&before, out);
+    }
+
     pub(super) fn receive_evidence(
         &mut self,
         evidence: &EvidenceReport,
--- a/crates/serving/tests/common/fleet.rs
+++ b/crates/serving/tests/common/fleet.rs
@@ -27,6 +27,10 @@
 const HEARTBEAT_MS: u64 = 250;
 /// Number of hosts up to which it does not.
 const HEARTBEAT_HOSTS: u64 = 24;
+/// Times after its start at which a host asks two others for the crashes before.
+const LEARN_MS: [u64; 3] = [100, 500, 3_000];
+/// Interval at which the first host stores the crashes that count.
+const STORE_MS: u64 = 500;
 /// Least number of sound calls of which a fraction is taken.
 const MIN_SOUND_CALLS: u32 = 20;
 /// Size of each prompt part, tokens.
@@ -81,6 +85,8 @@
     pub broken_calls_per_s: f64,
     /// Hosts that start anew, with the time.
     pub restarts: Vec<(u64, usize)>,
+    /// Times at which all hosts start anew.
+    pub full_restarts: Vec<u64>,
     /// Fraction of the messages that are lost.
     pub loss: f64,
     /// Number of attempts of each call; with more than one, a call may run again.
@@ -100,6 +106,7 @@
             crashes: Vec::new(),
             broken_calls_per_s: 0.0,
             restarts: Vec::new(),
+            full_restarts: Vec::new(),
             loss: 0.02,
             attempts: 1,
             end_ms: 30_000,
@@ -161,6 +168,9 @@
     CrashOthers(usize),
     BreakCall,
     Restart(usize),
+    FullRestart,
+    Learn(usize),
+    Store,
 }
 
 #[derive(Clone, Debug)]
@@ -196,6 +206,8 @@
     next_attempt: u64,
     next_part: u64,
     now_ms: u64,
+    /// Crashes in the store, with the time of the write.
+    stored: (u64, CrashHistory),
     result: FleetResult,
 }
 
@@ -229,6 +241,7 @@
             next_attempt: 0,
             next_part: OWN_PART_BASE,
             now_ms: 0,
+            stored: (0, CrashHistory::default()),
             result: FleetResult::default(),
             targets,
             plan,
@@ -260,12 +273,16 @@
         self.schedule(0, FleetEvent::Tick);
         self.schedule(0, FleetEvent::Heartbeat);
         self.schedule(0, FleetEvent::BreakCall);
+        self.schedule(0, FleetEvent::Store);
         for (at, count) in self.plan.crashes.clone() {
             self.schedule(at, FleetEvent::CrashOthers(count));
         }
         for (at, host) in self.plan.restarts.clone() {
             self.schedule(at, FleetEvent::Restart(host));
         }
+        for at in self.plan.full_restarts.clone() {
+            self.schedule(at, FleetEvent::FullRestart);
+        }
         while let Some(Reverse((at, number))) = self.queue.pop() {
             if at > self.plan.end_ms {
                 return;
@@ -308,10 +325,43 @@
                 }
             }
             FleetEvent::BreakCall => self.break_call(),
-            FleetEvent::Restart(host) => {
-                self.calls.retain(|(at, _), _| *at != host);
-                self.hosts[host] = self.new_host(host);
+            FleetEvent::Restart(host) => self.restart(host),
+            FleetEvent::FullRestart => {
+                for host in 0..self.hosts.len() {
+                    self.restart(host);
+                }
+                let (written_ms, mut history) = self.stored.clone();
+                history.add_age(ms(self.now_ms - written_ms));
+                self.feed(0, ServingEvent::CrashHistory(history));
+            }
+            FleetEvent::Learn(host) => self.learn(host),
+            FleetEvent::Store => {
+                let history = self.hosts[0].state.crash_history(ms(self.now_ms));
+                self.stored = (self.now_ms, history);
+                self.schedule(STORE_MS, FleetEvent::Store);
+            }
+        }
+    }
+
+    fn restart(&mut self, host: usize) {
+        self.calls.retain(|(at, _), _| *at != host);
+        self.hosts[host] = self.new_host(host);
+        for delay_ms in LEARN_MS {
+            self.schedule(delay_ms, FleetEvent::Learn(host));
+        }
+    }
+
+    /// Sends a host the crashes that two other hosts know of.
+    fn learn(&mut self, host: usize) {
+        for _ in 0..2 {
+            let source = self.rng.random_range(0..self.hosts.len());
+            let history = self.hosts[source].state.crash_history(ms(self.now_ms));
+            if source == host || history.is_empty() || self.rng.random::<f64>() < self.plan.loss {
+                continue;
             }
+            self.count_message(&history);
+            let event = ServingEvent::CrashHistory(history);
+            self.schedule(2 * MESSAGE_DELAY_MS, FleetEvent::Message(host, event));
         }
     }
 
--- a/crates/serving/tests/crashing_parts.rs
+++ b/crates/serving/tests/crashing_parts.rs
@@ -189,6 +189,56 @@
     }
 }
 
+/// Returns when hosts start again, each of them every `round_ms`, between two times.
+fn restarts_in_turn(hosts: usize, round_ms: u64, from_ms: u64, until_ms: u64) -> Vec<(u64, usize)> {
+    let pause = round_ms as f64 / hosts as f64;
+    (0..)
+        .map(|number| (from_ms + (number as f64 * pause) as u64, number % hosts))
+        .take_while(|(at, _)| *at < until_ms)
+        .collect()
+}
+
+/// Guards against hosts that begin to count the crashes by a part anew after they have started again,
+/// one after the other, so that it crashes targets for ever.
+#[test]
+fn hosts_that_start_in_turn_remember_crashes() {
+    for (hosts, targets) in SIZES {
+        let seeds = if hosts < 100 { 4 } else { 1 };
+        for seed in 1..=seeds {
+            let end_ms = if hosts < 100 { 60_000 } else { 30_000 };
+            let mut plan = FleetPlan::new(seed, hosts, targets);
+            let calls_per_s = plan.calls_per_s;
+            plan.deadly = vec![DeadlyPart::new(DEADLY, 0.3 / calls_per_s, 4_000, end_ms)];
+            plan.restarts = restarts_in_turn(hosts, 3_000, 4_000, end_ms);
+            plan.end_ms = end_ms;
+            let result = play(plan);
+            let case = format!("{hosts} hosts, seed {seed}");
+            assert_contained(&result, DEADLY, &case);
+            assert!(result.blamed.is_empty(), "{case}: sound calls refused");
+            assert!(result.longest_message < MAX_MESSAGE_BYTES, "{case}");
+        }
+    }
+}
+
+/// Guards against the same when all hosts start again at the same time.
+#[test]
+fn hosts_that_start_together_remember_crashes() {
+    for (hosts, targets) in SIZES {
+        let seeds = if hosts < 100 { 4 } else { 1 };
+        for seed in 1..=seeds {
+            let mut plan = FleetPlan::new(seed, hosts, targets);
+            let calls_per_s = plan.calls_per_s;
+            plan.deadly = vec![DeadlyPart::new(DEADLY, 0.5 / calls_per_s, 4_000, 30_000)];
+            plan.full_restarts = (1..10).map(|number| 2_000 + number * 3_000).collect();
+            plan.end_ms = 30_000;
+            let result = play(plan);
+            let case = format!("{hosts} hosts, seed {seed}");
+            assert_contained(&result, DEADLY, &case);
+            assert!(result.blamed.is_empty(), "{case}: sound calls refused");
+        }
+    }
+}
+
 /// Guards against a part that stays refused after it has become sound.
 #[test]
 fn part_that_is_sound_again_is_served_after_one_trial() {
--- a/tests/crashing_parts.rs
+++ b/tests/crashing_parts.rs
@@ -3,7 +3,7 @@
 mod entry_support;
 
 use crocusyard_platform_standin::prelude::*;
-use entry_support::{prompt_call, route, EntryHost, POLL_INTERVAL};
+use entry_support::{call, get, prompt_call, route, EntryHost, POLL_INTERVAL};
 use hyper::StatusCode;
 use serde_json::{json, Value};
 use std::time::{Duration, Instant};
@@ -28,6 +28,112 @@
         "sound": [], "alive": []}})
 }
 
+/// Time in which hosts tell each other, and the store, of a crash.
+const REPORT_TIME: Duration = Duration::from_millis(1_500);
+/// Time limit for a host to learn of earlier crashes.
+const LEARN_LIMIT: Duration = Duration::from_secs(5);
+
+/// A target that ends its connection when it runs a call, and then starts again.
+struct CrashingTarget {
+    standin: TargetStandin,
+    store: StoreStandin,
+    starts: u64,
+}
+
+impl CrashingTarget {
+    async fn start(store: &StoreStandin) -> Self {
+        let standin = TargetStandin::start("i-0").await.expect("a target");
+        standin.set_fault(TargetFault::LosesAnswer);
+        let mut target = Self {
+            standin,
+            store: store.clone(),
+            starts: 0,
+        };
+        target.restart();
+        target
+    }
+
+    /// Writes the record of the next incarnation.
+    fn restart(&mut self) {
+        self.starts += 1;
+        let mut record = self.standin.record("s");
+        record["born"] = json!(self.starts);
+        record["seq_no"] = json!(self.starts);
+        self.store.put_target("i-0", &record);
+    }
+
+    /// Sends the call that crashes the target; returns whether it ran.
+    async fn crash(&mut self, host: &EntryHost) -> bool {
+        let id = format!("crashing-{}", self.starts);
+        call(host, "/once/crashing", &id).await;
+        let ran = self.standin.runs(&id) > 0;
+        self.restart();
+        actix_rt::time::sleep(REPORT_TIME).await;
+        ran
+    }
+}
+
+/// Waits until a host suspects a cause of crashes that it has not seen itself.
+async fn wait_suspects(host: &EntryHost) {
+    let start = Instant::now();
+    loop {
+        let (_, text) = get(host.metrics, "/metrics").await;
+        let text = String::from_utf8_lossy(&text).into_owned();
+        let mut lines = text.lines();
+        if lines.any(|line| line == "crocusyard_entry_suspected_causes 1") {
+            return;
+        }
+        assert!(
+            start.elapsed() < LEARN_LIMIT,
+            "the host knows of no earlier crash"
+        );
+        actix_rt::time::sleep(POLL_INTERVAL).await;
+    }
+}
+
+/// Guards against a call that goes on crashing targets when hosts are replaced one after the other: a
+/// host that starts after a crash has to count it.
+#[actix_rt::test]
+async fn host_that_replaces_another_counts_its_crashes() {
+    let store = StoreStandin::start()
+        .await
+        .expect("the store stand-in cannot start");
+    store.put_configuration(&configuration(1, &ROUTES));
+    let mut target = CrashingTarget::start(&store).await;
+    let first = EntryHost::start("edge-0", store.address);
+    first.wait_ready().await;
+    assert!(target.crash(&first).await);
+    assert!(target.crash(&first).await);
+    // The next host hears of the crashes from the first one only.
+    store.remove_crashes();
+    let second = EntryHost::start("edge-1", store.address);
+    second.wait_ready().await;
+    wait_suspects(&second).await;
+    drop(first);
+    assert!(target.crash(&second).await, "two crashes are not enough");
+    assert!(!target.crash(&second).await, "a fourth target crashed");
+}
+
+/// Guards against the same when all hosts end at the same time.
+#[actix_rt::test]
+async fn hosts_that_start_together_count_earlier_crashes() {
+    let store = StoreStandin::start()
+        .await
+        .expect("the store stand-in cannot start");
+    store.put_configuration(&configuration(1, &ROUTES));
+    let mut target = CrashingTarget::start(&store).await;
+    let first = EntryHost::start("edge-0", store.address);
+    first.wait_ready().await;
+    assert!(target.crash(&first).await);
+    assert!(target.crash(&first).await);
+    drop(first);
+    let next = EntryHost::start("edge-0", store.address);
+    next.wait_ready().await;
+    wait_suspects(&next).await;
+    assert!(target.crash(&next).await, "two crashes are not enough");
+    assert!(!target.crash(&next).await, "a fourth target crashed");
+}
+
 /// Guards against hosts that all start at the same time and have to lose targets again before they
 /// refuse a part.
 #[actix_rt::test]
