httpconn, targets: a number that is no final status is no answer

Report of other operators: a target in trouble sent an answer with the status 000, and the caller got it.

Checked here: 000, 099 and numbers that do not have three digits end in an error of the HTTP library and reach nobody, under both interfaces. Others did reach callers: 101 as an answer without a body, and 600 and 999 unchanged; under the product's own interface also interim answers (103 as a complete answer with an empty body), and engine answers with such numbers counted as refusals, which promise that nothing has run.

Cause: the library accepts every number from 100 to 999 and hands on 101; no layer of ours asked whether the number ends a request.

Change: the two HTTP clients of the hosts check it once, where the head arrives. Such an answer is malformed: the call may have run, it is not counted as a crash, an idempotent call may run elsewhere, another one ends with 502. Orders to engines already treat unknown numbers as unanswered.

--- a/crates/httpconn/src/pool.rs
+++ b/crates/httpconn/src/pool.rs
@@ -100,6 +100,15 @@
         )
 }
 
+/// Returns whether an answer with this status ends a request. The HTTP library passes on all numbers of
+/// three digits from 100 and takes 101 for a final answer.
+fn is_final(status: StatusCode) -> bool {
+    status.is_success()
+        || status.is_redirection()
+        || status.is_client_error()
+        || status.is_server_error()
+}
+
 /// Limits on the connections of a pool.
 #[derive(Clone, Copy, Debug)]
 pub struct PoolLimits {
@@ -332,23 +341,30 @@
                 reason: error.to_string(),
             });
         }
-        self.conn
-            .sender
-            .try_send_request(request)
-            .await
-            .map_err(|mut error| {
-                let unsent = error.take_message().is_some();
-                let error = error.into_error();
-                let reason = error.to_string();
-                if unsent {
-                    SendError::Unsent { reason }
-                } else {
-                    SendError::Lost {
-                        reason,
-                        malformed: is_malformed(&error),
-                    }
+        let answer = self.conn.sender.try_send_request(request).await;
+        let answer = answer.map_err(|mut error| {
+            let unsent = error.take_message().is_some();
+            let error = error.into_error();
+            let reason = error.to_string();
+            if unsent {
+                SendError::Unsent { reason }
+            } else {
+                SendError::Lost {
+                    reason,
+                    malformed: is_malformed(&error),
                 }
-            })
+            }
+        })?;
+        if !is_final(answer.status()) {
+            return Err(SendError::Lost {
+                reason: format!(
+                    "{} is no status of a final answer",
+                    answer.status().as_u16()
+                ),
+                malformed: true,
+            });
+        }
+        Ok(answer)
     }
 
     /// Sends a request, reads the complete answer and returns the connection to its pool.
--- a/crates/httpconn/tests/ends.rs
+++ b/crates/httpconn/tests/ends.rs
@@ -120,6 +120,31 @@
     }
 }
 
+/// Guards against an answer whose number is no status of a final answer, and which callers get as the
+/// answer to their request.
+#[actix_rt::test]
+async fn answer_without_a_final_status_is_malformed() {
+    for status in ["000", "099", "101", "600", "999", "20", "2000", "2x0"] {
+        let answer = format!("HTTP/1.1 {status} Odd\r\nContent-Length: 3\r\n\r\nabc");
+        let answer: &'static str = answer.leak();
+        let address = start_peer(Box::leak(Box::new([answer]))).await;
+        let error = exchange(&ConnPool::new(LIMITS), address).await;
+        let error = error.expect_err(status);
+        assert!(!error.is_unsent(), "{status}: {error}");
+        assert!(error.is_malformed(), "{status}: {error}");
+    }
+}
+
+/// Guards against an interim answer that is taken for the final one.
+#[actix_rt::test]
+async fn interim_answers_are_passed_over() {
+    const ANSWER: &str = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n\
+                          HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc";
+    let address = start_peer(&[ANSWER]).await;
+    let body = exchange(&ConnPool::new(LIMITS), address).await;
+    assert_eq!(body.expect("a complete answer"), "abc");
+}
+
 /// Guards against bytes after an answer that are taken for the answer to the next request.
 #[actix_rt::test]
 async fn connection_with_an_extra_answer_is_not_reused() {
--- a/crates/targets/src/attempt.rs
+++ b/crates/targets/src/attempt.rs
@@ -167,6 +167,9 @@
         }
     };
     report(AttemptChange::Sent);
+    if !is_final(response.status()) {
+        return report(AttemptChange::Ended(AttemptResult::Broken));
+    }
     let result = read_answer(&mut response, &plan.kind, &report).await;
     report(AttemptChange::Ended(result));
     let is_stream = !matches!(plan.kind, PlanKind::Plain { .. });
@@ -176,6 +179,15 @@
     }
 }
 
+/// Returns whether an answer with this status ends a request. The HTTP library passes on all numbers of
+/// three digits from 100 and takes interim answers for final ones.
+fn is_final(status: StatusCode) -> bool {
+    status.is_success()
+        || status.is_redirection()
+        || status.is_client_error()
+        || status.is_server_error()
+}
+
 /// Reads the bytes that follow the event that marks the end of a stream, because a connection goes
 /// back to the pool only after its answer was read to the end.
 async fn read_trailing(mut response: TargetResponse) {
--- a/crates/targets/tests/broken.rs
+++ b/crates/targets/tests/broken.rs
@@ -129,6 +129,31 @@
     }
 }
 
+/// Guards against an answer whose number is no status of a final answer: its caller gets it as the
+/// answer, or is told that the request has not run.
+#[actix_rt::test]
+async fn answer_without_a_final_status_is_broken() {
+    for status in ["000", "099", "101", "600", "999", "20", "2000", "2x0"] {
+        let answer = format!("HTTP/1.1 {status} Odd\r\ncontent-length: 3\r\n\r\nabc");
+        let answer: &'static str = answer.leak();
+        for kind in [plain_call(), completion_call()] {
+            let (listener, address) = listen().await;
+            actix_rt::spawn(answer_once(listener, answer));
+            let result = run_attempt(address, kind).await;
+            assert_eq!(result, AttemptResult::Broken, "{status}");
+        }
+    }
+}
+
+/// Guards against an interim answer that callers get as the final one.
+#[actix_rt::test]
+async fn interim_answer_is_not_complete() {
+    const ANSWERS: &str = "HTTP/1.1 103 Early Hints\r\na: b\r\n\r\n\
+                           HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\npart";
+    let result = run_plain_call(&[ANSWERS]).await;
+    assert_eq!(result, AttemptResult::Broken);
+}
+
 /// Guards against a complete answer that counts as broken.
 #[actix_rt::test]
 async fn answer_with_its_end_is_complete() {
--- a/tests/operator_reports.rs
+++ b/tests/operator_reports.rs
@@ -6,6 +6,7 @@
 use entry_support::{
     call, get, route, stop, stream, EntryHost, StreamEnd, POLL_INTERVAL, SETTLE_LIMIT,
 };
+use hyper::body::Bytes;
 use hyper::StatusCode;
 use std::net::UdpSocket;
 use std::time::{Duration, Instant};
@@ -449,19 +450,8 @@
             .put_target(&name, &target_record("s", target.address));
         target.set_length(length);
         for (kind, path) in ["/once/", "/many/", STREAM_PATH].into_iter().enumerate() {
-            let before = target.requests();
-            let id = format!("c{number:02}{kind}");
-            let path = format!("{path}{number}");
-            let start = Instant::now();
-            let answer = loop {
-                let answer = call(&deployment.hosts[0], &path, &id).await;
-                // The host may not have read the row of the target yet.
-                if target.requests() > before || start.elapsed() > SETTLE_LIMIT {
-                    break answer;
-                }
-                actix_rt::time::sleep(POLL_INTERVAL).await;
-            };
-            assert!(target.requests() > before, "no call reached {name}");
+            let (id, path) = (format!("c{number:02}{kind}"), format!("{path}{number}"));
+            let answer = call_target(&deployment, &target, &path, &id).await;
             let status = answer.map(|(status, _)| status);
             if length == head.len() {
                 assert_eq!(status, Some(StatusCode::OK), "{path}");
@@ -473,3 +463,53 @@
         deployment.store.remove_target(&name);
     }
 }
+
+/// Guards against an answer of a target in trouble whose number is no status of a final answer: callers
+/// got it as the answer to their request.
+#[actix_rt::test]
+async fn answer_without_a_final_status_is_no_answer() {
+    let deployment = Deployment::start(0, 1).await;
+    let target = CuttingTarget::start()
+        .await
+        .expect("the target stand-in cannot start");
+    let statuses = [
+        "000 ", "099 Odd", "101 Odd", "199 Odd", "600 Odd", "999 Odd",
+    ];
+    for (number, status) in statuses.into_iter().enumerate() {
+        // A target whose answer was lost gets calls again after its restart.
+        let name = format!("i-{number}");
+        deployment
+            .store
+            .put_target(&name, &target_record("s", target.address));
+        target.set_status(status);
+        for (kind, path) in ["/once/", "/many/", STREAM_PATH].into_iter().enumerate() {
+            let (id, path) = (format!("c{number:02}{kind}"), format!("{path}{number}"));
+            let answer = call_target(&deployment, &target, &path, &id).await;
+            let status = answer.map(|(status, _)| status);
+            assert_eq!(status, Some(StatusCode::BAD_GATEWAY), "{path}");
+        }
+        deployment.store.remove_target(&name);
+    }
+}
+
+/// Sends a call until it reaches a target of which the host may not have read the row yet.
+async fn call_target(
+    deployment: &Deployment,
+    target: &CuttingTarget,
+    path: &str,
+    id: &str,
+) -> Option<(StatusCode, Bytes)> {
+    let before = target.requests();
+    let start = Instant::now();
+    loop {
+        let answer = call(&deployment.hosts[0], path, id).await;
+        if target.requests() > before {
+            return answer;
+        }
+        assert!(
+            start.elapsed() < SETTLE_LIMIT,
+            "no call reaches the target: {path}"
+        );
+        actix_rt::time::sleep(POLL_INTERVAL).await;
+    }
+}
