serving: the retry budget outlasts the processes of the hosts

Cause, in two parts. A process that starts has an empty window: it earns its ratio and takes its fixed part again, although the process before has just used both. And it knows no other host for its first 250 ms, so that it takes the fixed part of all hosts: of three hosts, 46 retries each instead of 15.

Change: heartbeats carry what a host has counted within the window, for services with retries. A host that starts asks others for the last counts of its predecessor, with the same question as for crashes, and adopts them. While it doesn't know them, it takes only the part of the limit that is never used (0.2 of its ratio, nothing of the fixed part), until the window has passed. A store without any lease row tells that no process ran before.

The host of the test harness is now told that it is the first process of its system, as the hosts of an empty store are.

--- a/crates/edge/src/crash_history.rs
+++ b/crates/edge/src/crash_history.rs
@@ -1,9 +1,8 @@
 //! Hands the crashes that still count on to hosts that start later.
 //!
-//! A host that starts asks others for them, a few times, since a crash may be reported before the
-//! other hosts know this one. When all hosts start again at the same time, none of them can answer; the
-//! holder of the lease therefore also keeps the crashes in a row of the lease's table, which hosts read
-//! with the lease. The row is written only when other crashes count than before.
+//! A host that starts asks others for them. When all hosts start again at the same time, none of them
+//! can answer; the holder of the lease therefore also keeps the crashes in a row of the lease's table,
+//! which hosts read with the lease. The row is written only when other crashes count than before.
 
 use crate::clock;
 use crate::crash_log;
@@ -15,7 +14,6 @@
 use crocusyard_base::prelude::*;
 use crocusyard_serving::prelude::*;
 use log::warn;
-use rand::Rng;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -26,17 +24,6 @@
 const HISTORY_KEY: &str = "crashes";
 /// Shortest interval between two writes of the row.
 const STORE_INTERVAL: Duration = Duration::from_millis(500);
-/// Pauses before the rounds in which a host that has started asks other hosts.
-const REQUEST_PAUSES: [Duration; 5] = [
-    Duration::from_millis(100),
-    Duration::from_millis(400),
-    Duration::from_millis(2_500),
-    Duration::from_millis(3_000),
-    Duration::from_millis(4_000),
-];
-/// Number of rounds that find another host, after which the host asks no more.
-const REQUEST_ROUNDS: usize = 3;
-
 /// Where a history comes from.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum HistorySource {
@@ -73,28 +60,8 @@
     history: CrashHistory,
 }
 
-/// Asks other hosts for the crashes before the start of this one.
-pub(crate) async fn learn_history(shell: Rc<EdgeShell>) {
-    let mut rounds = 0;
-    for pause in REQUEST_PAUSES {
-        actix_rt::time::sleep(pause).await;
-        let salt = shell.rng.borrow_mut().random::<u64>();
-        let sources = shell.hosts.borrow().draw_sources(salt, clock::now());
-        if sources.is_empty() {
-            continue;
-        }
-        let reply_to = shell.settings.peer;
-        let request = HostMessage::CrashHistoryRequest { reply_to };
-        shell.peers.send_all(&sources, &request);
-        rounds += 1;
-        if rounds == REQUEST_ROUNDS {
-            return;
-        }
-    }
-}
-
-/// Answers the request of a host that has just started, if any crash counts.
-pub(crate) fn send_history(shell: &EdgeShell, reply_to: SocketAddr) {
+/// Tells a host that has just started which crashes count, if any do.
+pub(crate) fn send_crashes(shell: &EdgeShell, reply_to: SocketAddr) {
     let history = shell.serving.borrow().crash_history(clock::now());
     if !history.is_empty() {
         let answer = HostMessage::CrashHistory(history);
--- a/crates/edge/src/gossip.rs
+++ b/crates/edge/src/gossip.rs
@@ -1,8 +1,9 @@
 //! Sends and receives the messages between entry hosts.
 
 use crate::clock;
-use crate::crash_history::{receive_history, send_history, HistorySource};
+use crate::crash_history::{receive_history, HistorySource};
 use crate::follow::{apply_relayed_configuration, update_hosts};
+use crate::former_state::{receive_former_retries, send_history};
 use crate::message::HostMessage;
 use crate::moves;
 use crate::shell::EdgeShell;
@@ -104,6 +105,7 @@
     let lease = shell.lease_report();
     let host = shell.hosts.borrow().own().clone();
     let waiting = shell.serving.borrow().waiting_report();
+    let retries = shell.serving.borrow_mut().retry_report(clock::now());
     shell.broadcast(&HostMessage::Heartbeat {
         host,
         leaving: shell.is_stopping(),
@@ -111,6 +113,7 @@
         load: shell.serving.borrow().targets.own_load(),
         waiting,
         availability: shell.availability.borrow().report(clock::now()),
+        retries,
     });
     let evidence = shell.serving.borrow().evidence_report(clock::now());
     if let Some(evidence) = evidence {
@@ -318,7 +321,10 @@
             compressed,
         } => apply_relayed_configuration(shell, version, &compressed),
         HostMessage::Hosts { upserts, removed } => update_hosts(shell, upserts, &removed),
-        HostMessage::CrashHistoryRequest { reply_to } => send_history(shell, reply_to),
+        HostMessage::HistoryRequest { host, reply_to } => {
+            send_history(shell, &host, reply_to);
+        }
+        HostMessage::FormerRetries(counts) => receive_former_retries(shell, counts),
         HostMessage::CrashHistory(history) => {
             receive_history(shell, history, HistorySource::Host);
         }
@@ -335,6 +341,7 @@
         load,
         waiting,
         availability,
+        retries,
     } = heartbeat
     else {
         return;
@@ -354,6 +361,12 @@
     if let Some(report) = &availability {
         shell.availability.borrow_mut().receive_report(report, now);
     }
+    if let Some(uses) = retries {
+        shell
+            .former_retries
+            .borrow_mut()
+            .record(&host.name, uses, now);
+    }
     shell.dispatch(ServingEvent::PeerWaiting {
         host: host.name.clone(),
         waiting,
--- a/crates/edge/src/lease_keeper.rs
+++ b/crates/edge/src/lease_keeper.rs
@@ -78,6 +78,10 @@
     match shell.store.read(StoreTable::Lease, LEASE_TIMEOUT).await {
         Ok(page) => {
             let row = page.rows.iter().find_map(decode_lease);
+            if page.rows.is_empty() {
+                // No host has run before.
+                shell.dispatch(ServingEvent::FormerRetries(Vec::new()));
+            }
             shell.lease.borrow_mut().receive_row(row, clock::now());
             receive_stored_evidence(shell, &page.rows);
             receive_stored_history(shell, &page.rows);
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -22,6 +22,7 @@
 mod entry;
 mod exchange;
 mod follow;
+mod former_state;
 mod gossip;
 mod intake_log;
 mod lease_keeper;
--- a/crates/edge/src/message.rs
+++ b/crates/edge/src/message.rs
@@ -26,6 +26,10 @@
         waiting: HostWaiting,
         /// Answers of the store that the sender knows of, if it knows of any.
         availability: Option<AvailabilityReport>,
+        /// Requests and retries within the window of the retry budget; `None` while the sender does not
+        /// know what was counted before its start, and from hosts of an earlier version.
+        #[serde(deserialize_with = "crocusyard_serving::retries::counts_or_none")]
+        retries: Option<Vec<RetryCount>>,
     },
     /// Lease report: the holder's confirmation request, or a host's answer to it.
     Lease {
@@ -117,11 +121,15 @@
     },
     /// Reports the usage of tenants with limits at the sender.
     Usage(QuotaReport),
-    /// Asks for the crashes that the sender missed before its start.
-    CrashHistoryRequest {
-        /// Address of the sender for the answer.
+    /// Asks for what the sender has to know of the time before its start.
+    HistoryRequest {
+        /// Host that asks.
+        host: HostName,
+        /// Its address for the answers.
         reply_to: SocketAddr,
     },
-    /// Answers a request for the crashes that still count.
+    /// Answers with the crashes that still count.
     CrashHistory(CrashHistory),
+    /// Answers with what the process before the asking one has counted for its retry budget.
+    FormerRetries(Vec<RetryCount>),
 }
--- a/crates/edge/src/run.rs
+++ b/crates/edge/src/run.rs
@@ -2,10 +2,11 @@
 
 use crate::caller_conns::SWEEP_INTERVAL;
 use crate::clock;
-use crate::crash_history::{keep_history, learn_history, store_history};
+use crate::crash_history::{keep_history, store_history};
 use crate::decision_log;
 use crate::entry::{accept, ListenerRole};
 use crate::follow::{follow_hosts, follow_rules};
+use crate::former_state::learn_history;
 use crate::gossip::{
     receive, report_usage, request_confirmations, send_heartbeat, send_heartbeats, spread_news,
     PeerSocket,
--- a/crates/edge/src/shell.rs
+++ b/crates/edge/src/shell.rs
@@ -6,6 +6,7 @@
 use crate::crash_log;
 use crate::decision_log;
 use crate::entry::ListenerRole;
+use crate::former_state::ReportedRetries;
 use crate::gossip::{self, PeerSocket};
 use crate::intake_log::IntakeLog;
 use crate::message::HostMessage;
@@ -113,6 +114,8 @@
     pub(crate) stopping_since: Cell<Option<ClockTime>>,
     /// Version of the lease row with which this host released the lease, if it did.
     pub(crate) released_version: Cell<Option<u64>>,
+    /// What other hosts have counted for their retry budgets, for their next processes.
+    pub(crate) former_retries: RefCell<ReportedRetries>,
     /// Crashes that are in the store.
     pub(crate) stored_history: RefCell<StoredHistory>,
     pub(crate) rng: RefCell<SeededRng>,
@@ -183,6 +186,7 @@
             stale_since: Cell::new(None),
             stopping_since: Cell::new(None),
             released_version: Cell::new(None),
+            former_retries: RefCell::default(),
             stored_history: RefCell::default(),
             rng: RefCell::new(seeded_rng(RandomState::new().build_hasher().finish())),
             complaints: RefCell::default(),
--- a/crates/serving/src/event.rs
+++ b/crates/serving/src/event.rs
@@ -3,6 +3,7 @@
 use crate::call::{AttemptOutcome, CallInfo, CallNeed};
 use crate::choose::NoTarget;
 use crate::hosts::HostShare;
+use crate::retries::RetryCount;
 use crate::rules::RuleSet;
 use crate::shares::UsageReport;
 use crate::target_reports::TargetReports;
@@ -74,6 +75,9 @@
     },
     /// Another host reported calls that were lost when a target crashed.
     Crash(CrashReport),
+    /// Another host reported what the process before this one has counted for its retry budget, or
+    /// there was none.
+    FormerRetries(Vec<RetryCount>),
     /// Another host, or the store, told this host of crashes before its start.
     CrashHistory(CrashHistory),
     /// Another host reported what it knows of the causes of crashes.
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -63,7 +63,7 @@
     pub use crate::limits::{NamedUsage, TenantLimits};
     pub use crate::orders::{EngineOrder, EngineReport, OrderAction, OrderAnswer, OrderTracker};
     pub use crate::relay::{ListChange, ListEntry, ListFollower, ListReader, ReaderRank};
-    pub use crate::retries::{RetryBudget, RetryLimits};
+    pub use crate::retries::{RetryBudget, RetryCount, RetryLimits};
     pub use crate::rules::{
         CallKind, CallerLimits, EngineRule, ModelRule, RouteRule, RuleSet, ServiceRule,
     };
--- a/crates/serving/src/state.rs
+++ b/crates/serving/src/state.rs
@@ -17,7 +17,7 @@
 use crate::event::{AttemptPlan, RefusalReason, RequestRefusal, ServingEffect, ServingEvent};
 use crate::hosts::{report_lifetime, HostShare};
 use crate::limits::{ChargeRefusal, TenantLimits, STARTING_RETRY_DELAY};
-use crate::retries::{RetryBudget, RetryLimits};
+use crate::retries::{RetryBudget, RetryCount, RetryLimits};
 use crate::rules::RuleSet;
 use crate::served_ratio::ServedRatios;
 use crate::shares::{TenantShares, TenantUsageView, UsageReport};
@@ -150,7 +150,7 @@
     /// Creates the state of a host that has just started, without configuration and targets.
     pub fn new(config: ServingConfig, now: ClockTime) -> Self {
         Self {
-            budget: RetryBudget::new(config.retries),
+            budget: RetryBudget::after_start(config.retries, now),
             limits: TenantLimits::new(&config.host, config.process, config.seed, now),
             config,
             unrun: Vec::new(),
@@ -251,6 +251,12 @@
         self.has_tenants().then(|| self.shares.report(now))
     }
 
+    /// Returns what the retry budget has counted, to be sent to the other hosts; `None` while this host
+    /// does not know what was counted before its start.
+    pub fn retry_report(&mut self, now: ClockTime) -> Option<Vec<RetryCount>> {
+        self.budget.report(now)
+    }
+
     /// Returns the figures by which the calls of a tenant are ordered.
     pub fn tenant_usage(&self, tenant: &TenantName, now: ClockTime) -> TenantUsageView {
         self.shares.view(tenant, now)
@@ -308,6 +314,7 @@
                 self.send_waiting(now, &mut out);
             }
             ServingEvent::Crash(report) => self.receive_crash(&report, now, &mut out),
+            ServingEvent::FormerRetries(counts) => self.budget.adopt(&counts),
             ServingEvent::CrashHistory(history) => {
                 self.receive_crash_history(&history, now, &mut out);
             }
--- a/crates/serving/tests/common/mod.rs
+++ b/crates/serving/tests/common/mod.rs
@@ -182,6 +182,9 @@
             state: ServingState::new(config, ms(0)),
             next_key: 1,
         };
+        // No process has run before this one.
+        host.state
+            .reduce(ServingEvent::FormerRetries(Vec::new()), ms(0));
         host.state
             .reduce(ServingEvent::Rules(Rc::new(rules(models))), ms(0));
         let event = ServingEvent::Targets {
