serving: a host adopts the counts of its predecessor once

Cause: other hosts answer with the last counts that they heard under the name of the asking host. After its first heartbeat these are its own, so that a later answer was adopted beside them and its retries counted twice. Found by reading; callers would have got fewer retries than the limit allows.

Change: answers after the first one are ignored. The selection of what goes into a crash history is split into functions.

Test: host_that_knows_what_was_counted_uses_the_rest, with the further answer.

--- a/crates/crashes/src/tracker.rs
+++ b/crates/crashes/src/tracker.rs
@@ -332,27 +332,17 @@
 
     /// Returns the crashes that count against causes, for hosts that start later.
     pub fn history(&self, now: ClockTime) -> CrashHistory {
-        let mut suspects: Vec<(CrashCause, &CrashSuspect)> = self
-            .suspects
-            .iter()
-            .filter(|(_, suspect)| !suspect.crashes.is_empty())
-            .filter(|(_, suspect)| now.since(suspect.last_crash()) < CRASH_LIFETIME)
-            .map(|(cause, suspect)| (*cause, suspect))
-            .collect();
-        suspects.sort_unstable_by_key(|(cause, suspect)| {
-            Reverse((suspect.crashes.len(), suspect.last_crash(), *cause))
-        });
-        let mut reports: BTreeMap<&TargetRun, CrashReport> = BTreeMap::new();
+        let mut reports: BTreeMap<TargetRun, CrashReport> = BTreeMap::new();
         let mut sound = Vec::new();
         let mut counted = 0;
-        for (cause, suspect) in suspects {
+        for (cause, suspect) in self.suspects_by_weight(now) {
             let crashes = suspect.newest_crashes();
             counted += crashes.len();
             if counted > MAX_COUNTED {
                 break;
             }
             for (run, times) in crashes {
-                let report = reports.entry(run);
+                let report = reports.entry(run.clone());
                 let report = report.or_insert_with(|| empty_report(run, times.crashed_at, now));
                 report.causes.push(LostCause {
                     cause,
@@ -362,20 +352,43 @@
             let sent_at = self.sound.get(&cause);
             sound.extend(sent_at.map(|sent_at| (cause, now.since(*sent_at))));
         }
-        // Blame also depends on the number of crashes without the cause.
-        let mut others: Vec<(&TargetRun, ClockTime)> = self
+        let others = self.other_crashes(&reports, now);
+        let crashes = reports.into_values().chain(others).collect();
+        CrashHistory { crashes, sound }
+    }
+
+    /// Returns the causes with crashes that still count, those with the most and newest crashes first.
+    fn suspects_by_weight(&self, now: ClockTime) -> Vec<(CrashCause, &CrashSuspect)> {
+        let mut suspects: Vec<(CrashCause, &CrashSuspect)> = self
+            .suspects
+            .iter()
+            .filter(|(_, suspect)| !suspect.crashes.is_empty())
+            .filter(|(_, suspect)| now.since(suspect.last_crash()) < CRASH_LIFETIME)
+            .map(|(cause, suspect)| (*cause, suspect))
+            .collect();
+        suspects.sort_unstable_by_key(|(cause, suspect)| {
+            Reverse((suspect.crashes.len(), suspect.last_crash(), *cause))
+        });
+        suspects
+    }
+
+    /// Returns the newest crashes that are not among these reports. Blame depends on their number too.
+    fn other_crashes(
+        &self,
+        reports: &BTreeMap<TargetRun, CrashReport>,
+        now: ClockTime,
+    ) -> Vec<CrashReport> {
+        let mut others: Vec<(&TargetRun, &ClockTime)> = self
             .reported
             .iter()
-            .filter(|(run, _)| !reports.contains_key(run))
-            .map(|(run, at)| (run, *at))
+            .filter(|(run, _)| !reports.contains_key(*run))
             .collect();
-        others.sort_unstable_by_key(|(_, at)| Reverse(*at));
+        others.sort_unstable_by_key(|(_, at)| Reverse(**at));
         others.truncate(MAX_OTHER_CRASHES);
-        let others = others
+        others
             .into_iter()
-            .map(|(run, at)| empty_report(run, at, now));
-        let crashes = reports.into_values().chain(others).collect();
-        CrashHistory { crashes, sound }
+            .map(|(run, at)| empty_report(run, *at, now))
+            .collect()
     }
 
     /// Records the history that another host has collected.
--- a/crates/edge/src/crash_log.rs
+++ b/crates/edge/src/crash_log.rs
@@ -15,13 +15,13 @@
     }
 }
 
-/// Logs what the lost calls of this host contained when a target crashed. `crash_count` tells how many
-/// crashes this host counts against a cause, this one included.
-pub(crate) fn log_crash(report: &CrashReport, crash_count: impl Fn(CrashCause) -> usize) {
+/// Logs what the lost calls of this host contained when a target crashed, and how many crashes this host
+/// counts against each cause, this one included.
+pub(crate) fn log_crash(report: &CrashReport, serving: &ServingState) {
     let mut counts: Vec<(String, usize)> = report
         .causes
         .iter()
-        .map(|lost| (cause_text(lost.cause), crash_count(lost.cause)))
+        .map(|lost| (cause_text(lost.cause), serving.crash_count(lost.cause)))
         .collect();
     counts.sort_by_key(|(_, count)| std::cmp::Reverse(*count));
     counts.truncate(MAX_LOGGED_CAUSES);
--- a/crates/edge/src/gossip.rs
+++ b/crates/edge/src/gossip.rs
@@ -361,11 +361,11 @@
     if let Some(report) = &availability {
         shell.availability.borrow_mut().receive_report(report, now);
     }
-    if let Some(uses) = retries {
+    if let Some(counts) = retries {
         shell
             .former_retries
             .borrow_mut()
-            .record(&host.name, uses, now);
+            .record(&host.name, counts, now);
     }
     shell.dispatch(ServingEvent::PeerWaiting {
         host: host.name.clone(),
--- a/crates/edge/src/shell.rs
+++ b/crates/edge/src/shell.rs
@@ -278,9 +278,7 @@
             ServingEffect::Fail { key, expired } => self.push(key, RequestStep::Fail { expired }),
             ServingEffect::RequestCopy { service, need } => self.request_copy(service, need),
             ServingEffect::ReportCrash(report) => {
-                let serving = self.serving.borrow();
-                crash_log::log_crash(&report, |cause| serving.crash_count(cause));
-                drop(serving);
+                crash_log::log_crash(&report, &self.serving.borrow());
                 self.metrics.count_crash();
                 self.broadcast(&HostMessage::Crash(report));
             }
--- a/crates/membership/tests/targets.rs
+++ b/crates/membership/tests/targets.rs
@@ -208,3 +208,25 @@
         assert_eq!(leaving, LEAVING_TARGETS, "leaving targets on host {host}");
     }
 }
+
+/// Guards against a request that crashes one target after another while hosts are replaced: a host that
+/// joins later has to hear of earlier crashes.
+#[test]
+fn host_that_joins_hears_of_earlier_crashes() {
+    let mut network = started_network(9, 3);
+    let report = CrashReport {
+        digest: [7; 16],
+        target: Some(target_name()),
+    };
+    network.handle(0, MembershipEvent::CrashReported(report.clone()));
+    network.run_for(ClockTime::from_secs(5));
+    assert!(network.hosts[4].state.crashes.contains_key(&report));
+    network.crash(4);
+    network.run_for(ClockTime::from_secs(1));
+    network.restart(4);
+    network.run_for(ClockTime::from_secs(10));
+    assert!(
+        network.hosts[4].state.crashes.contains_key(&report),
+        "the new process knows of no crash"
+    );
+}
--- a/crates/serving/src/retries.rs
+++ b/crates/serving/src/retries.rs
@@ -105,21 +105,13 @@
         }
     }
 
-    /// Adopts what the process before this one has counted, as another host knows it.
+    /// Adopts what the process before this one has counted, as another host knows it. Later answers are
+    /// ignored: they may have been made after this process has reported its own counts.
     pub fn adopt(&mut self, counts: &[RetryCount]) {
         if matches!(self.former, FormerCounts::Unknown) {
-            self.former = FormerCounts::Known(HashMap::new());
-        }
-        let FormerCounts::Known(former) = &mut self.former else {
-            return;
-        };
-        for count in counts {
-            let is_newer = former
-                .get(&count.service)
-                .is_none_or(|known| count.retries > known.retries);
-            if is_newer {
-                former.insert(count.service.clone(), count.clone());
-            }
+            let counts = counts.iter();
+            let by_service = counts.map(|count| (count.service.clone(), count.clone()));
+            self.former = FormerCounts::Known(by_service.collect());
         }
     }
 
--- a/crates/serving/tests/retry_budget.rs
+++ b/crates/serving/tests/retry_budget.rs
@@ -163,6 +163,10 @@
     // 0.8 of the fixed part is used: 46, of which 40 are taken.
     let left = std::iter::repeat_with(|| budget.try_take(&service(), 1.0, start));
     assert_eq!(left.take(20).filter(|taken| *taken).count(), 6);
+    // An answer that was made after this process has reported its counts is not added to them.
+    let own = budget.report(start).expect("the counts are known");
+    budget.adopt(&own);
+    assert_eq!(budget.report(start), Some(own));
     // The process after this one has to know of both.
     let counts = budget.report(start).expect("the counts are known");
     assert_eq!(counts[0].retries, 46);
