serving: leaving hosts keep their part of the retry limit

Cause: the fixed part of the limit was divided among the live hosts.

Ruled out: the restart of the counts, which is mended; the same play with all hosts always counted keeps to the limit.

Change: the fixed part is divided among all known hosts, leaving or silent, by processor time. The fraction of the callers stays as it is.

Tests of the restarts share their set-up.

--- a/crates/edge/src/crash_history.rs
+++ b/crates/edge/src/crash_history.rs
@@ -24,6 +24,7 @@
 const HISTORY_KEY: &str = "crashes";
 /// Shortest interval between two writes of the row.
 const STORE_INTERVAL: Duration = Duration::from_millis(500);
+
 /// Where a history comes from.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum HistorySource {
--- a/crates/serving/src/hosts.rs
+++ b/crates/serving/src/hosts.rs
@@ -69,15 +69,20 @@
     pub hosts: usize,
     /// Fraction of the callers that the address answers send to this host, by processor time.
     pub fraction: f64,
+    /// The same among all known hosts, also those that are leaving or silent. They may have used what
+    /// is divided among the hosts a short time ago.
+    pub known_fraction: f64,
 }
 
 impl HostShare {
     /// Returns the share of each of `hosts` equal hosts.
     pub fn equal(hosts: usize) -> Self {
         let hosts = hosts.max(1);
+        let fraction = 1.0 / hosts as f64;
         Self {
             hosts,
-            fraction: 1.0 / hosts as f64,
+            fraction,
+            known_fraction: fraction,
         }
     }
 }
@@ -325,8 +330,12 @@
             hosts += 1;
             millicores += record.strength();
         }
-        let fraction = self.own.strength() / millicores;
-        HostShare { hosts, fraction }
+        let known: f64 = self.weights().map(|(_, weight, _)| weight).sum();
+        HostShare {
+            hosts,
+            fraction: self.own.strength() / millicores,
+            known_fraction: self.own.strength() / known,
+        }
     }
 
     /// Iterates over all known hosts, live or not, with their processor times as weights and whether
--- a/crates/serving/src/retries.rs
+++ b/crates/serving/src/retries.rs
@@ -141,7 +141,8 @@
 
     /// Takes one retry from the budget; returns whether one was left.
     ///
-    /// `fraction` is the fraction of all callers that this host gets.
+    /// `fraction` is the fraction of the fixed part of the limit that belongs to this host. The
+    /// fractions of hosts that have been leaving within the window belong to them still.
     pub fn try_take(&mut self, service: &ServiceName, fraction: f64, now: ClockTime) -> bool {
         let remaining = self.remaining(service, fraction, now);
         if remaining < 1.0 {
--- a/crates/serving/src/state/ends.rs
+++ b/crates/serving/src/state/ends.rs
@@ -180,7 +180,8 @@
             return false;
         }
         let service = request.call.service.clone();
-        self.budget.try_take(&service, self.share.fraction, now)
+        self.budget
+            .try_take(&service, self.share.known_fraction, now)
     }
 
     fn retry_or_refuse(
--- a/crates/serving/src/state/estimate.rs
+++ b/crates/serving/src/state/estimate.rs
@@ -223,7 +223,9 @@
         if slots == 0 {
             return false;
         }
-        let HostShare { hosts, fraction } = self.share;
+        let HostShare {
+            hosts, fraction, ..
+        } = self.share;
         let total = f64::from(slots) * SLOT_OVERCOMMIT;
         let share = total * fraction;
         // Hosts that have not reported their load are assumed to use their shares.
--- a/crates/serving/tests/mixed_hosts.rs
+++ b/crates/serving/tests/mixed_hosts.rs
@@ -112,6 +112,7 @@
     let share = HostShare {
         hosts: 71,
         fraction,
+        known_fraction: fraction,
     };
     host.state.reduce(ServingEvent::Hosts(share), ms(2_000));
     for number in 1..71 {
@@ -162,6 +163,19 @@
     assert_eq!(taken(0.05), 4);
 }
 
+/// Guards against a host that takes the retries of hosts which are leaving, and which may have just used
+/// them.
+#[test]
+fn leaving_hosts_keep_their_part_of_the_retries() {
+    let mut hosts = table(&[500, 500, 500]);
+    for number in [2, 3] {
+        hosts.receive_heartbeat(&host_record(number, 500), true, ms(200));
+    }
+    let share = hosts.share(ms(300));
+    assert_eq!(share.hosts, 1);
+    assert!((share.known_fraction - 1.0 / 3.0).abs() < 1e-9, "{share:?}");
+}
+
 /// Guards against hosts whose fractions of the callers add up to more than all callers.
 #[test]
 fn fractions_of_all_hosts_add_up_to_one() {
--- a/crates/serving/tests/retry_budget.rs
+++ b/crates/serving/tests/retry_budget.rs
@@ -54,6 +54,9 @@
     answer_at: Option<u64>,
 }
 
+/// Time for which a host that is stopped in turn leaves before its process ends.
+const LEAVE_MS: u64 = 6_000;
+
 /// How processes end.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum RestartKind {
@@ -65,9 +68,25 @@
 
 /// Plays a service most of whose calls fail for 4 s out of 9 s, while each host ends every `period_ms`;
 /// returns the largest excess over the limit and the number of retries.
-fn play(hosts: usize, kind: RestartKind, period_ms: u64, seed: u64) -> (f64, usize) {
+fn play(
+    hosts: usize,
+    kind: RestartKind,
+    period_ms: u64,
+    calls_per_s: f64,
+    seed: u64,
+) -> (f64, usize) {
     let mut rng = seeded_rng(seed);
     let fraction = 1.0 / hosts as f64;
+    let phase_of = |number: usize| match kind {
+        RestartKind::InTurn => number as u64 * period_ms / hosts as u64,
+        RestartKind::Together => 0,
+    };
+    // Not all hosts leave at the same time.
+    let leave_ms = LEAVE_MS.min(period_ms / 2);
+    let is_leaving = |number: usize, now_ms: u64| {
+        let left_ms = (phase_of(number) + period_ms - now_ms % period_ms) % period_ms;
+        kind == RestartKind::InTurn && (1..=leave_ms).contains(&left_ms)
+    };
     let mut all: Vec<BudgetHost> = (0..hosts)
         .map(|_| BudgetHost {
             budget: RetryBudget::new(LIMITS),
@@ -80,11 +99,7 @@
     for now_ms in 0..END_MS {
         let now = ClockTime::from_ms(now_ms);
         for (number, host) in all.iter_mut().enumerate() {
-            let phase = match kind {
-                RestartKind::InTurn => number as u64 * period_ms / hosts as u64,
-                RestartKind::Together => 0,
-            };
-            if now_ms > 0 && now_ms % period_ms == phase {
+            if now_ms > 0 && now_ms % period_ms == phase_of(number) {
                 host.budget = RetryBudget::after_start(LIMITS, now);
                 host.answer_at = (kind == RestartKind::InTurn).then_some(now_ms + ANSWER_MS);
             }
@@ -97,9 +112,11 @@
                 host.reported = host.budget.report(now).or(host.reported.take());
             }
         }
-        // About a hundred calls a second, over all hosts.
-        if rng.random::<f64>() < 0.1 {
-            let host = rng.random_range(0..hosts);
+        if rng.random::<f64>() < calls_per_s / 1_000.0 {
+            let live: Vec<usize> = (0..hosts)
+                .filter(|number| !is_leaving(*number, now_ms))
+                .collect();
+            let host = live[rng.random_range(0..live.len())];
             let budget = &mut all[host].budget;
             budget.count_request(&service(), now);
             count.requests.push_back(now_ms);
@@ -122,10 +139,17 @@
 fn hosts_that_start_again_keep_to_the_limit() {
     for hosts in [3, 9, 75] {
         for kind in [RestartKind::InTurn, RestartKind::Together] {
-            for period_ms in [2_500, 4_000, 9_000] {
+            for (period_ms, calls_per_s) in [
+                (2_500, 100.0),
+                (4_000, 100.0),
+                (9_000, 100.0),
+                (9_000, 20.0),
+            ] {
                 for seed in 1..=3 {
-                    let (excess, retries) = play(hosts, kind, period_ms, seed);
-                    let case = format!("{hosts} hosts, {kind:?} every {period_ms} ms, seed {seed}");
+                    let (excess, retries) = play(hosts, kind, period_ms, calls_per_s, seed);
+                    let case = format!(
+                        "{hosts} hosts, {kind:?} every {period_ms} ms, {calls_per_s} calls/s, seed {seed}"
+                    );
                     assert!(excess <= 0.0, "{case}: {excess} retries over the limit");
                     let knows = kind == RestartKind::InTurn;
                     assert!(retries > 0 || !knows, "{case}: no retry");
--- a/tests/crashing_parts.rs
+++ b/tests/crashing_parts.rs
@@ -73,6 +73,20 @@
     }
 }
 
+/// Starts a host whose target crashes twice with the same call.
+async fn crash_twice() -> (StoreStandin, CrashingTarget, EntryHost) {
+    let store = StoreStandin::start()
+        .await
+        .expect("the store stand-in cannot start");
+    store.put_configuration(&configuration(1, &ROUTES));
+    let mut target = CrashingTarget::start(&store).await;
+    let host = EntryHost::start("edge-0", store.address);
+    host.wait_ready().await;
+    assert!(target.crash(&host).await);
+    assert!(target.crash(&host).await);
+    (store, target, host)
+}
+
 /// Waits until a host suspects a cause of crashes that it has not seen itself.
 async fn wait_suspects(host: &EntryHost) {
     let start = Instant::now();
@@ -95,15 +109,7 @@
 /// host that starts after a crash has to count it.
 #[actix_rt::test]
 async fn host_that_replaces_another_counts_its_crashes() {
-    let store = StoreStandin::start()
-        .await
-        .expect("the store stand-in cannot start");
-    store.put_configuration(&configuration(1, &ROUTES));
-    let mut target = CrashingTarget::start(&store).await;
-    let first = EntryHost::start("edge-0", store.address);
-    first.wait_ready().await;
-    assert!(target.crash(&first).await);
-    assert!(target.crash(&first).await);
+    let (store, mut target, first) = crash_twice().await;
     // The next host hears of the crashes from the first one only.
     store.remove_crashes();
     let second = EntryHost::start("edge-1", store.address);
@@ -117,15 +123,7 @@
 /// Guards against the same when all hosts end at the same time.
 #[actix_rt::test]
 async fn hosts_that_start_together_count_earlier_crashes() {
-    let store = StoreStandin::start()
-        .await
-        .expect("the store stand-in cannot start");
-    store.put_configuration(&configuration(1, &ROUTES));
-    let mut target = CrashingTarget::start(&store).await;
-    let first = EntryHost::start("edge-0", store.address);
-    first.wait_ready().await;
-    assert!(target.crash(&first).await);
-    assert!(target.crash(&first).await);
+    let (store, mut target, first) = crash_twice().await;
     drop(first);
     let next = EntryHost::start("edge-0", store.address);
     next.wait_ready().await;
