base: one check of the status of a final answer

Change: one in crocusyard_base, by number, since the clients use different status types. No behaviour changes.

Checked: formatter, linter, all tests of httpconn, targets and the adapter, and answer_without_a_final_status_is_no_answer: none failed.

--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -1,5 +1,5 @@
 //! Types that all other crates share: clock time, names, identifiers, calls to the table service,
-//! seeded randomness and the invariant check.
+//! HTTP status numbers, seeded randomness and the invariant check.
 //!
 //! Nothing here does I/O or reads the system clock. Reducers and other pure logic get the time as a
 //! [`ClockTime`](clock::ClockTime) parameter and randomness as a [`SeededRng`](random::SeededRng)
@@ -7,6 +7,7 @@
 
 pub mod clock;
 pub mod heartbeat;
+pub mod http_status;
 pub mod ids;
 pub mod invariants;
 pub mod names;
--- a/crates/httpconn/src/pool.rs
+++ b/crates/httpconn/src/pool.rs
@@ -2,6 +2,7 @@
 
 use crate::socket::set_stream_options;
 use bytes::Bytes;
+use crocusyard_base::http_status::is_final_status;
 use crocusyard_base::prelude::*;
 use crocusyard_intake::prelude::*;
 use http_body_util::{BodyExt, Full};
@@ -100,15 +101,6 @@
         )
 }
 
-/// Returns whether an answer with this status ends a request. The HTTP library passes on all numbers of
-/// three digits from 100 and takes 101 for a final answer.
-fn is_final(status: StatusCode) -> bool {
-    status.is_success()
-        || status.is_redirection()
-        || status.is_client_error()
-        || status.is_server_error()
-}
-
 /// Limits on the connections of a pool.
 #[derive(Clone, Copy, Debug)]
 pub struct PoolLimits {
@@ -355,12 +347,10 @@
                 }
             }
         })?;
-        if !is_final(answer.status()) {
+        let status = answer.status().as_u16();
+        if !is_final_status(status) {
             return Err(SendError::Lost {
-                reason: format!(
-                    "{} is no status of a final answer",
-                    answer.status().as_u16()
-                ),
+                reason: format!("{status} is no status of a final answer"),
                 malformed: true,
             });
         }
--- a/crates/targets/src/attempt.rs
+++ b/crates/targets/src/attempt.rs
@@ -5,6 +5,7 @@
 use awc::http::{header::HeaderMap, Method, StatusCode};
 use awc::{Client, ClientRequest, ClientResponse};
 use bytes::Bytes;
+use crocusyard_base::http_status::is_final_status;
 use crocusyard_base::prelude::*;
 use crocusyard_transport::prelude::*;
 use eventsource_stream::Eventsource;
@@ -167,7 +168,7 @@
         }
     };
     report(AttemptChange::Sent);
-    if !is_final(response.status()) {
+    if !is_final_status(response.status().as_u16()) {
         return report(AttemptChange::Ended(AttemptResult::Broken));
     }
     let result = read_answer(&mut response, &plan.kind, &report).await;
@@ -179,15 +180,6 @@
     }
 }
 
-/// Returns whether an answer with this status ends a request. The HTTP library passes on all numbers of
-/// three digits from 100 and takes interim answers for final ones.
-fn is_final(status: StatusCode) -> bool {
-    status.is_success()
-        || status.is_redirection()
-        || status.is_client_error()
-        || status.is_server_error()
-}
-
 /// Reads the bytes that follow the event that marks the end of a stream, because a connection goes
 /// back to the pool only after its answer was read to the end.
 async fn read_trailing(mut response: TargetResponse) {
