edge: the crashes for the row are counted once; names of the platform in its folder

Cause: a write of the crash row worked out its crashes twice, in store_history and in write_history. tests/crashing_parts.rs spelled two fields of the platform's entries, which belong in platform/. Change: the counted crashes are handed on; TargetStandin::record_start makes the entry. The assertions are the same.

--- a/crates/edge/src/crash_history.rs
+++ b/crates/edge/src/crash_history.rs
@@ -131,7 +131,7 @@
     }
     let version = shell.stored_history.borrow().version;
     match version {
-        Some(version) => write_history(shell, history, version).await,
+        Some(version) => write_history(shell, history, counted, version).await,
         // The next round writes what this host knows beyond the row.
         None => read_history(shell).await,
     }
@@ -146,8 +146,12 @@
     }
 }
 
-async fn write_history(shell: &EdgeShell, history: CrashHistory, expected: u64) {
-    let counted = history.counted();
+async fn write_history(
+    shell: &EdgeShell,
+    history: CrashHistory,
+    counted: BTreeSet<CountedCrash>,
+    expected: u64,
+) {
     let row = HistoryRow {
         written_ms: clock::unix_ms(),
         history,
--- a/tests/crashing_parts.rs
+++ b/tests/crashing_parts.rs
@@ -56,9 +56,7 @@
     /// Writes the record of the next incarnation.
     fn restart(&mut self) {
         self.starts += 1;
-        let mut record = self.standin.record("s");
-        record["born"] = json!(self.starts);
-        record["seq_no"] = json!(self.starts);
+        let record = self.standin.record_start("s", self.starts);
         self.store.put_target("i-0", &record);
     }
 
