edge: hosts that start later hear of leaving targets

Callers saw nothing in most cases: a host that started after a target had said in an answer that it is leaving sent it a call all the same.

Cause: with few hosts the notice was sent once, to the hosts known at that moment.

Change: the answer to a host that starts carries the notices too, whatever their age, as long as the target is listed.

--- a/crates/edge/src/former_state.rs
+++ b/crates/edge/src/former_state.rs
@@ -1,12 +1,13 @@
-//! What a host that starts has to know of the time before: crashes that still count, and what the
-//! process before it has counted for its retry budget.
+//! What a host that starts has to know of the time before: crashes that still count, targets that have
+//! said that they are leaving, and what the process before it has counted for its retry budget.
 //!
-//! The host asks others a few times, since they may not know it yet, and since a crash may be reported
-//! to the hosts that run just before they do.
+//! The host asks others a few times, since they may not know it yet, and since news may be told to the
+//! hosts that run just before they do.
 
 use crate::clock;
 use crate::crash_history::send_crashes;
 use crate::decision_log;
+use crate::gossip::leaving_message;
 use crate::message::HostMessage;
 use crate::shell::EdgeShell;
 use crocusyard_base::prelude::*;
@@ -103,6 +104,7 @@
 /// Answers a host that has just started.
 pub(crate) fn send_history(shell: &EdgeShell, host: &HostName, reply_to: SocketAddr) {
     send_crashes(shell, reply_to);
+    send_leaving(shell, reply_to);
     let window = shell.settings.retries.window;
     let reports = shell.former_retries.borrow();
     if let Some(counts) = reports.counts(host, window, clock::now()) {
@@ -111,6 +113,14 @@
     }
 }
 
+/// Tells a host that has just started which targets have said that they are leaving, if any have.
+fn send_leaving(shell: &EdgeShell, reply_to: SocketAddr) {
+    let leaving = shell.serving.borrow().targets.all_leaving_notices();
+    if !leaving.is_empty() {
+        shell.peers.send(reply_to, &leaving_message(leaving));
+    }
+}
+
 /// Applies what the process before this one has counted. It is compared with this host's fraction of the
 /// limit, which is not known before the other hosts are.
 pub(crate) fn receive_former_retries(shell: &EdgeShell, counts: Vec<RetryCount>) {
--- a/crates/edge/src/gossip.rs
+++ b/crates/edge/src/gossip.rs
@@ -191,11 +191,16 @@
 pub(crate) fn report_leaving(shell: &EdgeShell, notice: LeavingNotice) {
     let is_small = shell.hosts.borrow().is_small();
     if is_small {
-        shell.broadcast(&HostMessage::News {
-            hosts: Vec::new(),
-            holder: None,
-            leaving: vec![notice],
-        });
+        shell.broadcast(&leaving_message(vec![notice]));
+    }
+}
+
+/// Builds the message that tells only of leaving targets.
+pub(crate) fn leaving_message(leaving: Vec<LeavingNotice>) -> HostMessage {
+    HostMessage::News {
+        hosts: Vec::new(),
+        holder: None,
+        leaving,
     }
 }
 
--- a/crates/serving/src/targets.rs
+++ b/crates/serving/src/targets.rs
@@ -196,13 +196,18 @@
     /// Returns the targets that have recently said in an answer that they are leaving, to be sent
     /// to the other hosts.
     pub fn leaving_notices(&self, now: ClockTime) -> Vec<LeavingNotice> {
+        self.notices(|leaving_at| now.since(leaving_at) < LEAVING_NEWS_TIME)
+    }
+
+    /// Returns all targets that have said so, for hosts that start later.
+    pub fn all_leaving_notices(&self) -> Vec<LeavingNotice> {
+        self.notices(|_| true)
+    }
+
+    fn notices(&self, is_told: impl Fn(ClockTime) -> bool) -> Vec<LeavingNotice> {
         self.states
             .values()
-            .filter(|state| {
-                state
-                    .leaving_at
-                    .is_some_and(|at| now.since(at) < LEAVING_NEWS_TIME)
-            })
+            .filter(|state| state.leaving_at.is_some_and(&is_told))
             .map(|state| LeavingNotice {
                 target: state.record.name.clone(),
                 incarnation: state.record.incarnation,
--- a/tests/operator_reports.rs
+++ b/tests/operator_reports.rs
@@ -105,6 +105,27 @@
     );
 }
 
+/// Guards against a host that starts after a target has said that it is leaving, and calls it.
+#[actix_rt::test]
+async fn host_that_starts_later_hears_of_leaving_targets() {
+    let deployment = Deployment::start(2, 1).await;
+    deployment.targets[0].set_fault(TargetFault::SaysLeaving);
+    for number in 0..20 {
+        deployment.call("/once/1", &format!("a{number}")).await;
+    }
+    assert_eq!(deployment.arrivals(0, "a"), 1);
+    let next = EntryHost::start("edge-1", deployment.store.address);
+    next.wait_ready().await;
+    // Time for the question of the host and the answer.
+    actix_rt::time::sleep(Duration::from_millis(1_000)).await;
+    for number in 0..20 {
+        let answer = call(&next, "/once/1", &format!("b{number}")).await;
+        let (status, _) = answer.expect("the call got no answer");
+        assert_eq!(status, StatusCode::OK);
+    }
+    assert_eq!(deployment.arrivals(0, "b"), 0, "the host has not heard");
+}
+
 /// Guards against requests to a target within the time for which it wanted none, and against callers
 /// that are held or get no time to come back although no other target can take their calls.
 #[actix_rt::test]
