--- a/review/standin-3/case_13.rs
+++ b/review/standin-3/case_13.rs
@@ -28,7 +28,7 @@
 use store::Store;
 
 /// Length of an answer, bytes.
-const LENGTH: usize = 6_000_000;
+const LENGTH: usize = 8_000_000;
 /// Clients that read slowly.
 const CLIENTS: usize = 4;
 /// Time from a request to the moment from which its client reads on at full speed.
