edge: a holder gives no orders once it has sent the release of the lease

Cause: a write without an answer was taken for one that was not carried out. The log of the stopping host says that the lease "stays held" 0.8 s after the signal; the added host takes the released row 2.7 s later, and the orders of the first one end with its process. Ruled out: a late end of the lease, acknowledgements of the added host, a suspended process.

Change: no orders from the sending of the release on; it is repeated until it is answered. Rows name the process that wrote them, so that a release, a renewal or a take-over without an answer is recognized in the row. Until now a renewal without an answer ended the lease at the next one.

--- a/crates/edge/src/gossip.rs
+++ b/crates/edge/src/gossip.rs
@@ -175,10 +175,7 @@
 fn news_message(shell: &EdgeShell, hosts: Vec<HostNews>) -> HostMessage {
     let now = clock::now();
     let others = shell.hosts.borrow().other_names();
-    let holder = shell
-        .lease
-        .borrow()
-        .holder_news(&shell.settings.name, &others, now);
+    let holder = shell.lease.borrow().holder_news(&others, now);
     HostMessage::News {
         hosts,
         holder,
--- a/crates/edge/src/lease_keeper.rs
+++ b/crates/edge/src/lease_keeper.rs
@@ -9,7 +9,6 @@
 use crate::shell::EdgeShell;
 use crate::store_calls::CallReason;
 use crocusyard_adapter::prelude::*;
-use crocusyard_base::prelude::*;
 use crocusyard_serving::prelude::*;
 use log::warn;
 use serde::{Deserialize, Serialize};
@@ -21,12 +20,13 @@
 const LEASE_KEY: &str = "moves";
 /// Longest time for the store's answer to a read or write of the lease.
 pub(crate) const LEASE_TIMEOUT: Duration = Duration::from_millis(800);
+/// Pause before a release without an answer is repeated.
+const RELEASE_PAUSE: Duration = Duration::from_millis(200);
 /// Interval at which the host decides whether to read or write the lease row.
 const LEASE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Takes, renews or watches the lease until the process ends.
 pub(crate) async fn keep_lease(shell: Rc<EdgeShell>) {
-    let own = shell.settings.name.clone();
     loop {
         let was_holder = shell.lease.borrow().is_holder();
         let step = if shell.is_stopping() {
@@ -41,14 +41,14 @@
         match step {
             LeaseStep::Wait => {}
             LeaseStep::Read => read_lease(&shell).await,
-            LeaseStep::Write { expected } => write_lease(&shell, &own, expected).await,
+            LeaseStep::Write { expected } => write_lease(&shell, expected).await,
         }
         let is_holder = shell.lease.borrow().is_holder();
         if is_holder != was_holder {
             let former_loads = shell.lease.borrow().former_orders_end(clock::now());
             shell.orders.borrow_mut().start_term(former_loads);
-            let version = shell.lease.borrow().version();
             let change = if is_holder { "taken" } else { "lost" };
+            let version = shell.lease.borrow().version();
             decision_log::log_change("lease", change, json!({"version": version}));
             send_heartbeat(&shell);
         }
@@ -127,10 +127,7 @@
 fn lease_row_write(shell: &EdgeShell, expected: u64, released: bool) -> Option<StoreWrite> {
     let evidence = shell.serving.borrow().evidence_report(clock::now());
     let row = StoredLease {
-        row: LeaseRow {
-            holder: shell.settings.name.clone(),
-            released,
-        },
+        row: shell.lease.borrow().own_row(released),
         evidence: evidence.unwrap_or_default(),
     };
     match serde_json::to_vec(&row) {
@@ -147,34 +144,72 @@
     }
 }
 
-/// Releases the lease when the process stops; if the store does not answer, the lease is held until
-/// the process ends.
-pub(crate) async fn release_lease(shell: &EdgeShell) {
-    let (is_holder, version) = {
-        let lease = shell.lease.borrow();
-        (lease.is_holder(), lease.version())
-    };
-    let (true, Some(expected)) = (is_holder, version) else {
-        return;
-    };
+/// Releases the lease when the process stops. This is repeated until the process ends, since a write
+/// by which this host takes the lease may be answered late.
+pub(crate) async fn release_lease(shell: Rc<EdgeShell>) {
+    shell.lease.borrow_mut().begin_release();
+    loop {
+        let expected = shell.lease.borrow().release_expected();
+        if let Some(expected) = expected {
+            write_release(&shell, expected).await;
+        }
+        actix_rt::time::sleep(LEASE_CHECK_INTERVAL).await;
+    }
+}
+
+/// Writes the lease row as released, if it still has the expected version.
+async fn write_release(shell: &EdgeShell, expected: u64) {
     let Some(write) = lease_row_write(shell, expected, true) else {
         return;
     };
     let calls = &shell.metrics.store_calls;
     calls.count(StoreTable::Lease, CallReason::LeaseWrite);
-    match shell.store.write(&write, LEASE_TIMEOUT).await {
-        Ok(version) => {
-            shell.lease.borrow_mut().release(version, clock::now());
-            shell.released_version.set(Some(version));
-            decision_log::log_change("lease", "released", json!({"version": version}));
-            send_heartbeat(shell);
+    let result = shell.store.write(&write, LEASE_TIMEOUT).await;
+    let now = clock::now();
+    match result {
+        Ok(version) => shell.lease.borrow_mut().release(version, now),
+        // An earlier attempt or a renewal without an answer has been carried out, or another host has
+        // taken the lease.
+        Err(StoreError::Conflict { rows }) => {
+            let row = rows.iter().find_map(decode_lease);
+            log_conflict(expected, row.as_ref());
+            shell.lease.borrow_mut().receive_row(row, now);
         }
-        Err(error) => warn!("the lease cannot be released and stays held: {error}"),
+        Err(error) => {
+            decision_log::log_change(
+                "lease",
+                "release_unanswered",
+                json!({"expected": expected, "cause": error.to_string()}),
+            );
+            actix_rt::time::sleep(RELEASE_PAUSE).await;
+            return;
+        }
+    }
+    if let Some(LeaseReport::Released { version }) = shell.lease_report() {
+        decision_log::log_change("lease", "released", json!({"version": version}));
+        send_heartbeat(shell);
     }
 }
 
+/// Logs the row that a write has found in place of the one that it expected.
+fn log_conflict(expected: u64, found: Option<&(LeaseRow, u64)>) {
+    let details = found.map(|(row, version)| {
+        json!({
+            "version": version,
+            "holder": row.holder.as_str(),
+            "process": row.process,
+            "released": row.released,
+        })
+    });
+    decision_log::log_change(
+        "lease",
+        "conflict",
+        json!({"expected": expected, "found": details}),
+    );
+}
+
 /// Writes the lease row with this host as the holder.
-async fn write_lease(shell: &EdgeShell, own: &HostName, expected: u64) {
+async fn write_lease(shell: &EdgeShell, expected: u64) {
     let sent_at = clock::now();
     let Some(write) = lease_row_write(shell, expected, false) else {
         return;
@@ -187,10 +222,11 @@
     match result {
         Ok(version) => {
             let mut lease = shell.lease.borrow_mut();
-            lease.write_succeeded(own, version, sent_at, now);
+            lease.write_succeeded(version, sent_at, now);
         }
         Err(StoreError::Conflict { rows }) => {
             let row = rows.iter().find_map(decode_lease);
+            log_conflict(expected, row.as_ref());
             shell.lease.borrow_mut().receive_row(row, now);
             receive_stored_evidence(shell, &rows);
         }
--- a/crates/edge/src/run.rs
+++ b/crates/edge/src/run.rs
@@ -192,7 +192,7 @@
     // This closes idle connections; their callers open new ones to other hosts.
     stop.send_replace(true);
     store_history(shell).await;
-    release_lease(shell).await;
+    actix_rt::spawn(release_lease(shell.clone()));
     remove_own_row(shell).await;
     loop {
         let elapsed = clock::now().since(stop_began);
--- a/crates/edge/src/shell.rs
+++ b/crates/edge/src/shell.rs
@@ -112,8 +112,6 @@
     stale_since: Cell<Option<ClockTime>>,
     /// When the process received the stop signal, if it did.
     pub(crate) stopping_since: Cell<Option<ClockTime>>,
-    /// Version of the lease row with which this host released the lease, if it did.
-    pub(crate) released_version: Cell<Option<u64>>,
     /// What other hosts have counted for their retry budgets, for their next processes.
     pub(crate) former_retries: RefCell<ReportedRetries>,
     /// Crashes that are in the store.
@@ -147,12 +145,16 @@
             entry: settings.entry,
             peer: settings.peer,
         };
+        let owner = LeaseOwner {
+            host: settings.name.clone(),
+            process: RandomState::new().build_hasher().finish(),
+        };
         let intake = IntakeBudget::new(IntakeLimits::for_memory(settings.memory_mb));
         let conn_limits = ConnLimits::for_descriptors(settings.max_descriptors);
         Rc::new_cyclic(|weak_shell| Self {
             serving: RefCell::new(ServingState::new(config, now)),
             hosts: RefCell::new(HostTable::new(own).with_first_stamp(clock::first_stamp(now))),
-            lease: RefCell::new(LeaseState::new(settings.lease_time, now)),
+            lease: RefCell::new(LeaseState::new(owner, settings.lease_time, now)),
             orders: RefCell::default(),
             demands: RefCell::default(),
             trend: RefCell::default(),
@@ -185,7 +187,6 @@
             alive_at: Cell::new(now),
             stale_since: Cell::new(None),
             stopping_since: Cell::new(None),
-            released_version: Cell::new(None),
             former_retries: RefCell::default(),
             stored_history: RefCell::default(),
             rng: RefCell::new(seeded_rng(RandomState::new().build_hasher().finish())),
@@ -379,12 +380,6 @@
 
     /// Returns the lease report of this host, if it has one.
     pub(crate) fn lease_report(&self) -> Option<LeaseReport> {
-        // The next holder needs the acknowledgement of this host as well.
-        let is_taken = |version| self.lease.borrow().version() > Some(version);
-        let released = self.released_version.get();
-        if let Some(version) = released.filter(|version| !is_taken(*version)) {
-            return Some(LeaseReport::Released { version });
-        }
         let others = self.hosts.borrow().other_names();
         self.lease.borrow().report(&others, clock::now())
     }
--- a/crates/serving/src/lease.rs
+++ b/crates/serving/src/lease.rs
@@ -16,6 +16,10 @@
 //! leaving host is no exception, since its next process may take the lease. With
 //! many hosts, heartbeats are too far apart for this rule; a holder whose renewal is late
 //! therefore asks all hosts for confirmation, and they answer at once.
+//!
+//! A write without an answer may have been carried out, or may be later. A holder therefore gives
+//! no orders once it has sent the release of the lease. Any other write of this process that is
+//! found in the row is continued: the next write expects its version.
 
 use crocusyard_base::prelude::*;
 use serde::{Deserialize, Serialize};
@@ -59,6 +63,18 @@
     /// Whether the holder has given the lease up; it gives no more orders then.
     #[serde(default)]
     pub released: bool,
+    /// Process of the holder that wrote the row; `None` in rows of earlier versions.
+    #[serde(default)]
+    pub process: Option<u64>,
+}
+
+/// The host and process that a lease state belongs to.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LeaseOwner {
+    /// Name of the host.
+    pub host: HostName,
+    /// Random number of the process, by which it recognizes its own writes.
+    pub process: u64,
 }
 
 /// Report about the lease in the heartbeat of a host.
@@ -122,6 +138,7 @@
 /// State of the lease, as known to one host.
 #[derive(Clone, Debug)]
 pub struct LeaseState {
+    owner: LeaseOwner,
     lease_time: ClockTime,
     holder: Option<HostName>,
     seen: Option<SeenVersion>,
@@ -143,6 +160,10 @@
     acknowledged: BTreeMap<HostName, ClockTime>,
     /// Whether the holder has given the lease up.
     released: bool,
+    /// Whether this process has begun to give the lease up, after which it gives no orders.
+    is_ending: bool,
+    /// Version with which this process has released the lease.
+    released_version: Option<u64>,
     /// Whether this host holds the lease as the first holder of the system.
     is_first: bool,
     /// Start of this host.
@@ -158,8 +179,9 @@
     /// Creates the state of a host that knows nothing of the lease yet.
     ///
     /// `lease_time` is the shortest time between the orders of two holders.
-    pub fn new(lease_time: ClockTime, now: ClockTime) -> Self {
+    pub fn new(owner: LeaseOwner, lease_time: ClockTime, now: ClockTime) -> Self {
         Self {
+            owner,
             lease_time,
             holder: None,
             seen: None,
@@ -172,6 +194,8 @@
             stamp: ClockTime::ZERO,
             acknowledged: BTreeMap::new(),
             released: false,
+            is_ending: false,
+            released_version: None,
             is_first: false,
             started: now,
             yields: false,
@@ -184,6 +208,20 @@
         self.yields = is_live;
     }
 
+    /// Returns the host and process that this state belongs to.
+    pub fn owner(&self) -> &LeaseOwner {
+        &self.owner
+    }
+
+    /// Returns the row that this process writes.
+    pub fn own_row(&self, released: bool) -> LeaseRow {
+        LeaseRow {
+            holder: self.owner.host.clone(),
+            released,
+            process: Some(self.owner.process),
+        }
+    }
+
     /// Returns the holder, as far as this host knows it.
     pub fn holder(&self) -> Option<&HostName> {
         self.holder.as_ref()
@@ -204,7 +242,7 @@
     ///
     /// `others` are all other hosts that are known.
     pub fn order_fence(&self, others: &[HostName], now: ClockTime) -> Option<FencingNumber> {
-        let confirmed_at = self.confirmed_at?;
+        let confirmed_at = self.confirmed_at.filter(|_| !self.is_ending)?;
         let is_confirmed_by_store = now.since(confirmed_at) < CONFIRMATION_LIFETIME;
         if is_confirmed_by_store || self.is_confirmed_by_all(others, now) {
             return self.taken_version.map(FencingNumber);
@@ -224,6 +262,9 @@
     /// Returns what this host reports about the lease, or `None` if it has nothing to report.
     pub fn report(&self, others: &[HostName], now: ClockTime) -> Option<LeaseReport> {
         let version = self.version()?;
+        if self.released_version == Some(version) {
+            return Some(LeaseReport::Released { version });
+        }
         if self.is_holder() {
             // A holder that may not give orders reports nothing, so that another host takes over.
             return self.order_fence(others, now).map(|_| LeaseReport::Holds {
@@ -266,20 +307,14 @@
 
     /// Returns the newest report of the holder that this host passes on to others, or `None` if it
     /// has heard none recently.
-    pub fn holder_news(
-        &self,
-        own: &HostName,
-        others: &[HostName],
-        now: ClockTime,
-    ) -> Option<HolderNews> {
+    pub fn holder_news(&self, others: &[HostName], now: ClockTime) -> Option<HolderNews> {
         if self.is_holder() {
             let report = self.report(others, now);
             let Some(LeaseReport::Holds { version, stamp }) = report else {
                 return None;
             };
-            let holder = own.clone();
             return Some(HolderNews {
-                holder,
+                holder: self.owner.host.clone(),
                 version,
                 stamp,
             });
@@ -310,11 +345,24 @@
         }
     }
 
+    /// Begins to give the lease up as the process stops. The release may be carried out without an
+    /// answer, and so may a write by which this host takes the lease; it gives no orders from now on.
+    pub fn begin_release(&mut self) {
+        self.is_ending = true;
+    }
+
+    /// Returns the version that the release of the lease has to expect, or `None` if this host does
+    /// not hold the lease.
+    pub fn release_expected(&self) -> Option<u64> {
+        self.version().filter(|_| self.is_holder())
+    }
+
     /// Gives the lease up after the row has been written as released.
     pub fn release(&mut self, version: u64, now: ClockTime) {
         self.confirmed_at = None;
         self.set_version(version, now);
         self.released = true;
+        self.released_version = Some(version);
     }
 
     /// Decides the next call to the store; the caller has to carry it out.
@@ -396,18 +444,51 @@
     /// is answered late may return an older row than the one that the holder has reported.
     pub fn receive_row(&mut self, row: Option<(LeaseRow, u64)>, now: ClockTime) {
         self.read_interval = READ_INTERVAL;
-        let (holder, version, released) = match row {
+        let (row, version) = match row {
             Some((_, version)) if self.version().is_some_and(|seen| version < seen) => return,
-            Some((row, version)) => (Some(row.holder), version, row.released),
-            None => (None, 0, false),
+            Some((row, version)) => (Some(row), version),
+            None => (None, 0),
         };
+        if let Some(row) = row.as_ref().filter(|row| self.is_own(row)) {
+            return self.receive_own_row(row.released, version, now);
+        }
+        let (holder, released) = row.map_or((None, false), |row| (Some(row.holder), row.released));
+        self.observe_version(holder, version, now);
+        self.released = released;
         if let Some(seen) = self.seen {
-            if seen.version == version && self.is_free(seen, now) {
+            // A version that has just been observed is not free yet.
+            if self.is_free(seen, now) {
                 self.free_since.get_or_insert(now);
             }
         }
-        self.observe_version(holder, version, now);
-        self.released = released;
+    }
+
+    /// Returns whether this process has written a row.
+    fn is_own(&self, row: &LeaseRow) -> bool {
+        row.holder == self.owner.host && row.process == Some(self.owner.process)
+    }
+
+    /// Applies a row that this process has written, and whose write may have had no answer.
+    fn receive_own_row(&mut self, released: bool, version: u64, now: ClockTime) {
+        let Some(seen) = self.seen.filter(|seen| seen.version != version) else {
+            return;
+        };
+        if released {
+            return self.release(version, now);
+        }
+        // The next write expects this version. It alone renews the lease or takes it: for the other
+        // hosts, the lease becomes free at a time that counts from the write found here.
+        self.write_sent_at = None;
+        if self.is_holder() {
+            self.set_version(version, now);
+        } else if self.is_free(seen, now) {
+            let since = seen.since;
+            self.seen = Some(SeenVersion { version, since });
+        } else {
+            self.set_version(version, now);
+            self.holder = Some(self.owner.host.clone());
+            self.stamp = ClockTime::ZERO;
+        }
     }
 
     /// Records a heartbeat of the holder, which postpones a take-over.
@@ -448,20 +529,14 @@
     }
 
     /// Applies the success of a write that was sent at `sent`.
-    pub fn write_succeeded(
-        &mut self,
-        own: &HostName,
-        version: u64,
-        sent: ClockTime,
-        now: ClockTime,
-    ) {
+    pub fn write_succeeded(&mut self, version: u64, sent: ClockTime, now: ClockTime) {
         if !self.is_holder() {
             self.is_first = self.version().unwrap_or(0) == 0;
             self.taken_version = Some(version);
             self.acknowledged.clear();
         }
         self.set_version(version, now);
-        self.holder = Some(own.clone());
+        self.holder = Some(self.owner.host.clone());
         self.confirmed_at = Some(sent);
         self.heartbeat_at = now;
         self.released = false;
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -59,7 +59,7 @@
     pub use crate::failures::FailureReport;
     pub use crate::host_news::{HostKey, HostNews, NewsStamp};
     pub use crate::hosts::{HostRecord, HostShare, HostTable};
-    pub use crate::lease::{HolderNews, LeaseReport, LeaseRow, LeaseState, LeaseStep};
+    pub use crate::lease::{HolderNews, LeaseOwner, LeaseReport, LeaseRow, LeaseState, LeaseStep};
     pub use crate::limits::{NamedUsage, TenantLimits};
     pub use crate::orders::{EngineOrder, EngineReport, OrderAction, OrderAnswer, OrderTracker};
     pub use crate::relay::{ListChange, ListEntry, ListFollower, ListReader, ReaderRank};
--- a/crates/serving/tests/lease.rs
+++ b/crates/serving/tests/lease.rs
@@ -15,12 +15,30 @@
     HostName::new(name)
 }
 
+/// A host that knows nothing of the lease yet.
+fn lease_of(name: &str, now: ClockTime) -> LeaseState {
+    let owner = LeaseOwner {
+        host: host(name),
+        process: 1,
+    };
+    LeaseState::new(owner, LEASE_TIME, now)
+}
+
+/// A row as earlier versions write it.
+fn old_row(holder: &str, released: bool) -> LeaseRow {
+    LeaseRow {
+        holder: host(holder),
+        released,
+        process: None,
+    }
+}
+
 /// A host that has taken the lease with version 10 at `now`.
 fn holder_at(now: ClockTime) -> LeaseState {
-    let mut lease = LeaseState::new(LEASE_TIME, now);
+    let mut lease = lease_of("a", now);
     lease.receive_row(None, now.since(FIRST_WRITE_DELAY));
     assert_eq!(lease.step(now), LeaseStep::Write { expected: 0 });
-    lease.write_succeeded(&host("a"), 10, now, now);
+    lease.write_succeeded(10, now, now);
     lease
 }
 
@@ -37,7 +55,7 @@
 #[test]
 fn next_holder_waits_for_the_last_order_of_the_former() {
     let former = holder_at(ms(1_000));
-    let mut next = LeaseState::new(LEASE_TIME, ms(1_000));
+    let mut next = lease_of("own", ms(1_000));
     next.receive_report(
         &host("a"),
         &LeaseReport::Holds {
@@ -60,10 +78,7 @@
                 break;
             }
             LeaseStep::Read => {
-                let row = LeaseRow {
-                    holder: host("a"),
-                    released: false,
-                };
+                let row = old_row("a", false);
                 next.receive_row(Some((row, 10)), now);
             }
             LeaseStep::Wait => {}
@@ -120,7 +135,7 @@
 /// Guards against a take-over while the holder still gives orders without the store.
 #[test]
 fn host_that_receives_heartbeats_does_not_take_over() {
-    let mut lease = LeaseState::new(LEASE_TIME, ms(0));
+    let mut lease = lease_of("own", ms(0));
     for step in 0..100 {
         let now = ms(step * 250);
         lease.receive_report(
@@ -142,7 +157,7 @@
 /// Guards against a long pause of orders when the holder stops as planned and releases the lease.
 #[test]
 fn released_lease_is_taken_after_the_lease_time() {
-    let mut lease = LeaseState::new(LEASE_TIME, ms(0));
+    let mut lease = lease_of("own", ms(0));
     lease.receive_report(
         &host("a"),
         &LeaseReport::Holds {
@@ -179,10 +194,7 @@
                 return now;
             }
             LeaseStep::Read if now >= up => {
-                let row = row.map(|holder| LeaseRow {
-                    holder: host(holder),
-                    released: false,
-                });
+                let row = row.map(|holder| old_row(holder, false));
                 lease.receive_row(row.map(|row| (row, version)), now);
             }
             LeaseStep::Write { .. } => lease.write_failed(&[], now),
@@ -197,7 +209,7 @@
 #[test]
 fn stronger_host_takes_the_first_lease() {
     let first_write_at = |yields| {
-        let mut lease = LeaseState::new(LEASE_TIME, ms(0));
+        let mut lease = lease_of("own", ms(0));
         lease.yield_to_stronger(yields);
         first_write(&mut lease, None, 0, ms(0))
     };
@@ -221,7 +233,7 @@
 fn stronger_host_takes_the_lease_over() {
     for up in [ms(0), ms(12_000)] {
         let take_over = |yields| {
-            let mut lease = LeaseState::new(LEASE_TIME, ms(0));
+            let mut lease = lease_of("own", ms(0));
             let report = LeaseReport::Holds {
                 version: 10,
                 stamp: ms(0),
@@ -248,10 +260,7 @@
 fn holder_of_many_hosts_goes_on_without_the_store() {
     let names: Vec<HostName> = (0..65).map(|number| host(&format!("h{number}"))).collect();
     let mut holder = holder_at(ms(1_000));
-    let mut others: Vec<LeaseState> = names
-        .iter()
-        .map(|_| LeaseState::new(LEASE_TIME, ms(1_000)))
-        .collect();
+    let mut others: Vec<LeaseState> = names.iter().map(|_| lease_of("own", ms(1_000))).collect();
     for step in 0..40 {
         let now = ms(1_000 + step * 250);
         assert!(
@@ -286,10 +295,7 @@
 #[test]
 fn conflict_ends_the_lease() {
     let mut lease = holder_at(ms(1_000));
-    let row = LeaseRow {
-        holder: host("b"),
-        released: false,
-    };
+    let row = old_row("b", false);
     lease.receive_row(Some((row, 12)), ms(1_700));
     assert!(!lease.is_holder());
     assert!(lease.order_fence(&[], ms(1_700)).is_none());
@@ -301,17 +307,14 @@
 fn renewals_keep_the_fencing_number() {
     let mut lease = holder_at(ms(1_000));
     let fence = lease.order_fence(&[], ms(1_000));
-    lease.write_succeeded(&host("a"), 25, ms(1_700), ms(1_710));
+    lease.write_succeeded(25, ms(1_700), ms(1_710));
     assert_eq!(lease.order_fence(&[], ms(1_710)), fence);
     assert_eq!(fence, Some(FencingNumber(10)));
     // When this host takes the lease again, its number is higher than that of the holder in
     // between.
-    let row = LeaseRow {
-        holder: host("b"),
-        released: false,
-    };
+    let row = old_row("b", false);
     lease.receive_row(Some((row, 30)), ms(2_000));
-    lease.write_succeeded(&host("a"), 40, ms(9_000), ms(9_010));
+    lease.write_succeeded(40, ms(9_000), ms(9_010));
     assert_eq!(lease.order_fence(&[], ms(9_010)), Some(FencingNumber(40)));
 }
 
@@ -321,7 +324,7 @@
 #[test]
 fn acknowledgements_read_after_a_freeze_do_not_confirm_the_holder() {
     let mut holder = holder_at(ms(1_000));
-    let mut other = LeaseState::new(LEASE_TIME, ms(1_000));
+    let mut other = lease_of("own", ms(1_000));
     let report = holder
         .report(&[host("b")], ms(1_000))
         .expect("the holder reports that it holds the lease");
@@ -343,16 +346,13 @@
 /// holder has reported: the host would acknowledge the wrong version and report to the wrong host.
 #[test]
 fn late_read_of_an_older_row_is_ignored() {
-    let mut lease = LeaseState::new(LEASE_TIME, ms(0));
+    let mut lease = lease_of("own", ms(0));
     let report = LeaseReport::Holds {
         version: 12,
         stamp: ms(900),
     };
     lease.receive_report(&host("b"), &report, ms(1_000));
-    let row = |holder: &str| LeaseRow {
-        holder: host(holder),
-        released: true,
-    };
+    let row = |holder: &str| old_row(holder, true);
     lease.receive_row(Some((row("a"), 10)), ms(1_100));
     assert_eq!(lease.holder(), Some(&host("b")));
     assert_eq!(lease.version(), Some(12));
@@ -369,7 +369,7 @@
 /// other, and against a live one that is only heard of through others.
 #[test]
 fn only_newer_news_of_the_holder_count() {
-    let mut lease = LeaseState::new(LEASE_TIME, ms(0));
+    let mut lease = lease_of("own", ms(0));
     let news = |version, stamp| HolderNews {
         holder: host("a"),
         version,
@@ -380,17 +380,14 @@
         assert_eq!(lease.step(ms(step * 700)), LeaseStep::Wait, "step {step}");
     }
     assert_eq!(lease.holder(), Some(&host("a")));
-    let heard = lease.holder_news(&host("b"), &[], ms(13_400));
+    let heard = lease.holder_news(&[], ms(13_400));
     assert_eq!(heard, Some(news(10, 14_300)));
     let taken = (134..250).map(|step| ms(step * 100)).find(|now| {
         lease.receive_holder_news(&news(10, 14_300), *now);
         match lease.step(*now) {
             LeaseStep::Write { .. } => true,
             LeaseStep::Read => {
-                let row = LeaseRow {
-                    holder: host("a"),
-                    released: false,
-                };
+                let row = old_row("a", false);
                 lease.receive_row(Some((row, 10)), *now);
                 false
             }
@@ -399,24 +396,21 @@
     });
     let taken = taken.expect("old news kept the holder alive");
     assert!(taken >= ms(13_300) + LEASE_TIME, "taken at {taken}");
-    assert_eq!(lease.holder_news(&host("b"), &[], taken), None);
+    assert_eq!(lease.holder_news(&[], taken), None);
 }
 
 /// Guards against a new holder whose reports are taken for old ones, because its clock is behind
 /// that of the former holder.
 #[test]
 fn stamps_of_two_holders_are_not_compared() {
-    let mut lease = LeaseState::new(LEASE_TIME, ms(0));
+    let mut lease = lease_of("own", ms(0));
     let news = |holder: &str, version, stamp| HolderNews {
         holder: host(holder),
         version,
         stamp: ms(stamp),
     };
     lease.receive_holder_news(&news("a", 10, 900_000), ms(0));
-    let row = LeaseRow {
-        holder: host("b"),
-        released: false,
-    };
+    let row = old_row("b", false);
     lease.receive_row(Some((row, 20)), ms(5_000));
     lease.receive_holder_news(&news("b", 20, 1_000), ms(5_500));
     lease.receive_holder_news(&news("b", 20, 2_000), ms(6_500));
@@ -433,7 +427,7 @@
 #[test]
 fn hosts_that_hear_of_the_holder_do_not_read_the_row() {
     for yields in [false, true] {
-        let mut lease = LeaseState::new(LEASE_TIME, ms(0));
+        let mut lease = lease_of("own", ms(0));
         lease.yield_to_stronger(yields);
         let report = |stamp| LeaseReport::Holds { version: 10, stamp };
         lease.receive_report(&host("a"), &report(ms(0)), ms(100));
@@ -450,7 +444,7 @@
 /// Reads of a host that saw the holder last at 1 s, while the store is away from `outage.0` to
 /// `outage.1`, and when the host takes the lease.
 fn take_over_after_outage(yields: bool, outage: (u64, u64)) -> (usize, ClockTime) {
-    let mut lease = LeaseState::new(LEASE_TIME, ms(0));
+    let mut lease = lease_of("own", ms(0));
     lease.yield_to_stronger(yields);
     let report = LeaseReport::Holds {
         version: 10,
@@ -463,10 +457,7 @@
         let is_up = now < ms(outage.0) || now >= ms(outage.1);
         match lease.step(now) {
             LeaseStep::Read if is_up => {
-                let row = LeaseRow {
-                    holder: host("a"),
-                    released: false,
-                };
+                let row = old_row("a", false);
                 lease.receive_row(Some((row, 10)), now);
             }
             LeaseStep::Read => {
@@ -535,3 +526,100 @@
         "the holder orders although the next process of b may soon hold the lease"
     );
 }
+
+/// Guards against orders beside those of the next holder: a release may be carried out although it
+/// has no answer.
+#[test]
+fn no_orders_follow_a_release_that_was_sent() {
+    let mut lease = holder_at(ms(1_000));
+    let others = [host("b")];
+    lease.begin_release();
+    assert_eq!(lease.release_expected(), Some(10));
+    let report = LeaseReport::Acknowledged {
+        version: 10,
+        stamp: ms(1_100),
+    };
+    lease.receive_report(&host("b"), &report, ms(1_100));
+    assert_eq!(lease.order_fence(&others, ms(1_200)), None);
+    assert_eq!(lease.report(&others, ms(1_200)), None);
+    // The repeated release finds that the first one was carried out.
+    lease.receive_row(Some((lease.own_row(true), 11)), ms(1_500));
+    assert_eq!(
+        lease.report(&others, ms(1_500)),
+        Some(LeaseReport::Released { version: 11 })
+    );
+    assert_eq!(lease.release_expected(), None);
+}
+
+/// Guards against orders of a process that stops while its write to take the lease has no answer yet.
+#[test]
+fn stopping_host_that_takes_the_lease_gives_no_orders() {
+    let mut lease = lease_of("own", ms(0));
+    lease.receive_row(Some((old_row("a", true), 10)), ms(0));
+    assert_eq!(lease.step(ms(4_000)), LeaseStep::Write { expected: 10 });
+    lease.begin_release();
+    assert_eq!(lease.release_expected(), None);
+    lease.write_succeeded(11, ms(4_000), ms(4_300));
+    assert_eq!(lease.order_fence(&[], ms(4_300)), None);
+    assert_eq!(lease.release_expected(), Some(11));
+}
+
+/// Guards against a pause of all orders after a renewal that was carried out without an answer: the
+/// next one found another version and took it for that of another holder.
+#[test]
+fn renewal_without_an_answer_does_not_end_the_lease() {
+    let mut lease = holder_at(ms(1_000));
+    let fence = lease.order_fence(&[], ms(1_000));
+    assert_eq!(lease.step(ms(1_700)), LeaseStep::Write { expected: 10 });
+    lease.write_failed(&[], ms(1_750));
+    assert_eq!(lease.step(ms(2_400)), LeaseStep::Write { expected: 10 });
+    lease.receive_row(Some((lease.own_row(false), 11)), ms(2_410));
+    assert_eq!(lease.order_fence(&[], ms(2_410)), fence);
+    assert_eq!(lease.step(ms(2_420)), LeaseStep::Write { expected: 11 });
+    // Only a renewal confirms the holder: for the others, the time until a take-over counts from the
+    // first one.
+    assert_eq!(lease.order_fence(&[], ms(2_500)), None);
+    lease.write_succeeded(12, ms(2_420), ms(2_500));
+    assert_eq!(lease.order_fence(&[], ms(2_500)), fence);
+}
+
+/// Guards against a second wait before a take-over whose write was carried out without an answer, and
+/// against one that is continued although the former holder was heard meanwhile.
+#[test]
+fn take_over_without_an_answer_is_continued() {
+    let report = |version| LeaseReport::Holds {
+        version,
+        stamp: ms(9),
+    };
+    for is_heard in [false, true] {
+        let mut lease = lease_of("own", ms(0));
+        lease.receive_row(Some((old_row("a", false), 10)), ms(0));
+        assert_eq!(lease.step(ms(5_000)), LeaseStep::Write { expected: 10 });
+        lease.write_failed(&[host("a")], ms(5_800));
+        if is_heard {
+            lease.receive_report(&host("a"), &report(10), ms(5_900));
+        }
+        lease.receive_row(Some((lease.own_row(false), 11)), ms(6_000));
+        assert!(!lease.is_holder());
+        let step = lease.step(ms(6_100));
+        if is_heard {
+            assert_eq!(step, LeaseStep::Wait);
+        } else {
+            assert_eq!(step, LeaseStep::Write { expected: 11 });
+            lease.write_succeeded(12, ms(6_100), ms(6_110));
+            assert_eq!(lease.order_fence(&[], ms(6_110)), Some(FencingNumber(12)));
+        }
+    }
+}
+
+/// Guards against a process that takes the row of the one before it for its own.
+#[test]
+fn row_of_a_former_process_is_not_continued() {
+    let mut lease = lease_of("own", ms(0));
+    lease.receive_row(Some((old_row("a", false), 10)), ms(0));
+    assert_eq!(lease.step(ms(5_000)), LeaseStep::Write { expected: 10 });
+    let mut row = old_row("own", false);
+    row.process = Some(7);
+    lease.receive_row(Some((row, 11)), ms(5_010));
+    assert!(!matches!(lease.step(ms(5_800)), LeaseStep::Write { .. }));
+}
