edge: a host that the lease holder does not know takes no lease after a silence

A host that is added meanwhile and whose own row the store does not confirm reads no rows of others and sends no heartbeats, but takes the lease 4.8 s after its start.

Cause: the holder alone knows who has to acknowledge; who takes the lease assumes to be among them.

Change: the lease row states up to which version of the store its holder has read the hosts' rows. A host without a row up to then waits 303 s, and a term without the store ends after 300 s. Rows of hosts are written under a condition, name their process and keep since when the host has one, so that killed hosts are known when they are back; writes and removals without an answer are repeated. The rows of others are read whether or not the own one is confirmed, by the holder every 3 s. Relayed or repeated changes do not undo newer ones.

--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -5,6 +5,7 @@
 use crate::decision_log;
 use crate::gossip::update_limit_hosts;
 use crate::message::HostMessage;
+use crate::own_row::{keep_writing_own_row, write_own_row};
 use crate::shell::EdgeShell;
 use crate::store_calls::CallReason;
 use crocusyard_adapter::configuration::CONFIGURATION_KEY;
@@ -13,6 +14,7 @@
 use crocusyard_serving::prelude::*;
 use log::warn;
 use serde_json::json;
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -28,6 +30,9 @@
 /// does not know that another host has left, or that a host exists with which it exchanges no
 /// heartbeats.
 const HOSTS_POLL_INTERVAL: Duration = Duration::from_secs(15);
+/// Interval at which the lease holder reads those rows. Hosts whose rows it has not read wait longer
+/// before they take the lease over.
+const HOLDER_HOSTS_POLL_INTERVAL: Duration = Duration::from_secs(3);
 /// Interval at which hosts read those rows to which the reader of their failure domain relays the
 /// changes; a message of the reader may be lost.
 const LONG_HOSTS_POLL_INTERVAL: Duration = Duration::from_secs(120);
@@ -191,14 +196,15 @@
                 shell.configuration_read.set(known.max(version));
             }
             Self::Hosts => {
-                shell.hosts_read.set(true);
-                apply_hosts(shell, rows);
+                let (upserts, removed) = decode_hosts(rows);
+                update_hosts(shell, upserts, &removed);
+                shell.lease.borrow_mut().record_hosts_read(version);
             }
         }
     }
 
     /// Tells the other hosts of the failure domain of changes that this host has read for them.
-    fn relay(self, shell: &EdgeShell, rows: &[StoreRow]) {
+    fn relay(self, shell: &EdgeShell, rows: &[StoreRow], version: u64) {
         let hosts = shell.hosts.borrow();
         if rows.is_empty() || hosts.is_small() {
             return;
@@ -207,7 +213,11 @@
             Self::Configuration => configuration_message(rows),
             Self::Hosts => {
                 let (upserts, removed) = decode_hosts(rows);
-                HostMessage::Hosts { upserts, removed }
+                HostMessage::Hosts {
+                    upserts,
+                    removed,
+                    version: Some(version),
+                }
             }
         };
         shell
@@ -310,18 +320,27 @@
     }
 }
 
-/// Waits until this host has to read the rows of the entry hosts: the reader of a failure domain
-/// does so more often than the others, to which it relays the changes.
+/// Waits until this host has to read the rows of the entry hosts: the lease holder does so most
+/// often, and the reader of a failure domain more often than the others, to which it relays the
+/// changes.
 async fn next_hosts_read(shell: &EdgeShell) -> ChangeRead {
     let mut waited = Duration::ZERO;
     loop {
-        actix_rt::time::sleep(HOSTS_POLL_INTERVAL).await;
-        waited += HOSTS_POLL_INTERVAL;
+        let news = shell.hosts_news.notified();
+        let is_notified = actix_rt::time::timeout(HOLDER_HOSTS_POLL_INTERVAL, news).await;
+        if is_notified.is_ok() {
+            return ChangeRead::immediate(CallReason::OwnRow);
+        }
+        waited += HOLDER_HOSTS_POLL_INTERVAL;
         let hosts = shell.hosts.borrow();
         let is_reader = hosts.is_small() || hosts.is_list_reader(clock::now());
-        if is_reader || waited >= LONG_HOSTS_POLL_INTERVAL {
+        let is_due = is_reader && waited >= HOSTS_POLL_INTERVAL;
+        if is_due || waited >= LONG_HOSTS_POLL_INTERVAL {
             return ChangeRead::immediate(CallReason::Reader);
         }
+        if shell.lease.borrow().is_holder() {
+            return ChangeRead::immediate(CallReason::Holder);
+        }
     }
 }
 
@@ -348,8 +367,8 @@
                     if matches!(followed, FollowedTable::Configuration) {
                         shell.finish_configuration_read(sent_at);
                     }
-                    if read.reason != CallReason::NewerVersion {
-                        followed.relay(shell, &changes.rows);
+                    if read.reason.is_shared() {
+                        followed.relay(shell, &changes.rows, changes.version);
                     }
                     version = changes.version;
                 }
@@ -425,58 +444,21 @@
     }
 }
 
-/// Writes this host's row, then reads those of the other entry hosts at a fixed interval.
+/// Writes this host's row and reads those of the other entry hosts, then their changes at a fixed
+/// interval.
 ///
 /// A host that starts reads the table and sends heartbeats to the other hosts, so that they know it
-/// before they read its row.
+/// before they read its row. It reads the table even if the write of its row gets no answer.
 pub(crate) async fn follow_hosts(shell: Rc<EdgeShell>) {
     let mut health = StoreHealth::new("hosts");
-    write_own_row(&shell, &mut health).await;
-    follow_table(&shell, FollowedTable::Hosts, &mut health).await;
-}
-
-async fn write_own_row(shell: &EdgeShell, health: &mut StoreHealth) {
-    let record = shell.hosts.borrow().own().clone();
-    let value = match serde_json::to_vec(&record) {
-        Ok(value) => value,
-        Err(error) => {
-            warn!("the row of this host cannot be serialized for the store: {error}");
-            return;
-        }
-    };
-    let write = StoreWrite {
-        table: StoreTable::Hosts,
-        key: record.name.as_str().to_owned(),
-        value: Some(value),
-        expected: None,
-    };
-    loop {
-        shell
-            .metrics
-            .store_calls
-            .count(StoreTable::Hosts, CallReason::OwnRow);
-        let sent_at = clock::now();
-        match shell.store.write(&write, STORE_TIMEOUT).await {
-            Ok(version) => {
-                health.record_answer();
-                shell.own_row_version.set(Some(version));
-                return;
-            }
-            Err(error) => {
-                health.record_failure(&error, sent_at);
-                health.wait_for_retry().await;
-            }
-        }
+    if write_own_row(&shell).await.is_err() {
+        actix_rt::spawn(keep_writing_own_row(shell.clone()));
     }
-}
-
-fn apply_hosts(shell: &EdgeShell, rows: &[StoreRow]) {
-    let (upserts, removed) = decode_hosts(rows);
-    update_hosts(shell, upserts, &removed);
+    follow_table(&shell, FollowedTable::Hosts, &mut health).await;
 }
 
 /// Applies changes of the rows of the entry hosts.
-pub(crate) fn update_hosts(shell: &EdgeShell, upserts: Vec<HostRecord>, removed: &[HostName]) {
+fn update_hosts(shell: &EdgeShell, upserts: Vec<HostRecord>, removed: &[HostName]) {
     let now = clock::now();
     let mut hosts = shell.hosts.borrow_mut();
     for record in upserts {
@@ -489,10 +471,27 @@
     update_limit_hosts(shell);
 }
 
-/// Decodes rows of the entry hosts into the records of hosts and the names of removed ones.
+/// Applies changes of the rows of the entry hosts that the reader of the failure domain has relayed,
+/// unless this host has read them itself: a host that was removed may have a row again.
+pub(crate) fn apply_relayed_hosts(
+    shell: &EdgeShell,
+    upserts: Vec<HostRecord>,
+    removed: &[HostName],
+    version: Option<u64>,
+) {
+    let known = shell.lease.borrow().hosts_version();
+    if version > known {
+        update_hosts(shell, upserts, removed);
+    }
+}
+
+/// Decodes rows of the entry hosts into the records of hosts and the names of removed ones. Of a
+/// host with several changes, the last one counts.
 fn decode_hosts(rows: &[StoreRow]) -> (Vec<HostRecord>, Vec<HostName>) {
+    let newest: BTreeMap<&str, &StoreRow> =
+        rows.iter().map(|row| (row.key.as_str(), row)).collect();
     let (mut upserts, mut removed) = (Vec::new(), Vec::new());
-    for row in rows {
+    for row in newest.into_values() {
         match &row.value {
             None => removed.push(HostName::new(&row.key)),
             Some(value) => match serde_json::from_slice::<HostRecord>(value) {
--- a/crates/edge/src/former_state.rs
+++ b/crates/edge/src/former_state.rs
@@ -124,7 +124,7 @@
 /// Applies what the process before this one has counted. It is compared with this host's fraction of the
 /// limit, which is not known before the other hosts are.
 pub(crate) fn receive_former_retries(shell: &EdgeShell, counts: Vec<RetryCount>) {
-    if !shell.hosts_read.get() {
+    if !shell.knows_hosts() {
         return;
     }
     let share = shell.hosts.borrow().share(clock::now());
--- a/crates/edge/src/gossip.rs
+++ b/crates/edge/src/gossip.rs
@@ -2,7 +2,7 @@
 
 use crate::clock;
 use crate::crash_history::{receive_history, HistorySource};
-use crate::follow::{apply_relayed_configuration, update_hosts};
+use crate::follow::{apply_relayed_configuration, apply_relayed_hosts};
 use crate::former_state::{receive_former_retries, send_history};
 use crate::message::HostMessage;
 use crate::moves;
@@ -151,7 +151,7 @@
 /// Tells the limits of tenants which hosts there are, while there are limits.
 pub(crate) fn update_limit_hosts(shell: &EdgeShell) {
     let now = clock::now();
-    let knows_hosts = shell.hosts_read.get() || now.since(shell.started) >= HOSTS_HEARD_TIME;
+    let knows_hosts = shell.knows_hosts() || now.since(shell.started) >= HOSTS_HEARD_TIME;
     let mut serving = shell.serving.borrow_mut();
     if knows_hosts && serving.limits.has_limits() {
         serving.limits.set_hosts(&shell.hosts.borrow(), now);
@@ -322,7 +322,11 @@
             version,
             compressed,
         } => apply_relayed_configuration(shell, version, &compressed),
-        HostMessage::Hosts { upserts, removed } => update_hosts(shell, upserts, &removed),
+        HostMessage::Hosts {
+            upserts,
+            removed,
+            version,
+        } => apply_relayed_hosts(shell, upserts, &removed, version),
         HostMessage::HistoryRequest { host, reply_to } => {
             send_history(shell, &host, reply_to);
         }
--- a/crates/edge/src/lease_keeper.rs
+++ b/crates/edge/src/lease_keeper.rs
@@ -48,8 +48,11 @@
             let former_loads = shell.lease.borrow().former_orders_end(clock::now());
             shell.orders.borrow_mut().start_term(former_loads);
             let change = if is_holder { "taken" } else { "lost" };
-            let version = shell.lease.borrow().version();
-            decision_log::log_change("lease", change, json!({"version": version}));
+            let details = {
+                let lease = shell.lease.borrow();
+                json!({"version": lease.version(), "hosts_version": lease.hosts_version()})
+            };
+            decision_log::log_change("lease", change, details);
             send_heartbeat(&shell);
         }
         actix_rt::time::sleep(LEASE_CHECK_INTERVAL).await;
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -30,6 +30,7 @@
 mod metrics;
 mod moves;
 mod notices;
+mod own_row;
 mod refusals;
 pub mod run;
 mod shell;
--- a/crates/edge/src/message.rs
+++ b/crates/edge/src/message.rs
@@ -6,9 +6,14 @@
 use crocusyard_base::prelude::*;
 use crocusyard_serving::prelude::*;
 use crocusyard_serving::targets::{HeldModels, HostLoad};
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Deserializer, Serialize};
 use std::net::SocketAddr;
 
+/// Reads a version at the end of a message, where hosts of an earlier version send none.
+fn version_or_none<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Option<u64>, D::Error> {
+    Ok(Option::deserialize(deserializer).unwrap_or_default())
+}
+
 /// Message from one entry host to another.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(crate) enum HostMessage {
@@ -107,6 +112,10 @@
         upserts: Vec<HostRecord>,
         /// Names of the hosts whose rows were removed.
         removed: Vec<HostName>,
+        /// Version of the store at which the sender has read the changes; `None` from hosts of an
+        /// earlier version.
+        #[serde(deserialize_with = "version_or_none")]
+        version: Option<u64>,
     },
     /// Reports what the sender knows of the causes of crashes.
     Evidence(EvidenceReport),
--- a/crates/edge/src/run.rs
+++ b/crates/edge/src/run.rs
@@ -13,14 +13,14 @@
 };
 use crate::lease_keeper::{keep_lease, release_lease};
 use crate::moves::give_orders;
+use crate::own_row::remove_own_row;
 use crate::shell::EdgeShell;
-use crate::store_calls::{log_calls, CallReason};
+use crate::store_calls::log_calls;
 use crate::target_list::follow_targets;
 use crocusyard_adapter::prelude::*;
 use crocusyard_base::prelude::*;
 use crocusyard_httpconn::prelude::listen_on;
 use crocusyard_serving::prelude::*;
-use log::warn;
 use serde_json::json;
 use snafu::{ResultExt, Snafu};
 use std::net::SocketAddr;
@@ -38,8 +38,6 @@
 /// Time after the stop signal for which a host still accepts connections: callers keep an address
 /// answer for its lifetime, some for three times as long.
 const LINGER_TIME: ClockTime = ClockTime::from_ms(6_000);
-/// Longest time to remove the row of this host; if that fails, the row stays.
-const ROW_REMOVAL_TIMEOUT: Duration = Duration::from_millis(300);
 /// Time limit of heads before the configuration is known.
 const INITIAL_HEAD_TIMEOUT: ClockTime = ClockTime::from_secs(15);
 /// Interval at which a stopping host checks whether requests are still in progress.
@@ -193,7 +191,7 @@
     stop.send_replace(true);
     store_history(shell).await;
     actix_rt::spawn(release_lease(shell.clone()));
-    remove_own_row(shell).await;
+    actix_rt::spawn(remove_own_row(shell.clone()));
     loop {
         let elapsed = clock::now().since(stop_began);
         let idle = shell.request_count() == 0 && elapsed >= LINGER_TIME.min(limit);
@@ -214,22 +212,3 @@
         json!({"requests": shell.request_count()}),
     );
 }
-
-/// Removes the row of this host if no later process has written it. A removal whose answer is lost
-/// may be carried out after the next process of this name has started.
-async fn remove_own_row(shell: &EdgeShell) {
-    let Some(expected) = shell.own_row_version.get() else {
-        return;
-    };
-    let write = StoreWrite {
-        table: StoreTable::Hosts,
-        key: shell.settings.name.as_str().to_owned(),
-        value: None,
-        expected: Some(expected),
-    };
-    let calls = &shell.metrics.store_calls;
-    calls.count(StoreTable::Hosts, CallReason::OwnRow);
-    if let Err(error) = shell.store.write(&write, ROW_REMOVAL_TIMEOUT).await {
-        warn!("the row of this host cannot be removed from the store: {error}");
-    }
-}
--- a/crates/edge/src/shell.rs
+++ b/crates/edge/src/shell.rs
@@ -13,6 +13,7 @@
 use crate::metrics::EdgeMetrics;
 use crate::moves;
 use crate::notices::ComplaintLog;
+use crate::own_row::OwnRow;
 use crocusyard_adapter::prelude::*;
 use crocusyard_base::prelude::*;
 use crocusyard_base::random::seeded_rng;
@@ -92,10 +93,10 @@
     pub(crate) operator_conns: Rc<CallerConns>,
     pub(crate) store: StoreClient,
     pub(crate) peers: PeerSocket,
-    /// Whether the rows of the entry hosts have been read from the store.
-    pub(crate) hosts_read: Cell<bool>,
-    /// Version with which this host wrote its row to the store, once it did.
-    pub(crate) own_row_version: Cell<Option<u64>>,
+    /// Row of this host in the store.
+    pub(crate) own_row: RefCell<OwnRow>,
+    /// Wakes the task that follows the rows of the entry hosts, which has to read them again.
+    pub(crate) hosts_news: Notify,
     /// Version of the configuration's row that was read last; 0 before the first one.
     pub(crate) configuration_version: Cell<u64>,
     /// Version of the store up to which this host knows the configuration.
@@ -177,8 +178,8 @@
             intake_log: IntakeLog::default(),
             store: StoreClient::new(settings.store),
             peers,
-            hosts_read: Cell::new(false),
-            own_row_version: Cell::new(None),
+            own_row: RefCell::default(),
+            hosts_news: Notify::new(),
             configuration_version: Cell::new(0),
             configuration_read: Cell::new(0),
             heard_configuration: Cell::new(0),
@@ -378,6 +379,11 @@
         self.lease.borrow().order_fence(&others, clock::now())
     }
 
+    /// Returns whether the rows of the entry hosts have been read from the store.
+    pub(crate) fn knows_hosts(&self) -> bool {
+        self.lease.borrow().hosts_version().is_some()
+    }
+
     /// Returns the lease report of this host, if it has one.
     pub(crate) fn lease_report(&self) -> Option<LeaseReport> {
         let others = self.hosts.borrow().other_names();
--- a/crates/edge/src/store_calls.rs
+++ b/crates/edge/src/store_calls.rs
@@ -38,11 +38,18 @@
     LeaseWrite,
     /// The holder of the lease stores which crashes still count.
     CrashHistory,
-    /// The host writes or removes its row.
+    /// The host writes or removes its row, or has just written it.
     OwnRow,
+    /// The holder of the lease reads the table.
+    Holder,
 }
 
 impl CallReason {
+    /// Returns whether the host relays the changes that it reads for this reason to others.
+    pub(crate) fn is_shared(self) -> bool {
+        !matches!(self, Self::NewerVersion | Self::OwnRow | Self::Holder)
+    }
+
     /// Returns the name of the reason in logs and metrics.
     fn label(self) -> &'static str {
         match self {
@@ -55,6 +62,7 @@
             Self::LeaseWrite => "lease_write",
             Self::CrashHistory => "crash_history",
             Self::OwnRow => "own_row",
+            Self::Holder => "holder",
         }
     }
 }
--- a/crates/serving/src/lease.rs
+++ b/crates/serving/src/lease.rs
@@ -17,6 +17,10 @@
 //! many hosts, heartbeats are too far apart for this rule; a holder whose renewal is late
 //! therefore asks all hosts for confirmation, and they answer at once.
 //!
+//! A holder can only ask the hosts that it knows. It writes into the row up to which version of the
+//! store it has read the hosts' rows. A host whose own row is not among them, such as one that was
+//! added while the holder was cut off, waits until a holder without the store has ended its term.
+//!
 //! A write without an answer may have been carried out, or may be later. A holder therefore gives
 //! no orders once it has sent the release of the lease. Any other write of this process that is
 //! found in the row is continued: the next write expects its version.
@@ -30,6 +34,9 @@
 /// Age of the last confirmed renewal, or of the acknowledgements of all hosts, up to which the
 /// holder gives orders; about two renewals.
 const CONFIRMATION_LIFETIME: ClockTime = ClockTime::from_ms(1_500);
+/// Age of the last confirmed renewal up to which the acknowledgements of all hosts count; longer
+/// than outages of the store last as a rule. A host that the holder does not know waits for longer.
+const UNCONFIRMED_TERM: ClockTime = ClockTime::from_secs(300);
 /// Age of the last confirmed renewal from which the holder asks the other hosts for confirmation.
 /// While the store answers, the last renewal is younger than this. Two rounds of requests fit in
 /// before the age from which the holder gives no more orders.
@@ -66,6 +73,11 @@
     /// Process of the holder that wrote the row; `None` in rows of earlier versions.
     #[serde(default)]
     pub process: Option<u64>,
+    /// Version of the store up to which the holder had read the rows of the hosts. The hosts in them
+    /// have to acknowledge its reports while the store does not confirm it. `None` in rows of earlier
+    /// versions.
+    #[serde(default)]
+    pub hosts_version: Option<u64>,
 }
 
 /// The host and process that a lease state belongs to.
@@ -127,12 +139,24 @@
     },
 }
 
+/// Which hosts the holder knew when it wrote the row.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum KnownHosts {
+    /// The row of this version has not been read; only the holder's reports have been received.
+    Unread,
+    /// The row does not state it.
+    Unstated,
+    /// The hosts with a row in the store up to this version.
+    UpTo(u64),
+}
+
 /// Version of the row, and since when this host has seen neither a newer one nor a heartbeat of the
 /// holder.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct SeenVersion {
     version: u64,
     since: ClockTime,
+    hosts: KnownHosts,
 }
 
 /// State of the lease, as known to one host.
@@ -164,6 +188,10 @@
     is_ending: bool,
     /// Version with which this process has released the lease.
     released_version: Option<u64>,
+    /// Version of the store up to which this host has read the rows of the hosts.
+    hosts_version: Option<u64>,
+    /// Version since which the store has had a row of this host without interruption.
+    listed_since: Option<u64>,
     /// Whether this host holds the lease as the first holder of the system.
     is_first: bool,
     /// Start of this host.
@@ -196,6 +224,8 @@
             released: false,
             is_ending: false,
             released_version: None,
+            hosts_version: None,
+            listed_since: None,
             is_first: false,
             started: now,
             yields: false,
@@ -213,12 +243,29 @@
         &self.owner
     }
 
+    /// Records up to which version of the store this host has read the rows of the hosts.
+    pub fn record_hosts_read(&mut self, version: u64) {
+        self.hosts_version = self.hosts_version.max(Some(version));
+    }
+
+    /// Returns up to which version of the store this host has read the rows of the hosts; `None` if it
+    /// has not read them yet.
+    pub fn hosts_version(&self) -> Option<u64> {
+        self.hosts_version
+    }
+
+    /// Records the version since which the store has had a row of this host without interruption.
+    pub fn record_listed(&mut self, since: u64) {
+        self.listed_since = Some(since);
+    }
+
     /// Returns the row that this process writes.
     pub fn own_row(&self, released: bool) -> LeaseRow {
         LeaseRow {
             holder: self.owner.host.clone(),
             released,
             process: Some(self.owner.process),
+            hosts_version: self.hosts_version,
         }
     }
 
@@ -252,7 +299,11 @@
 
     /// Returns whether every other host has acknowledged a recent report of this holder.
     fn is_confirmed_by_all(&self, others: &[HostName], now: ClockTime) -> bool {
-        !others.is_empty()
+        let is_in_term = self
+            .confirmed_at
+            .is_some_and(|at| now.since(at) < UNCONFIRMED_TERM);
+        is_in_term
+            && !others.is_empty()
             && others.iter().all(|host| {
                 let stamp = self.acknowledged.get(host);
                 stamp.is_some_and(|at| now.since(*at) < CONFIRMATION_LIFETIME)
@@ -360,7 +411,7 @@
     /// Gives the lease up after the row has been written as released.
     pub fn release(&mut self, version: u64, now: ClockTime) {
         self.confirmed_at = None;
-        self.set_version(version, now);
+        self.set_version(version, KnownHosts::Unstated, now);
         self.released = true;
         self.released_version = Some(version);
     }
@@ -397,6 +448,13 @@
                     return LeaseStep::Wait;
                 }
             }
+            if seen.hosts == KnownHosts::Unread && !self.released {
+                return self.step_read(now);
+            }
+            // The row states which hosts its holder knows.
+            if self.hosts_version.is_none() {
+                return LeaseStep::Wait;
+            }
             self.write_sent_at = Some(now);
             return LeaseStep::Write {
                 expected: seen.version,
@@ -434,12 +492,26 @@
             FIRST_WRITE_DELAY
         } else if self.released {
             self.lease_time + TAKEOVER_MARGIN
-        } else {
+        } else if self.may_be_known(seen) {
             self.lease_time + CONFIRMATION_LIFETIME + TAKEOVER_MARGIN
+        } else {
+            self.lease_time + UNCONFIRMED_TERM + TAKEOVER_MARGIN
         };
         now.since(seen.since) >= wait
     }
 
+    /// Returns whether the holder knows this host, so that it needs its acknowledgements, as far as
+    /// the row has been read. An earlier process of this host has ended.
+    fn may_be_known(&self, seen: SeenVersion) -> bool {
+        match seen.hosts {
+            KnownHosts::Unread | KnownHosts::Unstated => true,
+            KnownHosts::UpTo(version) => {
+                let is_own = self.holder.as_ref() == Some(&self.owner.host);
+                is_own || self.listed_since.is_some_and(|since| since <= version)
+            }
+        }
+    }
+
     /// Applies the row that a read returned, or the row that a conflicting write found. A read that
     /// is answered late may return an older row than the one that the holder has reported.
     pub fn receive_row(&mut self, row: Option<(LeaseRow, u64)>, now: ClockTime) {
@@ -452,9 +524,14 @@
         if let Some(row) = row.as_ref().filter(|row| self.is_own(row)) {
             return self.receive_own_row(row.released, version, now);
         }
+        let hosts_version = row.as_ref().and_then(|row| row.hosts_version);
+        let hosts = hosts_version.map_or(KnownHosts::Unstated, KnownHosts::UpTo);
         let (holder, released) = row.map_or((None, false), |row| (Some(row.holder), row.released));
         self.observe_version(holder, version, now);
         self.released = released;
+        if let Some(seen) = &mut self.seen {
+            seen.hosts = hosts;
+        }
         if let Some(seen) = self.seen {
             // A version that has just been observed is not free yet.
             if self.is_free(seen, now) {
@@ -479,13 +556,18 @@
         // The next write expects this version. It alone renews the lease or takes it: for the other
         // hosts, the lease becomes free at a time that counts from the write found here.
         self.write_sent_at = None;
+        let hosts = KnownHosts::Unstated;
         if self.is_holder() {
-            self.set_version(version, now);
+            self.set_version(version, hosts, now);
         } else if self.is_free(seen, now) {
             let since = seen.since;
-            self.seen = Some(SeenVersion { version, since });
+            self.seen = Some(SeenVersion {
+                version,
+                since,
+                hosts,
+            });
         } else {
-            self.set_version(version, now);
+            self.set_version(version, hosts, now);
             self.holder = Some(self.owner.host.clone());
             self.stamp = ClockTime::ZERO;
         }
@@ -500,14 +582,19 @@
         self.stamp = stamp;
         self.holder = Some(holder.clone());
         self.released = false;
-        self.set_version(version, now);
+        let known = self.seen.filter(|seen| seen.version == version);
+        let hosts = known.map_or(KnownHosts::Unread, |seen| seen.hosts);
+        self.set_version(version, hosts, now);
     }
 
     /// Records a version as seen now, which restarts the time until a take-over.
-    fn set_version(&mut self, version: u64, now: ClockTime) {
-        let since = now;
+    fn set_version(&mut self, version: u64, hosts: KnownHosts, now: ClockTime) {
         self.free_since = None;
-        self.seen = Some(SeenVersion { version, since });
+        self.seen = Some(SeenVersion {
+            version,
+            since: now,
+            hosts,
+        });
     }
 
     /// Records a version and its holder, unless the version is already known.
@@ -515,7 +602,7 @@
         if self.seen.is_some_and(|seen| seen.version == version) {
             return;
         }
-        self.set_version(version, now);
+        self.set_version(version, KnownHosts::Unread, now);
         self.holder = holder;
         // Stamps of two holders cannot be compared.
         self.stamp = ClockTime::ZERO;
@@ -535,7 +622,7 @@
             self.taken_version = Some(version);
             self.acknowledged.clear();
         }
-        self.set_version(version, now);
+        self.set_version(version, KnownHosts::Unstated, now);
         self.holder = Some(self.owner.host.clone());
         self.confirmed_at = Some(sent);
         self.heartbeat_at = now;
--- a/tests/lease_hand_over.rs
+++ b/tests/lease_hand_over.rs
@@ -147,3 +147,24 @@
     );
     deployment.check_orders();
 }
+
+/// Guards against orders of two hosts at a time: a holder that has lost the store is confirmed by the
+/// hosts that it knows, and a host that was added meanwhile, whose own row the store does not confirm,
+/// takes the lease without telling them of itself.
+#[actix_rt::test]
+async fn host_without_a_confirmed_row_makes_itself_known_to_the_holder() {
+    let deployment = Deployment::start().await;
+    let (_holder, holder_store) = deployment.start_host("edge-1").await;
+    deployment.wait_for_orders_of("edge-1").await;
+    let (_other, other_store) = deployment.start_host("edge-2").await;
+    actix_rt::time::sleep(HEARTBEAT_TIME).await;
+    holder_store.set_fault(StoreFault::Down);
+    other_store.set_fault(StoreFault::Down);
+    let _added = deployment.add_unconfirmed_host("edge-3").await;
+    actix_rt::time::sleep(CHANGE_TIME).await;
+    let before = deployment.orders().len();
+    actix_rt::time::sleep(HEARTBEAT_TIME).await;
+    let orders = deployment.orders();
+    assert!(orders.len() > before, "no host gives orders");
+    deployment.check_orders();
+}
