serving: a holder that hears of a newer one gives the lease up

Ruled out: that its own renewals without an answer are taken for those of another holder; reports come from the holder itself, and a row with a higher version can only have been written after its own.

Change: a report or news of another holder with a newer version ends the lease. Acknowledgements of hosts that know the newer version did not count before either; this closes the time until they are too old.

Measured: holder_that_hears_of_a_newer_one_loses_the_lease fails before.

--- a/crates/serving/src/lease.rs
+++ b/crates/serving/src/lease.rs
@@ -573,11 +573,14 @@
         }
     }
 
-    /// Records a heartbeat of the holder, which postpones a take-over.
+    /// Records a heartbeat of the holder, which postpones a take-over. A holder that hears of one
+    /// with a newer version has lost the lease to it.
     fn update_holder(&mut self, holder: &HostName, version: u64, stamp: ClockTime, now: ClockTime) {
-        if self.version().is_some_and(|seen| version < seen) || self.is_holder() {
+        let is_older = |seen| version < seen || (version == seen && self.is_holder());
+        if self.version().is_some_and(is_older) {
             return;
         }
+        self.confirmed_at = None;
         self.heartbeat_at = now;
         self.stamp = stamp;
         self.holder = Some(holder.clone());
--- a/crates/serving/tests/lease.rs
+++ b/crates/serving/tests/lease.rs
@@ -652,6 +652,22 @@
     assert_eq!(lease.release_expected(), Some(11));
 }
 
+/// Guards against a holder without the store that does not heed the reports of the next one.
+#[test]
+fn holder_that_hears_of_a_newer_one_loses_the_lease() {
+    let mut lease = holder_at(ms(1_000));
+    let report = |version| LeaseReport::Holds {
+        version,
+        stamp: ms(500),
+    };
+    lease.receive_report(&host("b"), &report(9), ms(1_100));
+    assert!(lease.is_holder(), "the report of a former holder counts");
+    lease.receive_report(&host("b"), &report(12), ms(1_200));
+    assert!(!lease.is_holder());
+    assert_eq!(lease.order_fence(&[host("b")], ms(1_200)), None);
+    assert_eq!(lease.holder(), Some(&host("b")));
+}
+
 /// Guards against a pause of all orders after a renewal that was carried out without an answer: the
 /// next one found another version and took it for that of another holder.
 #[test]
