edge: the lease holder relays the hosts' rows that it reads for its domain

Where it is also the reader of its failure domain, as the strongest host mostly is, it never read them for the domain any more, and its other hosts heard of a change after 120 s instead of 15 s.

Change: the decision is a function of the time since the last read, of being the reader and of holding the lease; a reader always relays. A host that has just written its own row decides in the same way.

Measured: holder_reads_the_hosts_for_its_domain_if_it_is_the_reader, a test of the new function.

--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -12,6 +12,7 @@
 use crocusyard_adapter::prelude::*;
 use crocusyard_base::prelude::*;
 use crocusyard_serving::prelude::*;
+use crocusyard_serving::relay::HOLDER_HOSTS_READ_INTERVAL;
 use log::warn;
 use serde_json::json;
 use std::collections::BTreeMap;
@@ -26,16 +27,6 @@
 const FEED_WAIT: Duration = Duration::from_millis(1_200);
 /// Longest time for an answer of the store after the wait of a long poll.
 const FEED_TIMEOUT: Duration = Duration::from_millis(1_000);
-/// Interval at which the rows of the entry hosts are read. It bounds the time for which a host
-/// does not know that another host has left, or that a host exists with which it exchanges no
-/// heartbeats.
-const HOSTS_POLL_INTERVAL: Duration = Duration::from_secs(15);
-/// Interval at which the lease holder reads those rows. Hosts whose rows it has not read wait longer
-/// before they take the lease over.
-const HOLDER_HOSTS_POLL_INTERVAL: Duration = Duration::from_secs(3);
-/// Interval at which hosts read those rows to which the reader of their failure domain relays the
-/// changes; a message of the reader may be lost.
-const LONG_HOSTS_POLL_INTERVAL: Duration = Duration::from_secs(120);
 /// Time that a relayed configuration takes at most, unless it is lost.
 const RELAY_TIME: Duration = Duration::from_millis(150);
 /// Longest compressed configuration that is relayed, bytes; it fits into one datagram.
@@ -322,24 +313,23 @@
 
 /// Waits until this host has to read the rows of the entry hosts: the lease holder does so most
 /// often, and the reader of a failure domain more often than the others, to which it relays the
-/// changes.
+/// changes. A host that has just written its own row reads them at once.
 async fn next_hosts_read(shell: &EdgeShell) -> ChangeRead {
-    let mut waited = Duration::ZERO;
+    let interval = HOLDER_HOSTS_READ_INTERVAL;
+    let mut elapsed = ClockTime::ZERO;
     loop {
         let news = shell.hosts_news.notified();
-        let is_notified = actix_rt::time::timeout(HOLDER_HOSTS_POLL_INTERVAL, news).await;
-        if is_notified.is_ok() {
-            return ChangeRead::immediate(CallReason::OwnRow);
-        }
-        waited += HOLDER_HOSTS_POLL_INTERVAL;
+        let pause = Duration::from_millis(interval.as_ms());
+        let has_news = actix_rt::time::timeout(pause, news).await.is_ok();
+        elapsed += interval;
         let hosts = shell.hosts.borrow();
         let is_reader = hosts.is_small() || hosts.is_list_reader(clock::now());
-        let is_due = is_reader && waited >= HOSTS_POLL_INTERVAL;
-        if is_due || waited >= LONG_HOSTS_POLL_INTERVAL {
-            return ChangeRead::immediate(CallReason::Reader);
-        }
-        if shell.lease.borrow().is_holder() {
-            return ChangeRead::immediate(CallReason::Holder);
+        // A row that has just been written is as urgent as the lease.
+        let is_urgent = has_news || shell.lease.borrow().is_holder();
+        match HostsRead::next(elapsed, is_reader, is_urgent) {
+            Some(HostsRead::Domain) => return ChangeRead::immediate(CallReason::Reader),
+            Some(HostsRead::Own) => return ChangeRead::immediate(CallReason::HostsForItself),
+            None => {}
         }
     }
 }
--- a/crates/edge/src/own_row.rs
+++ b/crates/edge/src/own_row.rs
@@ -25,9 +25,9 @@
 const REMOVAL_TIMEOUT: Duration = Duration::from_millis(300);
 /// Pause before the removal is repeated.
 const REMOVAL_PAUSE: Duration = Duration::from_millis(300);
-/// Largest number of writes at once that find another row than expected: that of a former process,
-/// which may be removed or written late.
-const MAX_CONFLICTS: usize = 3;
+/// Largest number of attempts in a row that find another row than expected: that of a former process,
+/// whose writes may be carried out late.
+const MAX_ATTEMPTS: usize = 3;
 
 /// What this process knows of its row.
 #[derive(Debug, Default)]
@@ -65,7 +65,7 @@
 /// Fails if the store did not answer or refused the write.
 pub(crate) async fn write_own_row(shell: &EdgeShell) -> Result<(), StoreError> {
     let mut result = Ok(());
-    for _ in 0..MAX_CONFLICTS {
+    for _ in 0..MAX_ATTEMPTS {
         result = write_once(shell).await;
         if !matches!(result, Err(StoreError::Conflict { .. })) {
             break;
--- a/crates/edge/src/store_calls.rs
+++ b/crates/edge/src/store_calls.rs
@@ -38,16 +38,20 @@
     LeaseWrite,
     /// The holder of the lease stores which crashes still count.
     CrashHistory,
-    /// The host writes or removes its row, or has just written it.
+    /// The host writes or removes its row.
     OwnRow,
-    /// The holder of the lease reads the table.
-    Holder,
+    /// The host reads the rows of the hosts for itself: it holds the lease, or a relayed change may be
+    /// lost.
+    HostsForItself,
 }
 
 impl CallReason {
     /// Returns whether the host relays the changes that it reads for this reason to others.
     pub(crate) fn is_shared(self) -> bool {
-        !matches!(self, Self::NewerVersion | Self::OwnRow | Self::Holder)
+        !matches!(
+            self,
+            Self::NewerVersion | Self::OwnRow | Self::HostsForItself
+        )
     }
 
     /// Returns the name of the reason in logs and metrics.
@@ -62,7 +66,7 @@
             Self::LeaseWrite => "lease_write",
             Self::CrashHistory => "crash_history",
             Self::OwnRow => "own_row",
-            Self::Holder => "holder",
+            Self::HostsForItself => "hosts_for_itself",
         }
     }
 }
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -62,7 +62,9 @@
     pub use crate::lease::{HolderNews, LeaseOwner, LeaseReport, LeaseRow, LeaseState, LeaseStep};
     pub use crate::limits::{NamedUsage, TenantLimits};
     pub use crate::orders::{EngineOrder, EngineReport, OrderAction, OrderAnswer, OrderTracker};
-    pub use crate::relay::{ListChange, ListEntry, ListFollower, ListReader, ReaderRank};
+    pub use crate::relay::{
+        HostsRead, ListChange, ListEntry, ListFollower, ListReader, ReaderRank,
+    };
     pub use crate::retries::{RetryBudget, RetryCount, RetryLimits};
     pub use crate::rules::{
         CallKind, CallerLimits, EngineRule, ModelRule, RouteRule, RuleSet, ServiceRule,
--- a/crates/serving/src/relay.rs
+++ b/crates/serving/src/relay.rs
@@ -39,6 +39,41 @@
 /// Shortest pause between two checks.
 const MIN_CHECK_PAUSE: ClockTime = ClockTime::from_ms(5);
 
+/// Interval at which the reader of a failure domain reads the rows of the entry hosts. It bounds the
+/// time for which a host does not know that another host has left, or that a host exists with which it
+/// exchanges no heartbeats.
+const HOSTS_READ_INTERVAL: ClockTime = ClockTime::from_secs(15);
+/// Interval at which the lease holder reads those rows. Hosts whose rows it has not read wait longer
+/// before they take the lease over.
+pub const HOLDER_HOSTS_READ_INTERVAL: ClockTime = ClockTime::from_secs(3);
+/// Interval at which hosts read those rows to which the reader of their failure domain relays the
+/// changes; a message of the reader may be lost.
+const LONG_HOSTS_READ_INTERVAL: ClockTime = ClockTime::from_secs(120);
+
+/// For whom a host reads the rows of the entry hosts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum HostsRead {
+    /// For its failure domain, to which it relays the changes.
+    Domain,
+    /// For itself.
+    Own,
+}
+
+impl HostsRead {
+    /// Decides whether a host reads the rows, `elapsed` after it last did. The lease holder does so
+    /// most often; if it is the reader of its failure domain, the others hear from no one else of the
+    /// changes that it reads.
+    pub fn next(elapsed: ClockTime, is_reader: bool, is_holder: bool) -> Option<Self> {
+        let interval = match (is_holder, is_reader) {
+            (true, _) => HOLDER_HOSTS_READ_INTERVAL,
+            (false, true) => HOSTS_READ_INTERVAL,
+            (false, false) => LONG_HOSTS_READ_INTERVAL,
+        };
+        let read = if is_reader { Self::Domain } else { Self::Own };
+        (elapsed >= interval).then_some(read)
+    }
+}
+
 /// Place of a host in the order in which the live hosts of a failure domain read the store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct ReaderRank(pub usize);
--- a/crates/serving/tests/domain_reads.rs
+++ b/crates/serving/tests/domain_reads.rs
@@ -148,3 +148,17 @@
         );
     }
 }
+
+/// Guards against a failure domain that hears of no changes of the hosts while its reader holds the
+/// lease, and against reads by every host.
+#[test]
+fn holder_reads_the_hosts_for_its_domain_if_it_is_the_reader() {
+    let (short, usual) = (ms(3_000), ms(15_000));
+    assert_eq!(HostsRead::next(short, true, true), Some(HostsRead::Domain));
+    assert_eq!(HostsRead::next(short, false, true), Some(HostsRead::Own));
+    assert_eq!(HostsRead::next(short, true, false), None);
+    assert_eq!(HostsRead::next(usual, true, false), Some(HostsRead::Domain));
+    assert_eq!(HostsRead::next(usual, false, false), None);
+    let long = HostsRead::next(ms(120_000), false, false);
+    assert_eq!(long, Some(HostsRead::Own));
+}
