--- a/crates/serving/src/relay.rs
+++ b/crates/serving/src/relay.rs
@@ -60,11 +60,11 @@
 }
 
 impl HostsRead {
-    /// Decides whether a host reads the rows, `elapsed` after it last did. The lease holder does so
-    /// most often; if it is the reader of its failure domain, the others hear from no one else of the
+    /// Decides whether a host reads the rows, `elapsed` after it last did. It is urgent for the lease
+    /// holder. If a host is the reader of its failure domain, the others hear from no one else of the
     /// changes that it reads.
-    pub fn next(elapsed: ClockTime, is_reader: bool, is_holder: bool) -> Option<Self> {
-        let interval = match (is_holder, is_reader) {
+    pub fn next(elapsed: ClockTime, is_reader: bool, is_urgent: bool) -> Option<Self> {
+        let interval = match (is_urgent, is_reader) {
             (true, _) => HOLDER_HOSTS_READ_INTERVAL,
             (false, true) => HOSTS_READ_INTERVAL,
             (false, false) => LONG_HOSTS_READ_INTERVAL,
