--- a/tests/lease_hand_over.rs
+++ b/tests/lease_hand_over.rs
@@ -62,6 +62,15 @@
         (EntryHost::start(name, store.address), store)
     }
 
+    /// Starts `edge-1`, which gives orders, and then `edge-2`; they know each other.
+    async fn start_holder_and_other(&self) -> [(EntryHost, StoreStandin); 2] {
+        let holder = self.start_host("edge-1").await;
+        self.wait_for_orders_of("edge-1").await;
+        let other = self.start_host("edge-2").await;
+        actix_rt::time::sleep(HEARTBEAT_TIME).await;
+        [holder, other]
+    }
+
     /// Starts a host whose own row is written without an answer.
     async fn add_unconfirmed_host(&self, name: &str) -> EntryHost {
         let store = self.store.open_address().await.expect("no unused port");
@@ -131,10 +140,7 @@
 #[actix_rt::test]
 async fn holder_gives_no_orders_after_a_release_without_an_answer() {
     let deployment = Deployment::start().await;
-    let (holder, holder_store) = deployment.start_host("edge-1").await;
-    deployment.wait_for_orders_of("edge-1").await;
-    let (_other, _) = deployment.start_host("edge-2").await;
-    actix_rt::time::sleep(HEARTBEAT_TIME).await;
+    let [(holder, holder_store), _other] = deployment.start_holder_and_other().await;
     holder_store.set_fault(StoreFault::LosesWriteAnswers("lease"));
     stop(&holder);
     actix_rt::time::sleep(START_DELAY).await;
@@ -154,10 +160,8 @@
 #[actix_rt::test]
 async fn host_without_a_confirmed_row_makes_itself_known_to_the_holder() {
     let deployment = Deployment::start().await;
-    let (_holder, holder_store) = deployment.start_host("edge-1").await;
-    deployment.wait_for_orders_of("edge-1").await;
-    let (_other, other_store) = deployment.start_host("edge-2").await;
-    actix_rt::time::sleep(HEARTBEAT_TIME).await;
+    let [(_holder, holder_store), (_other, other_store)] =
+        deployment.start_holder_and_other().await;
     holder_store.set_fault(StoreFault::Down);
     other_store.set_fault(StoreFault::Down);
     let _added = deployment.add_unconfirmed_host("edge-3").await;
