platform stand-ins: read orders and describe engines in their folder

Found by the check of names: lease_hand_over.rs spelled fields of the platform's orders and configuration. Both now stand in the stand-ins, whose types say what they hold. The checks of the test are the same; 3 passed.

--- a/tests/lease_hand_over.rs
+++ b/tests/lease_hand_over.rs
@@ -4,7 +4,6 @@
 
 use crocusyard_platform_standin::prelude::*;
 use entry_support::{route, stop, EntryHost, POLL_INTERVAL, SETTLE_LIMIT};
-use serde_json::{json, Value};
 use std::time::{Duration, Instant};
 
 const ROUTES: [TestRoute; 1] = [route("/flow/", RouteKind::Resumable, 2)];
@@ -40,13 +39,7 @@
         let store = StoreStandin::start()
             .await
             .expect("the store stand-in cannot start");
-        let mut text = configuration(1, &ROUTES);
-        text["services"][0]["engine"] = json!({
-            "slots": 4, "kv_capacity": 80_000, "weights_mb": 100_000, "adapter_slots": 2,
-            "loads_per_s": 10.0,
-            "models": [{"name": "m", "weights_mb": 40_000, "load_s": 2.0}],
-        });
-        store.put_configuration(&text);
+        store.put_configuration(&with_engines(configuration(1, &ROUTES)));
         let mut engines = Vec::new();
         for number in 0..ENGINES {
             let engine = TargetStandin::start(&format!("i-{number}"))
@@ -89,10 +82,10 @@
         });
         arrivals
             .filter_map(|arrival| {
-                let order: Value = serde_json::from_slice(&arrival.body).ok()?;
+                let OrderFacts { holder, fence } = read_order(&arrival.body)?;
                 Some(SeenOrder {
-                    holder: order["holder"].as_str()?.to_owned(),
-                    fence: order["fence_token"].as_u64()?,
+                    holder,
+                    fence,
                     target: arrival.target,
                     at: arrival.at,
                 })
