serving: what a process knows of its own row is a type of the decisions

Change: OwnRow in crates/serving decides, the task calls the store, the world uses the type. lease_messages.rs holds what hosts write and tell. The row found for this process is applied in one branch instead of three.

Ruled out: deriving the released version from the holder and the mark of a release; a take-over found in the row keeps that mark, and the host would report a release that is not there.

--- a/crates/edge/src/shell.rs
+++ b/crates/edge/src/shell.rs
@@ -13,7 +13,6 @@
 use crate::metrics::EdgeMetrics;
 use crate::moves;
 use crate::notices::ComplaintLog;
-use crate::own_row::OwnRow;
 use crocusyard_adapter::prelude::*;
 use crocusyard_base::prelude::*;
 use crocusyard_base::random::seeded_rng;
@@ -146,9 +145,10 @@
             entry: settings.entry,
             peer: settings.peer,
         };
+        let process = RandomState::new().build_hasher().finish();
         let owner = LeaseOwner {
             host: settings.name.clone(),
-            process: RandomState::new().build_hasher().finish(),
+            process,
         };
         let intake = IntakeBudget::new(IntakeLimits::for_memory(settings.memory_mb));
         let conn_limits = ConnLimits::for_descriptors(settings.max_descriptors);
@@ -178,7 +178,7 @@
             intake_log: IntakeLog::default(),
             store: StoreClient::new(settings.store),
             peers,
-            own_row: RefCell::default(),
+            own_row: RefCell::new(OwnRow::new(process)),
             hosts_news: Notify::new(),
             configuration_version: Cell::new(0),
             configuration_read: Cell::new(0),
--- a/crates/serving/src/lease.rs
+++ b/crates/serving/src/lease.rs
@@ -25,8 +25,8 @@
 //! no orders once it has sent the release of the lease. Any other write of this process that is
 //! found in the row is continued: the next write expects its version.
 
+use crate::lease_messages::{HolderNews, LeaseOwner, LeaseReport, LeaseRow};
 use crocusyard_base::prelude::*;
-use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
 /// Interval between renewals.
@@ -62,69 +62,6 @@
 /// Part of the time before a take-over that covers answers still on their way.
 const TAKEOVER_MARGIN: ClockTime = ClockTime::from_ms(300);
 
-/// Content of the lease row in the store.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct LeaseRow {
-    /// Host that holds the lease or held it last.
-    pub holder: HostName,
-    /// Whether the holder has given the lease up; it gives no more orders then.
-    #[serde(default)]
-    pub released: bool,
-    /// Process of the holder that wrote the row; `None` in rows of earlier versions.
-    #[serde(default)]
-    pub process: Option<u64>,
-    /// Version of the store up to which the holder had read the rows of the hosts. The hosts in them
-    /// have to acknowledge its reports while the store does not confirm it. `None` in rows of earlier
-    /// versions.
-    #[serde(default)]
-    pub hosts_version: Option<u64>,
-}
-
-/// The host and process that a lease state belongs to.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct LeaseOwner {
-    /// Name of the host.
-    pub host: HostName,
-    /// Random number of the process, by which it recognizes its own writes.
-    pub process: u64,
-}
-
-/// Report about the lease in the heartbeat of a host.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum LeaseReport {
-    /// The host holds the lease and gives orders.
-    Holds {
-        /// Version of the lease row.
-        version: u64,
-        /// Time of the report by the holder's clock; other hosts only send it back.
-        stamp: ClockTime,
-    },
-    /// The host has given the lease up.
-    Released {
-        /// Version of the lease row that released it.
-        version: u64,
-    },
-    /// The host has received a heartbeat of the holder.
-    Acknowledged {
-        /// Version of the lease row in the holder's report.
-        version: u64,
-        /// Stamp of the newest report received from the holder. An acknowledgement that the holder
-        /// reads late, as after a freeze, thus shows its age by the holder's own clock.
-        stamp: ClockTime,
-    },
-}
-
-/// Report of the holder that hosts pass on to each other.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct HolderNews {
-    /// Host that holds the lease.
-    pub holder: HostName,
-    /// Version of the lease row in its report.
-    pub version: u64,
-    /// Time of the report by the holder's clock.
-    pub stamp: ClockTime,
-}
-
 /// Next call of a host to the store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum LeaseStep {
@@ -238,11 +175,6 @@
         self.yields = is_live;
     }
 
-    /// Returns the host and process that this state belongs to.
-    pub fn owner(&self) -> &LeaseOwner {
-        &self.owner
-    }
-
     /// Records up to which version of the store this host has read the rows of the hosts.
     pub fn record_hosts_read(&mut self, version: u64) {
         self.hosts_version = self.hosts_version.max(Some(version));
@@ -556,21 +488,13 @@
         // The next write expects this version. It alone renews the lease or takes it: for the other
         // hosts, the lease becomes free at a time that counts from the write found here.
         self.write_sent_at = None;
-        let hosts = KnownHosts::Unstated;
-        if self.is_holder() {
-            self.set_version(version, hosts, now);
-        } else if self.is_free(seen, now) {
-            let since = seen.since;
-            self.seen = Some(SeenVersion {
-                version,
-                since,
-                hosts,
-            });
-        } else {
-            self.set_version(version, hosts, now);
-            self.holder = Some(self.owner.host.clone());
-            self.stamp = ClockTime::ZERO;
-        }
+        let is_continued = !self.is_holder() && self.is_free(seen, now);
+        let since = if is_continued { seen.since } else { now };
+        let free_since = self.free_since.filter(|_| is_continued);
+        self.set_version(version, KnownHosts::Unstated, since);
+        self.free_since = free_since;
+        self.holder = Some(self.owner.host.clone());
+        self.stamp = ClockTime::ZERO;
     }
 
     /// Records a heartbeat of the holder, which postpones a take-over. A holder that hears of one
@@ -590,12 +514,12 @@
         self.set_version(version, hosts, now);
     }
 
-    /// Records a version as seen now, which restarts the time until a take-over.
-    fn set_version(&mut self, version: u64, hosts: KnownHosts, now: ClockTime) {
+    /// Records a version as seen at `since`, from which the time until a take-over counts.
+    fn set_version(&mut self, version: u64, hosts: KnownHosts, since: ClockTime) {
         self.free_since = None;
         self.seen = Some(SeenVersion {
             version,
-            since: now,
+            since,
             hosts,
         });
     }
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -25,8 +25,10 @@
 pub mod host_news;
 pub mod hosts;
 pub mod lease;
+pub mod lease_messages;
 pub mod limits;
 pub mod orders;
+pub mod own_row;
 pub mod pace;
 pub mod peer_reports;
 pub mod relay;
@@ -59,9 +61,11 @@
     pub use crate::failures::FailureReport;
     pub use crate::host_news::{HostKey, HostNews, NewsStamp};
     pub use crate::hosts::{HostRecord, HostShare, HostTable};
-    pub use crate::lease::{HolderNews, LeaseOwner, LeaseReport, LeaseRow, LeaseState, LeaseStep};
+    pub use crate::lease::{LeaseState, LeaseStep};
+    pub use crate::lease_messages::{HolderNews, LeaseOwner, LeaseReport, LeaseRow};
     pub use crate::limits::{NamedUsage, TenantLimits};
     pub use crate::orders::{EngineOrder, EngineReport, OrderAction, OrderAnswer, OrderTracker};
+    pub use crate::own_row::{FoundRow, OwnRow, StoredHost};
     pub use crate::relay::{
         HostsRead, ListChange, ListEntry, ListFollower, ListReader, ReaderRank,
     };
